--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -133,6 +133,17 @@
 	return attempt, answer
 }
 
+// Measure opens a connection to learn the round trip and keeps it for later.
+func (c *Client) Measure(ctx context.Context, address netip.AddrPort, limit time.Duration) (time.Duration, error) {
+	connection, roundTrip, err := c.pool.get(ctx, address, limit)
+	if err != nil {
+		return 0, err
+	}
+	connection.uses = 0
+	c.pool.put(connection, true)
+	return roundTrip, nil
+}
+
 // message is the request as the server sees it.
 func (c *Client) message(r Request) *http.Request {
 	header := make(http.Header, len(r.Header)+4)
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -13,10 +13,10 @@
 	// globalShare is the largest part of a route's target that a round trip
 	// to another region may take for objects to have one home in all regions.
 	// Beyond it each region keeps a home of its own.
-	globalShare = 0.2
+	globalShare = 0.25
 	// spillCost is charged for work on a server that does not know the
 	// object, as a part of that work: it takes the slots of others.
-	spillCost = 0.5
+	spillCost = 10.0
 	// memory is how long an answer's object is taken to be remembered.
 	memory = 10 * time.Second
 	// memoryMost bounds the objects noted for each server.
@@ -28,9 +28,12 @@
 	pick struct {
 		server   *server
 		expected time.Duration
-		cost     time.Duration
-		warm     bool
-		reason   Reason
+		// start is the part of it until a slot is free: how long the work
+		// takes then is a guess, and not one to refuse a request for.
+		start  time.Duration
+		cost   time.Duration
+		warm   bool
+		reason Reason
 	}
 )
 
@@ -45,7 +48,7 @@
 			continue
 		}
 		p := k.reckon(now, f, g, s, homes)
-		if p.expected > left {
+		if p.start > left {
 			if best.server == nil {
 				best.reason = ReasonOverload
 			}
@@ -73,17 +76,7 @@
 	if k.global(f) {
 		return k.homesIn(g, "all "+strings.Join(f.Route.Regions, " "), func(s *server) bool { return f.Route.Allows(s.region) }).Of(f.Object)
 	}
-	var list []string
-	for _, region := range k.regions() {
-		if !f.Route.Allows(region) {
-			continue
-		}
-		h := k.homesIn(g, "in "+region, func(s *server) bool { return s.region == region }).Of(f.Object)
-		if len(h) > 0 {
-			list = append(list, h[0])
-		}
-	}
-	return list
+	return k.homesIn(g, "own "+strings.Join(f.Route.Regions, " "), func(s *server) bool { return f.Route.Allows(s.region) && s.region == k.config.Region }).Of(f.Object)
 }
 
 // global reports whether the route's objects have one home in all regions.
@@ -95,38 +88,32 @@
 	return farthest <= time.Duration(globalShare*float64(f.Route.Target))
 }
 
-func (k *Kernel) regions() []string {
-	var list []string
-	for _, r := range k.config.RegionOf {
-		if !slices.Contains(list, r) {
-			list = append(list, r)
-		}
-	}
-	slices.Sort(list)
-	return list
-}
-
 // reckon estimates the time until the answer from one server.
 func (k *Kernel) reckon(now time.Time, f *Flight, g *service, s *server, homes []string) pick {
-	warm := slices.Contains(homes, s.id) || s.knows(f.Object, now)
-	work := time.Duration(float64(g.work.expect(warm, f.Route.Target)) * max(1, s.speed))
+	warm := s.knows(f.Object, now)
+	slow := max(1, s.speed)
+	work := time.Duration(float64(g.work.expect(warm, f.Route.Target)) * slow)
 	if s.isCold(now) {
 		work *= 2
 	}
-	typical := float64(g.work.expect(true, f.Route.Target)) * max(1, s.speed)
+	typical := float64(g.work.expect(true, f.Route.Target)) * slow
 	wait := time.Duration(max(0, s.load(now)+1-float64(s.Slots)) / float64(s.Slots) * typical)
-	p := pick{server: s, warm: warm, expected: s.domain.roundTrip + wait + work}
+	p := pick{server: s, warm: warm, start: s.domain.roundTrip + wait, expected: s.domain.roundTrip + wait + work}
 	p.cost = p.expected + time.Duration(s.failed*float64(f.Route.Target))
-	if !warm {
-		p.cost += time.Duration(spillCost * float64(work))
-	}
-	if len(homes) > 0 && homes[0] != s.id {
-		// Among equals the first home wins, so that all proxies agree.
-		p.cost += time.Millisecond
+	if len(homes) > 0 && !warm {
+		p.cost += time.Duration(spillCost * float64(rank(homes, s.id)) * float64(work))
 	}
 	return p
 }
 
+// rank is a server's place among an object's homes, from 0 for the first.
+func rank(homes []string, id string) int {
+	if i := slices.Index(homes, id); i >= 0 {
+		return i
+	}
+	return len(homes)
+}
+
 // knows reports whether this proxy saw the server handle the object lately.
 func (s *server) knows(object string, now time.Time) bool {
 	at, seen := s.objects[object]
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -34,6 +34,7 @@
 		Route    string
 		Service  string
 		Server   string
+		Object   string
 		Domain   string
 		Version  uint64
 		Attempt  int
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -180,6 +180,29 @@
 	return ids
 }
 
+// Unmeasured names one server in each failure domain to which no round trip
+// was measured yet.
+func (k *Kernel) Unmeasured() []routing.Server {
+	var list []routing.Server
+	for domain, d := range k.distance {
+		if d.measured {
+			continue
+		}
+		for _, s := range k.servers {
+			if s.Domain == domain && !s.Draining && !s.gone {
+				list = append(list, s.Server)
+				break
+			}
+		}
+	}
+	return list
+}
+
+// Measured takes in a round trip to a failure domain.
+func (k *Kernel) Measured(domain string, roundTrip time.Duration) {
+	k.distanceTo(domain).heard(roundTrip)
+}
+
 // SetEvacuated marks a failure domain whose servers must get nothing, or takes
 // the mark back. Servers that come back got nothing for a while and are taken
 // for cold, whatever their last registration says.
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -178,7 +178,7 @@
 		connections = c.Connections
 	}
 	k.config.Observe(Event{
-		Kind: EventSent, Request: f.ID, Route: f.Route.Name, Service: f.Service, Server: s.id,
+		Kind: EventSent, Request: f.ID, Route: f.Route.Name, Service: f.Service, Server: s.id, Object: f.Object,
 		Version: k.table.Version, Attempt: f.sends + 1, Expected: pick.expected, Load: s.load(now),
 	})
 	return Decision{Server: &Target{Server: s.Server, Connections: connections, Proxies: len(k.proxies), RoundTrip: s.domain.roundTrip}}
@@ -192,7 +192,7 @@
 	took := now.Sub(f.sentAt)
 	k.learn(now, f, s, a, took)
 	k.config.Observe(Event{
-		Kind: EventAttemptEnded, Request: f.ID, Route: f.Route.Name, Service: f.Service, Server: s.id,
+		Kind: EventAttemptEnded, Request: f.ID, Route: f.Route.Name, Service: f.Service, Server: s.id, Object: f.Object,
 		Attempt: f.sends + 1, Result: a.Result, Expected: f.expected, Took: took, Err: a.Err,
 	})
 	switch a.Result {
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -26,6 +26,11 @@
 	// before one was measured, faraway that to another region.
 	nearby  = 2 * time.Millisecond
 	faraway = 60 * time.Millisecond
+	// warmFall, warmRise and coldFollow are the divisors of one sample's
+	// difference in the estimates of the work.
+	warmFall   = 4
+	warmRise   = 64
+	coldFollow = 16
 )
 
 type (
@@ -150,16 +155,23 @@
 	s.outs++
 }
 
+// heard takes in one answer's work. The warm estimate follows shorter times at
+// once and longer ones slowly: an answer that took long may have waited or met
+// a server that had forgotten the object.
 func (w *workModel) heard(warm bool, took time.Duration) {
-	into := &w.cold
-	if warm {
-		into = &w.warm
-	}
-	if *into == 0 {
-		*into = took
-		return
+	switch {
+	case warm && (w.warm == 0 || took < w.warm):
+		w.warm += (took - w.warm) / warmFall
+		if w.warm < took {
+			w.warm = took
+		}
+	case warm:
+		w.warm += (took - w.warm) / warmRise
+	case w.cold == 0:
+		w.cold = took
+	default:
+		w.cold += (took - w.cold) / coldFollow
 	}
-	*into += (took - *into) / 16
 }
 
 // expect is the time that a request's work takes, from target where nothing
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -14,12 +14,17 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/forwardhttp"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
 const (
 	// tickEvery is how late what has run out may be noticed.
 	tickEvery = 200 * time.Millisecond
+	// measureEvery is the pause between rounds of measuring, measureLimit the
+	// longest round trip that is waited for.
+	measureEvery = time.Second
+	measureLimit = 500 * time.Millisecond
 )
 
 type (
@@ -33,6 +38,7 @@
 		kernel *steering.Kernel
 
 		callers   *http.Server
+		servers   *serverhttp.Client
 		readiness *http.Server
 		directory *http.Server
 		store     *storeSync
@@ -58,9 +64,9 @@
 	config.Observe = journal.event
 	d.kernel = steering.New(config)
 	d.store = newStoreSync(d)
-	servers := serverhttp.NewClient(seams.Names.Server, d.now, func() {})
+	d.servers = serverhttp.NewClient(seams.Names.Server, d.now, func() {})
 	d.callers = (&forwardhttp.Server{
-		Headers: seams.Names.Caller, Kernel: d.do, Send: servers.Send, Now: d.now,
+		Headers: seams.Names.Caller, Kernel: d.do, Send: d.servers.Send, Now: d.now,
 		Stopping: d.isStopping, Finished: journal.finished,
 	}).HTTP()
 	d.readiness = &http.Server{Handler: d.readinessHandler(), ReadHeaderTimeout: time.Second}
@@ -108,6 +114,7 @@
 	}
 	go d.store.run(ctx)
 	go d.tick(ctx)
+	go d.measure(ctx)
 	klog.InfoS("serving", "callers", d.settings.Listen.Callers, "directory", d.settings.Listen.Directory)
 	select {
 	case <-stop.Done():
@@ -131,3 +138,21 @@
 		}
 	}
 }
+
+// measure learns the round trips to failure domains before callers wait for
+// them: where objects live depends on how far the regions are apart.
+func (d *Daemon) measure(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, measureEvery)
+		var list []routing.Server
+		d.do(func(k *steering.Kernel, _ time.Time) { list = k.Unmeasured() })
+		for _, s := range list {
+			roundTrip, err := d.servers.Measure(ctx, s.Address, measureLimit)
+			if err != nil {
+				klog.V(1).InfoS("no round trip measured", "server", s.ID, "error", err.Error())
+				continue
+			}
+			d.do(func(k *steering.Kernel, _ time.Time) { k.Measured(s.Domain, roundTrip) })
+		}
+	}
+}
--- a/internal/proxy/forward/journal.go
+++ b/internal/proxy/forward/journal.go
@@ -19,6 +19,8 @@
 		return
 	case steering.EventAttemptEnded:
 		if e.Result == steering.Answered {
+			klog.V(2).InfoS("answered", "request", e.Request, "route", e.Route, "service", e.Service, "server", e.Server,
+				"object", e.Object, "expected", e.Expected.String(), "took", e.Took.String())
 			return
 		}
 		klog.InfoS("attempt ended", "request", e.Request, "route", e.Route, "service", e.Service, "server", e.Server,
--- a/internal/proxy/forward/store.go
+++ b/internal/proxy/forward/store.go
@@ -18,6 +18,9 @@
 const (
 	// watchWait is how long one watch waits for a change.
 	watchWait = 20 * time.Second
+	// gather is the pause after a change: changes come in series, and each
+	// answered watch is a call that is paid for.
+	gather = 300 * time.Millisecond
 	// leaseSpan is how long a proxy is taken to be alive without a renewal.
 	leaseSpan = 4 * time.Second
 	// renewEvery leaves two renewals to fail before the lease ends.
@@ -106,6 +109,7 @@
 		s.apply(i)
 	}
 	s.revision = max(s.revision, revision)
+	sleep(ctx, gather)
 	return nil
 }
 
