--- a/internal/adapter/peerdrpc/server.go
+++ b/internal/adapter/peerdrpc/server.go
@@ -30,6 +30,9 @@
 		Handover func(peer.HandoverRequest) peer.Stamp
 	}
 
+	// SyncHandler answers peers that compare copies of the store.
+	SyncHandler func(SyncMessage) SyncMessage
+
 	service struct {
 		handlers Handlers
 	}
@@ -41,6 +44,19 @@
 	if err := peerpb.DRPCRegisterPeer(mux, &service{handlers: h}); err != nil {
 		return errors.Wrap(err, "register peer service")
 	}
+	return serve(ctx, listener, mux)
+}
+
+// ServeSync answers peers that compare copies until the context ends.
+func ServeSync(ctx context.Context, listener net.Listener, h SyncHandler) error {
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterReplica(mux, &syncService{sync: h}); err != nil {
+		return errors.Wrap(err, "register replica service")
+	}
+	return serve(ctx, listener, mux)
+}
+
+func serve(ctx context.Context, listener net.Listener, mux *drpcmux.Mux) error {
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
 	return errs.Wrap(server.Serve(ctx, listener), "serve peers")
 }
--- /dev/null
+++ b/internal/kernel/replica/copy.go
@@ -0,0 +1,156 @@
+// Package replica keeps a proxy's copy of what the platform's store holds, at
+// a revision. Copies are exchanged between proxies, so that few of them ask
+// the store and all have its news; a proxy that is cut off from the store
+// hears of changes from those that are not.
+package replica
+
+import (
+	"time"
+)
+
+const (
+	// removalsMost bounds the removals remembered for peers that lag. A peer
+	// that lags further gets everything.
+	removalsMost = 2000
+)
+
+type (
+	// Entry is a key's state as of the revision of its last change.
+	Entry struct {
+		Key      string
+		Value    []byte
+		Revision uint64
+		Removed  bool
+	}
+
+	// Delta is a part of a copy: the changes after Base up to Revision, or
+	// all entries if Whole.
+	Delta struct {
+		Base     uint64
+		Revision uint64
+		Whole    bool
+		Entries  []Entry
+		// Age is how long ago this was known to be the store's state.
+		Age time.Duration
+	}
+
+	// Copy is a complete copy as of a revision. The zero revision means that
+	// nothing was heard yet.
+	Copy struct {
+		revision  uint64
+		confirmed time.Time
+		entries   map[string]Entry
+		removals  map[string]uint64
+		// floor is the revision after which all removals are remembered.
+		floor uint64
+	}
+)
+
+// NewCopy makes an empty copy.
+func NewCopy() *Copy {
+	return &Copy{entries: make(map[string]Entry), removals: make(map[string]uint64)}
+}
+
+// Revision is the revision up to which the copy is complete.
+func (c *Copy) Revision() uint64 { return c.revision }
+
+// Age is how long ago the copy was known to be the store's state.
+func (c *Copy) Age(now time.Time) time.Duration {
+	if c.revision == 0 {
+		return time.Duration(1<<63 - 1)
+	}
+	return now.Sub(c.confirmed)
+}
+
+// Apply takes in a delta and returns the entries that changed, removals last.
+// A delta that begins after the copy's revision leaves a gap and is refused.
+func (c *Copy) Apply(now time.Time, d Delta) ([]Entry, bool) {
+	if !d.Whole && (c.revision == 0 || d.Base > c.revision) {
+		return nil, false
+	}
+	if d.Revision < c.revision {
+		return nil, true
+	}
+	var changed, removed []Entry
+	held := make(map[string]bool)
+	for _, e := range d.Entries {
+		held[e.Key] = true
+		if !c.put(e) {
+			continue
+		}
+		if e.Removed {
+			removed = append(removed, e)
+		} else {
+			changed = append(changed, e)
+		}
+	}
+	if d.Whole {
+		removed = append(removed, c.prune(d, held)...)
+	}
+	c.revision = d.Revision
+	if at := now.Add(-d.Age); at.After(c.confirmed) {
+		c.confirmed = at
+	}
+	return append(changed, removed...), true
+}
+
+// put takes in one entry if it is newer than what is known of its key.
+func (c *Copy) put(e Entry) bool {
+	if e.Revision <= c.entries[e.Key].Revision || e.Revision <= c.removals[e.Key] {
+		return false
+	}
+	if !e.Removed {
+		delete(c.removals, e.Key)
+		c.entries[e.Key] = e
+		return true
+	}
+	_, known := c.entries[e.Key]
+	delete(c.entries, e.Key)
+	c.remember(e.Key, e.Revision)
+	return known
+}
+
+// prune removes what a whole copy of the store does not hold.
+func (c *Copy) prune(d Delta, held map[string]bool) []Entry {
+	var removed []Entry
+	for key, e := range c.entries {
+		if held[key] || e.Revision > d.Revision {
+			continue
+		}
+		delete(c.entries, key)
+		c.remember(key, d.Revision)
+		removed = append(removed, Entry{Key: key, Revision: d.Revision, Removed: true})
+	}
+	if c.floor == 0 {
+		c.floor = d.Revision
+	}
+	return removed
+}
+
+func (c *Copy) remember(key string, revision uint64) {
+	if len(c.removals) >= removalsMost {
+		clear(c.removals)
+		c.floor = revision
+	}
+	c.removals[key] = revision
+}
+
+// Since is what a copy at a revision lacks.
+func (c *Copy) Since(now time.Time, revision uint64) Delta {
+	d := Delta{Base: revision, Revision: c.revision, Age: c.Age(now)}
+	d.Whole = revision == 0 || revision < c.floor
+	for _, e := range c.entries {
+		if d.Whole || e.Revision > revision {
+			d.Entries = append(d.Entries, e)
+		}
+	}
+	if d.Whole {
+		return d
+	}
+	for key, at := range c.removals {
+		if at > revision {
+			d.Entries = append(d.Entries, Entry{Key: key, Revision: at, Removed: true})
+		}
+	}
+	return d
+}
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/netip"
@@ -13,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/forwardhttp"
+	"github.com/gypsumquay/gypsumquay/internal/adapter/peerdrpc"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
@@ -41,7 +43,11 @@
 		servers   *serverhttp.Client
 		readiness *http.Server
 		directory *http.Server
-		store     *storeSync
+		feed      *feed
+		follower  *follower
+		gossip    *gossip
+		keeper    *keeper
+		peers     *peerdrpc.Client
 
 		stopping chan struct{}
 	}
@@ -63,7 +69,11 @@
 	journal := &journal{}
 	config.Observe = journal.event
 	d.kernel = steering.New(config)
-	d.store = newStoreSync(d)
+	d.feed = newFeed(d)
+	d.peers = peerdrpc.NewClient(func() *tls.Config { return nil })
+	d.gossip = &gossip{feed: d.feed, send: d.peers.Sync}
+	d.follower = &follower{feed: d.feed, store: seams.Store}
+	d.keeper = &keeper{feed: d.feed, store: seams.Store}
 	d.servers = serverhttp.NewClient(seams.Names.Server, d.now, func() {})
 	d.callers = (&forwardhttp.Server{
 		Headers: seams.Names.Caller, Kernel: d.do, Send: d.servers.Send, Now: d.now,
@@ -97,7 +107,7 @@
 func (d *Daemon) Run(stop context.Context) error {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	for _, l := range []struct {
 		server  *http.Server
 		address netip.AddrPort
@@ -112,7 +122,15 @@
 		}
 		go func() { failed <- l.server.Serve(listener) }()
 	}
-	go d.store.run(ctx)
+	peers, err := net.Listen("tcp", d.settings.Listen.Peers.String())
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	go func() { failed <- peerdrpc.ServeSync(ctx, peers, d.gossip.handle) }()
+	d.follower.advanced = func(before uint64) { d.gossip.spread(ctx, before) }
+	go d.follower.run(ctx)
+	go d.gossip.run(ctx)
+	go d.keeper.run(ctx)
 	go d.tick(ctx)
 	go d.measure(ctx)
 	klog.InfoS("serving", "callers", d.settings.Listen.Callers, "directory", d.settings.Listen.Directory)
--- /dev/null
+++ b/internal/proxy/forward/feed.go
@@ -0,0 +1,234 @@
+package forward
+
+import (
+	"encoding/json"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+)
+
+const (
+	// unsettledFor is how long after a failure of the store an absent
+	// registration may be one that the outage dropped.
+	unsettledFor = 6 * time.Second
+	// absentFor is how long such a registration is waited for. Live servers
+	// are back within about two seconds of the store's return.
+	absentFor = 2200 * time.Millisecond
+	// heardFor is how long a proxy that was heard counts as alive though the
+	// store holds no entry of it.
+	heardFor = 2500 * time.Millisecond
+
+	memberPrefix = "gypsumquay/proxies/"
+)
+
+type (
+	// feed keeps the copy of the store and brings its changes to the kernel.
+	feed struct {
+		daemon *Daemon
+
+		mu      sync.Mutex
+		copy    *replica.Copy
+		members map[string]member
+		// heard is when each proxy was last heard directly.
+		heard map[string]time.Time
+		// failedAt is when a call to the store failed last.
+		failedAt time.Time
+		lost     bool
+		// rewrite asks for the own entry to be written again.
+		rewrite chan struct{}
+	}
+
+	// member is a proxy's own entry in the store.
+	member struct {
+		Name    string         `json:"name"`
+		Domain  string         `json:"failure-domain"`
+		Region  string         `json:"region"`
+		Callers netip.AddrPort `json:"callers"`
+		Peers   netip.AddrPort `json:"peers"`
+		Leaving bool           `json:"leaving,omitempty"`
+	}
+)
+
+func newFeed(d *Daemon) *feed {
+	return &feed{
+		daemon: d, copy: replica.NewCopy(), members: make(map[string]member),
+		heard: make(map[string]time.Time), rewrite: make(chan struct{}, 1),
+	}
+}
+
+// apply takes a delta in and reports whether the copy advanced.
+func (f *feed) apply(d replica.Delta) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.copy.Revision()
+	changed, ok := f.copy.Apply(f.daemon.now(), d)
+	if !ok {
+		return false
+	}
+	for _, e := range changed {
+		f.tell(e)
+	}
+	if len(changed) > 0 {
+		f.tellProxies()
+	}
+	return f.copy.Revision() > before
+}
+
+// tell brings one change to the kernel.
+func (f *feed) tell(e replica.Entry) {
+	n := f.daemon.seams.Names
+	if e.Key == n.Configuration {
+		f.tellTable(e)
+		return
+	}
+	if domain, ok := strings.CutPrefix(e.Key, n.Evacuations); ok {
+		f.daemon.do(func(k *steering.Kernel, now time.Time) { k.SetEvacuated(now, domain, !e.Removed) })
+		return
+	}
+	if id, ok := strings.CutPrefix(e.Key, n.Servers); ok {
+		f.tellServer(id, e)
+		return
+	}
+	if name, ok := strings.CutPrefix(e.Key, memberPrefix); ok {
+		f.hearMember(name, e)
+	}
+}
+
+func (f *feed) tellTable(e replica.Entry) {
+	if e.Removed {
+		return
+	}
+	t, err := f.daemon.seams.Codec.Table(e.Value)
+	if err != nil {
+		klog.ErrorS(err, "configuration refused; the one before stays in force")
+		return
+	}
+	f.daemon.do(func(k *steering.Kernel, _ time.Time) { k.SetTable(t) })
+}
+
+// tellServer brings a registration to the kernel. Shortly after a failure of
+// the store a missing one may have run out though the server is alive; it is
+// waited for then, or all servers would vanish at once.
+func (f *feed) tellServer(id string, e replica.Entry) {
+	if e.Removed {
+		unsettled := !f.failedAt.IsZero() && f.daemon.now().Sub(f.failedAt) < unsettledFor
+		f.daemon.do(func(k *steering.Kernel, now time.Time) {
+			if unsettled {
+				k.ServerAbsent(id, now.Add(absentFor))
+				return
+			}
+			k.RemoveServer(id)
+		})
+		return
+	}
+	r, err := f.daemon.seams.Codec.Server(id, e.Value)
+	if err != nil {
+		klog.ErrorS(err, "registration refused", "server", id)
+		return
+	}
+	f.daemon.do(func(k *steering.Kernel, now time.Time) { k.SetServer(now, r) })
+}
+
+func (f *feed) hearMember(name string, e replica.Entry) {
+	if e.Removed {
+		delete(f.members, name)
+		if name == f.daemon.settings.Name {
+			f.writeSoon()
+		}
+		klog.InfoS("proxy gone", "proxy", name)
+		return
+	}
+	var m member
+	if err := json.Unmarshal(e.Value, &m); err != nil {
+		klog.ErrorS(err, "proxy's entry refused", "proxy", name)
+		return
+	}
+	f.members[name] = m
+	klog.InfoS("proxy known", "proxy", name, "failure-domain", m.Domain)
+}
+
+// tellProxies brings the list of live proxies to the kernel.
+func (f *feed) tellProxies() {
+	list := make([]steering.Proxy, 0, len(f.members))
+	for _, m := range f.members {
+		list = append(list, steering.Proxy{Name: m.Name, Domain: m.Domain, Region: m.Region, Address: m.Callers, Leaving: m.Leaving})
+	}
+	f.daemon.do(func(k *steering.Kernel, _ time.Time) { k.SetProxies(list) })
+}
+
+// hear notes that a proxy spoke, and its word that it leaves.
+func (f *feed) hear(name string, leaving bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heard[name] = f.daemon.now()
+	m, known := f.members[name]
+	if known && leaving && !m.Leaving {
+		m.Leaving = true
+		f.members[name] = m
+		f.tellProxies()
+	}
+}
+
+// since is what a peer at a revision lacks; without anything newer it tells
+// the own revision and age alone.
+func (f *feed) since(revision uint64) replica.Delta {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.daemon.now()
+	if f.copy.Revision() <= revision {
+		return replica.Delta{Base: f.copy.Revision(), Revision: f.copy.Revision(), Age: f.copy.Age(now)}
+	}
+	return f.copy.Since(now, revision)
+}
+
+func (f *feed) revision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.copy.Revision()
+}
+
+// follows reports whether this proxy should ask the store itself.
+func (f *feed) follows() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for _, m := range f.members {
+		if m.Region == f.daemon.settings.Region && !m.Leaving {
+			names = append(names, m.Name)
+		}
+	}
+	return replica.Follows(replica.Rank(f.daemon.settings.Name, names), f.copy.Age(f.daemon.now()))
+}
+
+func (f *feed) failed(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failedAt = f.daemon.now()
+	if !f.lost {
+		f.lost = true
+		klog.InfoS("store lost", "error", err.Error(), "revision", f.copy.Revision())
+	}
+}
+
+func (f *feed) answered() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost {
+		f.lost = false
+		f.failedAt = f.daemon.now()
+		klog.InfoS("store regained", "revision", f.copy.Revision())
+	}
+}
+
+func (f *feed) writeSoon() {
+	select {
+	case f.rewrite <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/proxy/forward/follow.go
@@ -0,0 +1,104 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
+)
+
+const (
+	// watchWait is how long one watch waits for a change. An answer without
+	// changes confirms the copy, so this bounds how old a relay's copy is.
+	watchWait = 1500 * time.Millisecond
+	// gather is the pause after a change: changes come in series, and each
+	// answered watch is a call that is paid for.
+	gather = 250 * time.Millisecond
+	// followCheck is how often a proxy that is no relay looks whether it
+	// must ask the store itself.
+	followCheck = 200 * time.Millisecond
+	// retryLeast and retryMost bound the pause after a failed call.
+	retryLeast = 100 * time.Millisecond
+	retryMost  = time.Second
+)
+
+type (
+	// follower brings the store's changes into the copy while this proxy is
+	// a relay, or when no relay's news arrives.
+	follower struct {
+		feed  *feed
+		store Store
+		// advanced is called when the store told something new.
+		advanced func(before uint64)
+	}
+)
+
+func (f *follower) run(ctx context.Context) {
+	pause := retryLeast
+	for ctx.Err() == nil {
+		if !f.feed.follows() {
+			sleep(ctx, followCheck)
+			continue
+		}
+		if err := f.step(ctx); err != nil {
+			f.feed.failed(err)
+			sleep(ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, retryMost)
+			continue
+		}
+		f.feed.answered()
+		pause = retryLeast
+	}
+}
+
+// step reads everything the first time and follows the changes after that.
+func (f *follower) step(ctx context.Context) error {
+	before := f.feed.revision()
+	if before == 0 {
+		return f.readAll(ctx)
+	}
+	items, revision, err := f.store.Watch(ctx, "", before, watchWait)
+	var refused *StoreError
+	if errors.As(err, &refused) && refused.Outcome == StoreForgot {
+		return f.readAll(ctx)
+	}
+	if err != nil {
+		return errors.Wrap(err, "watch")
+	}
+	delta := replica.Delta{Base: before, Revision: max(revision, before), Entries: entriesOf(items)}
+	if f.feed.apply(delta) && len(items) > 0 {
+		f.advanced(before)
+		sleep(ctx, gather)
+	}
+	return nil
+}
+
+func (f *follower) readAll(ctx context.Context) error {
+	before := f.feed.revision()
+	items, revision, err := f.store.Range(ctx, "")
+	if err != nil {
+		return errors.Wrap(err, "read all")
+	}
+	if f.feed.apply(replica.Delta{Revision: revision, Whole: true, Entries: entriesOf(items)}) {
+		f.advanced(before)
+	}
+	return nil
+}
+
+func entriesOf(items []Item) []replica.Entry {
+	list := make([]replica.Entry, 0, len(items))
+	for _, i := range items {
+		list = append(list, replica.Entry(i))
+	}
+	return list
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/proxy/forward/member.go
@@ -0,0 +1,85 @@
+package forward
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
+)
+
+const (
+	// leaseSpan is how long a proxy counts as alive without a renewal.
+	leaseSpan = 4 * time.Second
+	// renewEvery leaves two renewals to fail before the lease ends.
+	renewEvery = 1300 * time.Millisecond
+)
+
+type (
+	// keeper keeps the own entry in the store under a lease.
+	keeper struct {
+		feed  *feed
+		store Store
+		lease uint64
+	}
+)
+
+func (k *keeper) run(ctx context.Context) {
+	k.feed.writeSoon()
+	renew := time.NewTicker(renewEvery)
+	defer renew.Stop()
+	for ctx.Err() == nil {
+		var err error
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.feed.rewrite:
+			err = k.write(ctx)
+		case <-renew.C:
+			err = k.renew(ctx)
+		}
+		if err != nil {
+			k.feed.failed(err)
+			sleep(ctx, retryLeast+rand.N(retryMost))
+			k.feed.writeSoon()
+		}
+	}
+}
+
+func (k *keeper) renew(ctx context.Context) error {
+	if k.feed.daemon.isStopping() || k.lease == 0 {
+		return nil
+	}
+	return k.store.Renew(ctx, k.lease)
+}
+
+func (k *keeper) write(ctx context.Context) error {
+	if k.feed.daemon.isStopping() {
+		return nil
+	}
+	lease, err := k.store.Grant(ctx, leaseSpan)
+	if err != nil {
+		return err
+	}
+	k.lease = lease
+	s := k.feed.daemon.settings
+	data, err := json.Marshal(member{
+		Name: s.Name, Domain: s.Domain, Region: s.Region, Callers: s.Listen.Callers, Peers: s.Listen.Peers,
+	})
+	if err != nil {
+		return errors.Wrap(err, "own entry")
+	}
+	return k.store.Put(ctx, memberPrefix+s.Name, data, lease)
+}
+
+// leave takes the own entry back, so that callers are no longer sent here.
+func (k *keeper) leave(ctx context.Context) {
+	if k.lease == 0 {
+		return
+	}
+	if err := k.store.End(ctx, k.lease); err != nil {
+		klog.InfoS("own entry not taken back; it will run out", "error", err.Error())
+	}
+}
