One relay a region follows the store

Cause: three relays a region were every proxy of a small deployment and cost a third of the calls for nothing. Ruled out: losing news with its relay; other regions' relays push to one proxy here and gossip carries on.

--- a/internal/kernel/replica/relay.go
+++ b/internal/kernel/replica/relay.go
@@ -11,7 +11,7 @@
 const (
 	// Relays is how many proxies of a region follow the store themselves. Two
 	// may be stopped or cut off together and a third still brings the news.
-	Relays = 3
+	Relays = 1
 	// takeOver is the age at which a proxy that is no relay asks the store
 	// itself: its relays are cut off or gone. Two rounds of a relay's watch
 	// fit in, and a change is still in force in time.
