Objects live with their callers as far as their region has room

Cause: one home for all regions cost round trips and bytes between regions; a home in each region left the region with the fewest servers queueing.

--- /dev/null
+++ b/internal/kernel/placing/spread.go
@@ -0,0 +1,73 @@
+package placing
+
+import (
+	"math"
+	"slices"
+)
+
+const (
+	// roomShare is how much more than the mean load a region's servers may be
+	// given before objects of its callers live elsewhere. At less, objects
+	// travel though there is room; at more, the region with the fewest
+	// servers queues while others idle when its callers' wave comes.
+	roomShare = 2.0
+	// weightScale turns shares into whole weights.
+	weightScale = 100000
+)
+
+type (
+	// Room is a region's part in a service.
+	Room struct {
+		Region string
+		// Slots of the service's servers there.
+		Slots int
+		// Demand is the region's share of the callers, in any unit.
+		Demand float64
+	}
+)
+
+// Spread says how many of a region's objects live in each region, as a weight
+// for one slot there. Objects live where their callers are as far as there is
+// room; the rest goes to the regions with room to spare, by how much they
+// have. All proxies of a region come to the same answer from the same list.
+func Spread(rooms []Room, from string) map[string]int {
+	slots, demand := 0.0, 0.0
+	for _, r := range rooms {
+		slots += float64(r.Slots)
+		demand += r.Demand
+	}
+	weights := make(map[string]int)
+	if slots == 0 || demand == 0 {
+		return weights
+	}
+	spare, own := 0.0, 0.0
+	for _, r := range rooms {
+		room := roomShare*float64(r.Slots)/slots - r.Demand/demand
+		spare += max(0, room)
+		if r.Region == from {
+			own = r.Demand / demand
+		}
+	}
+	i := slices.IndexFunc(rooms, func(r Room) bool { return r.Region == from })
+	if i < 0 || own == 0 {
+		// Callers of a region that is not listed: by room alone.
+		for _, r := range rooms {
+			weights[r.Region] = weightScale
+		}
+		return weights
+	}
+	home := min(own, roomShare*float64(rooms[i].Slots)/slots)
+	for _, r := range rooms {
+		flow := 0.0
+		if room := roomShare*float64(r.Slots)/slots - r.Demand/demand; room > 0 && spare > 0 {
+			flow = (own - home) * room / spare
+		}
+		if r.Region == from {
+			flow = home
+		}
+		if r.Slots > 0 {
+			weights[r.Region] = int(math.Round(weightScale * flow / own / float64(r.Slots)))
+		}
+	}
+	return weights
+}
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -4,19 +4,20 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
 )
 
 const (
 	// warmShare is the assumed part of the work that is left on a server that
 	// has handled the object, before it was measured.
 	warmShare = 0.3
-	// globalShare is the largest part of a route's target that a round trip
-	// to another region may take for objects to have one home in all regions.
-	// Beyond it each region keeps a home of its own.
-	globalShare = 0.25
+	// farShare is the largest part of a route's target that a round trip to
+	// another region may take for objects of this region to live there.
+	farShare = 0.5
 	// spillCost is charged for work on a server that does not know the
 	// object, as a part of that work: it takes the slots of others.
-	spillCost = 10.0
+	spillCost = 6.0
 	// memory is how long an answer's object is taken to be remembered.
 	memory = 10 * time.Second
 	// memoryMost bounds the objects noted for each server.
@@ -73,19 +74,69 @@
 	if f.Object == "" {
 		return nil
 	}
-	if k.global(f) {
-		return k.homesIn(g, "all "+strings.Join(f.Route.Regions, " "), func(s *server) bool { return f.Route.Allows(s.region) }).Of(f.Object)
+	key := strings.Join(f.Route.Regions, " ")
+	if k.tooFar(f) {
+		key = "near " + key
+	}
+	h := g.homes[key]
+	if h == nil {
+		h = k.newHomes(f, g)
+		g.homes[key] = h
+	}
+	return h.Of(f.Object)
+}
+
+// newHomes deals the objects of this region's callers out.
+func (k *Kernel) newHomes(f *Flight, g *service) *placing.Homes {
+	near := k.tooFar(f)
+	var candidates []*server
+	for _, s := range g.servers {
+		if f.Route.Allows(s.region) && (!near || s.region == k.config.Region) {
+			candidates = append(candidates, s)
+		}
+	}
+	weights := placing.Spread(k.rooms(f, candidates), k.config.Region)
+	list := make([]placing.Server, 0, len(candidates))
+	for _, s := range candidates {
+		if w := weights[s.region] * s.Slots; w > 0 {
+			list = append(list, placing.Server{ID: s.id, Weight: w})
+		}
+	}
+	return placing.NewHomes(list)
+}
+
+// rooms lists the regions that may serve the route. The callers' shares are
+// taken to follow the failure domains; the truth is not known before traffic
+// begins, and homes that moved with each estimate would be cold.
+func (k *Kernel) rooms(f *Flight, candidates []*server) []placing.Room {
+	slots := make(map[string]int)
+	for _, s := range candidates {
+		slots[s.region] += s.Slots
 	}
-	return k.homesIn(g, "own "+strings.Join(f.Route.Regions, " "), func(s *server) bool { return f.Route.Allows(s.region) && s.region == k.config.Region }).Of(f.Object)
+	domains := make(map[string]float64)
+	for _, region := range k.config.RegionOf {
+		domains[region]++
+	}
+	var list []placing.Room
+	for region, n := range domains {
+		if f.Route.Allows(region) {
+			list = append(list, placing.Room{Region: region, Slots: slots[region], Demand: n})
+		}
+	}
+	slices.SortFunc(list, func(a, b placing.Room) int { return strings.Compare(a.Region, b.Region) })
+	return list
 }
 
-// global reports whether the route's objects have one home in all regions.
-func (k *Kernel) global(f *Flight) bool {
+// tooFar reports whether another region's answers would come too late for the
+// route, however fast its servers.
+func (k *Kernel) tooFar(f *Flight) bool {
 	farthest := time.Duration(0)
-	for _, d := range k.distance {
-		farthest = max(farthest, d.roundTrip)
+	for domain, d := range k.distance {
+		if k.config.RegionOf[domain] != k.config.Region {
+			farthest = max(farthest, d.roundTrip)
+		}
 	}
-	return farthest <= time.Duration(globalShare*float64(f.Route.Target))
+	return farthest > time.Duration(farShare*float64(f.Route.Target))
 }
 
 // reckon estimates the time until the answer from one server.
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -290,24 +290,6 @@
 	return s
 }
 
-// homesIn are the homes of the service's objects among the servers of some
-// regions, "" for all.
-func (k *Kernel) homesIn(g *service, regions string, among func(*server) bool) *placing.Homes {
-	h := g.homes[regions]
-	if h != nil {
-		return h
-	}
-	var list []placing.Server
-	for _, s := range g.servers {
-		if among(s) {
-			list = append(list, placing.Server{ID: s.id, Weight: s.Slots})
-		}
-	}
-	h = placing.NewHomes(list)
-	g.homes[regions] = h
-	return h
-}
-
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -90,17 +90,13 @@
 	return d
 }
 
-// heard takes in a measured round trip. The smallest recent one counts: what
-// lies above it is queueing.
+// heard takes in a measured round trip. The smallest counts: what lies above
+// it is queueing, and a figure that rose with the load would move homes.
 func (d *distance) heard(roundTrip time.Duration) {
-	if roundTrip <= 0 {
+	if roundTrip <= 0 || d.measured && roundTrip >= d.roundTrip {
 		return
 	}
-	if !d.measured || roundTrip < d.roundTrip {
-		d.roundTrip, d.measured = roundTrip, true
-		return
-	}
-	d.roundTrip += (roundTrip - d.roundTrip) / 16
+	d.roundTrip, d.measured = roundTrip, true
 }
 
 func (s *server) isCold(now time.Time) bool { return now.Before(s.coldUntil) }
