--- a/internal/kernel/admission/repeats.go
+++ b/internal/kernel/admission/repeats.go
@@ -10,7 +10,7 @@
 	buckets = 10
 	// repeatShare is the part of the budget in use. The rest covers requests
 	// that count in another proxy's window and proxies that just joined.
-	repeatShare = 0.6
+	repeatShare = 0.8
 )
 
 type (
--- a/internal/kernel/placing/spread.go
+++ b/internal/kernel/placing/spread.go
@@ -10,7 +10,7 @@
 	// given before objects of its callers live elsewhere. At less, objects
 	// travel though there is room; at more, the region with the fewest
 	// servers queues while others idle when its callers' wave comes.
-	roomShare = 2.0
+	roomShare = 1.15
 	// weightScale turns shares into whole weights.
 	weightScale = 100000
 )
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -188,7 +188,9 @@
 func (k *Kernel) Ended(now time.Time, f *Flight, a Attempt) Decision {
 	s := f.server
 	s.inFlight--
-	f.tried = append(f.tried, s)
+	if !a.refusedThoughFree(s.Slots) {
+		f.tried = append(f.tried, s)
+	}
 	took := now.Sub(f.sentAt)
 	k.learn(now, f, s, a, took)
 	k.config.Observe(Event{
@@ -226,6 +228,13 @@
 	return d
 }
 
+// refusedThoughFree reports whether the server refused the request while it had
+// slots to spare. Such a server refuses by chance, and the next request may
+// well be taken: it knows the object, and every other would run it cold.
+func (a Attempt) refusedThoughFree(slots int) bool {
+	return a.Result == Refused && a.Loaded && a.Running < slots && a.Waiting == 0
+}
+
 func reasonOf(r Result) Reason {
 	if r == Refused || r == Mistaken {
 		return ReasonRefused
@@ -261,7 +270,9 @@
 	case Answered:
 		k.learnWork(now, f, s, g, took)
 	case Refused:
-		s.outUntil = later(s.outUntil, now.Add(fullPause))
+		if !a.refusedThoughFree(s.Slots) {
+			s.outUntil = later(s.outUntil, now.Add(fullPause))
+		}
 	case Mistaken:
 		// Its address belongs to another server now: this one is gone.
 		k.RemoveServer(s.id)
