Two relays a region; news go to one proxy of each other region

Cause: with one relay a region, a drained server got a request 2,526 ms after it said that it leaves (bound 2,500): the region's relay failed in a slow phase of the store and the others took over too late.

--- a/internal/kernel/replica/relay.go
+++ b/internal/kernel/replica/relay.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// Relays is how many proxies of a region follow the store themselves. Two
-	// may be stopped or cut off together and a third still brings the news.
-	Relays = 1
+	// Relays is how many proxies of a region follow the store themselves. With
+	// one, a relay whose watch fails just before a change leaves its region
+	// without the news for longer than a drained server may get requests; a
+	// second costs a call every one and a half seconds a region.
+	Relays = 2
 	// takeOver is the age at which a proxy that is no relay asks the store
 	// itself: its relays are cut off or gone. Two rounds of a relay's watch
 	// fit in, and a change is still in force in time.
--- a/internal/proxy/forward/gossip.go
+++ b/internal/proxy/forward/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -80,7 +81,7 @@
 	near, far := g.peers()
 	list := near
 	if len(far) > 0 && (len(near) == 0 || rand.N(farOneIn) == 0) {
-		list = far
+		list = slices.Concat(slices.Collect(maps.Values(far))...)
 	}
 	if len(list) == 0 {
 		self := g.feed.daemon.settings.Listen.Peers
@@ -92,28 +93,31 @@
 	return list[rand.N(len(list))], true
 }
 
-// peers lists the other proxies of the own region and of others.
-func (g *gossip) peers() (near, far []netip.AddrPort) {
+// peers lists the other proxies of the own region and those of each other
+// region.
+func (g *gossip) peers() (near []netip.AddrPort, far map[string][]netip.AddrPort) {
 	f := g.feed
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	far = make(map[string][]netip.AddrPort)
 	for name, m := range f.members {
 		switch {
 		case name == f.daemon.settings.Name:
 		case m.Region == f.daemon.settings.Region:
 			near = append(near, m.Peers)
 		default:
-			far = append(far, m.Peers)
+			far[m.Region] = append(far[m.Region], m.Peers)
 		}
 	}
 	return near, far
 }
 
-// spread sends news to the whole region and to one proxy elsewhere.
+// spread sends news to the whole region and to one proxy in each other one,
+// in case that region's relays are cut off.
 func (g *gossip) spread(ctx context.Context, since uint64) {
 	near, far := g.peers()
-	if len(far) > 0 {
-		near = append(near, far[rand.N(len(far))])
+	for _, list := range far {
+		near = append(near, list[rand.N(len(list))])
 	}
 	for _, to := range near {
 		go g.push(ctx, to, since)
