Tests of homes, budgets, copies and the exchange with raw servers

Homes are dealt out in windows of 24 objects by best score first: one server's leaving moved 32 of 66 other objects and now moves 14 on average (40 lists of twelve servers).

--- a/internal/adapter/peerdrpc/server.go
+++ b/internal/adapter/peerdrpc/server.go
@@ -44,7 +44,7 @@
 	if err := peerpb.DRPCRegisterPeer(mux, &service{handlers: h}); err != nil {
 		return errors.Wrap(err, "register peer service")
 	}
-	return serve(ctx, listener, mux)
+	return serveMux(ctx, listener, mux)
 }
 
 // ServeSync answers peers that compare copies until the context ends.
@@ -53,10 +53,10 @@
 	if err := peerpb.DRPCRegisterReplica(mux, &syncService{sync: h}); err != nil {
 		return errors.Wrap(err, "register replica service")
 	}
-	return serve(ctx, listener, mux)
+	return serveMux(ctx, listener, mux)
 }
 
-func serve(ctx context.Context, listener net.Listener, mux *drpcmux.Mux) error {
+func serveMux(ctx context.Context, listener net.Listener, mux *drpcmux.Mux) error {
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
 	return errs.Wrap(server.Serve(ctx, listener), "serve peers")
 }
--- /dev/null
+++ b/internal/adapter/serverhttp/client_test.go
@@ -0,0 +1,383 @@
+package serverhttp
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+)
+
+var (
+	headers = Headers{
+		Attempt: "Attempt", Deadline: "Time-Left", Instance: "Instance", Load: "Load", NotRun: "Not-Run", Seal: "Seal",
+	}
+)
+
+type (
+	// rawServer answers each request that it reads with the bytes that a
+	// function gives; the connection ends when the function says so.
+	rawServer struct {
+		listener net.Listener
+		opened   atomic.Int32
+		requests atomic.Int32
+	}
+)
+
+// serveRaw starts a server. answer gets the number of the connection and of
+// the request on it, both from 1.
+func serveRaw(t *testing.T, answer func(conn, request int, r *http.Request, w net.Conn) (more bool)) *rawServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &rawServer{listener: l}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c, int(s.opened.Add(1)), answer)
+		}
+	}()
+	return s
+}
+
+func (s *rawServer) serve(c net.Conn, number int, answer func(int, int, *http.Request, net.Conn) bool) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for n := 1; ; n++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		s.requests.Add(1)
+		if !answer(number, n, r, c) {
+			return
+		}
+	}
+}
+
+func (s *rawServer) address() netip.AddrPort {
+	return netip.MustParseAddrPort(s.listener.Addr().String())
+}
+
+func ok(attempt, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt: %s\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", attempt, len(body), body)
+}
+
+func newTestClient() *Client { return NewClient(headers, time.Now, func() {}) }
+
+func send(c *Client, s *rawServer, attempt string) (steering.Attempt, *Answer) {
+	return c.Send(context.Background(), request(s, attempt))
+}
+
+func request(s *rawServer, attempt string) Request {
+	return Request{
+		Address: s.address(), Instance: "i-1", Method: http.MethodGet, Host: "example", Target: "/a?b=c",
+		Header: http.Header{"Attempt": {attempt}}, Attempt: attempt,
+		Deadline: time.Now().Add(5 * time.Second), DialLimit: time.Second,
+	}
+}
+
+func expect(t *testing.T, a steering.Attempt, answer *Answer, result steering.Result, body string) {
+	t.Helper()
+	if a.Result != result {
+		t.Fatalf("result is %s (%v), want %s", a.Result, a.Err, result)
+	}
+	if result == steering.Answered && string(answer.Body) != body {
+		t.Errorf("body is %q, want %q", answer.Body, body)
+	}
+}
+
+// A server answers a request twice. The second answer is already there when
+// the connection is used again, and the next caller would get it.
+func TestSecondAnswerIsNotTakenForTheNext(t *testing.T) {
+	s := serveRaw(t, func(_, _ int, r *http.Request, w net.Conn) bool {
+		id := r.Header.Get("Attempt")
+		_, _ = io.WriteString(w, ok(id, "to "+id)+ok(id, "again to "+id))
+		return true
+	})
+	c := newTestClient()
+	for _, id := range []string{"one", "two", "three"} {
+		a, answer := send(c, s, id)
+		expect(t, a, answer, steering.Answered, "to "+id)
+	}
+}
+
+// The second answer arrives late: after the next request was sent on the
+// connection, before its own answer. Its id tells that it belongs to another.
+func TestLateSecondAnswerIsSkipped(t *testing.T) {
+	s := serveRaw(t, func(_, n int, r *http.Request, w net.Conn) bool {
+		id := r.Header.Get("Attempt")
+		if n == 2 {
+			_, _ = io.WriteString(w, ok("one", "again to one"))
+		}
+		_, _ = io.WriteString(w, ok(id, "to "+id))
+		return true
+	})
+	c := newTestClient()
+	for _, id := range []string{"one", "two"} {
+		a, answer := send(c, s, id)
+		expect(t, a, answer, steering.Answered, "to "+id)
+	}
+	if a, answer := send(c, s, "three"); answer == nil || string(answer.Body) != "to three" {
+		t.Errorf("result after a stray answer is %s, want the answer on a new connection", a.Result)
+	}
+	if got := s.opened.Load(); got != 2 {
+		t.Errorf("%d connections were opened, want 2: the one with a stray answer is not used again", got)
+	}
+}
+
+// A refusal without an id arrives where the answer of another request is due.
+// Believing it would say "not run" of a request that runs.
+func TestRefusalWithoutIDOnAKeptConnectionIsNotBelieved(t *testing.T) {
+	s := serveRaw(t, func(_, n int, r *http.Request, w net.Conn) bool {
+		if n == 1 {
+			_, _ = io.WriteString(w, ok(r.Header.Get("Attempt"), "fine"))
+			return true
+		}
+		_, _ = io.WriteString(w, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	c := newTestClient()
+	send(c, s, "one")
+	a, answer := send(c, s, "two")
+	expect(t, a, answer, steering.Broken, "")
+}
+
+// A kept connection breaks just as a request is sent on it. The server may
+// have run the request, so it must not be sent again by itself.
+func TestBrokenKeptConnectionIsNotRepeated(t *testing.T) {
+	s := serveRaw(t, func(_, n int, r *http.Request, w net.Conn) bool {
+		if n > 1 {
+			return false
+		}
+		_, _ = io.WriteString(w, ok(r.Header.Get("Attempt"), "fine"))
+		return true
+	})
+	c := newTestClient()
+	send(c, s, "one")
+	a, answer := send(c, s, "two")
+	expect(t, a, answer, steering.Broken, "")
+	if got := s.requests.Load(); got != 2 {
+		t.Errorf("the server read %d requests, want 2", got)
+	}
+}
+
+// A server breaks off in the middle of an answer. The part must not pass for
+// the whole, with or without a stated length.
+func TestPartOfAnAnswerIsBroken(t *testing.T) {
+	for name, text := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nAttempt: one\r\nSeal: s\r\nContent-Length: 100\r\n\r\npart",
+		"chunked": "HTTP/1.1 200 OK\r\nAttempt: one\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		"header":  "HTTP/1.1 200 OK\r\nAttempt: o",
+		"garbage": "\x00\x01not an answer\r\n\r\n",
+		"nothing": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serveRaw(t, func(_, _ int, _ *http.Request, w net.Conn) bool {
+				_, _ = io.WriteString(w, text)
+				return false
+			})
+			a, answer := send(newTestClient(), s, "one")
+			expect(t, a, answer, steering.Broken, "")
+		})
+	}
+}
+
+// An answer without a length ends with its connection: whole if the server
+// closed it, not if it was reset.
+func TestAnswerWithoutLength(t *testing.T) {
+	const text = "HTTP/1.1 200 OK\r\nAttempt: one\r\nSeal: s\r\n\r\nall of it"
+	closed := serveRaw(t, func(_, _ int, _ *http.Request, w net.Conn) bool {
+		_, _ = io.WriteString(w, text)
+		return false
+	})
+	a, answer := send(newTestClient(), closed, "one")
+	expect(t, a, answer, steering.Answered, "all of it")
+	reset := serveRaw(t, func(_, _ int, _ *http.Request, w net.Conn) bool {
+		_, _ = io.WriteString(w, text)
+		time.Sleep(50 * time.Millisecond)
+		_ = w.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	a, answer = send(newTestClient(), reset, "one")
+	expect(t, a, answer, steering.Broken, "")
+}
+
+// A server rejects a long request before it has read it all and keeps the
+// connection. Another request sent there would be read as the rest of the
+// first one's body.
+func TestEarlyAnswerToALongBodyEndsTheConnection(t *testing.T) {
+	s := serveRaw(t, func(_, _ int, r *http.Request, w net.Conn) bool {
+		id := r.Header.Get("Attempt")
+		_, _ = io.WriteString(w, "HTTP/1.1 413 Too Large\r\nAttempt: "+id+"\r\nSeal: s\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.Copy(io.Discard, r.Body)
+		return true
+	})
+	c := newTestClient()
+	long := request(s, "one")
+	long.Method, long.Body = http.MethodPost, []byte(strings.Repeat("x", 32<<20))
+	a, answer := c.Send(context.Background(), long)
+	if a.Result != steering.Answered || answer.Status != http.StatusRequestEntityTooLarge {
+		t.Fatalf("result is %s (%v), want the server's answer", a.Result, a.Err)
+	}
+	send(c, s, "two")
+	if got := s.opened.Load(); got != 2 {
+		t.Errorf("%d connections were opened, want 2", got)
+	}
+}
+
+// The caller leaves. The server goes on working for nobody until it sees the
+// connection close.
+func TestLeavingCallerClosesTheConnection(t *testing.T) {
+	closed := make(chan time.Time, 1)
+	s := serveRaw(t, func(_, _ int, _ *http.Request, w net.Conn) bool {
+		_, _ = w.Read(make([]byte, 1))
+		closed <- time.Now()
+		return false
+	})
+	ctx, leave := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, leave)
+	a, answer := newTestClient().Send(ctx, request(s, "one"))
+	expect(t, a, answer, steering.Left, "")
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Error("the connection to the server is still open")
+	}
+}
+
+// A request that reached no server must be told from one that may have run.
+func TestNoConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &rawServer{listener: l}
+	_ = l.Close()
+	a, answer := send(newTestClient(), s, "one")
+	expect(t, a, answer, steering.Unreachable, "")
+}
+
+func TestNoAnswerInTimeIsLate(t *testing.T) {
+	s := serveRaw(t, func(_, _ int, _ *http.Request, w net.Conn) bool {
+		_, _ = w.Read(make([]byte, 1))
+		return false
+	})
+	r := request(s, "one")
+	r.Deadline = time.Now().Add(50 * time.Millisecond)
+	a, answer := newTestClient().Send(context.Background(), r)
+	expect(t, a, answer, steering.Late, "")
+}
+
+// Something else listens at the address and says 200. Without the server's
+// seal it is no answer to pass on.
+func TestSuccessWithoutSealIsBroken(t *testing.T) {
+	s := serveRaw(t, func(_, _ int, _ *http.Request, w net.Conn) bool {
+		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nAttempt: one\r\nContent-Length: 2\r\n\r\nhi")
+		return true
+	})
+	a, answer := send(newTestClient(), s, "one")
+	expect(t, a, answer, steering.Broken, "")
+}
+
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		head string
+		want steering.Result
+	}{
+		{"HTTP/1.1 503 Full\r\nNot-Run: 1", steering.Refused},
+		{"HTTP/1.1 421 Other\r\nSeal: s", steering.Mistaken},
+		{"HTTP/1.1 500 Failed\r\nSeal: s", steering.Failed},
+		{"HTTP/1.1 404 None\r\nSeal: s", steering.Answered},
+	} {
+		s := serveRaw(t, func(_, _ int, _ *http.Request, w net.Conn) bool {
+			_, _ = io.WriteString(w, c.head+"\r\nAttempt: one\r\nLoad: 3,2,4\r\nContent-Length: 0\r\n\r\n")
+			return true
+		})
+		a, answer := send(newTestClient(), s, "one")
+		expect(t, a, answer, c.want, "")
+		if !a.Loaded || a.Running != 3 || a.Waiting != 2 {
+			t.Errorf("load is %t %d %d, want 3 running and 2 waiting", a.Loaded, a.Running, a.Waiting)
+		}
+	}
+}
+
+// Requests are passed on as they came but for what concerns one connection,
+// and with the time that is left.
+func TestRequestIsPassedOnUnchanged(t *testing.T) {
+	for _, target := range []string{"/a%2Fb/?q=%20x", "//double/slash?x=1", "/plain"} {
+		seen := make(chan *http.Request, 1)
+		s := serveRaw(t, func(_, _ int, r *http.Request, w net.Conn) bool {
+			_, _ = io.Copy(io.Discard, r.Body)
+			seen <- r
+			_, _ = io.WriteString(w, ok("one", ""))
+			return true
+		})
+		r := request(s, "one")
+		r.Target = target
+		r.Header.Set("Connection", "X-Hop")
+		r.Header.Set("X-Hop", "1")
+		r.Header.Set("Cookie", "a=b")
+		a, _ := newTestClient().Send(context.Background(), r)
+		if a.Result != steering.Answered {
+			t.Fatalf("%s: result is %s (%v)", target, a.Result, a.Err)
+		}
+		got := <-seen
+		if got.RequestURI != target {
+			t.Errorf("target is %q, want %q", got.RequestURI, target)
+		}
+		if got.Host != "example" || got.Header.Get("Cookie") != "a=b" || got.Header.Get("Instance") != "i-1" {
+			t.Errorf("host %q, cookie %q, instance %q", got.Host, got.Header.Get("Cookie"), got.Header.Get("Instance"))
+		}
+		for _, gone := range []string{"X-Hop", "User-Agent"} {
+			if got.Header.Get(gone) != "" {
+				t.Errorf("%s was passed on or added", gone)
+			}
+		}
+		if left := got.Header.Get("Time-Left"); len(left) != 4 {
+			t.Errorf("time left is %q, want just under 5000", left)
+		}
+	}
+}
+
+// A connection that the server has closed while idle is found before a request
+// is sent on it: afterwards nobody could say whether the request ran.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	s := serveRaw(t, func(_, _ int, r *http.Request, w net.Conn) bool {
+		_, _ = io.WriteString(w, ok(r.Header.Get("Attempt"), "fine"))
+		return false
+	})
+	c := newTestClient()
+	for _, id := range []string{"one", "two", "three"} {
+		a, answer := send(c, s, id)
+		expect(t, a, answer, steering.Answered, "fine")
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func TestServersWordOnIdleConnections(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"": keepDefault, "timeout=5": 4 * time.Second, "max=3, timeout=2": time.Second, "timeout=0": 0, "timeout=x": keepDefault,
+	} {
+		c := &conn{keep: keepDefault}
+		c.keepFor(text)
+		if c.keep != want {
+			t.Errorf("%q: kept for %s, want %s", text, c.keep, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/kernel/admission/admission_test.go
@@ -0,0 +1,111 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var (
+	start = time.Unix(1_000_000, 0)
+)
+
+// Servers fail half of their requests. If each of ten proxies repeated within
+// a budget of its own, the service would see ten budgets of repeats on top of
+// what already overloads it.
+func TestRepeatsOfAllProxiesStayWithinOneBudget(t *testing.T) {
+	const (
+		proxies = 10
+		ratio   = 0.2
+		slack   = 60.0
+		window  = 10 * time.Second
+	)
+	budgets := make([]Repeats, proxies)
+	for i := range budgets {
+		budgets[i] = Repeats{Ratio: ratio, Slack: slack, Window: window}
+	}
+	r := rand.New(rand.NewPCG(1, 1))
+	var firsts, repeats []time.Time
+	for now := start; now.Before(start.Add(40 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		b := &budgets[r.IntN(proxies)]
+		b.First(now)
+		firsts = append(firsts, now)
+		if r.IntN(2) == 0 && b.Spend(now, proxies) {
+			repeats = append(repeats, now)
+		}
+	}
+	count := func(list []time.Time, from time.Time) (n float64) {
+		for _, at := range list {
+			if !at.Before(from) && at.Before(from.Add(window)) {
+				n++
+			}
+		}
+		return n
+	}
+	for from := start; from.Before(start.Add(30 * time.Second)); from = from.Add(time.Second) {
+		got, most := count(repeats, from), ratio*count(firsts, from)+slack
+		if got > most {
+			t.Errorf("%.0f repeats in the window from %s, want at most %.0f", got, from.Sub(start), most)
+		}
+	}
+	if len(repeats) == 0 {
+		t.Error("no repeat was allowed at all")
+	}
+}
+
+// The clock of a suspended VM goes back. Repeats already counted must not be
+// forgotten, or the budget could be spent twice.
+func TestRepeatsSurviveAClockThatGoesBack(t *testing.T) {
+	b := Repeats{Slack: 10, Window: 10 * time.Second}
+	n := 0
+	for b.Spend(start, 1) {
+		n++
+	}
+	if b.Spend(start.Add(-5*time.Second), 1) {
+		t.Errorf("a repeat was allowed after the clock went back though %d were spent", n)
+	}
+	if !b.Spend(start.Add(11*time.Second), 1) {
+		t.Error("no repeat is allowed after the window has passed")
+	}
+}
+
+// A server has just started and crashes if it gets much more than it bears.
+// All proxies learn of it at the same moment and each has callers waiting.
+func TestColdServerGetsNoMoreThanItBearsFromAllProxies(t *testing.T) {
+	rate := ColdRate{PerSecond: 3.1, Factor: 1.5, Slack: 5}
+	for _, proxies := range []int{1, 2, 3, 7, 10, 66, 300} {
+		colds := make([]Cold, proxies)
+		var sent []time.Time
+		for now := start; now.Before(start.Add(3 * time.Second)); now = now.Add(5 * time.Millisecond) {
+			for i := range colds {
+				if colds[i].Room(now, rate.Share(i, proxies)) {
+					colds[i].Take(now)
+					sent = append(sent, now)
+				}
+			}
+		}
+		for i := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at.Sub(sent[i]) < time.Second {
+					n++
+				}
+			}
+			if most := rate.PerSecond*rate.Factor + rate.Slack; float64(n) > most {
+				t.Fatalf("%d proxies sent %d within a second, want at most %.1f", proxies, n, most)
+			}
+		}
+		if len(sent) == 0 {
+			t.Errorf("%d proxies sent nothing, so the server never warms", proxies)
+		}
+	}
+}
+
+func TestColdShareOfUnlistedProxyIsNone(t *testing.T) {
+	if got := (ColdRate{PerSecond: 10, Factor: 1}).Share(-1, 3); got != 0 {
+		t.Errorf("a proxy that is not listed may send %d, want 0", got)
+	}
+	if got := (ColdRate{PerSecond: 10, Factor: 1}).Share(3, 3); got != 0 {
+		t.Errorf("a rank beyond the list may send %d, want 0", got)
+	}
+}
--- a/internal/kernel/admission/cold.go
+++ b/internal/kernel/admission/cold.go
@@ -33,7 +33,7 @@
 // request after the other until none is left.
 func (c ColdRate) Share(rank, proxies int) int {
 	total := int(math.Floor(coldShare * (c.PerSecond*c.Factor + c.Slack)))
-	if proxies < 1 || rank >= proxies {
+	if proxies < 1 || rank < 0 || rank >= proxies {
 		return 0
 	}
 	share := total / proxies
--- a/internal/kernel/placing/home.go
+++ b/internal/kernel/placing/home.go
@@ -19,6 +19,8 @@
 	maxNumber = 4096
 	// Choices is how many servers are named for an object, best first.
 	Choices = 3
+	// window is how many consecutive objects are dealt out evenly.
+	window = 24
 )
 
 type (
@@ -35,8 +37,6 @@
 		servers []Server
 		hashes  []uint64
 		weight  int
-		// taken counts the objects placed on each server so far.
-		taken []int
 		// homes holds the choices of object i at i.
 		homes [][Choices]int32
 	}
@@ -46,7 +46,6 @@
 func NewHomes(servers []Server) *Homes {
 	h := &Homes{servers: slices.Clone(servers)}
 	slices.SortFunc(h.servers, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
-	h.taken = make([]int, len(h.servers))
 	for _, s := range h.servers {
 		h.hashes = append(h.hashes, xxhash.Sum64String(s.ID))
 		h.weight += s.Weight
@@ -84,35 +83,43 @@
 	return int(xxhash.Sum64String(object) % maxNumber)
 }
 
-// place deals object number n out: among the servers that hold least for their
-// weight, the one with the best rendezvous score. A server that comes or goes
-// moves the objects it takes or leaves and few others.
-func (h *Homes) place(n int) {
-	var choices [Choices]int32
-	for c := range choices {
-		choices[c] = h.best(n, c, choices[:c])
+// place deals the objects of the next window out. Within a window each server
+// takes at most its share, rounded up; among the pairs of object and server
+// the best rendezvous scores come first. A server that comes or goes moves the
+// objects it takes or leaves and few others.
+func (h *Homes) place(first int) {
+	type pair struct {
+		score          uint64
+		server, object int32
 	}
-	h.taken[choices[0]]++
-	h.homes = append(h.homes, choices)
-}
-
-func (h *Homes) best(n, choice int, not []int32) int32 {
-	best := int32(-1)
-	var bestScore uint64
-	for i, s := range h.servers {
-		if slices.Contains(not, int32(i)) {
-			continue
+	pairs := make([]pair, 0, window*len(h.servers))
+	for i := range h.servers {
+		for n := range window {
+			pairs = append(pairs, pair{mix(h.hashes[i], first+n), int32(i), int32(n)})
 		}
-		// The first choice is bounded: no server takes more than its share of
-		// the objects dealt out so far, rounded up.
-		if choice == 0 && h.taken[i] >= (s.Weight*(n+1)+h.weight-1)/h.weight {
-			continue
+	}
+	slices.SortFunc(pairs, func(a, b pair) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.server, b.server), cmp.Compare(a.object, b.object))
+	})
+	var homes [window][Choices]int32
+	for n := range homes {
+		homes[n] = [Choices]int32{-1, -1, -1}
+	}
+	taken := make([]int, len(h.servers))
+	for _, p := range pairs {
+		room := (h.servers[p.server].Weight*window + h.weight - 1) / h.weight
+		if homes[p.object][0] < 0 && taken[p.server] < room {
+			homes[p.object][0] = p.server
+			taken[p.server]++
 		}
-		if score := mix(h.hashes[i], n); best < 0 || score > bestScore {
-			best, bestScore = int32(i), score
+	}
+	for _, p := range pairs {
+		choices := &homes[p.object]
+		if i := slices.Index(choices[:], -1); i > 0 && !slices.Contains(choices[:i], p.server) {
+			choices[i] = p.server
 		}
 	}
-	return best
+	h.homes = append(h.homes, homes[:]...)
 }
 
 func mix(server uint64, n int) uint64 {
--- /dev/null
+++ b/internal/kernel/placing/home_test.go
@@ -0,0 +1,163 @@
+package placing
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"testing"
+)
+
+func servers(n int) []Server {
+	list := make([]Server, n)
+	for i := range list {
+		list[i] = Server{ID: fmt.Sprintf("server-%d", i), Weight: 4}
+	}
+	return list
+}
+
+// Callers of one region ask for two dozen objects, numbered densely. A plain
+// hash gave one of twelve servers twice the mean, its queue grew and its
+// callers waited while others idled.
+func TestDenseNumbersAreDealtEvenly(t *testing.T) {
+	h := NewHomes(servers(12))
+	for first := 0; first < 72; first += 24 {
+		count := make(map[string]int)
+		for n := first; n < first+24; n++ {
+			count[h.Of(strconv.FormatInt(int64(n), 16))[0]]++
+		}
+		for id, got := range count {
+			if got > 3 {
+				t.Errorf("objects %d to %d: %s holds %d, want at most 3", first, first+23, id, got)
+			}
+		}
+		if len(count) < 11 {
+			t.Errorf("objects %d to %d live on %d servers, want at least 11", first, first+23, len(count))
+		}
+	}
+}
+
+// Two proxies hear of the servers in different orders. If they named unlike
+// homes, each object would run cold on two servers.
+func TestHomesDoNotDependOnOrder(t *testing.T) {
+	list := servers(12)
+	a := NewHomes(list)
+	slices.Reverse(list)
+	b := NewHomes(list)
+	for n := range 200 {
+		object := strconv.FormatInt(int64(n), 16)
+		if got, want := b.Of(object), a.Of(object); !slices.Equal(got, want) {
+			t.Fatalf("object %s: got %v, want %v", object, got, want)
+		}
+	}
+	if got, want := a.Of("7"), b.Of("7"); !slices.Equal(got, want) {
+		t.Errorf("an object placed early: got %v, want %v", got, want)
+	}
+}
+
+// A server leaves. Its objects must move; if most others moved too, the whole
+// service would be cold at once.
+func TestFewObjectsMoveWhenAServerLeaves(t *testing.T) {
+	list := servers(12)
+	before := NewHomes(list)
+	after := NewHomes(list[:11])
+	moved, lost := 0, 0
+	for n := range 72 {
+		object := strconv.FormatInt(int64(n), 16)
+		was, is := before.Of(object)[0], after.Of(object)[0]
+		switch {
+		case was == list[11].ID:
+			lost++
+		case was != is:
+			moved++
+		}
+	}
+	if moved > 72/3 {
+		t.Errorf("%d objects of other servers moved, want at most a third of 72 (%d lived on the one that left)", moved, lost)
+	}
+}
+
+func TestWeightsAreKept(t *testing.T) {
+	h := NewHomes([]Server{{ID: "large", Weight: 30}, {ID: "small", Weight: 10}})
+	count := make(map[string]int)
+	for n := range 80 {
+		count[h.Of(strconv.FormatInt(int64(n), 16))[0]]++
+	}
+	if got, want := count["large"], 60; got != want {
+		t.Errorf("the server with three quarters of the weight holds %d, want %d", got, want)
+	}
+}
+
+func TestNames(t *testing.T) {
+	for _, c := range []struct {
+		object string
+		want   int
+	}{{"0", 0}, {"1b", 27}, {"1B", 27}, {"fff", 4095}} {
+		if got := Number(c.object); got != c.want {
+			t.Errorf("Number(%q) = %d, want %d", c.object, got, c.want)
+		}
+	}
+	for _, object := range []string{"", "order-17", "ffffffff", "-1"} {
+		if got := Number(object); got < 0 || got >= maxNumber {
+			t.Errorf("Number(%q) = %d, want within %d", object, got, maxNumber)
+		}
+	}
+	if got := NewHomes(nil).Of("1"); got != nil {
+		t.Errorf("homes among no servers: got %v, want none", got)
+	}
+}
+
+func ExampleHomes() {
+	h := NewHomes([]Server{{ID: "a", Weight: 1}, {ID: "b", Weight: 1}})
+	fmt.Println(len(h.Of("1f")))
+	// Output: 2
+}
+
+// One region has a sixth of the servers and a third of the callers. If all its
+// callers' objects lived there, its servers would queue while those of the
+// other regions idled; if objects were dealt out regardless of the region, two
+// thirds of all requests would travel.
+func TestSpreadKeepsObjectsNearAsFarAsThereIsRoom(t *testing.T) {
+	rooms := []Room{{"few", 8, 1}, {"some", 16, 1}, {"many", 24, 1}}
+	share := func(from string) map[string]float64 {
+		weights := Spread(rooms, from)
+		total := 0.0
+		of := make(map[string]float64)
+		for _, r := range rooms {
+			of[r.Region] = float64(weights[r.Region] * r.Slots)
+			total += of[r.Region]
+		}
+		for region := range of {
+			of[region] /= total
+		}
+		return of
+	}
+	if got := share("many")["many"]; got != 1 {
+		t.Errorf("the region with room keeps %.2f of its objects, want all", got)
+	}
+	few := share("few")
+	if want := roomShare * 8 / 48 * 3; few["few"] < want-0.01 || few["few"] > want+0.01 {
+		t.Errorf("the region short of room keeps %.2f, want %.2f", few["few"], want)
+	}
+	if few["many"] <= few["some"] {
+		t.Errorf("%.2f go to the region with most room and %.2f to the other, want more there", few["many"], few["some"])
+	}
+}
+
+func TestSpreadWithoutServersOrOwnRegion(t *testing.T) {
+	if got := Spread([]Room{{"a", 0, 1}}, "a"); len(got) != 0 {
+		t.Errorf("no slots: got %v, want none", got)
+	}
+	got := Spread([]Room{{"a", 4, 1}, {"b", 8, 1}}, "elsewhere")
+	if got["a"] == 0 || got["a"] != got["b"] {
+		t.Errorf("callers of another region: got %v, want equal weights", got)
+	}
+}
+
+func BenchmarkOf(b *testing.B) {
+	h := NewHomes(servers(138))
+	h.Of("fff")
+	b.ReportAllocs()
+	for b.Loop() {
+		h.Of("1b")
+	}
+}
--- /dev/null
+++ b/internal/kernel/replica/replica_test.go
@@ -0,0 +1,160 @@
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+var (
+	start = time.Unix(1_000_000, 0)
+)
+
+func whole(revision uint64, keys ...string) Delta {
+	d := Delta{Revision: revision, Whole: true}
+	for i, key := range keys {
+		d.Entries = append(d.Entries, Entry{Key: key, Revision: uint64(i + 1), Value: []byte(key)})
+	}
+	return d
+}
+
+func names(entries []Entry) []string {
+	var list []string
+	for _, e := range entries {
+		text := e.Key
+		if e.Removed {
+			text = "-" + text
+		}
+		list = append(list, text)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// A peer's message is overtaken by another one. Taken in out of order it would
+// leave out what lies between, and a drained server would get requests.
+func TestDeltaAfterAGapIsRefused(t *testing.T) {
+	c := NewCopy()
+	c.Apply(start, whole(10, "a"))
+	if _, ok := c.Apply(start, Delta{Base: 12, Revision: 13, Entries: []Entry{{Key: "b", Revision: 13}}}); ok {
+		t.Error("a delta from revision 12 was taken into a copy at 10")
+	}
+	if got, want := c.Revision(), uint64(10); got != want {
+		t.Errorf("revision is %d, want %d", got, want)
+	}
+}
+
+// A proxy that was cut off comes back and tells its old state. A server that
+// has left in the meantime must not come back to life.
+func TestOldNewsDoNotReviveWhatWasRemoved(t *testing.T) {
+	c := NewCopy()
+	c.Apply(start, whole(10, "a", "b"))
+	c.Apply(start, Delta{Base: 10, Revision: 11, Entries: []Entry{{Key: "b", Revision: 11, Removed: true}}})
+	changed, _ := c.Apply(start, whole(10, "a", "b"))
+	if len(changed) > 0 {
+		t.Errorf("an older whole copy changed %v, want nothing", names(changed))
+	}
+	changed, _ = c.Apply(start, Delta{Base: 9, Revision: 11, Entries: []Entry{{Key: "b", Revision: 2}}})
+	if len(changed) > 0 {
+		t.Errorf("an older entry changed %v, want nothing", names(changed))
+	}
+}
+
+// The store has dropped its history. The whole reading that follows lacks what
+// was removed in between.
+func TestWholeReadingRemovesWhatIsGone(t *testing.T) {
+	c := NewCopy()
+	c.Apply(start, whole(10, "a", "b", "c"))
+	changed, _ := c.Apply(start, Delta{Revision: 20, Whole: true, Entries: []Entry{
+		{Key: "a", Revision: 1}, {Key: "c", Revision: 15},
+	}})
+	if got, want := names(changed), []string{"-b", "c"}; !slices.Equal(got, want) {
+		t.Errorf("changed %v, want %v", got, want)
+	}
+}
+
+func TestSinceBringsAPeerUpToDate(t *testing.T) {
+	a, b := NewCopy(), NewCopy()
+	a.Apply(start, whole(10, "a", "b"))
+	b.Apply(start, a.Since(start, 0))
+	a.Apply(start, Delta{Base: 10, Revision: 12, Entries: []Entry{
+		{Key: "a", Revision: 11, Removed: true}, {Key: "c", Revision: 12},
+	}})
+	changed, ok := b.Apply(start, a.Since(start, b.Revision()))
+	if got, want := names(changed), []string{"-a", "c"}; !ok || !slices.Equal(got, want) {
+		t.Errorf("changed %v (taken %t), want %v", got, ok, want)
+	}
+	if b.Revision() != a.Revision() {
+		t.Errorf("revision is %d, want %d", b.Revision(), a.Revision())
+	}
+}
+
+// So many servers come and go that their removals are no longer remembered. A
+// peer that lags behind must then get everything, or it keeps dead servers.
+func TestALaggingPeerGetsEverything(t *testing.T) {
+	a, b := NewCopy(), NewCopy()
+	a.Apply(start, whole(10, "a", "b"))
+	b.Apply(start, a.Since(start, 0))
+	revision := uint64(10)
+	for i := range removalsMost + 10 {
+		key := fmt.Sprintf("server-%d", i)
+		a.Apply(start, Delta{Base: revision, Revision: revision + 2, Entries: []Entry{
+			{Key: key, Revision: revision + 1}, {Key: key, Revision: revision + 2, Removed: true},
+		}})
+		revision += 2
+		if i == 3 {
+			a.Apply(start, Delta{Base: revision, Revision: revision + 1, Entries: []Entry{{Key: "b", Revision: revision + 1, Removed: true}}})
+			revision++
+		}
+	}
+	changed, _ := b.Apply(start, a.Since(start, b.Revision()))
+	if got, want := names(changed), []string{"-b"}; !slices.Equal(got, want) {
+		t.Errorf("changed %v, want %v", got, want)
+	}
+}
+
+// A relay's connection to the store has gone silent. Its copy stays complete
+// but grows old, and that is what the others go by.
+func TestAgeTravelsWithTheCopy(t *testing.T) {
+	a, b := NewCopy(), NewCopy()
+	a.Apply(start, whole(10, "a"))
+	later := start.Add(3 * time.Second)
+	b.Apply(later, a.Since(later, 0))
+	if got, want := b.Age(later), 3*time.Second; got != want {
+		t.Errorf("age is %s, want %s", got, want)
+	}
+	a.Apply(later, Delta{Base: 10, Revision: 10})
+	b.Apply(later, a.Since(later, 10))
+	if got := b.Age(later); got != 0 {
+		t.Errorf("age after a confirmation is %s, want 0", got)
+	}
+}
+
+// All relays of a region are cut off from the store. The others must ask it
+// themselves well within the time in which a change has to be in force.
+func TestOthersTakeOverWhenNoNewsArrive(t *testing.T) {
+	var list []string
+	for i := range 24 {
+		list = append(list, fmt.Sprintf("proxy-%d", i))
+	}
+	fresh, late := 0, 0
+	for _, name := range list {
+		rank := Rank(name, list)
+		if Follows(rank, 500*time.Millisecond) {
+			fresh++
+		}
+		if Follows(rank, 2*time.Second) {
+			late++
+		}
+	}
+	if fresh != Relays {
+		t.Errorf("%d proxies follow the store while news arrive, want %d", fresh, Relays)
+	}
+	if late <= Relays {
+		t.Errorf("%d proxies follow the store after 2 s without news, want more than %d", late, Relays)
+	}
+	if got := Rank("stranger", list); got != len(list) {
+		t.Errorf("rank of a name that is not listed is %d, want %d", got, len(list))
+	}
+}
