--- /dev/null
+++ b/internal/adapter/forwardhttp/server_test.go
@@ -0,0 +1,200 @@
+package forwardhttp
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+)
+
+type (
+	// front is a server over a kernel with one backend server that a function
+	// stands in for.
+	front struct {
+		*httptest.Server
+		kernel   *steering.Kernel
+		stopping bool
+	}
+
+	sender func(context.Context, serverhttp.Request) (steering.Attempt, *serverhttp.Answer)
+)
+
+func newFront(t *testing.T, configured bool, send sender) *front {
+	t.Helper()
+	f := &front{kernel: steering.New(steering.Config{Name: "p", Domain: "a", Region: "r", RegionOf: map[string]string{"a": "r"}})}
+	var mu sync.Mutex
+	s := &Server{
+		Headers: Headers{Attempt: "Attempt", Deadline: "Wait", ObjectCookie: "Object"},
+		Kernel: func(do func(*steering.Kernel, time.Time)) {
+			mu.Lock()
+			defer mu.Unlock()
+			do(f.kernel, time.Now())
+		},
+		Send: send, Now: time.Now, Stopping: func() bool { return f.stopping },
+		Finished: func(string, int, steering.Reason, time.Duration) {},
+	}
+	if configured {
+		route := &routing.Route{
+			Name: "route", Host: "127.0.0.1", Prefix: "/a/", Attempts: 2, Timeout: time.Second, Target: time.Second,
+			Parts: []routing.Part{{Service: "service", Weight: 1}},
+		}
+		f.kernel.SetTable(routing.NewTable(1, []*routing.Route{route}, nil, routing.Limits{BodyBytes: 100}))
+		f.kernel.SetServer(time.Now(), routing.Server{
+			ID: "s1", Service: "service", Domain: "a", Slots: 4, Address: netip.MustParseAddrPort("127.0.0.1:1"),
+		})
+	}
+	f.Server = httptest.NewServer(s.HTTP().Handler)
+	t.Cleanup(f.Close)
+	return f
+}
+
+func get(t *testing.T, method, url, body string) (*http.Response, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Attempt", "id-1")
+	r.Header.Set("Wait", "700")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response, string(data)
+}
+
+func answers(result steering.Result, status int, body string) sender {
+	return func(context.Context, serverhttp.Request) (steering.Attempt, *serverhttp.Answer) {
+		return steering.Attempt{Result: result}, &serverhttp.Answer{Status: status, Header: http.Header{"Seal": {"s"}}, Body: []byte(body)}
+	}
+}
+
+func TestAnswerIsPassedOnWhole(t *testing.T) {
+	f := newFront(t, true, answers(steering.Answered, http.StatusCreated, "booked"))
+	response, body := get(t, http.MethodPost, f.URL+"/a/x", "data")
+	if response.StatusCode != http.StatusCreated || body != "booked" || response.Header.Get("Seal") != "s" {
+		t.Errorf("got %d %q with seal %q, want 201, the body and the seal", response.StatusCode, body, response.Header.Get("Seal"))
+	}
+}
+
+// A proxy has just started. "Not found" would make callers give up for good.
+func TestUnconfiguredProxySaysNotNow(t *testing.T) {
+	f := newFront(t, false, nil)
+	response, _ := get(t, http.MethodGet, f.URL+"/a/x", "")
+	if response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("status is %d, want 503", response.StatusCode)
+	}
+	expectComeBack(t, response)
+}
+
+func expectComeBack(t *testing.T, response *http.Response) {
+	t.Helper()
+	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	if err != nil || seconds <= 0 || seconds > 0.7/3 {
+		t.Errorf("Retry-After is %q, want a third of the caller's 0.7 s at most", response.Header.Get("Retry-After"))
+	}
+}
+
+// What the status promises must be true: 503 only if nothing ran.
+func TestStatusTellsWhetherTheRequestMayHaveRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		result steering.Result
+		want   int
+	}{
+		"refused":     {steering.Refused, http.StatusServiceUnavailable},
+		"unreachable": {steering.Unreachable, http.StatusServiceUnavailable},
+		"broken":      {steering.Broken, http.StatusBadGateway},
+		"late":        {steering.Late, http.StatusGatewayTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFront(t, true, func(context.Context, serverhttp.Request) (steering.Attempt, *serverhttp.Answer) {
+				return steering.Attempt{Result: c.result}, nil
+			})
+			response, _ := get(t, http.MethodPost, f.URL+"/a/x", "data")
+			if response.StatusCode != c.want {
+				t.Errorf("status is %d, want %d", response.StatusCode, c.want)
+			}
+			if c.want == http.StatusServiceUnavailable {
+				expectComeBack(t, response)
+			}
+		})
+	}
+}
+
+func TestUnknownPathIsNotFound(t *testing.T) {
+	f := newFront(t, true, nil)
+	if response, _ := get(t, http.MethodGet, f.URL+"/b/x", ""); response.StatusCode != http.StatusNotFound {
+		t.Errorf("status is %d, want 404", response.StatusCode)
+	}
+}
+
+func TestBodyOverTheLimitIsRefusedBeforeAnythingIsSent(t *testing.T) {
+	f := newFront(t, true, nil)
+	for _, length := range []int{101, 100_000} {
+		if response, _ := get(t, http.MethodPost, f.URL+"/a/x", strings.Repeat("x", length)); response.StatusCode != http.StatusRequestEntityTooLarge {
+			t.Errorf("%d bytes: status is %d, want 413", length, response.StatusCode)
+		}
+	}
+}
+
+// The deadline handed on is the sooner of the caller's and the route's.
+func TestDeadlineHandedOn(t *testing.T) {
+	var left time.Duration
+	f := newFront(t, true, func(_ context.Context, r serverhttp.Request) (steering.Attempt, *serverhttp.Answer) {
+		left = time.Until(r.Deadline)
+		return steering.Attempt{Result: steering.Answered}, &serverhttp.Answer{Status: http.StatusOK}
+	})
+	get(t, http.MethodGet, f.URL+"/a/x", "")
+	if left <= 0 || left > 700*time.Millisecond {
+		t.Errorf("the server has %s, want at most the caller's 700 ms", left)
+	}
+}
+
+// A caller gives up while its request runs. The server must hear of it soon.
+func TestLeavingCallerEndsTheAttempt(t *testing.T) {
+	ended := make(chan time.Duration, 1)
+	f := newFront(t, true, func(ctx context.Context, _ serverhttp.Request) (steering.Attempt, *serverhttp.Answer) {
+		began := time.Now()
+		<-ctx.Done()
+		ended <- time.Since(began)
+		return steering.Attempt{Result: steering.Left}, nil
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, f.URL+"/a/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response, err := http.DefaultClient.Do(r); err == nil {
+		_ = response.Body.Close()
+		t.Error("the caller got an answer, want none")
+	}
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Error("the attempt goes on after the caller has left")
+	}
+}
+
+func TestStoppingProxySendsCallersElsewhere(t *testing.T) {
+	f := newFront(t, true, answers(steering.Answered, http.StatusOK, "fine"))
+	f.stopping = true
+	if response, body := get(t, http.MethodGet, f.URL+"/a/x", ""); !response.Close || body != "fine" {
+		t.Errorf("connection closes: %t, body %q; want the answer and a close", response.Close, body)
+	}
+}
