--- a/Makefile
+++ b/Makefile
@@ -30,11 +30,11 @@
 	$(BIN)/gypsumquay-bench slopes
 
 lint:
-	test -z "$$(gofmt -l cmd internal)"
+	test -z "$$(gofmt -l cmd internal platform)"
 	golangci-lint run ./...
 
 format:
-	gofmt -w cmd internal
+	gofmt -w cmd internal platform
 
 generate:
 	cd internal/adapter/peerpb && protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative peer.proto
--- a/internal/adapter/forwardhttp/server_test.go
+++ b/internal/adapter/forwardhttp/server_test.go
@@ -58,7 +58,15 @@
 	return f
 }
 
-func get(t *testing.T, method, url, body string) (*http.Response, string) {
+// reply is a response that was read to its end.
+type reply struct {
+	status int
+	header http.Header
+	close  bool
+	body   string
+}
+
+func get(t *testing.T, method, url, body string) reply {
 	t.Helper()
 	r, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
@@ -75,7 +83,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return response, string(data)
+	return reply{response.StatusCode, response.Header, response.Close, string(data)}
 }
 
 func answers(result steering.Result, status int, body string) sender {
@@ -86,27 +94,27 @@
 
 func TestAnswerIsPassedOnWhole(t *testing.T) {
 	f := newFront(t, true, answers(steering.Answered, http.StatusCreated, "booked"))
-	response, body := get(t, http.MethodPost, f.URL+"/a/x", "data")
-	if response.StatusCode != http.StatusCreated || body != "booked" || response.Header.Get("Seal") != "s" {
-		t.Errorf("got %d %q with seal %q, want 201, the body and the seal", response.StatusCode, body, response.Header.Get("Seal"))
+	got := get(t, http.MethodPost, f.URL+"/a/x", "data")
+	if got.status != http.StatusCreated || got.body != "booked" || got.header.Get("Seal") != "s" {
+		t.Errorf("got %d %q with seal %q, want 201, the body and the seal", got.status, got.body, got.header.Get("Seal"))
 	}
 }
 
 // A proxy has just started. "Not found" would make callers give up for good.
 func TestUnconfiguredProxySaysNotNow(t *testing.T) {
 	f := newFront(t, false, nil)
-	response, _ := get(t, http.MethodGet, f.URL+"/a/x", "")
-	if response.StatusCode != http.StatusServiceUnavailable {
-		t.Errorf("status is %d, want 503", response.StatusCode)
+	got := get(t, http.MethodGet, f.URL+"/a/x", "")
+	if got.status != http.StatusServiceUnavailable {
+		t.Errorf("status is %d, want 503", got.status)
 	}
-	expectComeBack(t, response)
+	expectComeBack(t, got)
 }
 
-func expectComeBack(t *testing.T, response *http.Response) {
+func expectComeBack(t *testing.T, got reply) {
 	t.Helper()
-	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
 	if err != nil || seconds <= 0 || seconds > 0.7/3 {
-		t.Errorf("Retry-After is %q, want a third of the caller's 0.7 s at most", response.Header.Get("Retry-After"))
+		t.Errorf("Retry-After is %q, want a third of the caller's 0.7 s at most", got.header.Get("Retry-After"))
 	}
 }
 
@@ -125,12 +133,12 @@
 			f := newFront(t, true, func(context.Context, serverhttp.Request) (steering.Attempt, *serverhttp.Answer) {
 				return steering.Attempt{Result: c.result}, nil
 			})
-			response, _ := get(t, http.MethodPost, f.URL+"/a/x", "data")
-			if response.StatusCode != c.want {
-				t.Errorf("status is %d, want %d", response.StatusCode, c.want)
+			got := get(t, http.MethodPost, f.URL+"/a/x", "data")
+			if got.status != c.want {
+				t.Errorf("status is %d, want %d", got.status, c.want)
 			}
 			if c.want == http.StatusServiceUnavailable {
-				expectComeBack(t, response)
+				expectComeBack(t, got)
 			}
 		})
 	}
@@ -138,16 +146,16 @@
 
 func TestUnknownPathIsNotFound(t *testing.T) {
 	f := newFront(t, true, nil)
-	if response, _ := get(t, http.MethodGet, f.URL+"/b/x", ""); response.StatusCode != http.StatusNotFound {
-		t.Errorf("status is %d, want 404", response.StatusCode)
+	if got := get(t, http.MethodGet, f.URL+"/b/x", ""); got.status != http.StatusNotFound {
+		t.Errorf("status is %d, want 404", got.status)
 	}
 }
 
 func TestBodyOverTheLimitIsRefusedBeforeAnythingIsSent(t *testing.T) {
 	f := newFront(t, true, nil)
 	for _, length := range []int{101, 100_000} {
-		if response, _ := get(t, http.MethodPost, f.URL+"/a/x", strings.Repeat("x", length)); response.StatusCode != http.StatusRequestEntityTooLarge {
-			t.Errorf("%d bytes: status is %d, want 413", length, response.StatusCode)
+		if got := get(t, http.MethodPost, f.URL+"/a/x", strings.Repeat("x", length)); got.status != http.StatusRequestEntityTooLarge {
+			t.Errorf("%d bytes: status is %d, want 413", length, got.status)
 		}
 	}
 }
@@ -194,7 +202,7 @@
 func TestStoppingProxySendsCallersElsewhere(t *testing.T) {
 	f := newFront(t, true, answers(steering.Answered, http.StatusOK, "fine"))
 	f.stopping = true
-	if response, body := get(t, http.MethodGet, f.URL+"/a/x", ""); !response.Close || body != "fine" {
-		t.Errorf("connection closes: %t, body %q; want the answer and a close", response.Close, body)
+	if got := get(t, http.MethodGet, f.URL+"/a/x", ""); !got.close || got.body != "fine" {
+		t.Errorf("connection closes: %t, body %q; want the answer and a close", got.close, got.body)
 	}
 }
--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -71,7 +71,7 @@
 	// Client exchanges requests with servers.
 	Client struct {
 		headers Headers
-		pool    pool
+		pool    *pool
 		now     func() time.Time
 	}
 
--- a/internal/adapter/serverhttp/pool.go
+++ b/internal/adapter/serverhttp/pool.go
@@ -24,6 +24,8 @@
 	keepMargin = time.Second
 	// idleMost bounds the idle connections to one server.
 	idleMost = 8
+	// sweepEvery is how often idle connections that ran out are closed.
+	sweepEvery = 2 * time.Second
 	// unackedMost is how long sent bytes may stay without an acknowledgement.
 	// A connection that has gone silent shows no other sign.
 	unackedMost = 700 * time.Millisecond
@@ -31,11 +33,12 @@
 
 type (
 	pool struct {
-		mu     *sync.Mutex
+		mu     sync.Mutex
 		idle   map[netip.AddrPort][]*conn
 		now    func() time.Time
 		opened func()
 		dialer net.Dialer
+		swept  time.Time
 	}
 
 	// conn is a connection to a server, used by one request at a time.
@@ -49,9 +52,9 @@
 	}
 )
 
-func newPool(now func() time.Time, opened func()) pool {
-	return pool{
-		mu: new(sync.Mutex), idle: make(map[netip.AddrPort][]*conn), now: now, opened: opened,
+func newPool(now func() time.Time, opened func()) *pool {
+	return &pool{
+		idle: make(map[netip.AddrPort][]*conn), now: now, opened: opened,
 		dialer: net.Dialer{Control: boundUnacked, KeepAlive: -1},
 	}
 }
@@ -116,26 +119,31 @@
 	c.expires = now.Add(c.keep)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.sweep(now)
 	list := p.idle[c.address]
-	for len(list) > 0 && (len(list) >= idleMost || !now.Before(list[0].expires)) {
+	if len(list) >= idleMost {
 		_ = list[0].Close()
 		list = list[1:]
 	}
 	p.idle[c.address] = append(list, c)
 }
 
-// forget closes the idle connections to servers that are gone.
-func (p *pool) forget(keep func(netip.AddrPort) bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// sweep closes the connections that have been idle for too long, also those
+// to servers that are gone. The lock is held.
+func (p *pool) sweep(now time.Time) {
+	if now.Sub(p.swept) < sweepEvery {
+		return
+	}
+	p.swept = now
 	for address, list := range p.idle {
-		if keep(address) {
-			continue
+		for len(list) > 0 && !now.Before(list[0].expires) {
+			_ = list[0].Close()
+			list = list[1:]
 		}
-		for _, c := range list {
-			_ = c.Close()
+		p.idle[address] = list
+		if len(list) == 0 {
+			delete(p.idle, address)
 		}
-		delete(p.idle, address)
 	}
 }
 
--- a/internal/kernel/replica/replica_test.go
+++ b/internal/kernel/replica/replica_test.go
@@ -11,8 +11,9 @@
 	start = time.Unix(1_000_000, 0)
 )
 
-func whole(revision uint64, keys ...string) Delta {
-	d := Delta{Revision: revision, Whole: true}
+// whole is a reading of the store at revision 10.
+func whole(keys ...string) Delta {
+	d := Delta{Revision: 10, Whole: true}
 	for i, key := range keys {
 		d.Entries = append(d.Entries, Entry{Key: key, Revision: uint64(i + 1), Value: []byte(key)})
 	}
@@ -36,7 +37,7 @@
 // leave out what lies between, and a drained server would get requests.
 func TestDeltaAfterAGapIsRefused(t *testing.T) {
 	c := NewCopy()
-	c.Apply(start, whole(10, "a"))
+	c.Apply(start, whole("a"))
 	if _, ok := c.Apply(start, Delta{Base: 12, Revision: 13, Entries: []Entry{{Key: "b", Revision: 13}}}); ok {
 		t.Error("a delta from revision 12 was taken into a copy at 10")
 	}
@@ -49,9 +50,9 @@
 // has left in the meantime must not come back to life.
 func TestOldNewsDoNotReviveWhatWasRemoved(t *testing.T) {
 	c := NewCopy()
-	c.Apply(start, whole(10, "a", "b"))
+	c.Apply(start, whole("a", "b"))
 	c.Apply(start, Delta{Base: 10, Revision: 11, Entries: []Entry{{Key: "b", Revision: 11, Removed: true}}})
-	changed, _ := c.Apply(start, whole(10, "a", "b"))
+	changed, _ := c.Apply(start, whole("a", "b"))
 	if len(changed) > 0 {
 		t.Errorf("an older whole copy changed %v, want nothing", names(changed))
 	}
@@ -65,7 +66,7 @@
 // was removed in between.
 func TestWholeReadingRemovesWhatIsGone(t *testing.T) {
 	c := NewCopy()
-	c.Apply(start, whole(10, "a", "b", "c"))
+	c.Apply(start, whole("a", "b", "c"))
 	changed, _ := c.Apply(start, Delta{Revision: 20, Whole: true, Entries: []Entry{
 		{Key: "a", Revision: 1}, {Key: "c", Revision: 15},
 	}})
@@ -76,7 +77,7 @@
 
 func TestSinceBringsAPeerUpToDate(t *testing.T) {
 	a, b := NewCopy(), NewCopy()
-	a.Apply(start, whole(10, "a", "b"))
+	a.Apply(start, whole("a", "b"))
 	b.Apply(start, a.Since(start, 0))
 	a.Apply(start, Delta{Base: 10, Revision: 12, Entries: []Entry{
 		{Key: "a", Revision: 11, Removed: true}, {Key: "c", Revision: 12},
@@ -94,7 +95,7 @@
 // peer that lags behind must then get everything, or it keeps dead servers.
 func TestALaggingPeerGetsEverything(t *testing.T) {
 	a, b := NewCopy(), NewCopy()
-	a.Apply(start, whole(10, "a", "b"))
+	a.Apply(start, whole("a", "b"))
 	b.Apply(start, a.Since(start, 0))
 	revision := uint64(10)
 	for i := range removalsMost + 10 {
@@ -118,7 +119,7 @@
 // but grows old, and that is what the others go by.
 func TestAgeTravelsWithTheCopy(t *testing.T) {
 	a, b := NewCopy(), NewCopy()
-	a.Apply(start, whole(10, "a"))
+	a.Apply(start, whole("a"))
 	later := start.Add(3 * time.Second)
 	b.Apply(later, a.Since(later, 0))
 	if got, want := b.Age(later), 3*time.Second; got != want {
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -214,7 +214,7 @@
 	}
 	f.sends++
 	f.mayHaveRun = f.mayHaveRun || a.Result == Broken || a.Result == Failed
-	if !k.mayRepeat(now, f, a) {
+	if !k.mayRepeat(now, f) {
 		if a.Result == Failed {
 			return k.finish(now, f, Decision{Answer: true})
 		}
@@ -243,7 +243,7 @@
 }
 
 // mayRepeat decides whether a request that reached a server may go to another.
-func (k *Kernel) mayRepeat(now time.Time, f *Flight, a Attempt) bool {
+func (k *Kernel) mayRepeat(now time.Time, f *Flight) bool {
 	if f.mayHaveRun && !f.Route.Idempotent {
 		return false
 	}
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -57,7 +57,6 @@
 		failures int
 		outs     int
 		outUntil time.Time
-		trial    bool
 
 		coldUntil time.Time
 		cold      admission.Cold
--- a/internal/proxy/forward/feed.go
+++ b/internal/proxy/forward/feed.go
@@ -20,9 +20,6 @@
 	// absentFor is how long such a registration is waited for. Live servers
 	// are back within about two seconds of the store's return.
 	absentFor = 2200 * time.Millisecond
-	// heardFor is how long a proxy that was heard counts as alive though the
-	// store holds no entry of it.
-	heardFor = 2500 * time.Millisecond
 
 	memberPrefix = "gypsumquay/proxies/"
 )
@@ -35,8 +32,6 @@
 		mu      sync.Mutex
 		copy    *replica.Copy
 		members map[string]member
-		// heard is when each proxy was last heard directly.
-		heard map[string]time.Time
 		// failedAt is when a call to the store failed last.
 		failedAt time.Time
 		lost     bool
@@ -58,7 +53,7 @@
 func newFeed(d *Daemon) *feed {
 	return &feed{
 		daemon: d, copy: replica.NewCopy(), members: make(map[string]member),
-		heard: make(map[string]time.Time), rewrite: make(chan struct{}, 1),
+		rewrite: make(chan struct{}, 1),
 	}
 }
 
@@ -162,11 +157,10 @@
 	f.daemon.do(func(k *steering.Kernel, _ time.Time) { k.SetProxies(list) })
 }
 
-// hear notes that a proxy spoke, and its word that it leaves.
+// hear takes in a proxy's own word that it leaves.
 func (f *feed) hear(name string, leaving bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.heard[name] = f.daemon.now()
 	m, known := f.members[name]
 	if known && leaving && !m.Leaving {
 		m.Leaving = true
--- /dev/null
+++ b/internal/proxy/forward/fleet_test.go
@@ -0,0 +1,456 @@
+package forward
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/gypsumquay/gypsumquay/internal/adapter/forwardhttp"
+	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+)
+
+const (
+	// patience bounds waits for what must happen soon; only a failure waits
+	// so long.
+	patience = 20 * time.Second
+)
+
+type (
+	// memoryStore stands in for the platform's store.
+	memoryStore struct {
+		mu       sync.Mutex
+		items    map[string]Item
+		log      []Item
+		revision uint64
+		lease    uint64
+		owner    map[uint64]string
+		forgot   uint64
+		changed  chan struct{}
+	}
+
+	// link is one proxy's way to the store, which a test can cut.
+	link struct {
+		store *memoryStore
+		mu    sync.Mutex
+		cut   bool
+		calls int
+	}
+
+	testServer struct {
+		Service string
+		Address netip.AddrPort
+		Domain  string
+		Drains  bool
+	}
+
+	testTable struct {
+		Version uint64
+		Service string
+	}
+)
+
+var (
+	errCut = errors.New("no way to the store")
+)
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{items: make(map[string]Item), owner: make(map[uint64]string), changed: make(chan struct{})}
+}
+
+func (s *memoryStore) write(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.change(Item{Key: key, Value: data})
+}
+
+func (s *memoryStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.change(Item{Key: key, Removed: true})
+}
+
+func (s *memoryStore) change(i Item) {
+	s.revision++
+	i.Revision = s.revision
+	s.log = append(s.log, i)
+	if i.Removed {
+		delete(s.items, i.Key)
+	} else {
+		s.items[i.Key] = i
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// forget drops the history, as a store does that compacts.
+func (s *memoryStore) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgot = s.revision + 1
+	s.log = nil
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (l *link) down() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+	return l.cut
+}
+
+func (l *link) setCut(cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = cut
+}
+
+func (l *link) seams() Store {
+	s := l.store
+	guard := func(f func() error) error {
+		if l.down() {
+			return errCut
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return f()
+	}
+	return Store{
+		Range: func(context.Context, string) (items []Item, revision uint64, err error) {
+			err = guard(func() error {
+				for _, i := range s.items {
+					items = append(items, i)
+				}
+				revision = s.revision
+				return nil
+			})
+			return items, revision, err
+		},
+		Watch: l.watch,
+		Grant: func(context.Context, time.Duration) (lease uint64, err error) {
+			err = guard(func() error { s.lease++; lease = s.lease; return nil })
+			return lease, err
+		},
+		Renew: func(_ context.Context, lease uint64) error {
+			return guard(func() error {
+				if _, held := s.owner[lease]; !held {
+					return &StoreError{Outcome: StoreAbsent}
+				}
+				return nil
+			})
+		},
+		Put: func(_ context.Context, key string, value []byte, lease uint64) error {
+			return guard(func() error { s.owner[lease] = key; s.change(Item{Key: key, Value: value}); return nil })
+		},
+		End: func(_ context.Context, lease uint64) error {
+			return guard(func() error { s.change(Item{Key: s.owner[lease], Removed: true}); delete(s.owner, lease); return nil })
+		},
+	}
+}
+
+func (l *link) watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]Item, uint64, error) {
+	end := time.After(wait)
+	for {
+		if l.down() {
+			return nil, 0, errCut
+		}
+		l.store.mu.Lock()
+		if after < l.store.forgot {
+			l.store.mu.Unlock()
+			return nil, 0, &StoreError{Outcome: StoreForgot}
+		}
+		var items []Item
+		for _, i := range l.store.log {
+			if i.Revision > after {
+				items = append(items, i)
+			}
+		}
+		revision, changed := l.store.revision, l.store.changed
+		l.store.mu.Unlock()
+		if len(items) > 0 {
+			return items, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+type (
+	// fleet is a few proxies in one process over one store.
+	fleet struct {
+		t       *testing.T
+		store   *memoryStore
+		daemons []*Daemon
+		links   []*link
+		stops   []context.CancelFunc
+		ended   []chan error
+		backend *httptest.Server
+		served  sync.Map
+		// outage cuts new proxies off from the store.
+		outage bool
+	}
+)
+
+func newFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: newMemoryStore()}
+	f.backend = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.served.Store(r.Header.Get("Attempt"), true)
+		w.Header().Set("Attempt", r.Header.Get("Attempt"))
+		w.Header().Set("Seal", "s")
+		if r.URL.Path == "/a/slow" {
+			time.Sleep(300 * time.Millisecond)
+		}
+	}))
+	t.Cleanup(f.backend.Close)
+	f.store.write("config", testTable{Version: 1, Service: "service"})
+	f.store.write("servers/s1", testServer{Service: "service", Domain: "a", Address: addressOf(f.backend.URL)})
+	var seeds []netip.AddrPort
+	for i := range n {
+		seeds = append(seeds, f.start(i, seeds))
+	}
+	return f
+}
+
+func addressOf(url string) netip.AddrPort {
+	return netip.MustParseAddrPort(strings.TrimPrefix(url, "http://"))
+}
+
+// freePort finds an address that nobody listens on.
+func freePort(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func (f *fleet) start(i int, seeds []netip.AddrPort) netip.AddrPort {
+	f.t.Helper()
+	l := &link{store: f.store, cut: f.outage}
+	s := &Settings{
+		Name: "proxy-" + string(rune('a'+i)), Domain: "a", Region: "north", RegionOf: map[string]string{"a": "north"},
+		Listen: Listen{Callers: freePort(f.t), Readiness: freePort(f.t), Peers: freePort(f.t), Directory: freePort(f.t)},
+		Seeds:  seeds,
+		Bounds: Bounds{
+			Grace: 2 * time.Second, Drain: time.Second, LookupLifetime: 5 * time.Second,
+			RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5,
+		},
+	}
+	d, err := New(s, Seams{
+		Names: Names{
+			Caller:     forwardhttp.Headers{Attempt: "Attempt", Deadline: "Wait", ObjectCookie: "Object"},
+			Server:     serverhttp.Headers{Attempt: "Attempt", Deadline: "Left", Instance: "Instance", Load: "Load", NotRun: "Not-Run", Seal: "Seal"},
+			LookupPath: "/lookup", LookupHost: "host", LookupRegion: "region", LookupDomain: "domain", ReadinessPath: "/ready",
+			Configuration: "config", Evacuations: "evacuate/", Servers: "servers/",
+		},
+		Store: l.seams(),
+		Codec: testCodec(),
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx) }()
+	f.daemons, f.links, f.stops, f.ended = append(f.daemons, d), append(f.links, l), append(f.stops, stop), append(f.ended, ended)
+	f.t.Cleanup(func() {
+		stop()
+		select {
+		case err := <-ended:
+			if err != nil {
+				f.t.Errorf("%s ended with %v", s.Name, err)
+			}
+		case <-time.After(patience):
+			f.t.Errorf("%s did not stop", s.Name)
+		}
+	})
+	f.eventually(s.Name+" is ready", func() bool { return f.status(d.settings.Listen.Readiness, "/ready") == http.StatusOK })
+	return s.Listen.Peers
+}
+
+func testCodec() Codec {
+	return Codec{
+		Table: func(data []byte) (*routing.Table, error) {
+			var w testTable
+			if err := json.Unmarshal(data, &w); err != nil {
+				return nil, err
+			}
+			route := &routing.Route{
+				Name: "r", Host: "127.0.0.1", Prefix: "/a/", Attempts: 2, Timeout: time.Second, Target: time.Second,
+				Parts: []routing.Part{{Service: w.Service, Weight: 1}},
+			}
+			return routing.NewTable(w.Version, []*routing.Route{route}, nil, routing.Limits{}), nil
+		},
+		Server: func(id string, data []byte) (routing.Server, error) {
+			var w testServer
+			err := json.Unmarshal(data, &w)
+			return routing.Server{ID: id, Service: w.Service, Address: w.Address, Domain: w.Domain, Slots: 4, Draining: w.Drains}, err
+		},
+		LookupAnswer: func(list []netip.AddrPort, _ time.Duration) ([]byte, error) { return json.Marshal(list) },
+	}
+}
+
+func (f *fleet) eventually(what string, done func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	f.t.Fatalf("%s did not come true within %s", what, patience)
+}
+
+func (f *fleet) status(address netip.AddrPort, path string) int {
+	response, err := http.Get("http://" + address.String() + path)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode
+}
+
+func (f *fleet) ask(i int, path string) int {
+	return f.status(f.daemons[i].settings.Listen.Callers, path)
+}
+
+func (f *fleet) version(i int) (v uint64) {
+	f.daemons[i].do(func(k *steering.Kernel, _ time.Time) { v = k.Version() })
+	return v
+}
+
+func (f *fleet) named(i int) int {
+	response, err := http.Get("http://" + f.daemons[i].settings.Listen.Directory.String() + "/lookup?host=h&region=north&domain=a")
+	if err != nil {
+		return -1
+	}
+	defer func() { _ = response.Body.Close() }()
+	var list []netip.AddrPort
+	if json.NewDecoder(response.Body).Decode(&list) != nil {
+		return -1
+	}
+	return len(list)
+}
+
+func TestCalmDay(t *testing.T) {
+	f := newFleet(t, 2)
+	f.eventually("requests are served", func() bool { return f.ask(0, "/a/x") == http.StatusOK && f.ask(1, "/a/x") == http.StatusOK })
+	f.eventually("both proxies are named", func() bool { return f.named(0) == 2 && f.named(1) == 2 })
+	if got := f.ask(0, "/none"); got != http.StatusNotFound {
+		t.Errorf("a path without a route gets %d, want 404", got)
+	}
+}
+
+// A proxy is cut off from the store while the operator rolls out a version
+// and drains a server. It still reaches another proxy, which knows.
+func TestCutOffProxyHearsChangesFromAnother(t *testing.T) {
+	f := newFleet(t, 2)
+	f.eventually("the proxies know each other", func() bool { return f.named(0) == 2 && f.named(1) == 2 })
+	f.links[1].setCut(true)
+	f.store.write("config", testTable{Version: 3, Service: "service"})
+	f.eventually("the version is in force at the one cut off", func() bool { return f.version(1) == 3 })
+	f.store.write("servers/s1", testServer{Service: "service", Domain: "a", Address: addressOf(f.backend.URL), Drains: true})
+	f.eventually("the server is known to drain at the one cut off", func() bool { return f.ask(1, "/a/x") == http.StatusServiceUnavailable })
+}
+
+// The store is down for all. A VM is replaced meanwhile: the new process has
+// nothing but the seeds, and must serve.
+func TestNewProxyDuringAnOutageLearnsFromASeed(t *testing.T) {
+	f := newFleet(t, 1)
+	f.links[0].setCut(true)
+	f.outage = true
+	f.start(1, []netip.AddrPort{f.daemons[0].settings.Listen.Peers})
+	f.eventually("the new proxy serves", func() bool { return f.ask(1, "/a/x") == http.StatusOK })
+}
+
+// The store drops its history while changes are made. The proxy must read
+// everything again and notice what was removed in between.
+func TestForgottenHistory(t *testing.T) {
+	f := newFleet(t, 1)
+	f.eventually("requests are served", func() bool { return f.ask(0, "/a/x") == http.StatusOK })
+	f.store.mu.Lock()
+	f.store.revision++
+	f.store.items["config"] = Item{Key: "config", Value: []byte(`{"Version":7,"Service":"service"}`), Revision: f.store.revision}
+	delete(f.store.items, "servers/s1")
+	f.store.mu.Unlock()
+	f.store.forget()
+	f.eventually("the version is in force", func() bool { return f.version(0) == 7 })
+	f.eventually("the server is gone", func() bool { return f.ask(0, "/a/x") == http.StatusServiceUnavailable })
+}
+
+// The platform revokes a live proxy's key without telling it otherwise. It
+// must write the key again, or callers would no longer be sent there.
+func TestRevokedEntryIsWrittenAgain(t *testing.T) {
+	f := newFleet(t, 2)
+	f.eventually("both proxies are named", func() bool { return f.named(1) == 2 })
+	f.store.remove(memberPrefix + "proxy-a")
+	f.eventually("the entry is back", func() bool {
+		f.store.mu.Lock()
+		defer f.store.mu.Unlock()
+		_, held := f.store.items[memberPrefix+"proxy-a"]
+		return held
+	})
+	f.eventually("both proxies are named again", func() bool { return f.named(1) == 2 })
+}
+
+// An operator stops a proxy while callers use it. It is not ready at once and
+// no longer named, yet serves whoever still comes, and cuts nobody off.
+func TestPlannedStopCutsNobodyOff(t *testing.T) {
+	f := newFleet(t, 2)
+	f.eventually("both proxies are named", func() bool { return f.named(1) == 2 })
+	slow := make(chan int, 1)
+	go func() { slow <- f.ask(0, "/a/slow") }()
+	f.eventually("the slow request runs", func() bool { _, seen := f.served.Load(""); return seen })
+	f.stops[0]()
+	f.eventually("it is not ready", func() bool {
+		return f.status(f.daemons[0].settings.Listen.Readiness, "/ready") == http.StatusServiceUnavailable
+	})
+	f.eventually("the other no longer names it", func() bool { return f.named(1) == 1 })
+	if got := f.ask(0, "/a/x"); got != http.StatusOK {
+		t.Errorf("a request during the stop gets %d, want 200", got)
+	}
+	if got := <-slow; got != http.StatusOK {
+		t.Errorf("the request in flight got %d, want 200", got)
+	}
+}
+
+// Callers must not be sent to a proxy that does not know where to send them.
+func TestUnconfiguredProxyIsNotReady(t *testing.T) {
+	f := &fleet{t: t, store: newMemoryStore()}
+	l := &link{store: f.store}
+	d, err := New(&Settings{Name: "p", Domain: "a", Region: "north", RegionOf: map[string]string{"a": "north"}}, Seams{
+		Names: Names{ReadinessPath: "/ready", LookupPath: "/lookup"}, Store: l.seams(), Codec: testCodec(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for path, handler := range map[string]http.Handler{"/ready": d.readinessHandler(), "/lookup": d.directoryHandler()} {
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+		if w.Code != http.StatusServiceUnavailable {
+			t.Errorf("%s answers %d, want 503", path, w.Code)
+		}
+	}
+}
