Decisions of a request told together: log lines, metrics, gypsumquayctl steering

Cause: a complaint could not be traced from its id. Tests: TestStuckWriterDoesNotBlock, TestOperatorsFindTheCauseOfARequest.

--- a/cmd/gypsumquayd/main.go
+++ b/cmd/gypsumquayd/main.go
@@ -22,6 +22,8 @@
 const (
 	exitFailure  = 1
 	exitSettings = 2
+	// logLines bounds the lines that wait for a slow reader of the log.
+	logLines = 4096
 )
 
 type (
@@ -87,8 +89,10 @@
 		fmt.Println("settings are in order")
 		return 0
 	}
-	logs.Setup(os.Stdout, a.Verbosity, "vm", s.Proxy.Name)
-	d, err := forward.New(&s.Proxy, platform.Seams(s))
+	buffer := logs.NewBuffer(os.Stdout, logLines)
+	defer buffer.Close()
+	logs.Setup(buffer, a.Verbosity, "vm", s.Proxy.Name)
+	d, err := forward.New(&s.Proxy, platform.Seams(s, buffer.Dropped))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
@@ -59,8 +60,6 @@
 		Now     func() time.Time
 		// Stopping reports whether callers should go elsewhere.
 		Stopping func() bool
-		// Finished is told of each request's end.
-		Finished func(route string, status int, reason steering.Reason, took time.Duration)
 	}
 )
 
@@ -97,12 +96,7 @@
 		attempt, answer = s.Send(r.Context(), s.attempt(r, body, request, flight, decision.Server))
 		s.Kernel(func(k *steering.Kernel, now time.Time) { decision = k.Ended(now, flight, attempt) })
 	}
-	status := s.reply(w, r, decision, answer)
-	route := ""
-	if flight.Route != nil {
-		route = flight.Route.Name
-	}
-	s.Finished(route, status, decision.Reason, s.Now().Sub(began))
+	s.reply(w, r, decision, answer)
 }
 
 func (s *Server) attempt(r *http.Request, body []byte, q steering.Request, f *steering.Flight, t *steering.Target) serverhttp.Request {
@@ -145,13 +139,14 @@
 	panic(http.ErrAbortHandler)
 }
 
-// reply gives the caller the final answer and returns its status.
-func (s *Server) reply(w http.ResponseWriter, r *http.Request, d steering.Decision, answer *serverhttp.Answer) int {
+// reply gives the caller the final answer.
+func (s *Server) reply(w http.ResponseWriter, r *http.Request, d steering.Decision, answer *serverhttp.Answer) {
 	if s.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	if !d.Answer || answer == nil {
-		return s.refuse(w, r, d)
+		s.refuse(w, r, d)
+		return
 	}
 	header := w.Header()
 	for name, values := range answer.Header {
@@ -161,8 +156,9 @@
 		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	}
 	w.WriteHeader(answer.Status)
-	_, _ = w.Write(answer.Body)
-	return answer.Status
+	if _, err := w.Write(answer.Body); err != nil {
+		klog.V(1).InfoS("answer not delivered", "request", r.Header.Get(s.Headers.Attempt), "error", err.Error())
+	}
 }
 
 func bodyAllowed(status int) bool {
@@ -171,7 +167,7 @@
 
 // refuse tells the caller that there is no answer: 503 only if the request has
 // not run and never will.
-func (s *Server) refuse(w http.ResponseWriter, r *http.Request, d steering.Decision) int {
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, d steering.Decision) {
 	status := http.StatusBadGateway
 	switch {
 	case d.Reason == steering.ReasonNoRoute:
@@ -187,7 +183,6 @@
 	}
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
-	return status
 }
 
 func parseLeft(text string) (time.Duration, bool) {
--- a/internal/adapter/forwardhttp/server_test.go
+++ b/internal/adapter/forwardhttp/server_test.go
@@ -41,7 +41,6 @@
 			do(f.kernel, time.Now())
 		},
 		Send: send, Now: time.Now, Stopping: func() bool { return f.stopping },
-		Finished: func(string, int, steering.Reason, time.Duration) {},
 	}
 	if configured {
 		route := &routing.Route{
--- /dev/null
+++ b/internal/adapter/steeringhttp/api.go
@@ -0,0 +1,138 @@
+// Package steeringhttp is the operators' view of a proxy that forwards
+// requests on the platform: what it believes, and why a request ended as it
+// did. It changes nothing.
+package steeringhttp
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+)
+
+const (
+	// PathStatus describes one proxy.
+	PathStatus = "/v1/steering"
+	// PathEvents lists one proxy's decisions; ?request= picks one request's.
+	PathEvents = "/v1/steering/events"
+)
+
+type (
+	// Status is one proxy's view.
+	Status struct {
+		VM            string          `json:"vm"`
+		Configuration uint64          `json:"configuration-version"`
+		StoreRevision uint64          `json:"store-revision"`
+		StoreAge      string          `json:"store-age"`
+		InFlight      int             `json:"in-flight"`
+		Stopping      bool            `json:"stopping"`
+		Evacuated     []string        `json:"evacuated-failure-domains,omitempty"`
+		Proxies       []Proxy         `json:"proxies"`
+		Servers       []BackendServer `json:"backend-servers"`
+		Routes        []Route         `json:"routes"`
+		At            time.Time       `json:"at"`
+	}
+
+	// Proxy is a proxy that the asked one knows.
+	Proxy struct {
+		Name      string         `json:"name"`
+		Domain    string         `json:"failure-domain"`
+		Region    string         `json:"region"`
+		Operators netip.AddrPort `json:"operators"`
+		Leaving   bool           `json:"leaving,omitempty"`
+	}
+
+	// BackendServer is one backend server as the asked proxy sees it.
+	BackendServer struct {
+		ID       string  `json:"id"`
+		Service  string  `json:"service"`
+		Domain   string  `json:"failure-domain"`
+		State    string  `json:"state"`
+		InFlight int     `json:"in-flight"`
+		Slots    int     `json:"slots"`
+		Load     float64 `json:"load"`
+		Speed    float64 `json:"speed"`
+		Failed   float64 `json:"failed-share"`
+	}
+
+	// Route is one route in force.
+	Route struct {
+		Name       string   `json:"name"`
+		Host       string   `json:"host"`
+		Prefix     string   `json:"path-prefix"`
+		Services   []string `json:"services"`
+		Idempotent bool     `json:"idempotent"`
+		Timeout    string   `json:"timeout"`
+	}
+
+	// Event is one decision of one proxy.
+	Event struct {
+		At            time.Time `json:"at"`
+		VM            string    `json:"vm"`
+		Kind          string    `json:"kind"`
+		Request       string    `json:"request,omitempty"`
+		Route         string    `json:"route,omitempty"`
+		Configuration uint64    `json:"configuration,omitempty"`
+		Service       string    `json:"service,omitempty"`
+		Server        string    `json:"server,omitempty"`
+		Object        string    `json:"object,omitempty"`
+		Domain        string    `json:"failure-domain,omitempty"`
+		Attempt       int       `json:"attempt,omitempty"`
+		Result        string    `json:"result,omitempty"`
+		Outcome       string    `json:"outcome,omitempty"`
+		Reason        string    `json:"reason,omitempty"`
+		Expected      string    `json:"expected,omitempty"`
+		Load          float64   `json:"load,omitempty"`
+		LoadAge       string    `json:"load-age,omitempty"`
+		Warm          bool      `json:"warm,omitempty"`
+		Draining      bool      `json:"draining,omitempty"`
+		Took          string    `json:"took,omitempty"`
+		ComeBack      string    `json:"come-back,omitempty"`
+		Error         string    `json:"error,omitempty"`
+	}
+)
+
+// EventOf is a kernel's event as operators see it.
+func EventOf(vm string, e steering.Event) Event {
+	out := Event{
+		At: e.At, VM: vm, Kind: string(e.Kind), Request: e.Request, Route: e.Route, Configuration: e.Version,
+		Service: e.Service, Server: e.Server, Object: e.Object, Domain: e.Domain, Attempt: e.Attempt,
+		Reason: string(e.Reason), Load: e.Load, Warm: e.Warm, Draining: e.Draining,
+		Expected: span(e.Expected), Took: span(e.Took), ComeBack: span(e.ComeBack),
+	}
+	if e.Result != 0 {
+		out.Result = e.Result.String()
+	}
+	if e.Outcome != 0 {
+		out.Outcome = e.Outcome.String()
+	}
+	if e.Kind == steering.EventSent {
+		out.LoadAge = span(e.LoadAge)
+	}
+	if e.Err != nil {
+		out.Error = e.Err.Error()
+	}
+	return out
+}
+
+func span(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return d.Round(10 * time.Microsecond).String()
+}
+
+// StateOf names a server's state, the most telling first.
+func StateOf(s steering.ServerStatus) string {
+	switch {
+	case s.Draining:
+		return "draining"
+	case s.Absent:
+		return "absent"
+	case s.OutFor > 0:
+		return "out for " + s.OutFor.Round(time.Millisecond).String()
+	case s.ColdFor > 0:
+		return "cold for " + s.ColdFor.Round(time.Millisecond).String()
+	}
+	return "in use"
+}
--- /dev/null
+++ b/internal/adapter/steeringhttp/client.go
@@ -0,0 +1,62 @@
+package steeringhttp
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/errs"
+)
+
+const (
+	askTimeout = 3 * time.Second
+)
+
+type (
+	// Client asks proxies.
+	Client struct {
+		HTTP *http.Client
+	}
+)
+
+// NewClient makes a client.
+func NewClient() *Client { return &Client{HTTP: &http.Client{Timeout: askTimeout}} }
+
+// Status asks one proxy for its view.
+func (c *Client) Status(ctx context.Context, proxy netip.AddrPort) (Status, error) {
+	var s Status
+	err := c.get(ctx, "http://"+proxy.String()+PathStatus, &s)
+	return s, err
+}
+
+// Events asks one proxy for its decisions, of one request or all.
+func (c *Client) Events(ctx context.Context, proxy netip.AddrPort, request string) ([]Event, error) {
+	var list []Event
+	query := url.Values{}
+	if request != "" {
+		query.Set("request", request)
+	}
+	err := c.get(ctx, "http://"+proxy.String()+PathEvents+"?"+query.Encode(), &list)
+	return list, err
+}
+
+func (c *Client) get(ctx context.Context, target string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "ask proxy")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("proxy answered with status %d", response.StatusCode)
+	}
+	return errs.Wrap(json.NewDecoder(response.Body).Decode(into), "proxy's answer")
+}
--- /dev/null
+++ b/internal/adapter/steeringhttp/server.go
@@ -0,0 +1,52 @@
+package steeringhttp
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gorilla/mux"
+	"k8s.io/klog/v2"
+)
+
+const (
+	headerTimeout = 2 * time.Second
+	writeTimeout  = 10 * time.Second
+	idleTimeout   = 30 * time.Second
+)
+
+type (
+	// Server answers operators. Nothing here needs a login: it shows no
+	// secret and changes nothing.
+	Server struct {
+		Status  func() Status
+		Events  func(request string) []Event
+		Metrics *metrics.Set
+	}
+)
+
+// HTTP wraps the server with time-outs.
+func (s *Server) HTTP() *http.Server {
+	router := mux.NewRouter()
+	router.HandleFunc(PathStatus, func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, s.Status())
+	}).Methods(http.MethodGet)
+	router.HandleFunc(PathEvents, func(w http.ResponseWriter, r *http.Request) {
+		reply(w, s.Events(r.URL.Query().Get("request")))
+	}).Methods(http.MethodGet)
+	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		s.Metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	}).Methods(http.MethodGet)
+	return &http.Server{
+		Handler: router, ReadHeaderTimeout: headerTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+	}
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		klog.V(1).InfoS("answer to an operator not written", "error", err.Error())
+	}
+}
--- a/internal/client/command/command.go
+++ b/internal/client/command/command.go
@@ -50,13 +50,14 @@
 		Authority string           `arg:"--authority,env:GYPSUMQUAY_AUTHORITY" help:"PEM file of the proxies' certificate authority"`
 		JSON      bool             `arg:"--json" help:"print JSON"`
 
-		Keys    *KeysArguments    `arg:"subcommand:keys" help:"make and list operators' keys"`
-		Bundle  *BundleArguments  `arg:"subcommand:bundle" help:"check, propose, approve and roll out bundles"`
-		Drain   *DrainArguments   `arg:"subcommand:drain" help:"plan, list and cancel drains"`
-		Status  *StatusArguments  `arg:"subcommand:status" help:"who is live, at which versions, headroom by region"`
-		Lookup  *LookupArguments  `arg:"subcommand:lookup" help:"explain a look-up answer"`
-		Events  *EventsArguments  `arg:"subcommand:events" help:"event log of all proxies, merged"`
-		Version *VersionArguments `arg:"subcommand:version" help:"print the version"`
+		Keys     *KeysArguments     `arg:"subcommand:keys" help:"make and list operators' keys"`
+		Bundle   *BundleArguments   `arg:"subcommand:bundle" help:"check, propose, approve and roll out bundles"`
+		Drain    *DrainArguments    `arg:"subcommand:drain" help:"plan, list and cancel drains"`
+		Status   *StatusArguments   `arg:"subcommand:status" help:"who is live, at which versions, headroom by region"`
+		Lookup   *LookupArguments   `arg:"subcommand:lookup" help:"explain a look-up answer"`
+		Events   *EventsArguments   `arg:"subcommand:events" help:"event log of all proxies, merged"`
+		Steering *SteeringArguments `arg:"subcommand:steering" help:"proxies on the platform: status, servers, routes, explain a request"`
+		Version  *VersionArguments  `arg:"subcommand:version" help:"print the version"`
 	}
 
 	// VersionArguments has no fields.
@@ -71,6 +72,8 @@
 	session struct {
 		ctx    context.Context
 		client *operatorhttp.Client
+		// proxies are the operator addresses given on the command line.
+		proxies []netip.AddrPort
 	}
 )
 
@@ -126,7 +129,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	s := &session{ctx: ctx, client: operatorhttp.NewClient(a.Proxies, config)}
+	s := &session{ctx: ctx, client: operatorhttp.NewClient(a.Proxies, config), proxies: a.Proxies}
 	switch {
 	case a.Keys != nil:
 		return a.Keys.run()
@@ -140,6 +143,8 @@
 		return a.Lookup.run(s)
 	case a.Events != nil:
 		return a.Events.run(s)
+	case a.Steering != nil:
+		return a.Steering.run(s)
 	case a.Version != nil:
 		return Result{Text: "gypsumquay " + version, Data: map[string]string{"version": version}}, nil
 	}
--- /dev/null
+++ b/internal/client/command/steering.go
@@ -0,0 +1,225 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	"github.com/gypsumquay/gypsumquay/internal/adapter/operatorhttp"
+	"github.com/gypsumquay/gypsumquay/internal/adapter/steeringhttp"
+)
+
+const (
+	// asksAtOnce bounds the proxies asked at the same time.
+	asksAtOnce = 16
+)
+
+type (
+	// SteeringArguments are the commands for proxies on the platform.
+	SteeringArguments struct {
+		Status  *SteeringStatusArguments  `arg:"subcommand:status" help:"who is alive, versions in force, age of the store's news"`
+		Servers *SteeringServersArguments `arg:"subcommand:servers" help:"backend servers as one proxy sees them"`
+		Routes  *SteeringRoutesArguments  `arg:"subcommand:routes" help:"routes in force at one proxy"`
+		Explain *SteeringExplainArguments `arg:"subcommand:explain" help:"all decisions on one request, over all proxies"`
+		Events  *SteeringEventsArguments  `arg:"subcommand:events" help:"decisions and changes of all proxies, merged"`
+	}
+
+	// SteeringStatusArguments has no fields.
+	SteeringStatusArguments struct{}
+
+	// SteeringServersArguments picks servers.
+	SteeringServersArguments struct {
+		Service string `help:"only this service's"`
+	}
+
+	// SteeringRoutesArguments picks routes.
+	SteeringRoutesArguments struct {
+		Host string `help:"only this host's"`
+	}
+
+	// SteeringExplainArguments names the request.
+	SteeringExplainArguments struct {
+		Request string `arg:"positional,required" help:"the request's id"`
+	}
+
+	// SteeringEventsArguments filters events.
+	SteeringEventsArguments struct {
+		Kind   string `help:"only this kind"`
+		Server string `help:"only this backend server"`
+	}
+
+	// answer is what one proxy said, or why it did not.
+	answer[T any] struct {
+		Proxy steeringhttp.Proxy `json:"proxy"`
+		Value T                  `json:"answer"`
+		Error string             `json:"error,omitempty"`
+	}
+)
+
+func (a *SteeringArguments) run(s *session) (Result, error) {
+	client := steeringhttp.NewClient()
+	switch {
+	case a.Status != nil:
+		return steeringStatus(s, client)
+	case a.Servers != nil:
+		return a.Servers.run(s, client)
+	case a.Routes != nil:
+		return a.Routes.run(s, client)
+	case a.Explain != nil:
+		return steeringEvents(s, client, a.Explain.Request, func(steeringhttp.Event) bool { return true })
+	case a.Events != nil:
+		return steeringEvents(s, client, "", a.Events.match)
+	}
+	return Result{}, errors.Wrap(errUsage, "steering: needs status, servers, routes, explain or events")
+}
+
+func (a *SteeringEventsArguments) match(e steeringhttp.Event) bool {
+	return (a.Kind == "" || a.Kind == e.Kind) && (a.Server == "" || a.Server == e.Server)
+}
+
+// first is the view of the first proxy that answers.
+func first(s *session, c *steeringhttp.Client) (steeringhttp.Status, error) {
+	var failed error
+	for _, address := range s.proxies {
+		status, err := c.Status(s.ctx, address)
+		if err == nil {
+			return status, nil
+		}
+		failed = err
+	}
+	if failed == nil {
+		return steeringhttp.Status{}, errors.Wrap(errUsage, "--proxy: name at least one")
+	}
+	return steeringhttp.Status{}, errors.Wrap(operatorhttp.ErrNoProxy, failed.Error())
+}
+
+// ask puts a question to all proxies that the first one knows.
+func ask[T any](s *session, c *steeringhttp.Client, question func(context.Context, netip.AddrPort) (T, error)) ([]answer[T], error) {
+	view, err := first(s, c)
+	if err != nil {
+		return nil, err
+	}
+	answers := make([]answer[T], len(view.Proxies))
+	places := make(chan struct{}, asksAtOnce)
+	var all sync.WaitGroup
+	for i, p := range view.Proxies {
+		all.Go(func() {
+			places <- struct{}{}
+			defer func() { <-places }()
+			answers[i].Proxy = p
+			value, err := question(s.ctx, p.Operators)
+			answers[i].Value = value
+			if err != nil {
+				answers[i].Error = err.Error()
+			}
+		})
+	}
+	all.Wait()
+	return answers, nil
+}
+
+func steeringStatus(s *session, c *steeringhttp.Client) (Result, error) {
+	answers, err := ask(s, c, c.Status)
+	if err != nil {
+		return Result{}, err
+	}
+	var text strings.Builder
+	fmt.Fprintf(&text, "%-24s %-16s %-12s %7s %9s %8s %9s %8s\n", "PROXY", "DOMAIN", "REGION", "CONFIG", "REVISION", "AGE", "IN-FLIGHT", "SERVERS")
+	for _, a := range answers {
+		if a.Error != "" {
+			fmt.Fprintf(&text, "%-24s %-16s %-12s no answer: %s\n", a.Proxy.Name, a.Proxy.Domain, a.Proxy.Region, a.Error)
+			continue
+		}
+		v := a.Value
+		fmt.Fprintf(&text, "%-24s %-16s %-12s %7d %9d %8s %9d %8d\n", v.VM, a.Proxy.Domain, a.Proxy.Region,
+			v.Configuration, v.StoreRevision, v.StoreAge, v.InFlight, len(v.Servers))
+	}
+	return Result{Text: text.String(), Data: answers}, nil
+}
+
+func (a *SteeringServersArguments) run(s *session, c *steeringhttp.Client) (Result, error) {
+	view, err := first(s, c)
+	if err != nil {
+		return Result{}, err
+	}
+	list := slices.DeleteFunc(view.Servers, func(b steeringhttp.BackendServer) bool { return a.Service != "" && b.Service != a.Service })
+	var text strings.Builder
+	fmt.Fprintf(&text, "as %s sees them\n%-16s %-12s %-16s %-20s %9s %6s %6s %6s\n", view.VM, "SERVER", "SERVICE", "DOMAIN", "STATE", "IN-FLIGHT", "LOAD", "SPEED", "FAILED")
+	for _, b := range list {
+		fmt.Fprintf(&text, "%-16s %-12s %-16s %-20s %5d/%-3d %6.1f %6.2f %6.2f\n", b.ID, b.Service, b.Domain, b.State, b.InFlight, b.Slots, b.Load, b.Speed, b.Failed)
+	}
+	return Result{Text: text.String(), Data: list}, nil
+}
+
+func (a *SteeringRoutesArguments) run(s *session, c *steeringhttp.Client) (Result, error) {
+	view, err := first(s, c)
+	if err != nil {
+		return Result{}, err
+	}
+	list := slices.DeleteFunc(view.Routes, func(r steeringhttp.Route) bool { return a.Host != "" && r.Host != a.Host })
+	var text strings.Builder
+	fmt.Fprintf(&text, "version %d at %s\n", view.Configuration, view.VM)
+	for _, r := range list {
+		kind := "once"
+		if r.Idempotent {
+			kind = "idempotent"
+		}
+		fmt.Fprintf(&text, "%-12s %-24s %-16s %-10s %8s %s\n", r.Name, r.Host, r.Prefix, kind, r.Timeout, strings.Join(r.Services, ", "))
+	}
+	return Result{Text: text.String(), Data: list}, nil
+}
+
+func steeringEvents(s *session, c *steeringhttp.Client, request string, match func(steeringhttp.Event) bool) (Result, error) {
+	answers, err := ask(s, c, func(ctx context.Context, proxy netip.AddrPort) ([]steeringhttp.Event, error) {
+		return c.Events(ctx, proxy, request)
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	var all []steeringhttp.Event
+	var text strings.Builder
+	for _, a := range answers {
+		if a.Error != "" {
+			fmt.Fprintf(&text, "%s did not answer: %s\n", a.Proxy.Name, a.Error)
+		}
+		for _, e := range a.Value {
+			if match(e) {
+				all = append(all, e)
+			}
+		}
+	}
+	slices.SortStableFunc(all, func(a, b steeringhttp.Event) int { return a.At.Compare(b.At) })
+	if len(all) == 0 {
+		text.WriteString("nothing kept; requests that ended well are sampled, and a restarted proxy has forgotten: search the logs\n")
+	}
+	for _, e := range all {
+		fmt.Fprintf(&text, "%s %-22s %-22s %s\n", e.At.Format("15:04:05.000"), e.VM, e.Kind, steeringDetail(e))
+	}
+	return Result{Text: text.String(), Data: all}, nil
+}
+
+// steeringDetail lists the fields that an event has, each with its name.
+func steeringDetail(e steeringhttp.Event) string {
+	var parts []string
+	for _, f := range []struct{ name, value string }{
+		{"request", e.Request}, {"route", e.Route}, {"service", e.Service}, {"server", e.Server}, {"object", e.Object},
+		{"failure-domain", e.Domain}, {"result", e.Result}, {"outcome", e.Outcome}, {"reason", e.Reason},
+		{"expected", e.Expected}, {"took", e.Took}, {"load-age", e.LoadAge}, {"come-back", e.ComeBack}, {"error", e.Error},
+	} {
+		if f.value != "" {
+			parts = append(parts, f.name+"="+f.value)
+		}
+	}
+	if e.Attempt > 0 {
+		parts = append(parts, fmt.Sprintf("attempt=%d", e.Attempt))
+	}
+	if e.Configuration > 0 {
+		parts = append(parts, fmt.Sprintf("configuration=%d", e.Configuration))
+	}
+	return strings.Join(parts, " ")
+}
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -31,9 +31,11 @@
 		expected time.Duration
 		// start is the part of it until a slot is free: how long the work
 		// takes then is a guess, and not one to refuse a request for.
-		start  time.Duration
-		cost   time.Duration
-		warm   bool
+		start time.Duration
+		cost  time.Duration
+		warm  bool
+		// home is the server\'s rank among the object\'s homes.
+		home   int
 		reason Reason
 	}
 )
@@ -149,10 +151,10 @@
 	}
 	typical := float64(g.work.expect(true, f.Route.Target)) * slow
 	wait := time.Duration(max(0, s.load(now)+1-float64(s.Slots)) / float64(s.Slots) * typical)
-	p := pick{server: s, warm: warm, start: s.domain.roundTrip + wait, expected: s.domain.roundTrip + wait + work}
+	p := pick{server: s, warm: warm, home: rank(homes, s.id), start: s.domain.roundTrip + wait, expected: s.domain.roundTrip + wait + work}
 	p.cost = p.expected + time.Duration(s.failed*float64(f.Route.Target))
 	if len(homes) > 0 && !warm {
-		p.cost += time.Duration(spillCost * float64(rank(homes, s.id)) * float64(work))
+		p.cost += time.Duration(spillCost * float64(p.home) * float64(work))
 	}
 	return p
 }
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -6,7 +6,7 @@
 
 const (
 	// EventTable marks a configuration that came into force.
-	EventTable Kind = "configuration"
+	EventTable Kind = "configuration-in-force"
 	// EventServer marks a server that joined, changed or drains.
 	EventServer Kind = "server-changed"
 	// EventServerGone marks a server that left.
@@ -20,32 +20,49 @@
 	// EventAttemptEnded marks the end of one attempt.
 	EventAttemptEnded Kind = "attempt-ended"
 	// EventFinished marks a request's final outcome.
-	EventFinished Kind = "request-finished"
+	EventFinished Kind = "request-ended"
 )
 
 type (
 	// Kind names a type of event.
 	Kind string
 
-	// Event is one decision, with what decided it.
+	// Event is one decision, with what decided it. Those of a request are
+	// told together when it ends.
 	Event struct {
-		Kind     Kind
-		Request  string
-		Route    string
-		Service  string
-		Server   string
-		Object   string
-		Domain   string
-		Version  uint64
+		At      time.Time
+		Kind    Kind
+		Request string
+		Route   string
+		Service string
+		Server  string
+		Object  string
+		Domain  string
+		// Version is that of the configuration.
+		Version uint64
+		// Attempt counts the sends of a request from 1.
 		Attempt  int
 		Result   Result
+		Outcome  Outcome
 		Reason   Reason
 		Draining bool
-		// Expected is the time that the choice reckoned with.
+		// Expected is the time until the answer that the choice reckoned
+		// with, Load and LoadAge the load it saw and how old that was.
 		Expected time.Duration
-		// Took is how long the attempt or the request lasted.
+		Load     float64
+		LoadAge  time.Duration
+		// Home is the server's rank among the object's homes, from 0.
+		Home int
+		Warm bool
+		// Took is how long the attempt or the request lasted, or for how long
+		// a server is out.
 		Took time.Duration
-		Load float64
-		Err  error
+		// ComeBack is when a refused caller was told to try again.
+		ComeBack time.Duration
+		Err      error
+		// Target is the route's time for a good answer.
+		Target time.Duration
+		// Steps are the earlier decisions of a request that ends.
+		Steps []Event
 	}
 )
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -25,6 +25,15 @@
 	Left
 )
 
+const (
+	// Done means that the caller gets a server's whole answer.
+	Done Outcome = iota + 1
+	// NotRun means that no server has run the request or will.
+	NotRun
+	// MayHaveRun means that nobody can say.
+	MayHaveRun
+)
+
 const (
 	// ReasonNone goes with an answer.
 	ReasonNone Reason = ""
@@ -62,6 +71,9 @@
 	// Result is how one attempt ended.
 	Result uint8
 
+	// Outcome is how a request ended for its caller.
+	Outcome uint8
+
 	// Reason says why a request ended as it did, for programs.
 	Reason string
 
@@ -94,6 +106,7 @@
 		dials int
 		// mayHaveRun is set once a server may have begun to run the request.
 		mayHaveRun bool
+		steps      []Event
 	}
 
 	// Decision is the next step of a request.
@@ -140,6 +153,23 @@
 	return names[min(int(r), len(names)-1)]
 }
 
+// String names the outcome for logs.
+func (o Outcome) String() string {
+	names := [...]string{"none", "done", "not-run", "may-have-run"}
+	return names[min(int(o), len(names)-1)]
+}
+
+// Outcome is how the request ended, if the decision ends it.
+func (d Decision) Outcome() Outcome {
+	switch {
+	case d.Answer:
+		return Done
+	case d.NotRun:
+		return NotRun
+	}
+	return MayHaveRun
+}
+
 // Begin finds the route of a request and its first step.
 func (k *Kernel) Begin(now time.Time, r Request) (*Flight, Decision) {
 	f := &Flight{Request: r, began: now}
@@ -160,13 +190,22 @@
 
 // send picks a server or gives up.
 func (k *Kernel) send(now time.Time, f *Flight) Decision {
+	target, reason := k.place(now, f)
+	if target == nil {
+		return k.giveUp(now, f, reason)
+	}
+	return Decision{Server: target}
+}
+
+// place picks a server and counts the request in there.
+func (k *Kernel) place(now time.Time, f *Flight) (*Target, Reason) {
 	g := k.service(f.Service)
 	if f.Until.Sub(now) < leastLeft && len(f.tried) > 0 {
-		return k.giveUp(now, f, ReasonLate)
+		return nil, ReasonLate
 	}
 	s, pick := k.choose(now, f, g)
 	if s == nil {
-		return k.giveUp(now, f, pick.reason)
+		return nil, pick.reason
 	}
 	if f.sends == 0 {
 		g.repeats.First(now)
@@ -177,11 +216,13 @@
 	if c := k.table.Services[f.Service]; c != nil {
 		connections = c.Connections
 	}
-	k.config.Observe(Event{
-		Kind: EventSent, Request: f.ID, Route: f.Route.Name, Service: f.Service, Server: s.id, Object: f.Object,
-		Version: k.table.Version, Attempt: f.sends + 1, Expected: pick.expected, Load: s.load(now),
+	f.note(Event{
+		At: now, Kind: EventSent, Server: s.id, Attempt: len(f.steps)/2 + 1, Expected: pick.expected,
+		Load: s.load(now), LoadAge: now.Sub(s.reportedAt), Home: pick.home, Warm: pick.warm,
 	})
-	return Decision{Server: &Target{Server: s.Server, Connections: connections, Proxies: len(k.proxies), RoundTrip: s.domain.roundTrip}}
+	return &Target{
+		Server: s.Server, Connections: connections, Proxies: len(k.proxies), RoundTrip: s.domain.roundTrip,
+	}, ReasonNone
 }
 
 // Ended takes in how an attempt ended and decides what follows.
@@ -193,9 +234,9 @@
 	}
 	took := now.Sub(f.sentAt)
 	k.learn(now, f, s, a, took)
-	k.config.Observe(Event{
-		Kind: EventAttemptEnded, Request: f.ID, Route: f.Route.Name, Service: f.Service, Server: s.id, Object: f.Object,
-		Attempt: f.sends + 1, Result: a.Result, Expected: f.expected, Took: took, Err: a.Err,
+	f.note(Event{
+		At: now, Kind: EventAttemptEnded, Server: s.id, Attempt: len(f.steps)/2 + 1, Result: a.Result,
+		Expected: f.expected, Took: took, Load: float64(a.Running + a.Waiting), Err: a.Err,
 	})
 	switch a.Result {
 	case Answered:
@@ -214,18 +255,18 @@
 	}
 	f.sends++
 	f.mayHaveRun = f.mayHaveRun || a.Result == Broken || a.Result == Failed
-	if !k.mayRepeat(now, f) {
-		if a.Result == Failed {
-			return k.finish(now, f, Decision{Answer: true})
+	reason := reasonOf(a.Result)
+	if k.mayRepeat(now, f) {
+		var target *Target
+		if target, reason = k.place(now, f); target != nil {
+			return Decision{Server: target}
 		}
-		return k.giveUp(now, f, reasonOf(a.Result))
 	}
-	d := k.send(now, f)
-	if d.Server == nil && a.Result == Failed {
-		// The server's own failure is an answer, and more than a refusal.
-		return Decision{Answer: true}
+	if a.Result == Failed {
+		// The server's own failure is an answer, and tells more than a refusal.
+		return k.finish(now, f, Decision{Answer: true})
 	}
-	return d
+	return k.giveUp(now, f, reason)
 }
 
 // refusedThoughFree reports whether the server refused the request while it had
@@ -308,13 +349,18 @@
 	return k.finish(now, f, d)
 }
 
+// note keeps a decision until the request ends.
+func (f *Flight) note(e Event) { f.steps = append(f.steps, e) }
+
+// finish tells of a request's end together with the decisions before it.
 func (k *Kernel) finish(now time.Time, f *Flight, d Decision) Decision {
-	e := Event{Kind: EventFinished, Request: f.ID, Service: f.Service, Reason: d.Reason, Took: now.Sub(f.began), Attempt: f.sends}
-	if f.Route != nil {
-		e.Route = f.Route.Name
+	e := Event{
+		At: now, Kind: EventFinished, Request: f.ID, Service: f.Service, Object: f.Object, Version: k.Version(),
+		Outcome: d.Outcome(), Reason: d.Reason, Took: now.Sub(f.began), Attempt: (len(f.steps) + 1) / 2,
+		ComeBack: d.ComeBack, Steps: f.steps,
 	}
-	if f.server != nil {
-		e.Server = f.server.id
+	if f.Route != nil {
+		e.Route, e.Target = f.Route.Name, f.Route.Target
 	}
 	k.config.Observe(e)
 	return d
--- /dev/null
+++ b/internal/kernel/steering/status.go
@@ -0,0 +1,56 @@
+package steering
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+type (
+	// Status is what one proxy knows and believes at one moment.
+	Status struct {
+		Version  uint64
+		InFlight int
+		Proxies  []Proxy
+		// Evacuated failure domains take no requests.
+		Evacuated []string
+		Servers   []ServerStatus
+	}
+
+	// ServerStatus is one backend server as one proxy sees it.
+	ServerStatus struct {
+		ID       string
+		Service  string
+		Domain   string
+		Slots    int
+		InFlight int
+		Draining bool
+		// Absent servers' registrations are missing for the moment.
+		Absent bool
+		// ColdFor and OutFor are zero for a warm server in use.
+		ColdFor time.Duration
+		OutFor  time.Duration
+		// Load is what it was last said to run and queue, LoadAge ago.
+		Load    float64
+		LoadAge time.Duration
+		// Speed is observed over expected time, Failed the share of failures.
+		Speed  float64
+		Failed float64
+	}
+)
+
+// Status describes the kernel at one moment.
+func (k *Kernel) Status(now time.Time) Status {
+	s := Status{Version: k.Version(), Proxies: slices.Clone(k.proxies), Evacuated: k.Evacuated()}
+	for _, b := range k.servers {
+		s.InFlight += b.inFlight
+		s.Servers = append(s.Servers, ServerStatus{
+			ID: b.id, Service: b.Service, Domain: b.Domain, Slots: b.Slots, InFlight: b.inFlight,
+			Draining: b.Draining, Absent: !b.absentUntil.IsZero(),
+			ColdFor: max(0, b.coldUntil.Sub(now)), OutFor: max(0, b.outUntil.Sub(now)),
+			Load: b.load(now), LoadAge: now.Sub(b.reportedAt), Speed: b.speed, Failed: b.failed,
+		})
+	}
+	slices.SortFunc(s.Servers, func(a, b ServerStatus) int { return strings.Compare(a.Service+a.ID, b.Service+b.ID) })
+	return s
+}
--- /dev/null
+++ b/internal/proxy/forward/counted.go
@@ -0,0 +1,42 @@
+package forward
+
+import (
+	"context"
+	"time"
+)
+
+// counted tells of each call to a store and whether it failed.
+func counted(s Store, called func(operation string, err error)) Store {
+	return Store{
+		Range: func(ctx context.Context, prefix string) ([]Item, uint64, error) {
+			items, revision, err := s.Range(ctx, prefix)
+			called("range", err)
+			return items, revision, err
+		},
+		Watch: func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Item, uint64, error) {
+			items, revision, err := s.Watch(ctx, prefix, after, wait)
+			called("watch", err)
+			return items, revision, err
+		},
+		Grant: func(ctx context.Context, span time.Duration) (uint64, error) {
+			lease, err := s.Grant(ctx, span)
+			called("grant", err)
+			return lease, err
+		},
+		Renew: func(ctx context.Context, lease uint64) error {
+			err := s.Renew(ctx, lease)
+			called("renew", err)
+			return err
+		},
+		Put: func(ctx context.Context, key string, value []byte, lease uint64) error {
+			err := s.Put(ctx, key, value, lease)
+			called("put", err)
+			return err
+		},
+		End: func(ctx context.Context, lease uint64) error {
+			err := s.End(ctx, lease)
+			called("end", err)
+			return err
+		},
+	}
+}
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/adapter/forwardhttp"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/peerdrpc"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
+	"github.com/gypsumquay/gypsumquay/internal/adapter/steeringhttp"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
@@ -43,6 +44,9 @@
 		servers   *serverhttp.Client
 		readiness *http.Server
 		directory *http.Server
+		operators *http.Server
+		journal   *journal
+		meters    *meters
 		feed      *feed
 		follower  *follower
 		gossip    *gossip
@@ -66,18 +70,23 @@
 		return nil, errors.Wrap(err, "seed")
 	}
 	d := &Daemon{settings: s, seams: seams, start: time.Now(), stopping: make(chan struct{})}
-	journal := &journal{}
-	config.Observe = journal.event
+	d.meters = newMeters()
+	d.journal = newJournal(s.Name, d.now, d.meters)
+	config.Observe = d.journal.event
 	d.kernel = steering.New(config)
+	d.operators = (&steeringhttp.Server{Status: d.status, Events: d.journal.events, Metrics: d.meters.set}).HTTP()
+	seams.Store = counted(seams.Store, d.meters.storeCall)
 	d.feed = newFeed(d)
 	d.peers = peerdrpc.NewClient(func() *tls.Config { return nil })
+	d.peers.Sent, d.peers.Received = d.meters.sent.Add, d.meters.received.Add
+	d.meters.watch(d, seams.Dropped)
 	d.gossip = &gossip{feed: d.feed, send: d.peers.Sync}
 	d.follower = &follower{feed: d.feed, store: seams.Store}
 	d.keeper = &keeper{feed: d.feed, store: seams.Store}
-	d.servers = serverhttp.NewClient(seams.Names.Server, d.now, func() {})
+	d.servers = serverhttp.NewClient(seams.Names.Server, d.now, d.meters.connections.Inc)
 	d.callers = (&forwardhttp.Server{
 		Headers: seams.Names.Caller, Kernel: d.do, Send: d.servers.Send, Now: d.now,
-		Stopping: d.isStopping, Finished: journal.finished,
+		Stopping: d.isStopping,
 	}).HTTP()
 	d.readiness = &http.Server{Handler: d.readinessHandler(), ReadHeaderTimeout: time.Second}
 	d.directory = &http.Server{Handler: d.directoryHandler(), ReadHeaderTimeout: time.Second}
@@ -107,7 +116,7 @@
 func (d *Daemon) Run(stop context.Context) error {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
-	failed := make(chan error, 4)
+	failed := make(chan error, 5)
 	for _, l := range []struct {
 		server  *http.Server
 		address netip.AddrPort
@@ -115,6 +124,7 @@
 		{d.callers, d.settings.Listen.Callers},
 		{d.readiness, d.settings.Listen.Readiness},
 		{d.directory, d.settings.Listen.Directory},
+		{d.operators, d.settings.Listen.Operators},
 	} {
 		listener, err := net.Listen("tcp", l.address.String())
 		if err != nil {
--- a/internal/proxy/forward/face.go
+++ b/internal/proxy/forward/face.go
@@ -3,10 +3,14 @@
 import (
 	"net/http"
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
 
+	"github.com/gypsumquay/gypsumquay/internal/adapter/steeringhttp"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
@@ -57,3 +61,33 @@
 	}).Methods(http.MethodGet)
 	return router
 }
+
+// status is what operators see of this proxy.
+func (d *Daemon) status() steeringhttp.Status {
+	var view steering.Status
+	var table *routing.Table
+	d.do(func(k *steering.Kernel, now time.Time) { view, table = k.Status(now), k.Table() })
+	s := steeringhttp.Status{
+		VM: d.settings.Name, Configuration: view.Version, StoreRevision: d.feed.revision(),
+		StoreAge: d.feed.age().Round(time.Millisecond).String(), InFlight: view.InFlight, Stopping: d.isStopping(),
+		Evacuated: view.Evacuated, Proxies: d.feed.proxies(), At: time.Now(),
+	}
+	for _, b := range view.Servers {
+		s.Servers = append(s.Servers, steeringhttp.BackendServer{
+			ID: b.ID, Service: b.Service, Domain: b.Domain, State: steeringhttp.StateOf(b), InFlight: b.InFlight,
+			Slots: b.Slots, Load: b.Load, Speed: b.Speed, Failed: b.Failed,
+		})
+	}
+	if table == nil {
+		return s
+	}
+	for _, r := range table.Routes {
+		route := steeringhttp.Route{Name: r.Name, Host: r.Host, Prefix: r.Prefix, Idempotent: r.Idempotent, Timeout: r.Timeout.String()}
+		for _, p := range r.Parts {
+			route.Services = append(route.Services, p.Service)
+		}
+		s.Routes = append(s.Routes, route)
+	}
+	slices.SortFunc(s.Routes, func(a, b steeringhttp.Route) int { return strings.Compare(a.Name, b.Name) })
+	return s
+}
--- a/internal/proxy/forward/feed.go
+++ b/internal/proxy/forward/feed.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/gypsumquay/gypsumquay/internal/adapter/steeringhttp"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
@@ -46,7 +48,9 @@
 		Region  string         `json:"region"`
 		Callers netip.AddrPort `json:"callers"`
 		Peers   netip.AddrPort `json:"peers"`
-		Leaving bool           `json:"leaving,omitempty"`
+		// Operators is where the command line asks.
+		Operators netip.AddrPort `json:"operators"`
+		Leaving   bool           `json:"leaving,omitempty"`
 	}
 )
 
@@ -181,6 +185,25 @@
 	return f.copy.Since(now, revision)
 }
 
+// age is how long ago the copy was known to be the store's state.
+func (f *feed) age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.copy.Age(f.daemon.now())
+}
+
+// proxies lists the known proxies for operators.
+func (f *feed) proxies() []steeringhttp.Proxy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := make([]steeringhttp.Proxy, 0, len(f.members))
+	for _, m := range f.members {
+		list = append(list, steeringhttp.Proxy{Name: m.Name, Domain: m.Domain, Region: m.Region, Operators: m.Operators, Leaving: m.Leaving})
+	}
+	slices.SortFunc(list, func(a, b steeringhttp.Proxy) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
 func (f *feed) revision() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/proxy/forward/fleet_test.go
+++ b/internal/proxy/forward/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/forwardhttp"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
+	clientcommand "github.com/gypsumquay/gypsumquay/internal/client/command"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
@@ -252,7 +253,7 @@
 	l := &link{store: f.store, cut: f.outage}
 	s := &Settings{
 		Name: "proxy-" + string(rune('a'+i)), Domain: "a", Region: "north", RegionOf: map[string]string{"a": "north"},
-		Listen: Listen{Callers: freePort(f.t), Readiness: freePort(f.t), Peers: freePort(f.t), Directory: freePort(f.t)},
+		Listen: Listen{Callers: freePort(f.t), Readiness: freePort(f.t), Peers: freePort(f.t), Directory: freePort(f.t), Operators: freePort(f.t)},
 		Seeds:  seeds,
 		Bounds: Bounds{
 			Grace: 2 * time.Second, Drain: time.Second, LookupLifetime: 5 * time.Second,
@@ -267,7 +268,7 @@
 			Configuration: "config", Evacuations: "evacuate/", Servers: "servers/",
 		},
 		Store: l.seams(),
-		Codec: testCodec(),
+		Codec: testCodec(), Dropped: func() uint64 { return 0 },
 	})
 	if err != nil {
 		f.t.Fatal(err)
@@ -454,3 +455,55 @@
 		}
 	}
 }
+
+// A caller complains about a request that got no answer. The operators have
+// its id and the address of any proxy.
+func TestOperatorsFindTheCauseOfARequest(t *testing.T) {
+	f := newFleet(t, 2)
+	f.eventually("the proxies know each other", func() bool { return f.named(0) == 2 && f.named(1) == 2 })
+	f.store.remove("servers/s1")
+	f.eventually("the server is gone", func() bool { return f.ask(1, "/a/x") == http.StatusServiceUnavailable })
+	request, err := http.NewRequest(http.MethodGet, "http://"+f.daemons[1].settings.Listen.Callers.String()+"/a/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Attempt", "complaint-1")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	for command, want := range map[string]string{
+		"explain": "reason=no-server", "status": "proxy-b", "events": "server-gone", "routes": "/a/", "servers": "as proxy-a",
+	} {
+		a := commandLine(t, f.daemons[0].settings.Listen.Operators, command)
+		var out, complaints strings.Builder
+		if code := clientcommand.Run(context.Background(), a, &out, &complaints); code != clientcommand.ExitOK {
+			t.Errorf("%s: exit code %d: %s", command, code, complaints.String())
+		}
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%s printed %q, want %q in it", command, out.String(), want)
+		}
+	}
+	if got := f.status(f.daemons[0].settings.Listen.Operators, "/metrics"); got != http.StatusOK {
+		t.Errorf("metrics answer %d, want 200", got)
+	}
+}
+
+func commandLine(t *testing.T, proxy netip.AddrPort, name string) clientcommand.Arguments {
+	t.Helper()
+	steering := &clientcommand.SteeringArguments{}
+	switch name {
+	case "explain":
+		steering.Explain = &clientcommand.SteeringExplainArguments{Request: "complaint-1"}
+	case "status":
+		steering.Status = &clientcommand.SteeringStatusArguments{}
+	case "events":
+		steering.Events = &clientcommand.SteeringEventsArguments{Kind: "server-gone"}
+	case "routes":
+		steering.Routes = &clientcommand.SteeringRoutesArguments{}
+	case "servers":
+		steering.Servers = &clientcommand.SteeringServersArguments{}
+	}
+	return clientcommand.Arguments{Proxies: []netip.AddrPort{proxy}, Steering: steering}
+}
--- /dev/null
+++ b/internal/proxy/forward/meters.go
@@ -0,0 +1,110 @@
+package forward
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+)
+
+type (
+	// meters holds the process's metrics. Names follow the Prometheus habit:
+	// base units, and _total for counters.
+	meters struct {
+		set         *metrics.Set
+		connections *metrics.Counter
+		sent        *metrics.Counter
+		received    *metrics.Counter
+		requests    map[requestLabels]*metrics.Counter
+		attempts    map[attemptLabels]*metrics.Counter
+		durations   map[string]*metrics.Histogram
+	}
+
+	requestLabels struct {
+		route, service string
+		outcome        steering.Outcome
+		reason         steering.Reason
+	}
+
+	attemptLabels struct {
+		service string
+		result  steering.Result
+	}
+)
+
+func newMeters() *meters {
+	set := metrics.NewSet()
+	return &meters{
+		set:         set,
+		connections: set.NewCounter("gypsumquay_server_connections_opened_total"),
+		sent:        set.NewCounter("gypsumquay_peer_sent_bytes_total"),
+		received:    set.NewCounter("gypsumquay_peer_received_bytes_total"),
+		requests:    make(map[requestLabels]*metrics.Counter),
+		attempts:    make(map[attemptLabels]*metrics.Counter),
+		durations:   make(map[string]*metrics.Histogram),
+	}
+}
+
+// event counts. The kernel's lock is held, so the maps need none.
+func (m *meters) event(e steering.Event) {
+	if e.Kind != steering.EventFinished {
+		m.set.GetOrCreateCounter(fmt.Sprintf("gypsumquay_events_total{kind=%q}", e.Kind)).Inc()
+		return
+	}
+	m.request(e)
+	for _, s := range e.Steps {
+		if s.Kind == steering.EventAttemptEnded {
+			m.attempt(attemptLabels{e.Service, s.Result})
+		}
+	}
+}
+
+func (m *meters) request(e steering.Event) {
+	labels := requestLabels{e.Route, e.Service, e.Outcome, e.Reason}
+	counter := m.requests[labels]
+	if counter == nil {
+		counter = m.set.GetOrCreateCounter(fmt.Sprintf("gypsumquay_requests_total{route=%q,service=%q,outcome=%q,reason=%q}",
+			e.Route, e.Service, e.Outcome.String(), string(e.Reason)))
+		m.requests[labels] = counter
+	}
+	counter.Inc()
+	duration := m.durations[e.Service]
+	if duration == nil {
+		duration = m.set.GetOrCreateHistogram(fmt.Sprintf("gypsumquay_request_duration_seconds{service=%q}", e.Service))
+		m.durations[e.Service] = duration
+	}
+	duration.Update(e.Took.Seconds())
+}
+
+func (m *meters) attempt(labels attemptLabels) {
+	counter := m.attempts[labels]
+	if counter == nil {
+		counter = m.set.GetOrCreateCounter(fmt.Sprintf("gypsumquay_attempts_total{service=%q,result=%q}", labels.service, labels.result.String()))
+		m.attempts[labels] = counter
+	}
+	counter.Inc()
+}
+
+// storeCall counts a call to the platform's store.
+func (m *meters) storeCall(operation string, err error) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("gypsumquay_store_calls_total{operation=%q,failed=\"%t\"}", operation, err != nil)).Inc()
+}
+
+// watch adds gauges that are read when asked for.
+func (m *meters) watch(d *Daemon, dropped func() uint64) {
+	status := func(read func(steering.Status) float64) func() float64 {
+		return func() float64 {
+			var s steering.Status
+			d.do(func(k *steering.Kernel, now time.Time) { s = k.Status(now) })
+			return read(s)
+		}
+	}
+	m.set.NewGauge("gypsumquay_configuration_version", status(func(s steering.Status) float64 { return float64(s.Version) }))
+	m.set.NewGauge("gypsumquay_in_flight_requests", status(func(s steering.Status) float64 { return float64(s.InFlight) }))
+	m.set.NewGauge("gypsumquay_live_proxies", status(func(s steering.Status) float64 { return float64(len(s.Proxies)) }))
+	m.set.NewGauge("gypsumquay_backend_servers", status(func(s steering.Status) float64 { return float64(len(s.Servers)) }))
+	m.set.NewGauge("gypsumquay_store_copy_age_seconds", func() float64 { return d.feed.age().Seconds() })
+	m.set.NewGauge("gypsumquay_log_lines_dropped", func() float64 { return float64(dropped()) })
+}
--- a/internal/proxy/forward/settings.go
+++ b/internal/proxy/forward/settings.go
@@ -46,6 +46,7 @@
 		Readiness netip.AddrPort
 		Peers     netip.AddrPort
 		Directory netip.AddrPort
+		Operators netip.AddrPort
 	}
 
 	// Bounds are the limits that the operators have agreed on.
@@ -124,6 +125,8 @@
 		Names Names
 		Store Store
 		Codec Codec
+		// Dropped counts the log lines that found no room.
+		Dropped func() uint64
 	}
 )
 
--- /dev/null
+++ b/internal/proxy/logs/buffer_test.go
@@ -0,0 +1,40 @@
+package logs
+
+import (
+	"strings"
+	"testing"
+)
+
+type (
+	// stuck is a writer that waits until it is released.
+	stuck struct {
+		release chan struct{}
+		text    strings.Builder
+	}
+)
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return s.text.Write(p)
+}
+
+// The log's reader stops reading. Requests must go on; what is lost is
+// counted, so that nobody takes the gap for silence.
+func TestStuckWriterDoesNotBlock(t *testing.T) {
+	w := &stuck{release: make(chan struct{})}
+	b := NewBuffer(w, 10)
+	for range 100 {
+		if n, err := b.Write([]byte("line\n")); n != 5 || err != nil {
+			t.Fatalf("wrote %d bytes (%v), want 5", n, err)
+		}
+	}
+	close(w.release)
+	b.Close()
+	written := strings.Count(w.text.String(), "line\n")
+	if got := written + int(b.Dropped()); got != 100 {
+		t.Errorf("%d lines written and %d counted as dropped, want 100 in all", written, b.Dropped())
+	}
+	if written < 10 || b.Dropped() == 0 {
+		t.Errorf("%d lines written, %d dropped; want the buffer's lines kept and the rest dropped", written, b.Dropped())
+	}
+}
