--- a/internal/proxy/forward/feed.go
+++ b/internal/proxy/forward/feed.go
@@ -210,8 +210,8 @@
 	return f.copy.Revision()
 }
 
-// follows reports whether this proxy should ask the store itself.
-func (f *feed) follows() bool {
+// rank is this proxy's place among those of its region.
+func (f *feed) rank() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var names []string
@@ -220,9 +220,12 @@
 			names = append(names, m.Name)
 		}
 	}
-	return replica.Follows(replica.Rank(f.daemon.settings.Name, names), f.copy.Age(f.daemon.now()))
+	return replica.Rank(f.daemon.settings.Name, names)
 }
 
+// follows reports whether this proxy should ask the store itself.
+func (f *feed) follows() bool { return replica.Follows(f.rank(), f.age()) }
+
 func (f *feed) failed(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/proxy/forward/follow.go
+++ b/internal/proxy/forward/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -14,9 +15,17 @@
 	// watchWait is how long one watch waits for a change. An answer without
 	// changes confirms the copy, so this bounds how old a relay's copy is.
 	watchWait = 1500 * time.Millisecond
+	// spareWait is that of the further relays. They hear of changes as soon,
+	// but need not confirm the copy while the first relay does.
+	spareWait = 5 * time.Second
 	// gather is the pause after a change: changes come in series, and each
-	// answered watch is a call that is paid for.
-	gather = 250 * time.Millisecond
+	// answered watch is a call that is paid for. It is a sixth of the time
+	// in which a drained server must get nothing more.
+	gather = 400 * time.Millisecond
+	// seedPatience is how long a new proxy waits for a seed's copy before it
+	// reads the store itself: one reading a proxy would be most of the calls
+	// when a whole fleet starts.
+	seedPatience = 1200 * time.Millisecond
 	// followCheck is how often a proxy that is no relay looks whether it
 	// must ask the store itself.
 	followCheck = 200 * time.Millisecond
@@ -37,6 +46,7 @@
 )
 
 func (f *follower) run(ctx context.Context) {
+	f.awaitSeed(ctx)
 	pause := retryLeast
 	for ctx.Err() == nil {
 		if !f.feed.follows() {
@@ -54,13 +64,25 @@
 	}
 }
 
+// awaitSeed waits a while for a copy from a seed, unless this proxy is one.
+func (f *follower) awaitSeed(ctx context.Context) {
+	settings := f.feed.daemon.settings
+	if len(settings.Seeds) == 0 || slices.Contains(settings.Seeds, settings.Listen.Peers) {
+		return
+	}
+	end := f.feed.daemon.now().Add(seedPatience)
+	for ctx.Err() == nil && f.feed.revision() == 0 && f.feed.daemon.now().Before(end) {
+		sleep(ctx, retryLeast)
+	}
+}
+
 // step reads everything the first time and follows the changes after that.
 func (f *follower) step(ctx context.Context) error {
 	before := f.feed.revision()
 	if before == 0 {
 		return f.readAll(ctx)
 	}
-	items, revision, err := f.store.Watch(ctx, "", before, watchWait)
+	items, revision, err := f.store.Watch(ctx, "", before, f.wait())
 	var refused *StoreError
 	if errors.As(err, &refused) && refused.Outcome == StoreForgot {
 		return f.readAll(ctx)
@@ -76,6 +98,14 @@
 	return nil
 }
 
+// wait is how long this proxy's next watch should wait.
+func (f *follower) wait() time.Duration {
+	if rank := f.feed.rank(); rank > 0 && rank < replica.Relays {
+		return spareWait
+	}
+	return watchWait
+}
+
 func (f *follower) readAll(ctx context.Context) error {
 	before := f.feed.revision()
 	items, revision, err := f.store.Range(ctx, "")
--- a/internal/proxy/forward/gossip.go
+++ b/internal/proxy/forward/gossip.go
@@ -17,6 +17,8 @@
 const (
 	// gossipEvery is how often a proxy compares copies with another one.
 	gossipEvery = 500 * time.Millisecond
+	// seedEvery is that of a proxy which knows nothing yet.
+	seedEvery = 200 * time.Millisecond
 	// farOneIn is how many exchanges go to another region: one in so many.
 	farOneIn = 4
 )
@@ -31,7 +33,11 @@
 
 func (g *gossip) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, gossipEvery/2+rand.N(gossipEvery))
+		every := gossipEvery
+		if g.feed.revision() == 0 {
+			every = seedEvery
+		}
+		sleep(ctx, every/2+rand.N(every))
 		if to, ok := g.pick(); ok {
 			g.exchange(ctx, to)
 		}
--- a/internal/proxy/forward/member.go
+++ b/internal/proxy/forward/member.go
@@ -12,9 +12,11 @@
 
 const (
 	// leaseSpan is how long a proxy counts as alive without a renewal.
-	leaseSpan = 4 * time.Second
-	// renewEvery leaves two renewals to fail before the lease ends.
-	renewEvery = 1300 * time.Millisecond
+	// With the time until the next answer to callers it is under the seven
+	// seconds after which none may name a proxy that is gone.
+	leaseSpan = 5 * time.Second
+	// renewEvery leaves one renewal to fail before the lease ends.
+	renewEvery = 2 * time.Second
 )
 
 type (
