Objects dealt out by weighted score, with the count carried between windows

Cause: within a window of 24 objects and 138 servers every server may take one, so weights were lost: Sapporo's region kept 17% of its objects instead of 38% and its callers waited for another region.

--- a/internal/kernel/placing/home.go
+++ b/internal/kernel/placing/home.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"slices"
 	"strconv"
 
@@ -37,15 +38,23 @@
 		servers []Server
 		hashes  []uint64
 		weight  int
+		// taken counts the objects placed on each server so far.
+		taken []int
 		// homes holds the choices of object i at i.
 		homes [][Choices]int32
 	}
+
+	pair struct {
+		distance       float64
+		server, object int32
+	}
 )
 
 // NewHomes prepares homes over servers.
 func NewHomes(servers []Server) *Homes {
 	h := &Homes{servers: slices.Clone(servers)}
 	slices.SortFunc(h.servers, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	h.taken = make([]int, len(h.servers))
 	for _, s := range h.servers {
 		h.hashes = append(h.hashes, xxhash.Sum64String(s.ID))
 		h.weight += s.Weight
@@ -83,34 +92,21 @@
 	return int(xxhash.Sum64String(object) % maxNumber)
 }
 
-// place deals the objects of the next window out. Within a window each server
-// takes at most its share, rounded up; among the pairs of object and server
-// the best rendezvous scores come first. A server that comes or goes moves the
-// objects it takes or leaves and few others.
+// place deals the objects of the next window out. No server takes more than
+// its share of all objects dealt out so far, rounded up; among the pairs of
+// object and server the best weighted rendezvous scores come first. A server
+// that comes or goes moves the objects it takes or leaves and few others.
 func (h *Homes) place(first int) {
-	type pair struct {
-		score          uint64
-		server, object int32
-	}
-	pairs := make([]pair, 0, window*len(h.servers))
-	for i := range h.servers {
-		for n := range window {
-			pairs = append(pairs, pair{mix(h.hashes[i], first+n), int32(i), int32(n)})
-		}
-	}
-	slices.SortFunc(pairs, func(a, b pair) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.server, b.server), cmp.Compare(a.object, b.object))
-	})
+	pairs := h.pairs(first)
 	var homes [window][Choices]int32
 	for n := range homes {
 		homes[n] = [Choices]int32{-1, -1, -1}
 	}
-	taken := make([]int, len(h.servers))
 	for _, p := range pairs {
-		room := (h.servers[p.server].Weight*window + h.weight - 1) / h.weight
-		if homes[p.object][0] < 0 && taken[p.server] < room {
+		room := (h.servers[p.server].Weight*(first+window) + h.weight - 1) / h.weight
+		if homes[p.object][0] < 0 && h.taken[p.server] < room {
 			homes[p.object][0] = p.server
-			taken[p.server]++
+			h.taken[p.server]++
 		}
 	}
 	for _, p := range pairs {
@@ -122,6 +118,27 @@
 	h.homes = append(h.homes, homes[:]...)
 }
 
+// pairs lists the pairs of a server and an object of a window, best first.
+func (h *Homes) pairs(first int) []pair {
+	list := make([]pair, 0, window*len(h.servers))
+	for i, s := range h.servers {
+		for n := range window {
+			list = append(list, pair{weigh(mix(h.hashes[i], first+n), s.Weight), int32(i), int32(n)})
+		}
+	}
+	slices.SortFunc(list, func(a, b pair) int {
+		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.server, b.server), cmp.Compare(a.object, b.object))
+	})
+	return list
+}
+
+// weigh turns a uniform hash into a distance that is the least of all with a
+// probability proportional to the weight.
+func weigh(hash uint64, weight int) float64 {
+	uniform := (float64(hash>>11) + 1) / (1 << 53)
+	return -math.Log(uniform) / float64(weight)
+}
+
 func mix(server uint64, n int) uint64 {
 	var b [16]byte
 	binary.LittleEndian.PutUint64(b[:8], server)
--- a/internal/kernel/placing/home_test.go
+++ b/internal/kernel/placing/home_test.go
@@ -79,10 +79,10 @@
 func TestWeightsAreKept(t *testing.T) {
 	h := NewHomes([]Server{{ID: "large", Weight: 30}, {ID: "small", Weight: 10}})
 	count := make(map[string]int)
-	for n := range 80 {
+	for n := range 3 * window {
 		count[h.Of(strconv.FormatInt(int64(n), 16))[0]]++
 	}
-	if got, want := count["large"], 60; got != want {
+	if got, want := count["large"], 54; got != want {
 		t.Errorf("the server with three quarters of the weight holds %d, want %d", got, want)
 	}
 }
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -217,7 +217,7 @@
 		connections = c.Connections
 	}
 	f.note(Event{
-		At: now, Kind: EventSent, Server: s.id, Attempt: len(f.steps)/2 + 1, Expected: pick.expected,
+		At: now, Kind: EventSent, Server: s.id, Domain: s.Domain, Attempt: len(f.steps)/2 + 1, Expected: pick.expected,
 		Load: s.load(now), LoadAge: now.Sub(s.reportedAt), Home: pick.home, Warm: pick.warm,
 	})
 	return &Target{
--- a/internal/proxy/forward/journal.go
+++ b/internal/proxy/forward/journal.go
@@ -72,7 +72,7 @@
 func (j *journal) writeStep(s steering.Event) {
 	if s.Kind == steering.EventSent {
 		klog.InfoS(string(s.Kind), "request", s.Request, "route", s.Route, "configuration", s.Version, "service", s.Service,
-			"server", s.Server, "object", s.Object, "home-rank", s.Home, "warm", s.Warm, "attempt", s.Attempt,
+			"server", s.Server, "failure-domain", s.Domain, "object", s.Object, "home-rank", s.Home, "warm", s.Warm, "attempt", s.Attempt,
 			"expected", s.Expected.String(), "load", s.Load, "load-age", s.LoadAge.String())
 		return
 	}
