--- /dev/null
+++ b/cmd/gypsumquay-bench/experiment.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"github.com/gypsumquay/gypsumquay/internal/fake/warmnet"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+)
+
+type (
+	experimentArguments struct {
+		Loads   []string `arg:"positional" help:"load files; all of the emulator's own if left out"`
+		Seeds   int      `default:"5" help:"plays of each load"`
+		Placers []string `arg:"--placer,separate" help:"placers to play; all if left out"`
+	}
+)
+
+// run plays loads x placers x seeds and prints a table.
+func (a *experimentArguments) run() error {
+	loads := a.Loads
+	if len(loads) == 0 {
+		found, err := filepath.Glob("internal/fake/warmnet/testdata/*.json")
+		if err != nil {
+			return errors.Wrap(err, "loads")
+		}
+		loads = found
+	}
+	placers := a.Placers
+	if len(placers) == 0 {
+		placers = append(steering.Placers(), warmnet.AllSeeing)
+	}
+	fmt.Printf("%-12s %-16s %9s %12s %9s %9s %9s\n", "LOAD", "PLACER", "IN TARGET", "WORST REGION", "REFUSED", "FIRST", "P99 MS")
+	for _, path := range loads {
+		load, err := warmnet.ReadLoad(path)
+		if err != nil {
+			return err
+		}
+		for _, placer := range placers {
+			a.row(strings.TrimSuffix(filepath.Base(path), ".json"), load, placer)
+		}
+	}
+	return nil
+}
+
+func (a *experimentArguments) row(name string, load warmnet.Load, placer string) {
+	var share, worst, refused, first, p99 float64
+	n := float64(a.Seeds)
+	for seed := range a.Seeds {
+		o := warmnet.Play(load, placer, uint64(seed)+1)
+		share += o.Share() / n
+		worst += o.Worst() / n
+		refused += float64(o.Refused) / float64(max(1, o.Asked)) / n
+		first += float64(o.First) / n
+		if len(o.Times) > 0 {
+			p99 += float64(o.Times[len(o.Times)*99/100].Milliseconds()) / n
+		}
+	}
+	fmt.Printf("%-12s %-16s %9.3f %12.3f %9.3f %9.0f %9.0f\n", name, placer, share, worst, refused, first, p99)
+}
--- a/cmd/gypsumquay-bench/main.go
+++ b/cmd/gypsumquay-bench/main.go
@@ -12,9 +12,10 @@
 
 type (
 	arguments struct {
-		Bench  *benchArguments  `arg:"subcommand:bench" help:"latency and goodput against baselines and the bound"`
-		Slopes *slopesArguments `arg:"subcommand:slopes" help:"costs against size, for the capacity page"`
-		Soak   *soakArguments   `arg:"subcommand:soak" help:"randomised faults with fresh seeds until the time is over"`
+		Bench      *benchArguments      `arg:"subcommand:bench" help:"latency and goodput against baselines and the bound"`
+		Slopes     *slopesArguments     `arg:"subcommand:slopes" help:"costs against size, for the capacity page"`
+		Experiment *experimentArguments `arg:"subcommand:experiment" help:"placers against loads with warm servers, as a table"`
+		Soak       *soakArguments       `arg:"subcommand:soak" help:"randomised faults with fresh seeds until the time is over"`
 	}
 )
 
@@ -31,6 +32,8 @@
 		err = a.Bench.run()
 	case a.Soak != nil:
 		err = a.Soak.run()
+	case a.Experiment != nil:
+		err = a.Experiment.run()
 	case a.Slopes != nil:
 		err = a.Slopes.run()
 	default:
--- /dev/null
+++ b/internal/fake/warmnet/load.go
@@ -0,0 +1,87 @@
+// Package warmnet plays loads against steering kernels in virtual time:
+// proxies in several regions, backend servers that remember the objects they
+// handled lately and do their work faster, queues, and the way between them.
+// It measures what callers get. There is no network and no clock.
+package warmnet
+
+import (
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
+)
+
+type (
+	// Load is what is played.
+	Load struct {
+		Regions []Region `json:"regions"`
+		// Proxies in each region, Slots and Queue of each server.
+		Proxies int `json:"proxies"`
+		Slots   int `json:"slots"`
+		Queue   int `json:"queue"`
+		// Objects that each region's callers ask for, and how many a server
+		// remembers.
+		Objects  int `json:"objects"`
+		Remember int `json:"remember"`
+		// Work on a server that does not know the object, and the share of it
+		// that is left on one that does.
+		Work      operator.Duration `json:"work"`
+		WarmShare float64           `json:"warm-share"`
+		RoundTrip operator.Duration `json:"round-trip"`
+		Target    operator.Duration `json:"target"`
+		Timeout   operator.Duration `json:"timeout"`
+		Span      operator.Duration `json:"span"`
+		// RefuseShare of requests are refused by chance although slots are
+		// free, between the two moments.
+		RefuseShare float64           `json:"refuse-share"`
+		RefuseFrom  operator.Duration `json:"refuse-from"`
+		RefuseTo    operator.Duration `json:"refuse-to"`
+		// Leave is when one server of each region leaves; zero for never.
+		Leave operator.Duration `json:"leave"`
+	}
+
+	// Region has callers and servers.
+	Region struct {
+		Name      string  `json:"name"`
+		Servers   int     `json:"servers"`
+		PerSecond float64 `json:"requests-per-second"`
+	}
+
+	// Outcome is what callers got.
+	Outcome struct {
+		Asked, InTarget, Late, Refused, Failed int
+		// First counts runs on a server that did not know the object.
+		First int
+		// ByRegion is the share answered within the target.
+		ByRegion map[string]float64
+		Times    []time.Duration
+	}
+)
+
+// ReadLoad reads a load from a file.
+func ReadLoad(path string) (Load, error) {
+	var l Load
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return l, errors.Wrap(err, "load")
+	}
+	if err := json.Unmarshal(data, &l); err != nil {
+		return l, errors.Wrap(err, path)
+	}
+	return l, nil
+}
+
+// Share is the part of the requests answered within the target.
+func (o Outcome) Share() float64 { return float64(o.InTarget) / float64(max(1, o.Asked)) }
+
+// Worst is the smallest part of any region.
+func (o Outcome) Worst() float64 {
+	worst := 1.0
+	for _, share := range o.ByRegion {
+		worst = min(worst, share)
+	}
+	return worst
+}
--- /dev/null
+++ b/internal/fake/warmnet/play.go
@@ -0,0 +1,316 @@
+package warmnet
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+)
+
+const (
+	// AllSeeing is a placer of this package: it knows every server's queue and
+	// memory as they are and takes the server that answers first. It is greedy,
+	// so a plan for the objects may do a little better.
+	AllSeeing = "all-seeing"
+
+	service  = "service"
+	host     = "host"
+	workVary = 0.15
+)
+
+type (
+	event struct {
+		at    time.Duration
+		order int
+		do    func()
+	}
+
+	events []event
+
+	world struct {
+		load    Load
+		random  *rand.Rand
+		now     time.Duration
+		queue   events
+		order   int
+		servers []*server
+		byID    map[string]*server
+		proxies map[string][]*steering.Kernel
+		out     Outcome
+		inRange map[string]int
+		asked   map[string]int
+		oracle  bool
+	}
+
+	server struct {
+		id, region string
+		running    int
+		waiting    []*job
+		recent     []string
+		gone       bool
+	}
+
+	job struct {
+		kernel *steering.Kernel
+		flight *steering.Flight
+		region string
+		began  time.Duration
+		server *server
+	}
+)
+
+func (e events) Len() int      { return len(e) }
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// Play plays a load with a placer. Equal arguments give equal outcomes.
+func Play(l Load, placer string, seed uint64) Outcome {
+	w := &world{
+		load: l, random: rand.New(rand.NewPCG(seed, 1)), byID: make(map[string]*server),
+		proxies: make(map[string][]*steering.Kernel), inRange: make(map[string]int), asked: make(map[string]int),
+		oracle: placer == AllSeeing,
+	}
+	if w.oracle {
+		placer = steering.DefaultPlacer
+	}
+	w.build(placer, seed)
+	for i, r := range l.Regions {
+		w.arrivals(i, r)
+	}
+	if l.Leave > 0 {
+		w.after(l.Leave.Std(), w.leave)
+	}
+	for len(w.queue) > 0 {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.out.ByRegion = make(map[string]float64)
+	for region, n := range w.asked {
+		w.out.ByRegion[region] = float64(w.inRange[region]) / float64(max(1, n))
+	}
+	slices.Sort(w.out.Times)
+	return w.out
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.order++
+	heap.Push(&w.queue, event{at: w.now + d, order: w.order, do: do})
+}
+
+func (w *world) clock() time.Time { return time.Unix(1_000_000, 0).Add(w.now) }
+
+func (w *world) build(placer string, seed uint64) {
+	regionOf := make(map[string]string)
+	for _, r := range w.load.Regions {
+		regionOf[r.Name+"-a"] = r.Name
+		for i := range r.Servers {
+			s := &server{id: fmt.Sprintf("%s-%d", r.Name, i), region: r.Name}
+			w.servers = append(w.servers, s)
+			w.byID[s.id] = s
+		}
+	}
+	var all []steering.Proxy
+	for _, r := range w.load.Regions {
+		for i := range w.load.Proxies {
+			all = append(all, steering.Proxy{Name: fmt.Sprintf("%s-proxy-%d", r.Name, i), Domain: r.Name + "-a", Region: r.Name})
+		}
+	}
+	for i, p := range all {
+		k := steering.New(steering.Config{
+			Name: p.Name, Domain: p.Domain, Region: p.Region, RegionOf: regionOf, Placer: placer, Seed: [32]byte{byte(i), byte(seed)},
+			Retry: steering.RetryBudget{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}, ColdFactor: 1.5, ColdSlack: 5,
+		})
+		k.SetProxies(all)
+		w.configure(k, p.Region)
+		w.proxies[p.Region] = append(w.proxies[p.Region], k)
+	}
+}
+
+func (w *world) configure(k *steering.Kernel, region string) {
+	route := &routing.Route{
+		Name: "route", Host: host, Prefix: "/", Idempotent: true, Attempts: 2, Sticky: true,
+		Timeout: w.load.Timeout.Std(), Target: w.load.Target.Std(), Parts: []routing.Part{{Service: service, Weight: 1}},
+	}
+	k.SetTable(routing.NewTable(1, []*routing.Route{route}, nil, routing.Limits{}))
+	for _, s := range w.servers {
+		k.SetServer(w.clock(), routing.Server{ID: s.id, Service: service, Domain: s.region + "-a", Slots: w.load.Slots})
+		k.Measured(s.region+"-a", w.roundTrip(region, s.region))
+	}
+}
+
+func (w *world) roundTrip(a, b string) time.Duration {
+	if a == b {
+		return time.Millisecond
+	}
+	return w.load.RoundTrip.Std()
+}
+
+// leave takes the first server of each region away.
+func (w *world) leave() {
+	for _, r := range w.load.Regions {
+		s := w.byID[r.Name+"-0"]
+		s.gone = true
+		for _, list := range w.proxies {
+			for _, k := range list {
+				k.RemoveServer(s.id)
+			}
+		}
+	}
+}
+
+// arrivals makes one region's callers ask, at random moments.
+func (w *world) arrivals(i int, r Region) {
+	var next func()
+	next = func() {
+		if w.now >= w.load.Span.Std() {
+			return
+		}
+		w.ask(i, r.Name)
+		w.after(time.Duration(w.random.ExpFloat64()/r.PerSecond*float64(time.Second)), next)
+	}
+	w.after(time.Duration(w.random.ExpFloat64()/r.PerSecond*float64(time.Second)), next)
+}
+
+func (w *world) ask(i int, region string) {
+	w.out.Asked++
+	w.asked[region]++
+	object := strconv.FormatInt(int64(i*w.load.Objects+w.random.IntN(w.load.Objects)), 16)
+	k := w.proxies[region][w.random.IntN(len(w.proxies[region]))]
+	j := &job{kernel: k, region: region, began: w.now}
+	flight, decision := k.Begin(w.clock(), steering.Request{Host: host, Path: "/", Object: object})
+	j.flight = flight
+	w.follow(j, decision)
+}
+
+func (w *world) follow(j *job, d steering.Decision) {
+	switch {
+	case d.Server != nil:
+		s := w.byID[d.Server.ID]
+		if w.oracle {
+			s = w.best(j)
+		}
+		j.server = s
+		w.after(w.roundTrip(j.region, s.region)/2, func() { w.arrive(j) })
+	case d.Answer:
+		w.answered(j)
+	case d.NotRun:
+		w.out.Refused++
+	default:
+		w.out.Failed++
+	}
+}
+
+// best is the all-seeing choice: the server that answers first.
+func (w *world) best(j *job) *server {
+	var best *server
+	least := time.Duration(math.MaxInt64)
+	for _, s := range w.servers {
+		if s.gone {
+			continue
+		}
+		work := w.load.Work.Std()
+		warm := time.Duration(float64(work) * w.load.WarmShare)
+		if s.knows(j.flight.Object) {
+			work = warm
+		} else {
+			work += warm
+		}
+		busy := max(0, s.running+len(s.waiting)+1-w.load.Slots)
+		took := w.roundTrip(j.region, s.region) + work + time.Duration(busy)*warm/time.Duration(w.load.Slots)
+		if took < least {
+			best, least = s, took
+		}
+	}
+	return best
+}
+
+func (w *world) answered(j *job) {
+	took := w.now - j.began
+	w.out.Times = append(w.out.Times, took)
+	if took <= w.load.Target.Std() {
+		w.out.InTarget++
+		w.inRange[j.region]++
+		return
+	}
+	w.out.Late++
+}
+
+func (w *world) arrive(j *job) {
+	s := j.server
+	refuses := w.now >= w.load.RefuseFrom.Std() && w.now < w.load.RefuseTo.Std() && w.random.Float64() < w.load.RefuseShare
+	switch {
+	case s.gone || refuses || s.running >= w.load.Slots && len(s.waiting) >= w.load.Queue:
+		w.end(j, steering.Refused)
+	case s.running < w.load.Slots:
+		w.run(j)
+	default:
+		s.waiting = append(s.waiting, j)
+	}
+}
+
+func (w *world) run(j *job) {
+	s := j.server
+	s.running++
+	work := float64(w.load.Work.Std()) * (1 + workVary*(2*w.random.Float64()-1))
+	if s.knows(j.flight.Object) {
+		work *= w.load.WarmShare
+	} else {
+		w.out.First++
+	}
+	s.remember(j.flight.Object, w.load.Remember)
+	w.after(time.Duration(work), func() {
+		s.running--
+		w.end(j, steering.Answered)
+		for len(s.waiting) > 0 && s.running < w.load.Slots {
+			next := s.waiting[0]
+			s.waiting = s.waiting[1:]
+			if w.clock().After(next.flight.Until) {
+				w.end(next, steering.Late)
+				continue
+			}
+			w.run(next)
+		}
+	})
+}
+
+// end brings the result back to the proxy.
+func (w *world) end(j *job, result steering.Result) {
+	attempt := steering.Attempt{Result: result, Loaded: true, Running: j.server.running, Waiting: len(j.server.waiting)}
+	w.after(w.roundTrip(j.region, j.server.region)/2, func() {
+		if attempt.Result == steering.Answered && w.clock().After(j.flight.Until) {
+			attempt.Result = steering.Late
+		}
+		w.follow(j, j.kernel.Ended(w.clock(), j.flight, attempt))
+	})
+}
+
+func (s *server) knows(object string) bool { return slices.Contains(s.recent, object) }
+
+func (s *server) remember(object string, most int) {
+	if i := slices.Index(s.recent, object); i >= 0 {
+		s.recent = slices.Delete(s.recent, i, i+1)
+	}
+	s.recent = append(s.recent, object)
+	if len(s.recent) > most {
+		s.recent = s.recent[1:]
+	}
+}
--- /dev/null
+++ b/internal/fake/warmnet/warmnet_test.go
@@ -0,0 +1,76 @@
+package warmnet
+
+import (
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+)
+
+func load(t *testing.T, name string) Load {
+	t.Helper()
+	l, err := ReadLoad(filepath.Join("testdata", name+".json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// mean plays a load with a few seeds.
+func mean(l Load, placer string) (share, worst, first float64) {
+	const seeds = 3
+	for seed := range uint64(seeds) {
+		o := Play(l, placer, seed+1)
+		share += o.Share() / seeds
+		worst += o.Worst() / seeds
+		first += float64(o.First) / seeds
+	}
+	return share, worst, first
+}
+
+// More is asked than the servers could do if every request ran cold. Where
+// objects are spread over servers, each runs cold on many of them and callers
+// wait; where all proxies name one home, most requests are warm.
+func TestHomesServeMoreWithinTheTarget(t *testing.T) {
+	for _, name := range []string{"heavy", "far", "refusals", "leave"} {
+		t.Run(name, func(t *testing.T) {
+			l := load(t, name)
+			share, worst, first := mean(l, steering.DefaultPlacer)
+			bound, boundWorst, boundFirst := mean(l, AllSeeing)
+			t.Logf("%-16s %.3f of all, %.3f of the worst region, %.0f first runs", "homes", share, worst, first)
+			t.Logf("%-16s %.3f of all, %.3f of the worst region, %.0f first runs", AllSeeing, bound, boundWorst, boundFirst)
+			for _, placer := range steering.Placers() {
+				if placer == steering.DefaultPlacer {
+					continue
+				}
+				s, w, n := mean(l, placer)
+				t.Logf("%-16s %.3f of all, %.3f of the worst region, %.0f first runs", placer, s, w, n)
+				if placer == "rendezvous" && name == "heavy" && share < 1.25*s {
+					t.Errorf("homes serve %.3f within the target, want 1.25 times the %.3f of plain rendezvous hashing", share, s)
+				}
+				if s >= share {
+					t.Errorf("%s serves %.3f within the target, homes %.3f", placer, s, share)
+				}
+			}
+			if share < 0.85*bound {
+				t.Errorf("homes serve %.3f within the target, the all-seeing bound %.3f; want 0.85 of it at least", share, bound)
+			}
+		})
+	}
+}
+
+func TestPlaysRepeat(t *testing.T) {
+	l := load(t, "heavy")
+	if a, b := Play(l, steering.DefaultPlacer, 7), Play(l, steering.DefaultPlacer, 7); !reflect.DeepEqual(a, b) {
+		t.Error("two plays with the same seed differ")
+	}
+}
+
+// One region has a sixth of the servers and a third of the callers.
+func TestNoRegionIsLeftBehind(t *testing.T) {
+	share, worst, _ := mean(load(t, "heavy"), steering.DefaultPlacer)
+	if worst < 0.85*share {
+		t.Errorf("the worst region has %.3f within the target, all together %.3f", worst, share)
+	}
+}
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -57,6 +57,7 @@
 			}
 			continue
 		}
+		p.cost = k.placer.cost(k, f, p)
 		if best.server != nil && p.cost >= best.cost {
 			continue
 		}
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -34,6 +34,8 @@
 		ColdFactor float64
 		ColdSlack  float64
 		Seed       [32]byte
+		// Placer names a registered placer; empty for the default.
+		Placer string
 		// Observe sees each decision; nil for none.
 		Observe func(Event)
 	}
@@ -49,6 +51,7 @@
 	// several goroutines at once.
 	Kernel struct {
 		config   Config
+		placer   placer
 		random   *rand.Rand
 		table    *routing.Table
 		splitter *routing.Splitter
@@ -83,11 +86,15 @@
 
 // New makes a kernel that knows no configuration yet.
 func New(c Config) *Kernel {
+	if c.Placer == "" {
+		c.Placer = DefaultPlacer
+	}
 	if c.Observe == nil {
 		c.Observe = func(Event) {}
 	}
 	return &Kernel{
 		config:    c,
+		placer:    placers[c.Placer],
 		random:    rand.New(rand.NewChaCha8(c.Seed)),
 		splitter:  routing.NewSplitter(),
 		servers:   make(map[string]*server),
--- /dev/null
+++ b/internal/kernel/steering/placer.go
@@ -0,0 +1,60 @@
+package steering
+
+import (
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+const (
+	// DefaultPlacer keeps objects at their homes.
+	DefaultPlacer = "homes"
+)
+
+var (
+	placers = map[string]placer{}
+)
+
+type (
+	// placer weighs the servers that may take a request; the least cost wins.
+	// All but the default are there to be measured against.
+	placer struct {
+		name string
+		cost func(k *Kernel, f *Flight, p pick) time.Duration
+	}
+)
+
+func init() {
+	registerPlacer(placer{DefaultPlacer, func(_ *Kernel, _ *Flight, p pick) time.Duration { return p.cost }})
+	registerPlacer(placer{"least-in-flight", func(_ *Kernel, _ *Flight, p pick) time.Duration {
+		return time.Duration(p.server.inFlight)*time.Second + p.server.domain.roundTrip
+	}})
+	registerPlacer(placer{"round-robin", func(_ *Kernel, _ *Flight, p pick) time.Duration {
+		return time.Duration(p.server.turns)
+	}})
+	registerPlacer(placer{"rendezvous", func(_ *Kernel, f *Flight, p pick) time.Duration {
+		hash := fnv.New32a()
+		_, _ = hash.Write([]byte(p.server.id + "/" + f.Object))
+		return time.Duration(hash.Sum32())
+	}})
+}
+
+// registerPlacer adds a placer. It is called from init only, so the registry
+// is constant once main runs.
+func registerPlacer(p placer) {
+	if _, taken := placers[p.name]; taken {
+		panic(fmt.Sprintf("steering: placer %q registered twice", p.name))
+	}
+	placers[p.name] = p
+}
+
+// Placers lists the registered names in order.
+func Placers() []string {
+	names := make([]string, 0, len(placers))
+	for name := range placers {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -212,6 +212,7 @@
 	}
 	f.server, f.sentAt, f.expected, f.warm = s, now, pick.expected, pick.warm
 	s.inFlight++
+	s.turns++
 	connections := 0
 	if c := k.table.Services[f.Service]; c != nil {
 		connections = c.Connections
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -45,6 +45,8 @@
 		absentUntil time.Time
 
 		inFlight int
+		// turns counts the requests sent so far.
+		turns int
 		// reported is the server's last word on all it runs and queues, and
 		// ownThen this proxy's part of it.
 		reported   int
