Soak of real processes over a store stand-in and harmful relays

Three to any number of gypsumquayd on the platform's wire, with the store, the servers and every connection between them harmed from outside; clients check once, not-run, whole answers, drains and recovery.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BIN := bin
 GO ?= go
 
-.PHONY: all build test demo bench slopes soak lint format generate clean
+.PHONY: all build test demo bench slopes soak soak-processes lint format generate clean
 
 all: build
 
@@ -23,6 +23,12 @@
 soak: build
 	$(BIN)/gypsumquay-bench soak --for $(FOR)
 
+# make soak-processes FOR=10m runs real processes under faults from outside, with
+# the seeds of platform/testdata/soak-seeds.json first and fresh ones after;
+# SEED=n plays one, SOAK_PROXIES=n sets the number of proxies.
+soak-processes:
+	SOAK_FOR=$(FOR) SOAK_SEED=$(SEED) $(GO) test -count=1 -timeout 2h -v -run TestSoak ./platform
+
 bench: build
 	$(BIN)/gypsumquay-bench bench
 
