--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -47,7 +47,8 @@
 		Reason   Reason
 		Draining bool
 		// Expected is the time until the answer that the choice reckoned
-		// with, Load and LoadAge the load it saw and how old that was.
+		// with, Load and LoadAge the load it saw and how old that was, negative
+		// if the server never told it.
 		Expected time.Duration
 		Load     float64
 		LoadAge  time.Duration
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -51,6 +51,8 @@
 	ReasonBudget Reason = "repeat-budget"
 	// ReasonBroken means that an exchange broke and may have run.
 	ReasonBroken Reason = "broken"
+	// ReasonLeft means that the caller has gone.
+	ReasonLeft Reason = "caller-left"
 	// ReasonLate means that the route's timeout has passed.
 	ReasonLate Reason = "timeout"
 )
@@ -219,7 +221,7 @@
 	}
 	f.note(Event{
 		At: now, Kind: EventSent, Server: s.id, Domain: s.Domain, Attempt: len(f.steps)/2 + 1, Expected: pick.expected,
-		Load: s.load(now), LoadAge: now.Sub(s.reportedAt), Home: pick.home, Warm: pick.warm,
+		Load: s.load(now), LoadAge: s.loadAge(now), Home: pick.home, Warm: pick.warm,
 	})
 	return &Target{
 		Server: s.Server, Connections: connections, Proxies: len(k.proxies), RoundTrip: s.domain.roundTrip,
@@ -243,7 +245,7 @@
 	case Answered:
 		return k.finish(now, f, Decision{Answer: true})
 	case Left:
-		return k.finish(now, f, Decision{Reason: ReasonBroken})
+		return k.finish(now, f, Decision{Reason: ReasonLeft})
 	case Late:
 		f.mayHaveRun = true
 		return k.giveUp(now, f, ReasonLate)
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -122,6 +122,14 @@
 	return float64(s.inFlight) + others*(1-float64(age)/float64(reportHorizon))
 }
 
+// loadAge is how old the server's last word on its load is, negative for none.
+func (s *server) loadAge(now time.Time) time.Duration {
+	if s.reportedAt.IsZero() {
+		return -1
+	}
+	return now.Sub(s.reportedAt)
+}
+
 // report takes in the server's own word on its load.
 func (s *server) report(now time.Time, running, waiting int) {
 	s.reported = running + waiting
--- a/internal/kernel/steering/status.go
+++ b/internal/kernel/steering/status.go
@@ -48,7 +48,7 @@
 			ID: b.id, Service: b.Service, Domain: b.Domain, Slots: b.Slots, InFlight: b.inFlight,
 			Draining: b.Draining, Absent: !b.absentUntil.IsZero(),
 			ColdFor: max(0, b.coldUntil.Sub(now)), OutFor: max(0, b.outUntil.Sub(now)),
-			Load: b.load(now), LoadAge: now.Sub(b.reportedAt), Speed: b.speed, Failed: b.failed,
+			Load: b.load(now), LoadAge: b.loadAge(now), Speed: b.speed, Failed: b.failed,
 		})
 	}
 	slices.SortFunc(s.Servers, func(a, b ServerStatus) int { return strings.Compare(a.Service+a.ID, b.Service+b.ID) })
--- a/internal/proxy/forward/journal.go
+++ b/internal/proxy/forward/journal.go
@@ -61,7 +61,7 @@
 	for _, s := range e.Steps {
 		s.Request, s.Route, s.Service, s.Object, s.Version = e.Request, e.Route, e.Service, e.Object, e.Version
 		j.keep(s)
-		j.writeStep(s)
+		j.writeStep(s, e.At.Sub(s.At))
 	}
 	j.keep(e)
 	klog.InfoS(string(e.Kind), "request", e.Request, "route", e.Route, "configuration", e.Version,
@@ -69,15 +69,16 @@
 		"come-back", e.ComeBack.String())
 }
 
-func (j *journal) writeStep(s steering.Event) {
+// writeStep writes a decision of a request that ended a while after it.
+func (j *journal) writeStep(s steering.Event, ago time.Duration) {
 	if s.Kind == steering.EventSent {
 		klog.InfoS(string(s.Kind), "request", s.Request, "route", s.Route, "configuration", s.Version, "service", s.Service,
 			"server", s.Server, "failure-domain", s.Domain, "object", s.Object, "home-rank", s.Home, "warm", s.Warm, "attempt", s.Attempt,
-			"expected", s.Expected.String(), "load", s.Load, "load-age", s.LoadAge.String())
+			"expected", s.Expected.String(), "load", s.Load, "load-age", age(s.LoadAge), "ago", ago.String())
 		return
 	}
 	klog.InfoS(string(s.Kind), "request", s.Request, "server", s.Server, "attempt", s.Attempt, "result", s.Result.String(),
-		"expected", s.Expected.String(), "took", s.Took.String(), "server-load", s.Load, "error", text(s.Err))
+		"expected", s.Expected.String(), "took", s.Took.String(), "server-load", s.Load, "ago", ago.String(), "error", text(s.Err))
 }
 
 // wanted decides whether a request is written, and counts those left out.
@@ -130,6 +131,14 @@
 	return list
 }
 
+// age is a time for the log; a negative one means that there is none.
+func age(d time.Duration) string {
+	if d < 0 {
+		return "none"
+	}
+	return d.String()
+}
+
 func text(err error) string {
 	if err == nil {
 		return ""
