Tests take free ports for all their addresses, the bundle's too

Cause of TestRealProcesses failing beside make demo: both ran the example bundle's backend servers at 127.0.0.1:21100 on. Ruled out: the range of outgoing connections, which begins at 32768.

--- a/internal/proxy/daemon/process_test.go
+++ b/internal/proxy/daemon/process_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"syscall"
 	"testing"
 	"time"
@@ -16,15 +17,14 @@
 	"github.com/gypsumquay/gypsumquay/internal/adapter/operatorhttp"
 	"github.com/gypsumquay/gypsumquay/internal/fake/backendfake"
 	"github.com/gypsumquay/gypsumquay/internal/fake/callerfake"
+	"github.com/gypsumquay/gypsumquay/internal/fake/ports"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
 )
 
 const (
-	platformAddress = "127.0.0.1:24000"
-	backendControl  = "127.0.0.1:24001"
-	fleetSize       = 4
-	patience        = 30 * time.Second
+	fleetSize = 4
+	patience  = 30 * time.Second
 )
 
 type (
@@ -36,6 +36,9 @@
 		keys    [2]*operator.KeyPair
 		proxies []*exec.Cmd
 		client  *operatorhttp.Client
+		// callers, operators and peers are the proxies' addresses.
+		callers, operators, peers []netip.AddrPort
+		platform, control         netip.AddrPort
 	}
 )
 
@@ -55,22 +58,51 @@
 		}
 		f.keys[i] = pair
 	}
-	example := filepath.Join("..", "..", "..", "examples", "trinacria.json")
-	f.run("gypsumquay-fake", "platform", "--listen", platformAddress, "--lag", "1s")
-	f.run("gypsumquay-fake", "backend", "--bundle", example, "--control", backendControl, "--service-time", "40ms")
-	var operators []netip.AddrPort
+	addresses := freePorts(t, 2+3*fleetSize)
+	f.platform, f.control, addresses = addresses[0], addresses[1], addresses[2:]
+	f.callers, f.operators, f.peers = addresses[:fleetSize], addresses[fleetSize:2*fleetSize], addresses[2*fleetSize:]
+	example := f.ownBundle(filepath.Join("..", "..", "..", "examples", "trinacria.json"))
+	f.run("gypsumquay-fake", "platform", "--listen", f.platform.String(), "--lag", "1s")
+	f.run("gypsumquay-fake", "backend", "--bundle", example, "--control", f.control.String(), "--service-time", "40ms")
 	for i := range fleetSize {
-		operators = append(operators, f.address(24200, i))
 		f.proxies = append(f.proxies, f.startProxy(i))
 	}
-	f.client = operatorhttp.NewClient(operators, nil)
+	f.client = operatorhttp.NewClient(f.operators, nil)
 	f.rollout(example)
 	f.waitLive(fleetSize)
 	return f
 }
 
-func (f *fleet) address(base, i int) netip.AddrPort {
-	return netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", base+i))
+func freePorts(t *testing.T, n int) []netip.AddrPort {
+	t.Helper()
+	list, err := ports.Free(n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return list
+}
+
+// ownBundle copies an example with addresses of this run: with the example's
+// own, a demo or another run beside this one holds the ports, the stand-in
+// ends, and its control port refuses connections.
+func (f *fleet) ownBundle(example string) string {
+	f.t.Helper()
+	data, err := os.ReadFile(example)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	pattern := regexp.MustCompile(`127\.0\.0\.1:[0-9]+`)
+	addresses := freePorts(f.t, len(pattern.FindAll(data, -1)))
+	own := pattern.ReplaceAllFunc(data, func([]byte) []byte {
+		address := addresses[0]
+		addresses = addresses[1:]
+		return []byte(address.String())
+	})
+	path := filepath.Join(f.dir, "bundle.json")
+	if err := os.WriteFile(path, own, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return path
 }
 
 // run starts a process that ends with the test.
@@ -99,9 +131,9 @@
 	settings := map[string]any{
 		"name": fmt.Sprintf("proxy-%d", i+1), "region": "palermo", "failure-domain": "palermo-a",
 		"listen": map[string]any{
-			"callers": f.address(24100, i), "operators": f.address(24200, i), "peers": f.address(24300, i),
+			"callers": f.callers[i], "operators": f.operators[i], "peers": f.peers[i],
 		},
-		"platform": []string{platformAddress}, "seed-peers": []netip.AddrPort{f.address(24300, 0), f.address(24300, 1)},
+		"platform": []netip.AddrPort{f.platform}, "seed-peers": []netip.AddrPort{f.peers[0], f.peers[1]},
 		"trusted-operators": []operator.TrustedKey{f.keys[0].Trusted(), f.keys[1].Trusted()},
 	}
 	data, err := json.Marshal(settings)
@@ -112,7 +144,7 @@
 	if err := os.WriteFile(path, data, 0o600); err != nil {
 		f.t.Fatal(err)
 	}
-	f.post("http://" + platformAddress + "/control/machines/" + fmt.Sprintf("proxy-%d", i+1) + "/live")
+	f.post("http://" + f.platform.String() + "/control/machines/" + fmt.Sprintf("proxy-%d", i+1) + "/live")
 	return f.run("gypsumquayd", path)
 }
 
@@ -178,7 +210,7 @@
 
 // load makes callers that browse and book, and returns their report.
 func (f *fleet) load(name string, span, timeout time.Duration) <-chan callerfake.Report {
-	seeds := []netip.AddrPort{f.address(24100, 0), f.address(24100, 2), f.address(24100, 3)}
+	seeds := []netip.AddrPort{f.callers[0], f.callers[2], f.callers[3]}
 	callers := callerfake.NewFleet(callerfake.Plan{
 		Seeds: seeds, Callers: 48, Rate: 200, Span: span, Browse: []string{"notice-board"}, Book: "bid-ledger",
 		BookShare: 400, Name: name, Timeout: timeout,
@@ -191,7 +223,7 @@
 // runs counts how often each booking ran, over all backend servers.
 func (f *fleet) runs() map[string]int {
 	f.t.Helper()
-	response, err := http.Get("http://" + backendControl + "/stats")
+	response, err := http.Get("http://" + f.control.String() + "/stats")
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -272,7 +304,7 @@
 		report := f.load("kill", 8*time.Second, 2500*time.Millisecond)
 		time.Sleep(2 * time.Second)
 		_ = f.proxies[2].Process.Kill()
-		f.post("http://" + platformAddress + "/control/machines/proxy-3/gone")
+		f.post("http://" + f.platform.String() + "/control/machines/proxy-3/gone")
 		f.checkOnce(<-report)
 	})
 }
--- a/internal/proxy/forward/fleet_test.go
+++ b/internal/proxy/forward/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -17,6 +16,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/adapter/forwardhttp"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
 	clientcommand "github.com/gypsumquay/gypsumquay/internal/client/command"
+	"github.com/gypsumquay/gypsumquay/internal/fake/ports"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
@@ -237,15 +237,13 @@
 	return netip.MustParseAddrPort(strings.TrimPrefix(url, "http://"))
 }
 
-// freePort finds an address that nobody listens on.
 func freePort(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	list, err := ports.Free(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String())
+	return list[0]
 }
 
 func (f *fleet) start(i int, seeds []netip.AddrPort) netip.AddrPort {
