Fields given twice, unknown ones and bad syntax are refused by their path

A key given twice was accepted in silence and two signers might have read the bundle unlike; errors ended in a stray ': usage'. The library's strict reader (jsontext) checks bundles, settings and the platform's configuration alike; TestAmbiguousTextIsRefused, TestWrongCommandLines.

--- a/internal/client/command/bundle.go
+++ b/internal/client/command/bundle.go
@@ -94,14 +94,14 @@
 	case a.Rollout != nil:
 		return a.Rollout.run(s)
 	}
-	return Result{}, errors.Wrap(errUsage, "bundle: check, diff, show, list, propose, approve or rollout")
+	return Result{}, usageError("bundle: check, diff, show, list, propose, approve or rollout")
 }
 
 // readBundle reads and checks a file, the names of plug-ins included.
 func readBundle(path string) (*operator.Bundle, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, errors.Wrap(errUsage, err.Error())
+		return nil, usageError(err.Error())
 	}
 	b, err := operator.ParseBundle(data)
 	if err != nil {
@@ -109,7 +109,7 @@
 		if errors.As(err, &field) {
 			return nil, err
 		}
-		return nil, errors.Wrap(errUsage, err.Error())
+		return nil, usageError(err.Error())
 	}
 	return b, checkPlugins(b)
 }
@@ -260,12 +260,12 @@
 			continue
 		}
 		if found != nil {
-			return nil, errors.Wrap(errUsage, "several proposals begin with "+digest)
+			return nil, usageError("several proposals begin with " + digest)
 		}
 		found = &envelopes[i]
 	}
 	if found == nil {
-		return nil, errors.Wrap(errUsage, "no proposal begins with "+digest)
+		return nil, usageError("no proposal begins with " + digest)
 	}
 	return found, nil
 }
--- a/internal/client/command/command.go
+++ b/internal/client/command/command.go
@@ -38,7 +38,7 @@
 )
 
 var (
-	errUsage     = errors.New("usage")
+	errUsage     = errors.New("the command line or a file is wrong")
 	errLostRace  = errors.New("another bundle has taken this version; see `bundle show`, then propose the next one")
 	errUndecided = errors.New("the platform does not say whether the bundle is in force; run the same command again")
 )
@@ -69,6 +69,9 @@
 		Data any
 	}
 
+	// usageError is a wrong command line or file; its text is the message.
+	usageError string
+
 	session struct {
 		ctx    context.Context
 		client *operatorhttp.Client
@@ -77,6 +80,12 @@
 	}
 )
 
+// Error implements error.
+func (e usageError) Error() string { return string(e) }
+
+// Is makes the message an errUsage, which decides the exit code.
+func (e usageError) Is(target error) bool { return target == errUsage }
+
 // Description is shown by --help.
 func (Arguments) Description() string {
 	return "gypsumquayctl is the operators' client of gypsumquay."
@@ -148,7 +157,7 @@
 	case a.Version != nil:
 		return Result{Text: "gypsumquay " + version, Data: map[string]string{"version": version}}, nil
 	}
-	return Result{}, errors.Wrap(errUsage, "name a command; --help lists them")
+	return Result{}, usageError("name a command; --help lists them")
 }
 
 func authority(path string) (*tls.Config, error) {
@@ -157,11 +166,11 @@
 	}
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, errors.Wrap(errUsage, err.Error())
+		return nil, usageError(err.Error())
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(data) {
-		return nil, errors.Wrap(errUsage, path+" holds no certificate")
+		return nil, usageError(path + " holds no certificate")
 	}
 	return &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool}, nil
 }
@@ -173,7 +182,7 @@
 	case platform.LostRace:
 		return errLostRace
 	case platform.WrongVersion:
-		return errors.Wrap(errUsage, "the bundle's version must be one more than the one in force")
+		return usageError("the bundle's version must be one more than the one in force")
 	}
 	return errUndecided
 }
--- /dev/null
+++ b/internal/client/command/command_test.go
@@ -0,0 +1,30 @@
+package command
+
+import (
+	"context"
+	"strings"
+	"testing"
+)
+
+// An operator mistypes a command. The message must say what is missing and end
+// there, and scripts go by the exit code.
+func TestWrongCommandLines(t *testing.T) {
+	for _, c := range []struct {
+		arguments Arguments
+		want      string
+	}{
+		{Arguments{}, "name a command; --help lists them"},
+		{Arguments{Steering: &SteeringArguments{}}, "steering: needs status, servers, routes, explain or events"},
+		{Arguments{Steering: &SteeringArguments{Status: &SteeringStatusArguments{}}}, "--proxy: name at least one"},
+		{Arguments{Keys: &KeysArguments{}}, "keys: new or list"},
+	} {
+		var out, complaints strings.Builder
+		code := Run(context.Background(), c.arguments, &out, &complaints)
+		if code != ExitUsage {
+			t.Errorf("%q: exit code %d, want %d", c.want, code, ExitUsage)
+		}
+		if got, want := strings.TrimSpace(complaints.String()), "gypsumquayctl: "+c.want; got != want {
+			t.Errorf("complaint is %q, want %q", got, want)
+		}
+	}
+}
--- a/internal/client/command/drain.go
+++ b/internal/client/command/drain.go
@@ -48,7 +48,7 @@
 	case a.Cancel != nil:
 		return a.Cancel.run(s)
 	}
-	return Result{}, errors.Wrap(errUsage, "drain: plan, list or cancel")
+	return Result{}, usageError("drain: plan, list or cancel")
 }
 
 // next is the bundle in force under the following version.
@@ -86,7 +86,7 @@
 	}
 	at := slices.IndexFunc(b.Drains, func(d operator.Drain) bool { return d.Name == a.Name })
 	if at < 0 {
-		return Result{}, errors.Wrap(errUsage, "no drain is named "+a.Name)
+		return Result{}, usageError("no drain is named " + a.Name)
 	}
 	b.Drains = slices.Delete(b.Drains, at, at+1)
 	return propose(s, b, a.Key)
--- a/internal/client/command/keys.go
+++ b/internal/client/command/keys.go
@@ -42,13 +42,13 @@
 	case a.List != nil:
 		return a.List.run()
 	}
-	return Result{}, errors.Wrap(errUsage, "keys: new or list")
+	return Result{}, usageError("keys: new or list")
 }
 
 func (a *KeysNewArguments) run() (Result, error) {
 	pair, err := operator.NewKeyPair(a.Operator)
 	if err != nil {
-		return Result{}, errors.Wrap(errUsage, err.Error())
+		return Result{}, usageError(err.Error())
 	}
 	data, err := json.MarshalIndent(pair, "", "  ")
 	if err != nil {
@@ -87,11 +87,11 @@
 func readKey(path string) (*operator.KeyPair, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, errors.Wrap(errUsage, err.Error())
+		return nil, usageError(err.Error())
 	}
 	var pair operator.KeyPair
 	if err := operator.DecodeStrict(data, &pair); err != nil {
-		return nil, errors.Wrap(errUsage, path+": "+err.Error())
+		return nil, usageError(path + ": " + err.Error())
 	}
 	return &pair, nil
 }
--- a/internal/client/command/steering.go
+++ b/internal/client/command/steering.go
@@ -75,7 +75,7 @@
 	case a.Events != nil:
 		return steeringEvents(s, client, "", a.Events.match)
 	}
-	return Result{}, errors.Wrap(errUsage, "steering: needs status, servers, routes, explain or events")
+	return Result{}, usageError("steering: needs status, servers, routes, explain or events")
 }
 
 func (a *SteeringEventsArguments) match(e steeringhttp.Event) bool {
@@ -93,7 +93,7 @@
 		failed = err
 	}
 	if failed == nil {
-		return steeringhttp.Status{}, errors.Wrap(errUsage, "--proxy: name at least one")
+		return steeringhttp.Status{}, usageError("--proxy: name at least one")
 	}
 	return steeringhttp.Status{}, errors.Wrap(operatorhttp.ErrNoProxy, failed.Error())
 }
--- a/internal/kernel/operator/bundle_test.go
+++ b/internal/kernel/operator/bundle_test.go
@@ -248,3 +248,21 @@
 	}
 	check(reflect.TypeFor[Bundle]())
 }
+
+// Two operators sign a bundle in which a field stands twice. One reader takes
+// the first value, another the last, and they would not have signed the same.
+func TestAmbiguousTextIsRefused(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{`{"version": 3, "version": 1}`, "version: is given twice"},
+		{`{"regions": [{"name": "a", "name": "b"}]}`, "regions[0].name: is given twice"},
+		{`{"version": NaN}`, "version: "},
+		{`{"shift": {"capp": 1}}`, `shift.capp: unknown field "capp"`},
+		{`{"version": 3} {}`, "after the end"},
+		{`{"version": `, "version: "},
+	} {
+		_, err := ParseBundle([]byte(c.text))
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: error is %v, want %q in it", c.text, err, c.want)
+		}
+	}
+}
--- a/internal/kernel/operator/decode.go
+++ b/internal/kernel/operator/decode.go
@@ -6,10 +6,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"reflect"
+	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/go-faster/errors"
+	"github.com/go-json-experiment/json/jsontext"
 )
 
 var (
@@ -17,9 +21,12 @@
 	jsonType = reflect.TypeFor[json.Unmarshaler]()
 )
 
-// DecodeStrict decodes one JSON value, refusing unknown fields and trailing
-// text. An error names the field.
+// DecodeStrict decodes one JSON value, refusing unknown fields, fields given
+// twice and trailing text. An error names the field by its path.
 func DecodeStrict(data []byte, into any) error {
+	if err := CheckSyntax(data); err != nil {
+		return err
+	}
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
@@ -34,6 +41,42 @@
 	return nil
 }
 
+// CheckSyntax refuses text that is no JSON and fields given twice: two readers
+// of a signed bundle might take the first and the last.
+func CheckSyntax(data []byte) error {
+	decoder := jsontext.NewDecoder(bytes.NewReader(data))
+	_, err := decoder.ReadValue()
+	if err == nil {
+		return nil
+	}
+	var syntax *jsontext.SyntacticError
+	if !errors.As(err, &syntax) {
+		return errors.Wrap(err, "JSON")
+	}
+	cause := syntax.Err.Error()
+	if errors.Is(err, jsontext.ErrDuplicateName) {
+		cause = "is given twice"
+	}
+	path := pathOf(syntax.JSONPointer)
+	if path == "" {
+		return errors.Errorf("byte %d: %s", syntax.ByteOffset, cause)
+	}
+	return errors.Errorf("%s: %s", path, cause)
+}
+
+// pathOf writes a pointer such as "/regions/0/name" as regions[0].name.
+func pathOf(pointer jsontext.Pointer) string {
+	path := ""
+	for token := range pointer.Tokens() {
+		if _, err := strconv.Atoi(token); err == nil {
+			path += "[" + token + "]"
+			continue
+		}
+		path = joinPath(path, token)
+	}
+	return path
+}
+
 // locate finds the first field whose value does not decode. The decoder tells
 // the field for numbers and lists, but not for addresses, times and spans,
 // which are what an operator most often gets wrong.
@@ -63,8 +106,10 @@
 	if err := json.Unmarshal(raw, &object); err != nil {
 		return path, errors.New("must be an object")
 	}
+	known := make(map[string]bool)
 	for field := range kind.Fields() {
 		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		known[name] = true
 		value, given := object[name]
 		if !given {
 			continue
@@ -73,5 +118,10 @@
 			return at, err
 		}
 	}
+	for _, name := range slices.Sorted(maps.Keys(object)) {
+		if !known[name] {
+			return joinPath(path, name), errors.Errorf("unknown field %q", name)
+		}
+	}
 	return "", nil
 }
