--- a/internal/proxy/forward/fleet_test.go
+++ b/internal/proxy/forward/fleet_test.go
@@ -384,6 +384,33 @@
 	f.eventually("the new proxy serves", func() bool { return f.ask(1, "/a/x") == http.StatusOK })
 }
 
+// All proxies lost power and come back at the same moment; the seeds they were
+// given are gone. Each must read the store at once: callers already come, and
+// waiting for a seed cost a second of refusals.
+func TestRestartedProxyDoesNotWaitForSeeds(t *testing.T) {
+	f := newFleet(t, 1)
+	d := f.daemons[0]
+	d.settings.Seeds = []netip.AddrPort{freePort(t)}
+	for first, want := range map[bool]bool{true: true, false: false} {
+		d.settings.FirstStart = first
+		w := &follower{feed: newFeed(d), store: f.links[0].seams()}
+		ctx, cancel := context.WithCancel(context.Background())
+		returned := make(chan struct{})
+		go func() { w.awaitSeed(ctx); close(returned) }()
+		waits := false
+		select {
+		case <-returned:
+		case <-time.After(seedPatience / 4):
+			waits = true
+		}
+		if waits != want {
+			t.Errorf("first start %t: waits for a seed: %t, want %t", first, waits, want)
+		}
+		cancel()
+		<-returned
+	}
+}
+
 // The store drops its history while changes are made. The proxy must read
 // everything again and notice what was removed in between.
 func TestForgottenHistory(t *testing.T) {
--- a/internal/proxy/forward/follow.go
+++ b/internal/proxy/forward/follow.go
@@ -22,9 +22,10 @@
 	// answered watch is a call that is paid for. It is a sixth of the time
 	// in which a drained server must get nothing more.
 	gather = 400 * time.Millisecond
-	// seedPatience is how long a new proxy waits for a seed's copy before it
-	// reads the store itself: one reading a proxy would be most of the calls
-	// when a whole fleet starts.
+	// seedPatience is how long a proxy waits for a seed's copy at the first
+	// start of a whole fleet, before it reads the store itself: one reading a
+	// proxy would be most of the calls then. A proxy that starts later reads at
+	// once, for callers already come to it and hear "not now" until it knows.
 	seedPatience = 1200 * time.Millisecond
 	// followCheck is how often a proxy that is no relay looks whether it
 	// must ask the store itself.
@@ -64,10 +65,11 @@
 	}
 }
 
-// awaitSeed waits a while for a copy from a seed, unless this proxy is one.
+// awaitSeed waits a while for a copy from a seed when the whole fleet starts,
+// unless this proxy is a seed.
 func (f *follower) awaitSeed(ctx context.Context) {
 	settings := f.feed.daemon.settings
-	if len(settings.Seeds) == 0 || slices.Contains(settings.Seeds, settings.Listen.Peers) {
+	if !settings.FirstStart || len(settings.Seeds) == 0 || slices.Contains(settings.Seeds, settings.Listen.Peers) {
 		return
 	}
 	end := f.feed.daemon.now().Add(seedPatience)
--- a/internal/proxy/forward/settings.go
+++ b/internal/proxy/forward/settings.go
@@ -34,6 +34,8 @@
 		Listen Listen
 		// Seeds are peer addresses of other proxies; they may be stale.
 		Seeds []netip.AddrPort
+		// FirstStart is set when the whole system starts for the first time.
+		FirstStart bool
 		// RegionOf tells the region of each failure domain.
 		RegionOf    map[string]string
 		MemoryBytes int64
