--- a/internal/adapter/backendhttp/client.go
+++ b/internal/adapter/backendhttp/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backend"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
 )
@@ -34,14 +35,6 @@
 	keyHeaderLower = "idempotency-key"
 )
 
-var (
-	// hopHeaders concern one connection only and are never passed on.
-	hopHeaders = []string{
-		"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-		"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-	}
-)
-
 type (
 	// Client sends requests to backend servers.
 	Client struct {
@@ -133,7 +126,7 @@
 	}
 	// Without this function the transport cannot send the body twice.
 	request.GetBody = nil
-	CopyHeader(request.Header, r.Header)
+	serverhttp.CopyHeader(request.Header, r.Header)
 	hideKey(request.Header)
 	request.Header.Del(caller.HeaderToken)
 	request.Header.Set(caller.HeaderRequest, r.ID)
@@ -167,7 +160,7 @@
 		return Response{Result: failure(ctx, true), Report: report, Err: err}
 	}
 	header := make(http.Header)
-	CopyHeader(header, response.Header)
+	serverhttp.CopyHeader(header, response.Header)
 	for _, own := range []string{caller.HeaderLoad, caller.HeaderLeaving} {
 		header.Del(own)
 	}
@@ -206,13 +199,3 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxHeaderBytes))
 	return response.StatusCode < http.StatusInternalServerError, c.report(response.Header)
 }
-
-// CopyHeader copies the fields that concern the message, not the connection.
-func CopyHeader(into, from http.Header) {
-	for name, values := range from {
-		into[name] = append([]string(nil), values...)
-	}
-	for _, name := range hopHeaders {
-		into.Del(name)
-	}
-}
--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -22,8 +22,8 @@
 	Status struct {
 		VM            string          `json:"vm"`
 		Configuration uint64          `json:"configuration-version"`
-		StoreRevision uint64          `json:"store-revision"`
-		StoreAge      string          `json:"store-age"`
+		CopyRevision  uint64          `json:"copy-revision"`
+		CopyAge       string          `json:"copy-age"`
 		InFlight      int             `json:"in-flight"`
 		Stopping      bool            `json:"stopping"`
 		Evacuated     []string        `json:"evacuated-failure-domains,omitempty"`
--- a/internal/client/command/steering.go
+++ b/internal/client/command/steering.go
@@ -137,7 +137,7 @@
 		}
 		v := a.Value
 		fmt.Fprintf(&text, "%-24s %-16s %-12s %7d %9d %8s %9d %8d\n", v.VM, a.Proxy.Domain, a.Proxy.Region,
-			v.Configuration, v.StoreRevision, v.StoreAge, v.InFlight, len(v.Servers))
+			v.Configuration, v.CopyRevision, v.CopyAge, v.InFlight, len(v.Servers))
 	}
 	return Result{Text: text.String(), Data: answers}, nil
 }
--- a/internal/proxy/forward/face.go
+++ b/internal/proxy/forward/face.go
@@ -68,8 +68,8 @@
 	var table *routing.Table
 	d.do(func(k *steering.Kernel, now time.Time) { view, table = k.Status(now), k.Table() })
 	s := steeringhttp.Status{
-		VM: d.settings.Name, Configuration: view.Version, StoreRevision: d.feed.revision(),
-		StoreAge: d.feed.age().Round(time.Millisecond).String(), InFlight: view.InFlight, Stopping: d.isStopping(),
+		VM: d.settings.Name, Configuration: view.Version, CopyRevision: d.feed.revision(),
+		CopyAge: d.feed.age().Round(time.Millisecond).String(), InFlight: view.InFlight, Stopping: d.isStopping(),
 		Evacuated: view.Evacuated, Proxies: d.feed.proxies(), At: time.Now(),
 	}
 	for _, b := range view.Servers {
