An address that another server has does not use up an attempt

Cause: with two crashed servers' addresses reused, a request met two of them and was refused though a third was free; none of its service had had it.

--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -256,7 +256,11 @@
 		}
 		return k.send(now, f)
 	}
-	f.sends++
+	if a.Result != Mistaken {
+		// Another server has the address: none of the service has had it yet.
+		f.sends++
+	}
+	f.dials++
 	f.mayHaveRun = f.mayHaveRun || a.Result == Broken || a.Result == Failed
 	reason := reasonOf(a.Result)
 	if k.mayRepeat(now, f) {
@@ -291,7 +295,7 @@
 	if f.mayHaveRun && !f.Route.Idempotent {
 		return false
 	}
-	if f.sends >= f.Route.Attempts || f.Until.Sub(now) < leastLeft {
+	if f.sends >= f.Route.Attempts || f.dials >= sendsMost || f.Until.Sub(now) < leastLeft {
 		return false
 	}
 	return k.service(f.Service).repeats.Spend(now, len(k.proxies))
