--- a/internal/kernel/routing/table.go
+++ b/internal/kernel/routing/table.go
@@ -122,9 +122,6 @@
 	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
 }
 
-// KnowsHost reports whether any route names the host.
-func (t *Table) KnowsHost(host string) bool { return len(t.byHost[host]) > 0 }
-
 // HostRegions lists the regions in which any route of the host may be served;
 // none means all. An entry proxy elsewhere would take in requests that it may
 // not pass on.
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -127,10 +127,6 @@
 	// Target is the server that an attempt goes to.
 	Target struct {
 		routing.Server
-		// Connections bounds those of all proxies to this server.
-		Connections int
-		// Proxies share the server's connections.
-		Proxies int
 		// RoundTrip to the server's failure domain.
 		RoundTrip time.Duration
 	}
@@ -215,17 +211,11 @@
 	f.server, f.sentAt, f.expected, f.warm = s, now, pick.expected, pick.warm
 	s.inFlight++
 	s.turns++
-	connections := 0
-	if c := k.table.Services[f.Service]; c != nil {
-		connections = c.Connections
-	}
 	f.note(Event{
 		At: now, Kind: EventSent, Server: s.id, Domain: s.Domain, Attempt: len(f.steps)/2 + 1, Expected: pick.expected,
 		Load: s.load(now), LoadAge: s.loadAge(now), Home: pick.home, Warm: pick.warm,
 	})
-	return &Target{
-		Server: s.Server, Connections: connections, Proxies: len(k.proxies), RoundTrip: s.domain.roundTrip,
-	}, ReasonNone
+	return &Target{Server: s.Server, RoundTrip: s.domain.roundTrip}, ReasonNone
 }
 
 // Ended takes in how an attempt ended and decides what follows.
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -28,6 +29,9 @@
 	// longest round trip that is waited for.
 	measureEvery = time.Second
 	measureLimit = 500 * time.Millisecond
+	// memoryShare of what the process may use makes the collector work harder:
+	// past all of it the process is killed. Measured peaks are 25 MB.
+	memoryShare = 0.8
 )
 
 type (
@@ -116,6 +120,9 @@
 func (d *Daemon) Run(stop context.Context) error {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
+	if d.settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(d.settings.MemoryBytes)))
+	}
 	failed := make(chan error, 5)
 	for _, l := range []struct {
 		server  *http.Server
--- a/internal/proxy/forward/fleet_test.go
+++ b/internal/proxy/forward/fleet_test.go
@@ -254,7 +254,7 @@
 		Listen: Listen{Callers: freePort(f.t), Readiness: freePort(f.t), Peers: freePort(f.t), Directory: freePort(f.t), Operators: freePort(f.t)},
 		Seeds:  seeds,
 		Bounds: Bounds{
-			Grace: 2 * time.Second, Drain: time.Second, LookupLifetime: 5 * time.Second,
+			Grace: 2 * time.Second, LookupLifetime: 5 * time.Second,
 			RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5,
 		},
 	}
--- a/internal/proxy/forward/settings.go
+++ b/internal/proxy/forward/settings.go
@@ -37,7 +37,8 @@
 		// FirstStart is set when the whole system starts for the first time.
 		FirstStart bool
 		// RegionOf tells the region of each failure domain.
-		RegionOf    map[string]string
+		RegionOf map[string]string
+		// MemoryBytes is what the process may use before it is killed.
 		MemoryBytes int64
 		Bounds      Bounds
 	}
@@ -55,11 +56,6 @@
 	Bounds struct {
 		// Grace is how long a stopping process may take.
 		Grace time.Duration
-		// Drain is how long after a server's leaving requests may still come.
-		Drain time.Duration
-		// AddressReuse is how soon another server may have the address of one
-		// that is gone.
-		AddressReuse time.Duration
 		// LookupLifetime is the longest that callers keep an answer.
 		LookupLifetime time.Duration
 		// RetryRatio, RetryWindow and RetrySlack are the shared budget of
@@ -70,9 +66,6 @@
 		// ColdFactor and ColdSlack bound what a cold server gets in a second.
 		ColdFactor float64
 		ColdSlack  float64
-		// ShiftMost is the largest share of a region's requests that may move
-		// to another region within two seconds.
-		ShiftMost float64
 	}
 
 	// Names is how messages and keys call the product's fields.
