A hang-up reloads the settings instead of ending the process

Settings are read again on a hang-up and every five seconds; a wrong file is told by field and the ones before stay.

--- a/cmd/gypsumquayd/main.go
+++ b/cmd/gypsumquayd/main.go
@@ -77,6 +77,7 @@
 // onPlatform runs a proxy that takes its settings and its servers from the
 // platform.
 func onPlatform(stop context.Context, a arguments) int {
+	told := hangUps()
 	if a.Settings == "" {
 		a.Settings = os.Getenv(platform.SettingsVariable)
 	}
@@ -92,12 +93,28 @@
 	buffer := logs.NewBuffer(os.Stdout, logLines)
 	defer buffer.Close()
 	logs.Setup(buffer, a.Verbosity, "vm", s.Proxy.Name)
-	d, err := forward.New(&s.Proxy, platform.Seams(s, buffer.Dropped))
+	d, err := forward.New(&s.Proxy, platform.Seams(a.Settings, s, buffer.Dropped))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
 	}
-	return run(stop, d.Run)
+	return run(stop, func(stop context.Context) error { return d.Run(stop, told) })
+}
+
+// hangUps tells of each hang-up signal; unhandled it would end the process.
+func hangUps() <-chan struct{} {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	told := make(chan struct{}, 1)
+	go func() {
+		for range signals {
+			select {
+			case told <- struct{}{}:
+			default:
+			}
+		}
+	}()
+	return told
 }
 
 func run(stop context.Context, serve func(context.Context) error) int {
--- a/internal/fake/warmnet/play.go
+++ b/internal/fake/warmnet/play.go
@@ -137,7 +137,9 @@
 	for i, p := range all {
 		k := steering.New(steering.Config{
 			Name: p.Name, Domain: p.Domain, Region: p.Region, RegionOf: regionOf, Placer: placer, Seed: [32]byte{byte(i), byte(seed)},
-			Retry: steering.RetryBudget{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}, ColdFactor: 1.5, ColdSlack: 5,
+			Bounds: steering.Bounds{
+				Retry: steering.RetryBudget{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}, ColdFactor: 1.5, ColdSlack: 5,
+			},
 		})
 		k.SetProxies(all)
 		w.configure(k, p.Region)
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -28,16 +28,21 @@
 		Address netip.AddrPort
 		// RegionOf tells the region of each failure domain.
 		RegionOf map[string]string
+		Bounds
+		Seed [32]byte
+		// Placer names a registered placer; empty for the default.
+		Placer string
+		// Observe sees each decision; nil for none.
+		Observe func(Event)
+	}
+
+	// Bounds are the limits that the operators have agreed on.
+	Bounds struct {
 		// Retry is the shared budget of repeats, for each service.
 		Retry RetryBudget
 		// ColdFactor and ColdSlack bound what a cold server gets in a second.
 		ColdFactor float64
 		ColdSlack  float64
-		Seed       [32]byte
-		// Placer names a registered placer; empty for the default.
-		Placer string
-		// Observe sees each decision; nil for none.
-		Observe func(Event)
 	}
 
 	// RetryBudget bounds repeats over all proxies.
@@ -105,6 +110,14 @@
 	}
 }
 
+// SetBounds brings other limits into force; what was counted stands.
+func (k *Kernel) SetBounds(b Bounds) {
+	k.config.Bounds = b
+	for _, g := range k.services {
+		g.repeats.Ratio, g.repeats.Slack = b.Retry.Ratio, b.Retry.Slack
+	}
+}
+
 // Version is the version in force, zero for none.
 func (k *Kernel) Version() uint64 {
 	if k.table == nil {
--- a/internal/kernel/steering/story_test.go
+++ b/internal/kernel/steering/story_test.go
@@ -133,7 +133,7 @@
 	}
 	r.kernel = New(Config{
 		Name: "proxy-0", Domain: domain, Region: regionOf[domain], RegionOf: regionOf,
-		Retry: RetryBudget{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}, ColdFactor: 1.5, ColdSlack: 5,
+		Bounds: Bounds{Retry: RetryBudget{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}, ColdFactor: 1.5, ColdSlack: 5},
 	})
 	var proxies []Proxy
 	for i := 1; i < r.story.Proxies; i++ {
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -43,6 +43,8 @@
 
 		mu     sync.Mutex
 		kernel *steering.Kernel
+		// inForce are the bounds in force; those of settings are the first.
+		inForce Bounds
 
 		callers   *http.Server
 		servers   *serverhttp.Client
@@ -65,15 +67,12 @@
 func New(s *Settings, seams Seams) (*Daemon, error) {
 	config := steering.Config{
 		Name: s.Name, Domain: s.Domain, Region: s.Region, Address: s.Listen.Callers, RegionOf: s.RegionOf,
-		Retry: steering.RetryBudget{
-			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow,
-		},
-		ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack,
+		Bounds: boundsOf(s),
 	}
 	if _, err := rand.Read(config.Seed[:]); err != nil {
 		return nil, errors.Wrap(err, "seed")
 	}
-	d := &Daemon{settings: s, seams: seams, start: time.Now(), stopping: make(chan struct{})}
+	d := &Daemon{settings: s, seams: seams, start: time.Now(), inForce: s.Bounds, stopping: make(chan struct{})}
 	d.meters = newMeters()
 	d.journal = newJournal(s.Name, d.now, d.meters)
 	config.Observe = d.journal.event
@@ -116,8 +115,9 @@
 	}
 }
 
-// Run serves until stop ends, then stops as planned.
-func (d *Daemon) Run(stop context.Context) error {
+// Run serves until stop ends, then stops as planned. Each value of told means
+// that the settings may have changed.
+func (d *Daemon) Run(stop context.Context, told <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
 	if d.settings.MemoryBytes > 0 {
@@ -148,6 +148,7 @@
 	go d.follower.run(ctx)
 	go d.gossip.run(ctx)
 	go d.keeper.run(ctx)
+	go d.followSettings(ctx, told)
 	go d.tick(ctx)
 	go d.measure(ctx)
 	klog.InfoS("serving", "callers", d.settings.Listen.Callers, "directory", d.settings.Listen.Directory)
--- a/internal/proxy/forward/face.go
+++ b/internal/proxy/forward/face.go
@@ -51,7 +51,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		data, err := d.seams.Codec.LookupAnswer(list, min(lookupLifetime, d.settings.Bounds.LookupLifetime))
+		data, err := d.seams.Codec.LookupAnswer(list, min(lookupLifetime, d.bounds().LookupLifetime))
 		if err != nil {
 			w.WriteHeader(http.StatusInternalServerError)
 			return
--- a/internal/proxy/forward/fleet_test.go
+++ b/internal/proxy/forward/fleet_test.go
@@ -266,14 +266,14 @@
 			Configuration: "config", Evacuations: "evacuate/", Servers: "servers/",
 		},
 		Store: l.seams(),
-		Codec: testCodec(), Dropped: func() uint64 { return 0 },
+		Codec: testCodec(), Dropped: func() uint64 { return 0 }, Settings: func() (*Settings, error) { return s, nil },
 	})
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- d.Run(ctx) }()
+	go func() { ended <- d.Run(ctx, nil) }()
 	f.daemons, f.links, f.stops, f.ended = append(f.daemons, d), append(f.links, l), append(f.stops, stop), append(f.ended, ended)
 	f.t.Cleanup(func() {
 		stop()
--- /dev/null
+++ b/internal/proxy/forward/reload.go
@@ -0,0 +1,81 @@
+package forward
+
+import (
+	"context"
+	"reflect"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+)
+
+const (
+	// rereadEvery is how often the settings are read without being told to:
+	// they may change without a signal.
+	rereadEvery = 5 * time.Second
+)
+
+// followSettings reads the settings again when told to and from time to time.
+func (d *Daemon) followSettings(ctx context.Context, told <-chan struct{}) {
+	ticker := time.NewTicker(rereadEvery)
+	defer ticker.Stop()
+	complaint := ""
+	for {
+		hangUp := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-told:
+			hangUp = true
+		case <-ticker.C:
+		}
+		s, err := d.seams.Settings()
+		if err == nil {
+			complaint = ""
+			d.reload(s, hangUp)
+			continue
+		}
+		if hangUp || err.Error() != complaint {
+			complaint = err.Error()
+			klog.ErrorS(err, "settings refused; those before stay in force")
+		}
+	}
+}
+
+// reload takes new bounds in. Names, places and addresses hold for the life of
+// a process: a change of them is told and waits for the next start.
+func (d *Daemon) reload(s *Settings, hangUp bool) {
+	changed := !reflect.DeepEqual(s.Bounds, d.bounds())
+	if changed {
+		d.do(func(k *steering.Kernel, _ time.Time) { k.SetBounds(boundsOf(s)) })
+		d.setBounds(s.Bounds)
+	}
+	rest := *s
+	rest.Bounds = d.settings.Bounds
+	waits := !reflect.DeepEqual(&rest, d.settings)
+	if changed || hangUp {
+		klog.InfoS("settings in force", "bounds-changed", changed, "other-changes-wait-for-a-start", waits)
+	}
+}
+
+func (d *Daemon) bounds() Bounds {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.inForce
+}
+
+func (d *Daemon) setBounds(b Bounds) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.inForce = b
+}
+
+func boundsOf(s *Settings) steering.Bounds {
+	return steering.Bounds{
+		Retry: steering.RetryBudget{
+			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow,
+		},
+		ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack,
+	}
+}
--- a/internal/proxy/forward/settings.go
+++ b/internal/proxy/forward/settings.go
@@ -120,6 +120,8 @@
 		Names Names
 		Store Store
 		Codec Codec
+		// Settings reads the settings again.
+		Settings func() (*Settings, error)
 		// Dropped counts the log lines that found no room.
 		Dropped func() uint64
 	}
--- a/internal/proxy/forward/stop.go
+++ b/internal/proxy/forward/stop.go
@@ -22,14 +22,14 @@
 // ready, is no longer named to callers, serves those that still come, and
 // closes connections only when they are idle.
 func (d *Daemon) stop(ctx context.Context) {
-	began := d.now()
-	klog.InfoS("stopping", "grace", d.settings.Bounds.Grace.String())
+	began, grace := d.now(), d.bounds().Grace
+	klog.InfoS("stopping", "grace", grace.String())
 	close(d.stopping)
 	d.do(func(k *steering.Kernel, _ time.Time) { k.Leave() })
 	d.gossip.spread(ctx, d.feed.revision())
 	d.keeper.leave(ctx)
-	time.Sleep(time.Duration(drainShare * float64(d.settings.Bounds.Grace)))
-	end := began.Add(d.settings.Bounds.Grace - stopMargin)
+	time.Sleep(time.Duration(drainShare * float64(grace)))
+	end := began.Add(grace - stopMargin)
 	limited, cancel := context.WithTimeout(ctx, end.Sub(d.now()))
 	defer cancel()
 	if err := d.callers.Shutdown(limited); err != nil {
