--- /dev/null
+++ b/internal/kernel/replica/allowance.go
@@ -0,0 +1,46 @@
+package replica
+
+import (
+	"time"
+)
+
+const (
+	// wholePerSecond is how many bytes a second a proxy gives away as whole
+	// copies in the long run: eight times what control may take, and only
+	// while peers start or come back.
+	wholePerSecond = 64 << 10
+	// wholeAtOnce is what it may give away at once, some copies of a fleet of
+	// a hundred VMs. In a fleet of 300 that starts together, copies of 750 KB
+	// for all that asked filled the links and held up everything else.
+	wholeAtOnce = 1 << 20
+)
+
+type (
+	// Allowance bounds the whole copies that a proxy gives to its peers. One
+	// that is refused asks another peer, or the store.
+	Allowance struct {
+		spent float64
+		at    time.Time
+	}
+)
+
+// Take reports whether a copy of a size may be given away now, and counts it.
+func (a *Allowance) Take(now time.Time, bytes int) bool {
+	a.spent = max(0, a.spent-now.Sub(a.at).Seconds()*wholePerSecond)
+	a.at = now
+	if a.spent+float64(bytes) > wholeAtOnce {
+		return false
+	}
+	a.spent += float64(bytes)
+	return true
+}
+
+// Size is about how many bytes the delta takes in a message.
+func (d Delta) Size() int {
+	const perEntry = 16
+	n := 0
+	for _, e := range d.Entries {
+		n += len(e.Key) + len(e.Value) + perEntry
+	}
+	return n
+}
--- a/internal/kernel/replica/copy.go
+++ b/internal/kernel/replica/copy.go
@@ -94,6 +94,10 @@
 	return append(changed, removed...), true
 }
 
+// Behind reports whether a copy at a revision lacks more than this one can tell
+// in changes, so that it needs everything.
+func (c *Copy) Behind(revision uint64) bool { return revision == 0 || revision < c.floor }
+
 // put takes in one entry if it is newer than what is known of its key.
 func (c *Copy) put(e Entry) bool {
 	if e.Revision <= c.entries[e.Key].Revision || e.Revision <= c.removals[e.Key] {
@@ -138,7 +142,7 @@
 // Since is what a copy at a revision lacks.
 func (c *Copy) Since(now time.Time, revision uint64) Delta {
 	d := Delta{Base: revision, Revision: c.revision, Age: c.Age(now)}
-	d.Whole = revision == 0 || revision < c.floor
+	d.Whole = c.Behind(revision)
 	for _, e := range c.entries {
 		if d.Whole || e.Revision > revision {
 			d.Entries = append(d.Entries, e)
--- a/internal/kernel/replica/replica_test.go
+++ b/internal/kernel/replica/replica_test.go
@@ -159,3 +159,33 @@
 		t.Errorf("rank of a name that is not listed is %d, want %d", got, len(list))
 	}
 }
+
+// A fleet of 300 starts together and all ask three seeds for everything. Given
+// to all, the copies filled the seeds' links for seconds, and a change that the
+// operator made was not in force in time.
+func TestWholeCopiesAreGivenWithinAnAllowance(t *testing.T) {
+	const size = 750 << 10
+	var a Allowance
+	given := 0
+	for i := range 300 {
+		if a.Take(start.Add(time.Duration(i)*10*time.Millisecond), size) {
+			given++
+		}
+	}
+	if given != 1 {
+		t.Errorf("%d copies of 750 KB were given within three seconds, want 1", given)
+	}
+	if !a.Take(start.Add(time.Minute), size) {
+		t.Error("none is given after a minute")
+	}
+	given = 0
+	var small Allowance
+	for range 66 {
+		if small.Take(start, 100<<10) {
+			given++
+		}
+	}
+	if given != 10 {
+		t.Errorf("%d copies of 100 KB were given at once, want 10", given)
+	}
+}
--- a/internal/proxy/forward/feed.go
+++ b/internal/proxy/forward/feed.go
@@ -31,9 +31,11 @@
 	feed struct {
 		daemon *Daemon
 
-		mu      sync.Mutex
-		copy    *replica.Copy
-		members map[string]member
+		mu   sync.Mutex
+		copy *replica.Copy
+		// allowance bounds the whole copies given to peers.
+		allowance replica.Allowance
+		members   map[string]member
 		// failedAt is when a call to the store failed last.
 		failedAt time.Time
 		lost     bool
@@ -173,16 +175,22 @@
 	}
 }
 
-// since is what a peer at a revision lacks; without anything newer it tells
-// the own revision and age alone.
+// since is what a peer at a revision lacks; without anything newer, or where the
+// peer needs more than may be given away now, it tells the own revision and age
+// alone. A peer that sees a newer revision and gets no news asks elsewhere.
 func (f *feed) since(revision uint64) replica.Delta {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.daemon.now()
+	hello := replica.Delta{Base: f.copy.Revision(), Revision: f.copy.Revision(), Age: f.copy.Age(now)}
 	if f.copy.Revision() <= revision {
-		return replica.Delta{Base: f.copy.Revision(), Revision: f.copy.Revision(), Age: f.copy.Age(now)}
+		return hello
 	}
-	return f.copy.Since(now, revision)
+	d := f.copy.Since(now, revision)
+	if d.Whole && !f.allowance.Take(now, d.Size()) {
+		return hello
+	}
+	return d
 }
 
 // age is how long ago the copy was known to be the store's state.
--- a/internal/proxy/forward/gossip.go
+++ b/internal/proxy/forward/gossip.go
@@ -19,6 +19,10 @@
 	gossipEvery = 500 * time.Millisecond
 	// seedEvery is that of a proxy which knows nothing yet.
 	seedEvery = 200 * time.Millisecond
+	// pushesMost bounds the peers that news are sent to at once; the others
+	// hear of them in their own exchanges, within a second or two. More would
+	// fill the link of a small VM where a region has a hundred.
+	pushesMost = 32
 	// farOneIn is how many exchanges go to another region: one in so many.
 	farOneIn = 4
 )
@@ -122,6 +126,8 @@
 // in case that region's relays are cut off.
 func (g *gossip) spread(ctx context.Context, since uint64) {
 	near, far := g.peers()
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	near = near[:min(len(near), pushesMost)]
 	for _, list := range far {
 		near = append(near, list[rand.N(len(list))])
 	}
