--- a/internal/proxy/forward/counted.go
+++ b/internal/proxy/forward/counted.go
@@ -13,10 +13,10 @@
 			called("range", err)
 			return items, revision, err
 		},
-		Watch: func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Item, uint64, error) {
-			items, revision, err := s.Watch(ctx, prefix, after, wait)
+		Watch: func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Item, error) {
+			items, err := s.Watch(ctx, prefix, after, wait)
 			called("watch", err)
-			return items, revision, err
+			return items, err
 		},
 		Grant: func(ctx context.Context, span time.Duration) (uint64, error) {
 			lease, err := s.Grant(ctx, span)
--- a/internal/proxy/forward/fleet_test.go
+++ b/internal/proxy/forward/fleet_test.go
@@ -38,6 +38,8 @@
 		owner    map[uint64]string
 		forgot   uint64
 		changed  chan struct{}
+		// deaf watches tell of no change.
+		deaf bool
 	}
 
 	// link is one proxy's way to the store, which a test can cut.
@@ -102,7 +104,7 @@
 func (s *memoryStore) forget() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.forgot = s.revision + 1
+	s.forgot = s.revision
 	s.log = nil
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -164,34 +166,34 @@
 	}
 }
 
-func (l *link) watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]Item, uint64, error) {
+func (l *link) watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]Item, error) {
 	end := time.After(wait)
 	for {
 		if l.down() {
-			return nil, 0, errCut
+			return nil, errCut
 		}
 		l.store.mu.Lock()
 		if after < l.store.forgot {
 			l.store.mu.Unlock()
-			return nil, 0, &StoreError{Outcome: StoreForgot}
+			return nil, &StoreError{Outcome: StoreForgot}
 		}
 		var items []Item
 		for _, i := range l.store.log {
-			if i.Revision > after {
+			if i.Revision > after && !l.store.deaf {
 				items = append(items, i)
 			}
 		}
-		revision, changed := l.store.revision, l.store.changed
+		changed := l.store.changed
 		l.store.mu.Unlock()
 		if len(items) > 0 {
-			return items, revision, nil
+			return items, nil
 		}
 		select {
 		case <-changed:
 		case <-end:
-			return nil, revision, nil
+			return nil, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, ctx.Err()
 		}
 	}
 }
@@ -426,6 +428,24 @@
 	f.eventually("the server is gone", func() bool { return f.ask(0, "/a/x") == http.StatusServiceUnavailable })
 }
 
+// Before it drops its history the store's watches hear nothing for a while. One
+// that ends meanwhile names the newest revision without the change that led to
+// it. A proxy that went on from there would miss a drain for good.
+func TestWatchThatHearsNothingDoesNotSkipChanges(t *testing.T) {
+	f := newFleet(t, 1)
+	f.eventually("requests are served", func() bool { return f.ask(0, "/a/x") == http.StatusOK })
+	f.store.mu.Lock()
+	f.store.deaf = true
+	f.store.mu.Unlock()
+	f.store.write("servers/s1", testServer{Service: "service", Domain: "a", Address: addressOf(f.backend.URL), Drains: true})
+	time.Sleep(watchWait + 200*time.Millisecond)
+	f.store.mu.Lock()
+	f.store.deaf = false
+	f.store.mu.Unlock()
+	f.store.forget()
+	f.eventually("the drain is known", func() bool { return f.ask(0, "/a/x") == http.StatusServiceUnavailable })
+}
+
 // The platform revokes a live proxy's key without telling it otherwise. It
 // must write the key again, or callers would no longer be sent there.
 func TestRevokedEntryIsWrittenAgain(t *testing.T) {
--- a/internal/proxy/forward/follow.go
+++ b/internal/proxy/forward/follow.go
@@ -84,7 +84,7 @@
 	if before == 0 {
 		return f.readAll(ctx)
 	}
-	items, revision, err := f.store.Watch(ctx, "", before, f.wait())
+	items, err := f.store.Watch(ctx, "", before, f.wait())
 	var refused *StoreError
 	if errors.As(err, &refused) && refused.Outcome == StoreForgot {
 		return f.readAll(ctx)
@@ -92,7 +92,7 @@
 	if err != nil {
 		return errors.Wrap(err, "watch")
 	}
-	delta := replica.Delta{Base: before, Revision: max(revision, before), Entries: entriesOf(items)}
+	delta := replica.Delta{Base: before, Revision: newest(before, items), Entries: entriesOf(items)}
 	if f.feed.apply(delta) && len(items) > 0 {
 		f.advanced(before)
 		sleep(ctx, gather)
@@ -100,6 +100,18 @@
 	return nil
 }
 
+// newest is the revision up to which a watch's answer is complete: that of its
+// last change. The store's own revision is not taken, for a watch that heard
+// nothing for a while names it without the changes that led to it, and they
+// would be missed for good. From an older one the store says that its history
+// is gone, and everything is read again.
+func newest(before uint64, items []Item) uint64 {
+	for _, i := range items {
+		before = max(before, i.Revision)
+	}
+	return before
+}
+
 // wait is how long this proxy's next watch should wait.
 func (f *follower) wait() time.Duration {
 	if rank := f.feed.rank(); rank > 0 && rank < replica.Relays {
--- a/internal/proxy/forward/settings.go
+++ b/internal/proxy/forward/settings.go
@@ -101,7 +101,7 @@
 	// Store is the platform's metadata store.
 	Store struct {
 		Range func(ctx context.Context, prefix string) ([]Item, uint64, error)
-		Watch func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Item, uint64, error)
+		Watch func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Item, error)
 		Grant func(ctx context.Context, span time.Duration) (uint64, error)
 		Renew func(ctx context.Context, lease uint64) error
 		Put   func(ctx context.Context, key string, value []byte, lease uint64) error
