Servers are grouped when next asked for, not at each registration

Found on reading the whole change: SetServer, RemoveServer and SetEvacuated each listed and sorted the servers of all services anew and dropped all homes, so a proxy that starts did work with the square of the fleet. Change: a mark, and the groups are made when a request needs them; the same groups.

--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -27,9 +27,10 @@
 	maxHeaderBytes = 64 << 10
 	// bodyDefault bounds bodies while no configuration says more.
 	bodyDefault = 1 << 20
-	// dialBase and dialDistances bound the opening of a connection: a dead
+	// dialBase and dialRoundTrips bound the opening of a connection: a dead
 	// server must not hold a request long, a far one needs its round trips.
-	dialBase = 250 * time.Millisecond
+	dialBase       = 250 * time.Millisecond
+	dialRoundTrips = 2
 	// deadlineMost is the longest wait of a caller that is believed.
 	deadlineMost = 10 * time.Minute
 )
@@ -103,7 +104,7 @@
 	return serverhttp.Request{
 		Address: t.Address, Instance: t.ID, Method: r.Method, Host: r.Host, Target: r.RequestURI,
 		Header: r.Header, Body: body, Attempt: q.ID, Deadline: f.Until,
-		DialLimit: min(dialBase+2*t.RoundTrip, f.Until.Sub(s.Now())),
+		DialLimit: min(dialBase+dialRoundTrips*t.RoundTrip, f.Until.Sub(s.Now())),
 	}
 }
 
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -67,6 +67,8 @@
 		proxies   []Proxy
 		distance  map[string]*distance
 		leaving   bool
+		// regroup is set when the groups of servers no longer hold.
+		regroup bool
 	}
 
 	// Proxy is a proxy that is alive, this one included.
@@ -157,7 +159,7 @@
 		s.coldUntil = later(s.coldUntil, now.Add(r.ColdFor))
 	}
 	if moved {
-		k.regroup()
+		k.regroup = true
 		k.config.Observe(Event{Kind: EventServer, Server: r.ID, Service: r.Service, Draining: r.Draining})
 	}
 }
@@ -170,7 +172,7 @@
 	}
 	s.gone = true
 	delete(k.servers, id)
-	k.regroup()
+	k.regroup = true
 	k.config.Observe(Event{Kind: EventServerGone, Server: id, Service: s.Service})
 }
 
@@ -240,7 +242,7 @@
 			}
 		}
 	}
-	k.regroup()
+	k.regroup = true
 	k.config.Observe(Event{Kind: EventEvacuated, Domain: domain, Draining: evacuated})
 }
 
@@ -278,8 +280,19 @@
 	return k.table.Services[service].ColdStart
 }
 
-// regroup lists the servers of each service anew after a change.
-func (k *Kernel) regroup() {
+// group is a service with the servers that may take its requests. They are
+// listed anew when next asked for and not at each change: a proxy that starts
+// hears of thousands of servers at once.
+func (k *Kernel) group(name string) *service {
+	if k.regroup {
+		k.regroup = false
+		k.listServers()
+	}
+	return k.service(name)
+}
+
+// listServers lists the servers of each service anew after changes.
+func (k *Kernel) listServers() {
 	for _, s := range k.services {
 		s.servers = s.servers[:0]
 		clear(s.homes)
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -197,7 +197,7 @@
 
 // place picks a server and counts the request in there.
 func (k *Kernel) place(now time.Time, f *Flight) (*Target, Reason) {
-	g := k.service(f.Service)
+	g := k.group(f.Service)
 	if f.Until.Sub(now) < leastLeft && len(f.tried) > 0 {
 		return nil, ReasonLate
 	}
@@ -299,7 +299,7 @@
 	}
 	if a.Leaving && !s.Draining {
 		s.Draining = true
-		k.regroup()
+		k.regroup = true
 		k.config.Observe(Event{Kind: EventServer, Server: s.id, Service: s.Service, Draining: true})
 	}
 	g := k.service(s.Service)
--- a/internal/proxy/driver/platform.go
+++ b/internal/proxy/driver/platform.go
@@ -10,6 +10,7 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
+	"github.com/gypsumquay/gypsumquay/internal/proxy/sleep"
 )
 
 const (
@@ -58,12 +59,12 @@
 	pause := backoffLeast
 	for ctx.Err() == nil {
 		if !w.relay() {
-			sleep(ctx, relayCheck)
+			sleep.For(ctx, relayCheck)
 			continue
 		}
 		if err := once(ctx); err != nil {
 			klog.V(1).InfoS("platform watch failed", "error", err.Error())
-			sleep(ctx, pause/2+rand.N(pause))
+			sleep.For(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, backoffMost)
 			continue
 		}
@@ -77,13 +78,6 @@
 	return relay
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // follow watches one key. hear gets each new value, or nil data when the key
 // is absent, and may return data to write in its place.
 func (w *Watcher) follow(key platform.Key, hear func(time.Time, []byte) []byte) func(context.Context) error {
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/adapter/steeringhttp"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+	"github.com/gypsumquay/gypsumquay/internal/proxy/sleep"
 )
 
 const (
@@ -179,7 +180,7 @@
 // them: where objects live depends on how far the regions are apart.
 func (d *Daemon) measure(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, measureEvery)
+		sleep.For(ctx, measureEvery)
 		var list []routing.Server
 		d.do(func(k *steering.Kernel, _ time.Time) { list = k.Unmeasured() })
 		for _, s := range list {
--- a/internal/proxy/forward/follow.go
+++ b/internal/proxy/forward/follow.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
+	"github.com/gypsumquay/gypsumquay/internal/proxy/sleep"
 )
 
 const (
@@ -51,12 +52,12 @@
 	pause := retryLeast
 	for ctx.Err() == nil {
 		if !f.feed.follows() {
-			sleep(ctx, followCheck)
+			sleep.For(ctx, followCheck)
 			continue
 		}
 		if err := f.step(ctx); err != nil {
 			f.feed.failed(err)
-			sleep(ctx, pause/2+rand.N(pause))
+			sleep.For(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, retryMost)
 			continue
 		}
@@ -74,7 +75,7 @@
 	}
 	end := f.feed.daemon.now().Add(seedPatience)
 	for ctx.Err() == nil && f.feed.revision() == 0 && f.feed.daemon.now().Before(end) {
-		sleep(ctx, retryLeast)
+		sleep.For(ctx, retryLeast)
 	}
 }
 
@@ -95,7 +96,7 @@
 	delta := replica.Delta{Base: before, Revision: newest(before, items), Entries: entriesOf(items)}
 	if f.feed.apply(delta) && len(items) > 0 {
 		f.advanced(before)
-		sleep(ctx, gather)
+		sleep.For(ctx, gather)
 	}
 	return nil
 }
@@ -139,10 +140,3 @@
 	}
 	return list
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/proxy/forward/gossip.go
+++ b/internal/proxy/forward/gossip.go
@@ -12,6 +12,7 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/peerdrpc"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
+	"github.com/gypsumquay/gypsumquay/internal/proxy/sleep"
 )
 
 const (
@@ -41,7 +42,7 @@
 		if g.feed.revision() == 0 {
 			every = seedEvery
 		}
-		sleep(ctx, every/2+rand.N(every))
+		sleep.For(ctx, every/2+rand.N(every))
 		if to, ok := g.pick(); ok {
 			g.exchange(ctx, to)
 		}
--- a/internal/proxy/forward/member.go
+++ b/internal/proxy/forward/member.go
@@ -8,6 +8,8 @@
 
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
+
+	"github.com/gypsumquay/gypsumquay/internal/proxy/sleep"
 )
 
 const (
@@ -44,7 +46,7 @@
 		}
 		if err != nil {
 			k.feed.failed(err)
-			sleep(ctx, retryLeast+rand.N(retryMost))
+			sleep.For(ctx, retryLeast+rand.N(retryMost))
 			k.feed.writeSoon()
 		}
 	}
