The test of restarted proxies uses a daemon that is not running

The product was not at fault: nothing in it writes settings after New but the reload, which replaces bounds under the lock. Ruled out: other tests that write settings of a running daemon (none found). Change: the test makes a second daemon that never runs. What it asserts stays.

--- a/internal/proxy/forward/fleet_test.go
+++ b/internal/proxy/forward/fleet_test.go
@@ -391,11 +391,14 @@
 // waiting for a seed cost a second of refusals.
 func TestRestartedProxyDoesNotWaitForSeeds(t *testing.T) {
 	f := newFleet(t, 1)
-	d := f.daemons[0]
-	d.settings.Seeds = []netip.AddrPort{freePort(t)}
 	for first, want := range map[bool]bool{true: true, false: false} {
-		d.settings.FirstStart = first
-		w := &follower{feed: newFeed(d), store: f.links[0].seams()}
+		s := *f.daemons[0].settings
+		s.Seeds, s.FirstStart = []netip.AddrPort{freePort(t)}, first
+		idle, err := New(&s, f.daemons[0].seams)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := &follower{feed: idle.feed, store: f.links[0].seams()}
 		ctx, cancel := context.WithCancel(context.Background())
 		returned := make(chan struct{})
 		go func() { w.awaitSeed(ctx); close(returned) }()
