Copies of the store at the size of hundreds of VMs

Cause: a proxy that has read the store remembers no removals before that, and took every peer that lagged by one change for one that lacks everything. Beside it a copy travelled as plain text (750 KB at 3,000 servers), all newcomers asked the same three seeds, relays were drawn without regard to their links, and news reached 32 peers of a hundred. Ruled out: exchanges at rest (120 bytes) and deltas to peers that remember. Change: a delta that may lack removals carries a digest of the keys and is taken only if it leads to them; after three that do not, everything is asked for. A proxy that may not give a copy names others. A reading of the store ends when a peer's copy comes. The widest links follow the store; in a region of more than 32 each proxy passes news on to four. TestALaggingPeerGetsEverything asked for everything at the first message; it now takes the three refused deltas as well, and that none of them is taken.

--- /dev/null
+++ b/internal/adapter/peerdrpc/sync_test.go
@@ -0,0 +1,74 @@
+package peerdrpc
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
+)
+
+// registrations is a whole copy of a fleet's servers, as they are registered.
+func registrations(n int) SyncMessage {
+	m := SyncMessage{From: "proxy-a", Delta: replica.Delta{Revision: uint64(n), Whole: true, Age: time.Second, Keys: 1 << 63}}
+	r := rand.New(rand.NewPCG(1, 1))
+	for i := range n {
+		m.Entries = append(m.Entries, replica.Entry{
+			Key: fmt.Sprintf("servers/i-%010x", r.Uint64()>>24), Revision: uint64(i + 1),
+			Value: fmt.Appendf(nil, `{"service":"s%d","address":"10.%d.%d.%d:%d","failure-domain":"north-%d","version":"v1","slots":4,"state":"ready","cold":"0ms","sequence":%d}`,
+				i%4, 1+i%3, 64+r.IntN(4), r.IntN(250), 8000+r.IntN(1000), i%6, 1+r.IntN(40)),
+		})
+	}
+	return m
+}
+
+// A few entries travel as they are and many packed; what arrives is the same.
+func TestSyncMessagesSurviveTheWire(t *testing.T) {
+	for _, n := range []int{0, 3, 500} {
+		want := registrations(n)
+		want.Unsure, want.Leaving, want.Others = true, true, []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:7001")}
+		out, err := syncOut(want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := syncIn(out)
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("%d entries: got %v (%v), want %v", n, got, err, want)
+		}
+	}
+}
+
+// A peer of another version, or one that is broken, sends what does not unpack.
+// It must be an error, not a copy without entries: that would remove all.
+func TestBrokenPackIsAnError(t *testing.T) {
+	out, err := syncOut(registrations(500))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, packed := range map[string][]byte{"cut": out.GetPacked()[:len(out.GetPacked())/2], "garbage": []byte("no pack")} {
+		broken := proto.CloneOf(out)
+		broken.Packed = packed
+		if _, err := syncIn(broken); err == nil {
+			t.Errorf("%s: got no error, want one", name)
+		}
+	}
+}
+
+func BenchmarkPack(b *testing.B) {
+	m := registrations(3000)
+	size := 0
+	for b.Loop() {
+		out, err := syncOut(m)
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(out.GetPacked())
+	}
+	b.ReportMetric(float64(m.Size())/float64(size), "x-smaller")
+	b.ReportMetric(float64(size), "bytes")
+}
--- a/internal/kernel/replica/allowance.go
+++ b/internal/kernel/replica/allowance.go
@@ -10,9 +10,12 @@
 	// while peers start or come back.
 	wholePerSecond = 64 << 10
 	// wholeAtOnce is what it may give away at once, some copies of a fleet of
-	// a hundred VMs. In a fleet of 300 that starts together, copies of 750 KB
+	// a hundred VMs, packed. In a fleet of 300 that starts together, copies of 750 KB
 	// for all that asked filled the links and held up everything else.
 	wholeAtOnce = 1 << 20
+	// packing is how many times smaller a whole copy is on its way, as measured
+	// in adapter/peerdrpc on registrations.
+	packing = 6
 )
 
 type (
@@ -35,7 +38,11 @@
 	return true
 }
 
-// Size is about how many bytes the delta takes in a message.
+// Cost is about how many bytes a whole copy takes on a link.
+func (d Delta) Cost() int { return d.Size() / packing }
+
+// Size is about how many bytes the delta takes in memory and in a
+// message that is not packed.
 func (d Delta) Size() int {
 	const perEntry = 16
 	n := 0
--- a/internal/kernel/replica/copy.go
+++ b/internal/kernel/replica/copy.go
@@ -6,12 +6,18 @@
 
 import (
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
 	// removalsMost bounds the removals remembered for peers that lag. A peer
 	// that lags further gets everything.
 	removalsMost = 2000
+	// mismatchesMost is how many peers may tell of changes that do not lead to
+	// their keys before the copy asks for everything. One or two may be in the
+	// middle of a reading; everything is a thousand times the size of a change.
+	mismatchesMost = 3
 )
 
 type (
@@ -30,6 +36,10 @@
 		Revision uint64
 		Whole    bool
 		Entries  []Entry
+		// Unsure is set if removals after Base may be missing. The changes are
+		// all there are if they lead to Keys, a digest of the keys at Revision.
+		Unsure bool
+		Keys   uint64
 		// Age is how long ago this was known to be the store's state.
 		Age time.Duration
 	}
@@ -43,6 +53,11 @@
 		removals  map[string]uint64
 		// floor is the revision after which all removals are remembered.
 		floor uint64
+		// keys is the digest of the keys held: the hashes of all, XORed.
+		keys uint64
+		// mismatches counts the deltas since the last advance that did not lead
+		// to their keys.
+		mismatches int
 	}
 )
 
@@ -63,7 +78,8 @@
 }
 
 // Apply takes in a delta and returns the entries that changed, removals last.
-// A delta that begins after the copy's revision leaves a gap and is refused.
+// A delta that begins after the copy's revision leaves a gap and is refused, and
+// so is one of which removals are missing.
 func (c *Copy) Apply(now time.Time, d Delta) ([]Entry, bool) {
 	if !d.Whole && (c.revision == 0 || d.Base > c.revision) {
 		return nil, false
@@ -71,6 +87,11 @@
 	if d.Revision < c.revision {
 		return nil, true
 	}
+	if d.Unsure && !d.Whole && c.keysAfter(d) != d.Keys {
+		c.mismatches++
+		return nil, false
+	}
+	c.mismatches = 0
 	var changed, removed []Entry
 	held := make(map[string]bool)
 	for _, e := range d.Entries {
@@ -94,21 +115,45 @@
 	return append(changed, removed...), true
 }
 
-// Behind reports whether a copy at a revision lacks more than this one can tell
-// in changes, so that it needs everything.
-func (c *Copy) Behind(revision uint64) bool { return revision == 0 || revision < c.floor }
+// Ask is the revision after which the copy asks peers for changes: its own, or
+// zero if it asks for everything.
+func (c *Copy) Ask() uint64 {
+	if c.mismatches >= mismatchesMost {
+		return 0
+	}
+	return c.revision
+}
+
+// keysAfter is the digest of the keys that a delta would lead to.
+func (c *Copy) keysAfter(d Delta) uint64 {
+	keys := c.keys
+	for _, e := range d.Entries {
+		if _, known := c.entries[e.Key]; c.newer(e) && known == e.Removed {
+			keys ^= xxhash.Sum64String(e.Key)
+		}
+	}
+	return keys
+}
+
+// newer reports whether an entry is newer than what is known of its key.
+func (c *Copy) newer(e Entry) bool {
+	return e.Revision > c.entries[e.Key].Revision && e.Revision > c.removals[e.Key]
+}
 
 // put takes in one entry if it is newer than what is known of its key.
 func (c *Copy) put(e Entry) bool {
-	if e.Revision <= c.entries[e.Key].Revision || e.Revision <= c.removals[e.Key] {
+	if !c.newer(e) {
 		return false
 	}
+	_, known := c.entries[e.Key]
+	if known == e.Removed {
+		c.keys ^= xxhash.Sum64String(e.Key)
+	}
 	if !e.Removed {
 		delete(c.removals, e.Key)
 		c.entries[e.Key] = e
 		return true
 	}
-	_, known := c.entries[e.Key]
 	delete(c.entries, e.Key)
 	c.remember(e.Key, e.Revision)
 	return known
@@ -122,6 +167,7 @@
 			continue
 		}
 		delete(c.entries, key)
+		c.keys ^= xxhash.Sum64String(key)
 		c.remember(key, d.Revision)
 		removed = append(removed, Entry{Key: key, Revision: d.Revision, Removed: true})
 	}
@@ -139,10 +185,14 @@
 	c.removals[key] = revision
 }
 
-// Since is what a copy at a revision lacks.
+// Since is what a copy at a revision lacks. One that lags by more than the
+// removals remembered gets the changes with the digest of the keys: it mostly
+// lacks no removal, and everything would be a thousand times as much.
 func (c *Copy) Since(now time.Time, revision uint64) Delta {
-	d := Delta{Base: revision, Revision: c.revision, Age: c.Age(now)}
-	d.Whole = c.Behind(revision)
+	d := Delta{
+		Base: revision, Revision: c.revision, Age: c.Age(now),
+		Whole: revision == 0, Unsure: revision < c.floor, Keys: c.keys,
+	}
 	for _, e := range c.entries {
 		if d.Whole || e.Revision > revision {
 			d.Entries = append(d.Entries, e)
--- a/internal/kernel/replica/relay.go
+++ b/internal/kernel/replica/relay.go
@@ -23,14 +23,28 @@
 	takeOverMost = 10
 )
 
-// Rank is a proxy's place among the names of its region, in an order that
+type (
+	// Candidate is a proxy that may be its region's relay.
+	Candidate struct {
+		Name string
+		// LinkMbps is how wide its link is, in Mbit/s; zero if not known.
+		LinkMbps int
+	}
+)
+
+// Rank is a proxy's place among those of its region: the widest links first, for
+// a relay sends each change to dozens, and among equal ones in an order that
 // spreads the relays over the names. A name that is not listed comes last.
-func Rank(name string, names []string) int {
-	ordered := slices.Clone(names)
-	slices.SortFunc(ordered, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+func Rank(name string, region []Candidate) int {
+	ordered := slices.Clone(region)
+	slices.SortFunc(ordered, func(a, b Candidate) int {
+		return cmp.Or(
+			cmp.Compare(b.LinkMbps, a.LinkMbps),
+			cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)),
+			cmp.Compare(a.Name, b.Name),
+		)
 	})
-	if i := slices.Index(ordered, name); i >= 0 {
+	if i := slices.IndexFunc(ordered, func(c Candidate) bool { return c.Name == name }); i >= 0 {
 		return i
 	}
 	return len(ordered)
--- a/internal/kernel/replica/replica_test.go
+++ b/internal/kernel/replica/replica_test.go
@@ -92,7 +92,8 @@
 }
 
 // So many servers come and go that their removals are no longer remembered. A
-// peer that lags behind must then get everything, or it keeps dead servers.
+// peer that lags behind must not take the changes alone, or it keeps dead
+// servers; after a few tries it asks for everything.
 func TestALaggingPeerGetsEverything(t *testing.T) {
 	a, b := NewCopy(), NewCopy()
 	a.Apply(start, whole("a", "b"))
@@ -109,10 +110,34 @@
 			revision++
 		}
 	}
-	changed, _ := b.Apply(start, a.Since(start, b.Revision()))
+	for range mismatchesMost {
+		if changed, ok := b.Apply(start, a.Since(start, b.Ask())); ok {
+			t.Fatalf("changes without the removal of b were taken (%v)", names(changed))
+		}
+	}
+	changed, _ := b.Apply(start, a.Since(start, b.Ask()))
 	if got, want := names(changed), []string{"-b"}; !slices.Equal(got, want) {
 		t.Errorf("changed %v, want %v", got, want)
 	}
+	if got, want := b.Ask(), a.Revision(); got != want {
+		t.Errorf("asks for changes after %d, want %d", got, want)
+	}
+}
+
+// A proxy has just read the store. A peer that lags by one registration, and by
+// no removal, is brought up to date by that registration alone.
+func TestAPeerThatLacksNoRemovalGetsOnlyTheChanges(t *testing.T) {
+	lagging, reader := NewCopy(), NewCopy()
+	lagging.Apply(start, whole("a", "b"))
+	reader.Apply(start, Delta{Revision: 11, Whole: true, Entries: append(whole("a", "b").Entries, Entry{Key: "c", Revision: 11})})
+	d := reader.Since(start, lagging.Ask())
+	if len(d.Entries) != 1 {
+		t.Errorf("%d entries are sent, want 1", len(d.Entries))
+	}
+	changed, ok := lagging.Apply(start, d)
+	if got, want := names(changed), []string{"c"}; !ok || !slices.Equal(got, want) {
+		t.Errorf("changed %v (taken %t), want %v", got, ok, want)
+	}
 }
 
 // A relay's connection to the store has gone silent. Its copy stays complete
@@ -135,13 +160,13 @@
 // All relays of a region are cut off from the store. The others must ask it
 // themselves well within the time in which a change has to be in force.
 func TestOthersTakeOverWhenNoNewsArrive(t *testing.T) {
-	var list []string
+	var list []Candidate
 	for i := range 24 {
-		list = append(list, fmt.Sprintf("proxy-%d", i))
+		list = append(list, Candidate{Name: fmt.Sprintf("proxy-%d", i)})
 	}
 	fresh, late := 0, 0
-	for _, name := range list {
-		rank := Rank(name, list)
+	for _, c := range list {
+		rank := Rank(c.Name, list)
 		if Follows(rank, 500*time.Millisecond) {
 			fresh++
 		}
@@ -189,3 +214,21 @@
 		t.Errorf("%d copies of 100 KB were given at once, want 10", given)
 	}
 }
+
+// A relay sends each change to dozens of peers. On a link of 10 Mbit/s a burst of
+// registrations took seconds, while VMs with twenty times as much stood by.
+func TestRelaysAreThoseWithTheWidestLinks(t *testing.T) {
+	var list []Candidate
+	for i := range 24 {
+		c := Candidate{Name: fmt.Sprintf("proxy-%d", i), LinkMbps: 10}
+		if i%8 == 0 {
+			c.LinkMbps = 200
+		}
+		list = append(list, c)
+	}
+	for _, c := range list {
+		if rank := Rank(c.Name, list); (rank < 3) != (c.LinkMbps == 200) {
+			t.Errorf("%s with %d Mbit/s has rank %d", c.Name, c.LinkMbps, rank)
+		}
+	}
+}
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -144,7 +144,8 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	go func() { failed <- peerdrpc.ServeSync(ctx, peers, d.gossip.handle) }()
+	answer := func(m peerdrpc.SyncMessage) peerdrpc.SyncMessage { return d.gossip.handle(ctx, m) }
+	go func() { failed <- peerdrpc.ServeSync(ctx, peers, answer) }()
 	d.follower.advanced = func(before uint64) { d.gossip.spread(ctx, before) }
 	go d.follower.run(ctx)
 	go d.gossip.run(ctx)
--- a/internal/proxy/forward/feed.go
+++ b/internal/proxy/forward/feed.go
@@ -41,6 +41,9 @@
 		lost     bool
 		// rewrite asks for the own entry to be written again.
 		rewrite chan struct{}
+		// begun is closed once something is known.
+		begun     chan struct{}
+		beginOnce sync.Once
 	}
 
 	// member is a proxy's own entry in the store.
@@ -52,6 +55,8 @@
 		Peers   netip.AddrPort `json:"peers"`
 		// Operators is where the command line asks.
 		Operators netip.AddrPort `json:"operators"`
+		// LinkMbps is how wide its link is, in Mbit/s; zero if not known.
+		LinkMbps int `json:"link-mbps,omitempty"`
 		Leaving   bool           `json:"leaving,omitempty"`
 	}
 )
@@ -59,7 +64,7 @@
 func newFeed(d *Daemon) *feed {
 	return &feed{
 		daemon: d, copy: replica.NewCopy(), members: make(map[string]member),
-		rewrite: make(chan struct{}, 1),
+		rewrite: make(chan struct{}, 1), begun: make(chan struct{}),
 	}
 }
 
@@ -78,6 +83,7 @@
 	if len(changed) > 0 {
 		f.tellProxies()
 	}
+	f.beginOnce.Do(func() { close(f.begun) })
 	return f.copy.Revision() > before
 }
 
@@ -182,12 +188,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.daemon.now()
-	hello := replica.Delta{Base: f.copy.Revision(), Revision: f.copy.Revision(), Age: f.copy.Age(now)}
+	hello := replica.Delta{Base: f.copy.Ask(), Revision: f.copy.Ask(), Age: f.copy.Age(now)}
 	if f.copy.Revision() <= revision {
 		return hello
 	}
 	d := f.copy.Since(now, revision)
-	if d.Whole && !f.allowance.Take(now, d.Size()) {
+	if d.Whole && !f.allowance.Take(now, d.Cost()) {
 		return hello
 	}
 	return d
@@ -222,13 +228,13 @@
 func (f *feed) rank() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var names []string
+	var list []replica.Candidate
 	for _, m := range f.members {
 		if m.Region == f.daemon.settings.Region && !m.Leaving {
-			names = append(names, m.Name)
+			list = append(list, replica.Candidate{Name: m.Name, LinkMbps: m.LinkMbps})
 		}
 	}
-	return replica.Rank(f.daemon.settings.Name, names)
+	return replica.Rank(f.daemon.settings.Name, list)
 }
 
 // follows reports whether this proxy should ask the store itself.
--- a/internal/proxy/forward/follow.go
+++ b/internal/proxy/forward/follow.go
@@ -83,7 +83,7 @@
 func (f *follower) step(ctx context.Context) error {
 	before := f.feed.revision()
 	if before == 0 {
-		return f.readAll(ctx)
+		return f.readFirst(ctx)
 	}
 	items, err := f.store.Watch(ctx, "", before, f.wait())
 	var refused *StoreError
@@ -121,6 +121,24 @@
 	return watchWait
 }
 
+// readFirst reads everything, unless a peer's copy comes first: that is a sixth
+// of the size and one message, where the store needs a page for each 500 keys.
+func (f *follower) readFirst(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-f.feed.begun:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	if err := f.readAll(ctx); err != nil && f.feed.revision() == 0 {
+		return err
+	}
+	return nil
+}
+
 func (f *follower) readAll(ctx context.Context) error {
 	before := f.feed.revision()
 	items, revision, err := f.store.Range(ctx, "")
--- a/internal/proxy/forward/gossip.go
+++ b/internal/proxy/forward/gossip.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -18,12 +19,18 @@
 const (
 	// gossipEvery is how often a proxy compares copies with another one.
 	gossipEvery = 500 * time.Millisecond
-	// seedEvery is that of a proxy which knows nothing yet.
-	seedEvery = 200 * time.Millisecond
-	// pushesMost bounds the peers that news are sent to at once; the others
-	// hear of them in their own exchanges, within a second or two. More would
+	// seedEvery is that of a proxy which knows nothing yet: a round trip
+	// between regions and some time for a copy.
+	seedEvery = 150 * time.Millisecond
+	// pushesMost bounds the peers that news are sent to at once. More would
 	// fill the link of a small VM where a region has a hundred.
 	pushesMost = 32
+	// passesMost is how many peers a proxy passes news on to in a region that is
+	// larger than that: four from each of 32 reach a hundred with little to
+	// spare, and the exchanges make up for the rest.
+	passesMost = 4
+	// othersMost is how many peers a proxy names that may not give everything.
+	othersMost = 4
 	// farOneIn is how many exchanges go to another region: one in so many.
 	farOneIn = 4
 )
@@ -33,6 +40,10 @@
 	gossip struct {
 		feed *feed
 		send func(ctx context.Context, to netip.AddrPort, m peerdrpc.SyncMessage) (peerdrpc.SyncMessage, error)
+
+		mu sync.Mutex
+		// named are peers that the last answer named, to be asked next.
+		named []netip.AddrPort
 	}
 )
 
@@ -72,28 +83,51 @@
 	g.take(reply)
 }
 
-// handle answers a peer.
-func (g *gossip) handle(m peerdrpc.SyncMessage) peerdrpc.SyncMessage {
-	g.take(m)
-	return g.message(g.feed.since(m.Revision))
+// handle answers a peer, and in a large region passes its news on.
+func (g *gossip) handle(ctx context.Context, m peerdrpc.SyncMessage) peerdrpc.SyncMessage {
+	before := g.feed.revision()
+	if g.take(m) && before > 0 && len(m.Entries) > 0 {
+		g.pass(ctx, before)
+	}
+	answer := g.message(g.feed.since(m.Revision))
+	if m.Revision == 0 && !answer.Whole {
+		answer.Others = g.others()
+	}
+	return answer
 }
 
-func (g *gossip) take(m peerdrpc.SyncMessage) {
+// take takes a peer's message in and reports whether the copy advanced.
+func (g *gossip) take(m peerdrpc.SyncMessage) bool {
 	g.feed.hear(m.From, m.Leaving)
-	g.feed.apply(m.Delta)
+	g.mu.Lock()
+	g.named = m.Others
+	g.mu.Unlock()
+	return g.feed.apply(m.Delta)
+}
+
+// others names a few peers for one that starts: hundreds may start at once and
+// know the same three seeds, which could not give all of them everything.
+func (g *gossip) others() []netip.AddrPort {
+	near, far := g.peers()
+	list := slices.Concat(near, slices.Concat(slices.Collect(maps.Values(far))...))
+	return some(list, othersMost)
 }
 
 func (g *gossip) message(d replica.Delta) peerdrpc.SyncMessage {
 	return peerdrpc.SyncMessage{From: g.feed.daemon.settings.Name, Leaving: g.feed.daemon.isStopping(), Delta: d}
 }
 
-// pick draws a peer, mostly of the own region; without any known, a seed.
+// pick draws a peer, mostly of the own region; without any known, one that a
+// seed named, or a seed.
 func (g *gossip) pick() (netip.AddrPort, bool) {
 	near, far := g.peers()
 	list := near
 	if len(far) > 0 && (len(near) == 0 || rand.N(farOneIn) == 0) {
 		list = slices.Concat(slices.Collect(maps.Values(far))...)
 	}
+	if len(list) == 0 {
+		list = g.takeNamed()
+	}
 	if len(list) == 0 {
 		self := g.feed.daemon.settings.Listen.Peers
 		list = slices.DeleteFunc(slices.Clone(g.feed.daemon.settings.Seeds), func(a netip.AddrPort) bool { return a == self })
@@ -104,6 +138,17 @@
 	return list[rand.N(len(list))], true
 }
 
+// takeNamed lists the peers that the last answer named, once, without this
+// proxy: its entry of before a restart may still be there.
+func (g *gossip) takeNamed() []netip.AddrPort {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	self := g.feed.daemon.settings.Listen.Peers
+	list := slices.DeleteFunc(g.named, func(a netip.AddrPort) bool { return a == self })
+	g.named = nil
+	return list
+}
+
 // peers lists the other proxies of the own region and those of each other
 // region.
 func (g *gossip) peers() (near []netip.AddrPort, far map[string][]netip.AddrPort) {
@@ -127,12 +172,29 @@
 // in case that region's relays are cut off.
 func (g *gossip) spread(ctx context.Context, since uint64) {
 	near, far := g.peers()
-	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	near = near[:min(len(near), pushesMost)]
-	for _, list := range far {
-		near = append(near, list[rand.N(len(list))])
+	list := some(near, pushesMost)
+	for _, region := range far {
+		list = append(list, region[rand.N(len(region))])
 	}
-	for _, to := range near {
+	for _, to := range list {
 		go g.push(ctx, to, since)
 	}
 }
+
+// pass sends news on to a few peers where a region is too large for those who
+// follow the store to reach all of it.
+func (g *gossip) pass(ctx context.Context, since uint64) {
+	near, _ := g.peers()
+	if len(near) <= pushesMost {
+		return
+	}
+	for _, to := range some(near, passesMost) {
+		go g.push(ctx, to, since)
+	}
+}
+
+// some draws up to most of a list, which it reorders.
+func some(list []netip.AddrPort, most int) []netip.AddrPort {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), most)]
+}
--- /dev/null
+++ b/internal/proxy/forward/gossip_test.go
@@ -0,0 +1,133 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/adapter/peerdrpc"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
+)
+
+// idle makes a daemon that never runs, with the seams of one that does.
+func (f *fleet) idle() *Daemon {
+	f.t.Helper()
+	s := *f.daemons[0].settings
+	d, err := New(&s, f.daemons[0].seams)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return d
+}
+
+// servePeer answers the exchanges of proxies with a function.
+func servePeer(t *testing.T, answer func(peerdrpc.SyncMessage) peerdrpc.SyncMessage) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- peerdrpc.ServeSync(ctx, listener, answer) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// Hundreds of proxies start again while the store is down, and all know the
+// same seed, which has given away as much as its link carries. It names others,
+// and one of these gives the newcomer what it needs.
+func TestNewcomerAsksThoseThatASeedNames(t *testing.T) {
+	f := newFleet(t, 1)
+	seed := servePeer(t, func(peerdrpc.SyncMessage) peerdrpc.SyncMessage {
+		return peerdrpc.SyncMessage{
+			From: "seed", Delta: replica.Delta{Base: 99, Revision: 99},
+			Others: []netip.AddrPort{f.daemons[0].settings.Listen.Peers},
+		}
+	})
+	f.outage = true
+	f.start(1, []netip.AddrPort{seed})
+	f.eventually("the newcomer serves", func() bool { return f.ask(1, "/a/x") == http.StatusOK })
+}
+
+// A proxy that may not give everything away names others to one that starts, and
+// nothing to one that only lags.
+func TestOthersAreNamedToNewcomers(t *testing.T) {
+	f := newFleet(t, 2)
+	f.eventually("the proxies know each other", func() bool { return f.named(0) == 2 })
+	g := &gossip{feed: f.idle().feed}
+	g.feed.members["proxy-b"] = member{Name: "proxy-b", Region: "north", Peers: f.daemons[1].settings.Listen.Peers}
+	answer := g.handle(context.Background(), peerdrpc.SyncMessage{From: "newcomer"})
+	if got, want := fmt.Sprint(answer.Others), fmt.Sprint([]netip.AddrPort{f.daemons[1].settings.Listen.Peers}); got != want {
+		t.Errorf("a newcomer is told of %s, want %s", got, want)
+	}
+	answer = g.handle(context.Background(), peerdrpc.SyncMessage{From: "lags", Delta: replica.Delta{Base: 3, Revision: 3}})
+	if len(answer.Others) != 0 {
+		t.Errorf("a peer that lags is told of %v, want none", answer.Others)
+	}
+}
+
+// A large store is read in many pages over a narrow link. A peer's copy comes
+// first, and the reading must end: it would fill the link for another second.
+func TestReadingEndsWhenAPeersCopyComes(t *testing.T) {
+	f := newFleet(t, 1)
+	d := f.idle()
+	given := make(chan struct{})
+	w := &follower{feed: d.feed, advanced: func(uint64) {}, store: Store{
+		Range: func(ctx context.Context, _ string) ([]Item, uint64, error) {
+			close(given)
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		},
+	}}
+	ended := make(chan error, 1)
+	go func() { ended <- w.step(context.Background()) }()
+	<-given
+	d.feed.apply(replica.Delta{Revision: 7, Whole: true})
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("got %v, want no error: the store did not fail", err)
+		}
+	case <-time.After(patience):
+		t.Error("the reading goes on")
+	}
+}
+
+// A region has more proxies than its relays send a change to. Each that hears of
+// it tells a few others, once, or the rest would know a second later.
+func TestNewsArePassedOnInALargeRegion(t *testing.T) {
+	f := newFleet(t, 1)
+	for _, c := range []struct {
+		peers int
+		want  int32
+	}{{pushesMost, 0}, {pushesMost + 8, passesMost}} {
+		d := f.idle()
+		var sent atomic.Int32
+		g := &gossip{feed: d.feed, send: func(context.Context, netip.AddrPort, peerdrpc.SyncMessage) (peerdrpc.SyncMessage, error) {
+			sent.Add(1)
+			return peerdrpc.SyncMessage{}, nil
+		}}
+		for i := range c.peers {
+			name := fmt.Sprintf("peer-%d", i)
+			d.feed.members[name] = member{Name: name, Region: "north", Peers: freePort(t)}
+		}
+		d.feed.apply(replica.Delta{Revision: 7, Whole: true})
+		news := peerdrpc.SyncMessage{From: "peer-0", Delta: replica.Delta{Base: 7, Revision: 8, Entries: []replica.Entry{{Key: "x", Revision: 8}}}}
+		g.handle(context.Background(), news)
+		g.handle(context.Background(), news)
+		f.eventually(fmt.Sprintf("%d of %d peers are told", c.want, c.peers), func() bool { return sent.Load() == c.want })
+		time.Sleep(50 * time.Millisecond)
+		if got := sent.Load(); got != c.want {
+			t.Errorf("%d peers: news were sent %d times, want %d", c.peers, got, c.want)
+		}
+	}
+}
--- a/internal/proxy/forward/settings.go
+++ b/internal/proxy/forward/settings.go
@@ -40,6 +40,8 @@
 		RegionOf map[string]string
 		// MemoryBytes is what the process may use before it is killed.
 		MemoryBytes int64
+		// LinkMbps is how wide the VM's link is, in Mbit/s.
+		LinkMbps int
 		Bounds      Bounds
 	}
 
