A removal is doubted only where the store was away

With it: a relay that hears of a change from another region first passes it on; else nobody in its region does (both relays of a region were told so here).

--- a/internal/adapter/peerdrpc/sync.go
+++ b/internal/adapter/peerdrpc/sync.go
@@ -68,7 +68,7 @@
 func syncOut(m SyncMessage) (*peerpb.SyncMessage, error) {
 	out := &peerpb.SyncMessage{
 		From: m.From, Leaving: m.Leaving, Revision: m.Revision, AgeMilli: m.Age.Milliseconds(), Base: m.Base, Whole: m.Whole,
-		Unsure: m.Unsure, Keys: m.Keys,
+		Unsure: m.Unsure, Keys: m.Keys, Doubtful: m.Doubtful,
 	}
 	for _, a := range m.Others {
 		out.Others = append(out.Others, a.String())
@@ -89,7 +89,7 @@
 func syncIn(in *peerpb.SyncMessage) (SyncMessage, error) {
 	m := SyncMessage{From: in.GetFrom(), Leaving: in.GetLeaving()}
 	m.Base, m.Revision, m.Whole = in.GetBase(), in.GetRevision(), in.GetWhole()
-	m.Unsure, m.Keys = in.GetUnsure(), in.GetKeys()
+	m.Unsure, m.Keys, m.Doubtful = in.GetUnsure(), in.GetKeys(), in.GetDoubtful()
 	m.Age = time.Duration(in.GetAgeMilli()) * time.Millisecond
 	for _, text := range in.GetOthers() {
 		a, err := netip.ParseAddrPort(text)
--- a/internal/adapter/peerdrpc/sync_test.go
+++ b/internal/adapter/peerdrpc/sync_test.go
@@ -31,7 +31,7 @@
 func TestSyncMessagesSurviveTheWire(t *testing.T) {
 	for _, n := range []int{0, 3, 500} {
 		want := registrations(n)
-		want.Unsure, want.Leaving, want.Others = true, true, []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:7001")}
+		want.Unsure, want.Doubtful, want.Leaving, want.Others = true, true, true, []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:7001")}
 		out, err := syncOut(want)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/kernel/replica/copy.go
+++ b/internal/kernel/replica/copy.go
@@ -40,6 +40,9 @@
 		// all there are if they lead to Keys, a digest of the keys at Revision.
 		Unsure bool
 		Keys   uint64
+		// Doubtful is set if what is missing may have run out while the store
+		// was away, and may be back soon.
+		Doubtful bool
 		// Age is how long ago this was known to be the store's state.
 		Age time.Duration
 	}
@@ -93,10 +96,9 @@
 	}
 	c.mismatches = 0
 	var changed, removed []Entry
-	held := make(map[string]bool)
-	for _, e := range d.Entries {
-		held[e.Key] = true
-		if !c.put(e) {
+	last := lastOfEach(d.Entries)
+	for i, e := range d.Entries {
+		if last[e.Key] != i || !c.put(e) {
 			continue
 		}
 		if e.Removed {
@@ -106,7 +108,7 @@
 		}
 	}
 	if d.Whole {
-		removed = append(removed, c.prune(d, held)...)
+		removed = append(removed, c.prune(d, last)...)
 	}
 	c.revision = d.Revision
 	if at := now.Add(-d.Age); at.After(c.confirmed) {
@@ -115,6 +117,19 @@
 	return append(changed, removed...), true
 }
 
+// lastOfEach finds the place of each key's last entry. A watch tells every step
+// of a key that went and came back; told one by one, with removals last, a live
+// server would be gone for good.
+func lastOfEach(entries []Entry) map[string]int {
+	last := make(map[string]int, len(entries))
+	for i, e := range entries {
+		if before, seen := last[e.Key]; !seen || e.Revision >= entries[before].Revision {
+			last[e.Key] = i
+		}
+	}
+	return last
+}
+
 // Ask is the revision after which the copy asks peers for changes: its own, or
 // zero if it asks for everything.
 func (c *Copy) Ask() uint64 {
@@ -160,10 +175,10 @@
 }
 
 // prune removes what a whole copy of the store does not hold.
-func (c *Copy) prune(d Delta, held map[string]bool) []Entry {
+func (c *Copy) prune(d Delta, held map[string]int) []Entry {
 	var removed []Entry
 	for key, e := range c.entries {
-		if held[key] || e.Revision > d.Revision {
+		if _, stays := held[key]; stays || e.Revision > d.Revision {
 			continue
 		}
 		delete(c.entries, key)
--- a/internal/kernel/replica/replica_test.go
+++ b/internal/kernel/replica/replica_test.go
@@ -232,3 +232,21 @@
 		}
 	}
 }
+
+// A platform takes a server's entry away and the server writes it again at once;
+// one watch tells both. Told as removals after changes, the server would be gone
+// for good though it is alive.
+func TestKeyThatGoesAndComesBackInOneDelta(t *testing.T) {
+	c := NewCopy()
+	c.Apply(start, whole("a", "b"))
+	changed, _ := c.Apply(start, Delta{Base: 10, Revision: 14, Entries: []Entry{
+		{Key: "a", Revision: 11, Removed: true}, {Key: "a", Revision: 12, Value: []byte("again")},
+		{Key: "c", Revision: 13}, {Key: "c", Revision: 14, Removed: true},
+	}})
+	if got, want := names(changed), []string{"a"}; !slices.Equal(got, want) {
+		t.Errorf("changed %v, want %v", got, want)
+	}
+	if len(changed) > 0 && string(changed[0].Value) != "again" {
+		t.Errorf("the entry told is %q, want the last one", changed[0].Value)
+	}
+}
--- a/internal/proxy/forward/feed.go
+++ b/internal/proxy/forward/feed.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"encoding/json"
 	"net/netip"
 	"slices"
@@ -8,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/steeringhttp"
@@ -16,9 +18,6 @@
 )
 
 const (
-	// unsettledFor is how long after a failure of the store an absent
-	// registration may be one that the outage dropped.
-	unsettledFor = 6 * time.Second
 	// absentFor is how long such a registration is waited for. Live servers
 	// are back within about two seconds of the store's return.
 	absentFor = 2200 * time.Millisecond
@@ -36,9 +35,8 @@
 		// allowance bounds the whole copies given to peers.
 		allowance replica.Allowance
 		members   map[string]member
-		// failedAt is when a call to the store failed last.
-		failedAt time.Time
-		lost     bool
+		// outage is when the store was away.
+		outage replica.Outage
 		// rewrite asks for the own entry to be written again.
 		rewrite chan struct{}
 		// begun is closed once something is known.
@@ -79,14 +77,15 @@
 	}
 	f.tellProxies(changed)
 	for _, e := range changed {
-		f.tell(e)
+		f.tell(e, d.Doubtful)
 	}
 	f.beginOnce.Do(func() { close(f.begun) })
 	return f.copy.Revision() > before
 }
 
-// tell brings one change to the kernel.
-func (f *feed) tell(e replica.Entry) {
+// tell brings one change to the kernel. A removal is doubtful if the entry may
+// have run out while the store was away.
+func (f *feed) tell(e replica.Entry, doubtful bool) {
 	n := f.daemon.seams.Names
 	if e.Key == n.Configuration {
 		f.tellTable(e)
@@ -97,7 +96,7 @@
 		return
 	}
 	if id, ok := strings.CutPrefix(e.Key, n.Servers); ok {
-		f.tellServer(id, e)
+		f.tellServer(id, e, doubtful)
 	}
 }
 
@@ -113,14 +112,13 @@
 	f.daemon.do(func(k *steering.Kernel, _ time.Time) { k.SetTable(t) })
 }
 
-// tellServer brings a registration to the kernel. Shortly after a failure of
-// the store a missing one may have run out though the server is alive; it is
-// waited for then, or all servers would vanish at once.
-func (f *feed) tellServer(id string, e replica.Entry) {
+// tellServer brings a registration to the kernel. One whose removal is doubtful
+// is waited for, or all servers would vanish at once after an outage; any other
+// has left, and would get requests for too long.
+func (f *feed) tellServer(id string, e replica.Entry, doubtful bool) {
 	if e.Removed {
-		unsettled := !f.failedAt.IsZero() && f.daemon.now().Sub(f.failedAt) < unsettledFor
 		f.daemon.do(func(k *steering.Kernel, now time.Time) {
-			if unsettled {
+			if doubtful {
 				k.ServerAbsent(id, now.Add(absentFor))
 				return
 			}
@@ -203,6 +201,7 @@
 		return hello
 	}
 	d := f.copy.Since(now, revision)
+	d.Doubtful = f.outage.Doubtful(now)
 	if d.Whole && !f.allowance.Take(now, d.Cost()) {
 		return hello
 	}
@@ -250,26 +249,37 @@
 // follows reports whether this proxy should ask the store itself.
 func (f *feed) follows() bool { return replica.Follows(f.rank(), f.age()) }
 
-func (f *feed) failed(err error) {
+// failed notes a call to the store, begun at a moment, that was not answered. One
+// that ran out of time found the store away from its beginning.
+func (f *feed) failed(err error, began time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.failedAt = f.daemon.now()
-	if !f.lost {
-		f.lost = true
+	since := f.daemon.now()
+	if errors.Is(err, context.DeadlineExceeded) {
+		since = began
+	}
+	if f.outage.Failed(since) {
 		klog.InfoS("store lost", "error", err.Error(), "revision", f.copy.Revision())
 	}
 }
 
+// answered notes that the store answered a call.
 func (f *feed) answered() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.lost {
-		f.lost = false
-		f.failedAt = f.daemon.now()
+	if f.outage.Answered(f.daemon.now()) {
 		klog.InfoS("store regained", "revision", f.copy.Revision())
 	}
 }
 
+// ownDelta is what the store itself told, from a revision on.
+func (f *feed) ownDelta(d replica.Delta) replica.Delta {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d.Doubtful = f.outage.Doubtful(f.daemon.now())
+	return d
+}
+
 func (f *feed) writeSoon() {
 	select {
 	case f.rewrite <- struct{}{}:
--- a/internal/proxy/forward/follow.go
+++ b/internal/proxy/forward/follow.go
@@ -55,13 +55,13 @@
 			sleep.For(ctx, followCheck)
 			continue
 		}
+		began := f.feed.daemon.now()
 		if err := f.step(ctx); err != nil {
-			f.feed.failed(err)
+			f.feed.failed(err, began)
 			sleep.For(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, retryMost)
 			continue
 		}
-		f.feed.answered()
 		pause = retryLeast
 	}
 }
@@ -93,8 +93,9 @@
 	if err != nil {
 		return errors.Wrap(err, "watch")
 	}
+	f.feed.answered()
 	delta := replica.Delta{Base: before, Revision: newest(before, items), Entries: entriesOf(items)}
-	if f.feed.apply(delta) && len(items) > 0 {
+	if f.feed.apply(f.feed.ownDelta(delta)) && len(items) > 0 {
 		f.advanced(before)
 		sleep.For(ctx, gather)
 	}
@@ -145,7 +146,8 @@
 	if err != nil {
 		return errors.Wrap(err, "read all")
 	}
-	if f.feed.apply(replica.Delta{Revision: revision, Whole: true, Entries: entriesOf(items)}) {
+	f.feed.answered()
+	if f.feed.apply(f.feed.ownDelta(replica.Delta{Revision: revision, Whole: true, Entries: entriesOf(items)})) {
 		f.advanced(before)
 	}
 	return nil
--- a/internal/proxy/forward/gossip.go
+++ b/internal/proxy/forward/gossip.go
@@ -83,7 +83,7 @@
 	g.take(reply)
 }
 
-// handle answers a peer, and in a large region passes its news on.
+// handle answers a peer and passes its news on.
 func (g *gossip) handle(ctx context.Context, m peerdrpc.SyncMessage) peerdrpc.SyncMessage {
 	before := g.feed.revision()
 	if g.take(m) && before > 0 && len(m.Entries) > 0 {
@@ -181,14 +181,19 @@
 	}
 }
 
-// pass sends news on to a few peers where a region is too large for those who
-// follow the store to reach all of it.
+// pass sends a peer's news on. A relay that hears of a change from another region
+// before its own watch answers tells its region, which nobody else might; and
+// where a region is too large for its relays to reach all, each tells a few.
 func (g *gossip) pass(ctx context.Context, since uint64) {
 	near, _ := g.peers()
-	if len(near) <= pushesMost {
-		return
-	}
-	for _, to := range some(near, passesMost) {
+	most := 0
+	switch {
+	case g.feed.rank() < replica.Relays:
+		most = pushesMost
+	case len(near) > pushesMost:
+		most = passesMost
+	}
+	for _, to := range some(near, most) {
 		go g.push(ctx, to, since)
 	}
 }
--- a/internal/proxy/forward/gossip_test.go
+++ b/internal/proxy/forward/gossip_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +16,7 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/peerdrpc"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
 // idle makes a daemon that never runs, with the seams of one that does.
@@ -122,8 +125,9 @@
 		}}
 		for i := range c.peers {
 			name := fmt.Sprintf("peer-%d", i)
-			d.feed.members[name] = member{Name: name, Region: "north", Peers: freePort(t)}
+			d.feed.members[name] = member{Name: name, Region: "north", Peers: freePort(t), LinkMbps: 200}
 		}
+		d.feed.members["proxy-a"] = member{Name: "proxy-a", Region: "north"}
 		d.feed.apply(replica.Delta{Revision: 7, Whole: true})
 		news := peerdrpc.SyncMessage{From: "peer-0", Delta: replica.Delta{Base: 7, Revision: 8, Entries: []replica.Entry{{Key: "x", Revision: 8}}}}
 		g.handle(context.Background(), news)
@@ -135,3 +139,81 @@
 		}
 	}
 }
+
+// knows reports whether a daemon's kernel still holds a server.
+func knows(d *Daemon, id string) (held bool) {
+	d.do(func(k *steering.Kernel, _ time.Time) { held = slices.Contains(k.Servers(), id) })
+	return held
+}
+
+// withServer makes an idle daemon that knows a server.
+func (f *fleet) withServer() *Daemon {
+	f.t.Helper()
+	d := f.idle()
+	value, err := json.Marshal(testServer{Service: "service", Domain: "a", Address: addressOf(f.backend.URL)})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	d.feed.apply(replica.Delta{Revision: 1, Whole: true, Entries: []replica.Entry{{Key: "servers/s1", Value: value, Revision: 1}}})
+	if !knows(d, "s1") {
+		f.t.Fatal("the server is not known")
+	}
+	return d
+}
+
+// A VM was cut off from the store, not from its peers, and the store was there all
+// the time. A server leaves without a word. If the VM doubted what its peers tell
+// because its own calls had failed, it would go on sending requests for seconds.
+func TestRemovalThatPeersTellIsBelievedByAProxyThatWasCutOff(t *testing.T) {
+	f := newFleet(t, 1)
+	removal := replica.Delta{Base: 1, Revision: 2, Entries: []replica.Entry{{Key: "servers/s1", Revision: 2, Removed: true}}}
+	for _, doubtful := range []bool{false, true} {
+		d := f.withServer()
+		d.feed.failed(errCut, d.now().Add(-time.Minute))
+		d.feed.failed(context.DeadlineExceeded, d.now())
+		d.gossip.take(peerdrpc.SyncMessage{From: "peer", Delta: replica.Delta{
+			Base: removal.Base, Revision: removal.Revision, Entries: removal.Entries, Doubtful: doubtful,
+		}})
+		if got := knows(d, "s1"); got != doubtful {
+			t.Errorf("removal doubted by the peer %t: the server is still used %t", doubtful, got)
+		}
+	}
+}
+
+// A waiting watch is cut and answered at once when made again. A server's entry
+// goes just then: it has left, and no outage dropped it.
+func TestRemovalJustAfterAWatchWasCutIsBelieved(t *testing.T) {
+	f := newFleet(t, 1)
+	d := f.withServer()
+	d.feed.failed(errCut, d.now())
+	items := []Item{{Key: "servers/s1", Revision: 2, Removed: true}}
+	w := &follower{feed: d.feed, advanced: func(uint64) {}, store: Store{
+		Watch: func(context.Context, string, uint64, time.Duration) ([]Item, error) { return items, nil },
+	}}
+	if err := w.step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if knows(d, "s1") {
+		t.Error("the server is still used")
+	}
+}
+
+// Two relays of a region hear of a change from another region before their own
+// watches answer. If neither told the others, these would go without.
+func TestRelayPassesOnWhatAnotherRegionTells(t *testing.T) {
+	f := newFleet(t, 1)
+	d := f.idle()
+	var sent atomic.Int32
+	g := &gossip{feed: d.feed, send: func(context.Context, netip.AddrPort, peerdrpc.SyncMessage) (peerdrpc.SyncMessage, error) {
+		sent.Add(1)
+		return peerdrpc.SyncMessage{}, nil
+	}}
+	d.feed.members["proxy-a"] = member{Name: "proxy-a", Region: "north", LinkMbps: 100}
+	for i := range 4 {
+		name := fmt.Sprintf("peer-%d", i)
+		d.feed.members[name] = member{Name: name, Region: "north", Peers: freePort(t)}
+	}
+	d.feed.apply(replica.Delta{Revision: 7, Whole: true})
+	g.handle(context.Background(), peerdrpc.SyncMessage{From: "far", Delta: replica.Delta{Base: 7, Revision: 8, Entries: []replica.Entry{{Key: "x", Revision: 8}}}})
+	f.eventually("the region is told", func() bool { return sent.Load() == 4 })
+}
--- a/internal/proxy/forward/member.go
+++ b/internal/proxy/forward/member.go
@@ -35,34 +35,47 @@
 	renew := time.NewTicker(renewEvery)
 	defer renew.Stop()
 	for ctx.Err() == nil {
-		var err error
+		act := k.write
 		select {
 		case <-ctx.Done():
 			return
 		case <-k.feed.rewrite:
-			err = k.write(ctx)
 		case <-renew.C:
-			err = k.renew(ctx)
+			if k.lease == 0 {
+				continue
+			}
+			act = k.renew
 		}
-		if err != nil {
-			k.feed.failed(err)
-			sleep.For(ctx, retryLeast+rand.N(retryMost))
-			k.feed.writeSoon()
+		if !k.feed.daemon.isStopping() {
+			k.call(ctx, act)
 		}
 	}
 }
 
-func (k *keeper) renew(ctx context.Context) error {
-	if k.feed.daemon.isStopping() || k.lease == 0 {
-		return nil
+// call makes one call and sees to it that the entry is written again if it is
+// lost.
+func (k *keeper) call(ctx context.Context, act func(context.Context) error) {
+	began := k.feed.daemon.now()
+	err := act(ctx)
+	var refused *StoreError
+	switch {
+	case err == nil:
+		k.feed.answered()
+	case errors.As(err, &refused) && refused.Outcome == StoreAbsent:
+		// The lease has ended, which only the store itself can tell.
+		k.feed.answered()
+		sleep.For(ctx, retryLeast)
+		k.feed.writeSoon()
+	default:
+		k.feed.failed(err, began)
+		sleep.For(ctx, retryLeast+rand.N(retryMost))
+		k.feed.writeSoon()
 	}
-	return k.store.Renew(ctx, k.lease)
 }
 
+func (k *keeper) renew(ctx context.Context) error { return k.store.Renew(ctx, k.lease) }
+
 func (k *keeper) write(ctx context.Context) error {
-	if k.feed.daemon.isStopping() {
-		return nil
-	}
 	lease, err := k.store.Grant(ctx, leaseSpan)
 	if err != nil {
 		return err
