--- a/cmd/gypsumquay-fake/main.go
+++ b/cmd/gypsumquay-fake/main.go
@@ -19,7 +19,7 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/fake/backendfake"
 	"github.com/gypsumquay/gypsumquay/internal/fake/callerfake"
-	"github.com/gypsumquay/gypsumquay/internal/fake/platformfake"
+	"github.com/gypsumquay/gypsumquay/internal/fake/kvfake"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/errs"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
 )
@@ -65,8 +65,8 @@
 	var err error
 	switch {
 	case a.Platform != nil:
-		store := platformfake.NewStore(a.Platform.Lag)
-		err = serve(ctx, a.Platform.Listen, platformfake.NewServer(store).Handler())
+		store := kvfake.NewStore(a.Platform.Lag)
+		err = serve(ctx, a.Platform.Listen, kvfake.NewServer(store).Handler())
 	case a.Backend != nil:
 		err = a.Backend.run(ctx)
 	case a.Caller != nil:
--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -3,6 +3,7 @@
 package callerhttp
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"math"
@@ -19,7 +20,6 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
-	"github.com/gypsumquay/gypsumquay/internal/proxy/runner"
 )
 
 const (
@@ -62,10 +62,27 @@
 		Total int64
 	}
 
+	// Request is one caller's request with its body.
+	Request struct {
+		core.Request
+		Header http.Header
+		Body   []byte
+	}
+
+	// Reply is the final result. Stream, if set, must be called to pass the
+	// answer on, for its body is still arriving; it returns an error when the
+	// answer broke off after bytes had gone out.
+	Reply struct {
+		Result   caller.Result
+		ID       string
+		NewToken string
+		Stream   func(io.Writer) error
+	}
+
 	// Server answers callers.
 	Server struct {
-		kernel   runner.Kernel
-		runner   *runner.Runner
+		kernel   core.Access
+		run      func(context.Context, Request) Reply
 		limits   Limits
 		memory   *semaphore.Weighted
 		observed func(service string, r caller.Result, took time.Duration)
@@ -98,10 +115,10 @@
 	}
 )
 
-// NewServer makes a server. observed is told of each final result.
-func NewServer(k runner.Kernel, r *runner.Runner, l Limits, now func() time.Time, observed func(string, caller.Result, time.Duration)) *Server {
+// NewServer makes a server. run takes a request to its final result; observed is told of each final result.
+func NewServer(k core.Access, run func(context.Context, Request) Reply, l Limits, now func() time.Time, observed func(string, caller.Result, time.Duration)) *Server {
 	return &Server{
-		kernel: k, runner: r, limits: l, memory: semaphore.NewWeighted(l.Total),
+		kernel: k, run: run, limits: l, memory: semaphore.NewWeighted(l.Total),
 		observed: observed, now: now,
 	}
 }
@@ -190,7 +207,7 @@
 		s.refuse(w, service, began, err)
 		return
 	}
-	q := runner.Request{
+	q := Request{
 		Request: core.Request{
 			Service: service,
 			Method:  r.Method,
@@ -209,7 +226,7 @@
 		}
 		q.Deadline = began.Add(timeout)
 	}
-	reply := s.runner.Run(r.Context(), q)
+	reply := s.run(r.Context(), q)
 	s.write(w, reply)
 	s.observed(service, reply.Result, s.now().Sub(began))
 }
@@ -258,7 +275,7 @@
 		writeOutcome(w, result)
 		writeJSON(w, http.StatusRequestEntityTooLarge, refusal{Outcome: caller.NotRun.String(), Text: err.Error()})
 	default:
-		s.write(w, runner.Reply{Result: result})
+		s.write(w, Reply{Result: result})
 	}
 	s.observed(service, result, s.now().Sub(began))
 }
@@ -274,7 +291,7 @@
 }
 
 // write gives the caller the final result.
-func (s *Server) write(w http.ResponseWriter, reply runner.Reply) {
+func (s *Server) write(w http.ResponseWriter, reply Reply) {
 	result := reply.Result
 	writeOutcome(w, result)
 	if reply.ID != "" {
--- a/internal/adapter/callerhttp/server_test.go
+++ b/internal/adapter/callerhttp/server_test.go
@@ -12,7 +12,6 @@
 	"github.com/go-faster/errors"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
-	"github.com/gypsumquay/gypsumquay/internal/proxy/runner"
 )
 
 var (
@@ -30,7 +29,7 @@
 func TestBrokenStreamIsSeen(t *testing.T) {
 	s := testServer(t)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		s.write(w, runner.Reply{
+		s.write(w, Reply{
 			Result: caller.Result{Outcome: caller.Done, Answer: &caller.Answer{Status: http.StatusOK}},
 			Stream: func(w io.Writer) error {
 				_, _ = io.WriteString(w, strings.Repeat("x", 10_000))
@@ -82,7 +81,7 @@
 // HTTP client can read.
 func TestRefusalTellsWhenToComeBack(t *testing.T) {
 	w := httptest.NewRecorder()
-	testServer(t).write(w, runner.Reply{
+	testServer(t).write(w, Reply{
 		Result:   caller.Result{Outcome: caller.NotRun, Reason: caller.ReasonCapacity, RetryAfter: 1200 * time.Millisecond},
 		NewToken: "t",
 	})
--- a/internal/adapter/platformhttp/client.go
+++ b/internal/adapter/kvhttp/client.go
@@ -1,10 +1,10 @@
-// Package platformhttp speaks to the platform's key-value service and list of
+// Package kvhttp speaks to the platform's key-value service and list of
 // VMs over HTTP.
 //
 // The dialect is that of the project's stand-in: GET with a revision to wait
 // for, PUT with the expected revision, and the new revision in a header. A
 // deployment on another service replaces this package only.
-package platformhttp
+package kvhttp
 
 import (
 	"bytes"
@@ -22,7 +22,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/errs"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 )
 
 const (
@@ -58,7 +58,7 @@
 }
 
 // Get reads a value. ErrAbsent means that there is none.
-func (c *Client) Get(ctx context.Context, key platform.Key) (platform.Value, error) {
+func (c *Client) Get(ctx context.Context, key kv.Key) (kv.Value, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	return c.read(ctx, "get", "/v1/keys/"+url.PathEscape(string(key)), nil)
@@ -66,7 +66,7 @@
 
 // Watch waits until the value is past a revision. It returns ErrAbsent or the
 // same revision when nothing came in time.
-func (c *Client) Watch(ctx context.Context, key platform.Key, after platform.Revision) (platform.Value, error) {
+func (c *Client) Watch(ctx context.Context, key kv.Key, after kv.Revision) (kv.Value, error) {
 	ctx, cancel := context.WithTimeout(ctx, WatchWait+watchMargin)
 	defer cancel()
 	query := url.Values{"after": {fmt.Sprint(after)}, "wait": {WatchWait.String()}}
@@ -74,7 +74,7 @@
 }
 
 // Machines waits until the list of VMs is past a version.
-func (c *Client) Machines(ctx context.Context, after uint64) (*platform.Machines, error) {
+func (c *Client) Machines(ctx context.Context, after uint64) (*kv.Machines, error) {
 	ctx, cancel := context.WithTimeout(ctx, WatchWait+watchMargin)
 	defer cancel()
 	query := url.Values{"after": {fmt.Sprint(after)}, "wait": {WatchWait.String()}}
@@ -82,12 +82,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return platform.ParseMachines(value.Data)
+	return kv.ParseMachines(value.Data)
 }
 
 // Swap writes a value if it is still at the expected revision; zero expects
 // none. ErrUnavailable leaves open whether the write took effect: read back.
-func (c *Client) Swap(ctx context.Context, key platform.Key, expect platform.Revision, data []byte) (platform.Revision, error) {
+func (c *Client) Swap(ctx context.Context, key kv.Key, expect kv.Revision, data []byte) (kv.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	request, err := c.request(ctx, http.MethodPut, "/v1/keys/"+url.PathEscape(string(key)), nil, data)
@@ -99,10 +99,10 @@
 	return value.Revision, err
 }
 
-func (c *Client) read(ctx context.Context, operation, path string, query url.Values) (platform.Value, error) {
+func (c *Client) read(ctx context.Context, operation, path string, query url.Values) (kv.Value, error) {
 	request, err := c.request(ctx, http.MethodGet, path, query, nil)
 	if err != nil {
-		return platform.Value{}, err
+		return kv.Value{}, err
 	}
 	return c.do(operation, request)
 }
@@ -117,41 +117,41 @@
 	return request, errs.Wrap(err, "platform request")
 }
 
-func (c *Client) do(operation string, request *http.Request) (platform.Value, error) {
+func (c *Client) do(operation string, request *http.Request) (kv.Value, error) {
 	if c.Called != nil {
 		c.Called(operation)
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return platform.Value{}, errors.Wrap(platform.ErrUnavailable, err.Error())
+		return kv.Value{}, errors.Wrap(kv.ErrUnavailable, err.Error())
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(response.Body, MaxValueBytes+1))
 	if err != nil {
-		return platform.Value{}, errors.Wrap(platform.ErrUnavailable, err.Error())
+		return kv.Value{}, errors.Wrap(kv.ErrUnavailable, err.Error())
 	}
 	revision, _ := strconv.ParseUint(response.Header.Get(HeaderRevision), 10, 64)
-	value := platform.Value{Revision: platform.Revision(revision), Data: data}
+	value := kv.Value{Revision: kv.Revision(revision), Data: data}
 	switch response.StatusCode {
 	case http.StatusOK:
 		return value, nil
 	case http.StatusNotFound:
-		return value, platform.ErrAbsent
+		return value, kv.ErrAbsent
 	case http.StatusConflict:
-		return value, platform.ErrConflict
+		return value, kv.ErrConflict
 	}
-	return value, errors.Wrapf(platform.ErrUnavailable, "status %d", response.StatusCode)
+	return value, errors.Wrapf(kv.ErrUnavailable, "status %d", response.StatusCode)
 }
 
 // List reads all values whose keys begin with a prefix.
-func (c *Client) List(ctx context.Context, prefix platform.Key) (map[platform.Key]platform.Value, error) {
+func (c *Client) List(ctx context.Context, prefix kv.Key) (map[kv.Key]kv.Value, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	value, err := c.read(ctx, "list", "/v1/keys", url.Values{"prefix": {string(prefix)}})
 	if err != nil {
 		return nil, err
 	}
-	var items map[platform.Key]platform.Value
+	var items map[kv.Key]kv.Value
 	if err := json.Unmarshal(value.Data, &items); err != nil {
 		return nil, errors.Wrap(err, "list of values")
 	}
@@ -159,8 +159,8 @@
 }
 
 // Store gives the client as the kernel's seam.
-func (c *Client) Store() platform.Store {
-	return platform.Store{Get: c.Get, Swap: c.Swap, Pause: pause}
+func (c *Client) Store() kv.Store {
+	return kv.Store{Get: c.Get, Swap: c.Swap, Pause: pause}
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/adapter/operatorhttp/api.go
+++ b/internal/adapter/operatorhttp/api.go
@@ -4,9 +4,9 @@
 
 import (
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
 )
 
 const (
@@ -27,8 +27,8 @@
 type (
 	// Rollout is what became of a roll-out and which version is in force.
 	Rollout struct {
-		Verdict platform.Verdict `json:"verdict"`
-		Current uint64           `json:"current-version"`
+		Verdict kv.Verdict `json:"verdict"`
+		Current uint64     `json:"current-version"`
 	}
 
 	// Failure is the body of an answer that is not a success.
--- a/internal/adapter/operatorhttp/server.go
+++ b/internal/adapter/operatorhttp/server.go
@@ -13,9 +13,8 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/errs"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
-	"github.com/gypsumquay/gypsumquay/internal/proxy/runner"
 )
 
 const (
@@ -29,10 +28,10 @@
 	// Server answers operators. Nothing here needs a login: reading shows no
 	// secret, and whatever changes something carries its signatures.
 	Server struct {
-		Kernel   runner.Kernel
+		Kernel   core.Access
 		Trust    operator.Trust
-		Platform platform.Store
-		List     func(context.Context, platform.Key) (map[platform.Key]platform.Value, error)
+		Platform kv.Store
+		List     func(context.Context, kv.Key) (map[kv.Key]kv.Value, error)
 		Metrics  *metrics.Set
 		// Ready reports whether callers may be sent here.
 		Ready func() bool
@@ -110,7 +109,7 @@
 func (s *Server) proposals(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), listTimeout)
 	defer cancel()
-	values, err := s.List(ctx, platform.KeyProposals)
+	values, err := s.List(ctx, kv.KeyProposals)
 	if err != nil {
 		fail(w, http.StatusServiceUnavailable, err)
 		return
@@ -144,9 +143,9 @@
 // keepProposal stores a proposal under its digest. Proposing the same bundle
 // again, or adding the approval, replaces it; both are the same content.
 func (s *Server) keepProposal(ctx context.Context, e *operator.Envelope) error {
-	key := platform.KeyProposals + platform.Key(e.Digest)
+	key := kv.KeyProposals + kv.Key(e.Digest)
 	value, err := s.Platform.Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrAbsent) {
+	if err != nil && !errors.Is(err, kv.ErrAbsent) {
 		return errors.Wrap(err, "read proposal")
 	}
 	if stored, parseErr := operator.ParseEnvelope(value.Data); parseErr == nil && e.Approver == (operator.Signature{}) && stored.Approver != e.Approver {
@@ -172,8 +171,8 @@
 		fail(w, http.StatusBadRequest, errors.New("operation: must be set, or a lost answer could not be settled"))
 		return
 	}
-	verdict, current := platform.Rollout(r.Context(), s.Platform, b, e)
-	if verdict == platform.Accepted {
+	verdict, current := kv.Rollout(r.Context(), s.Platform, b, e)
+	if verdict == kv.Accepted {
 		s.Kernel(func(k *core.Kernel, now time.Time) { k.HearBundle(now, e.Encode()) })
 	}
 	reply(w, http.StatusOK, Rollout{Verdict: verdict, Current: current})
--- a/internal/client/command/command.go
+++ b/internal/client/command/command.go
@@ -16,8 +16,8 @@
 	"github.com/go-faster/errors"
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/operatorhttp"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
 )
 
 const (
@@ -175,13 +175,13 @@
 	return &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool}, nil
 }
 
-func verdictError(v platform.Verdict) error {
+func verdictError(v kv.Verdict) error {
 	switch v {
-	case platform.Accepted:
+	case kv.Accepted:
 		return nil
-	case platform.LostRace:
+	case kv.LostRace:
 		return errLostRace
-	case platform.WrongVersion:
+	case kv.WrongVersion:
 		return usageError("the bundle's version must be one more than the one in force")
 	}
 	return errUndecided
--- a/internal/fake/platformfake/server.go
+++ b/internal/fake/kvfake/server.go
@@ -1,4 +1,4 @@
-package platformfake
+package kvfake
 
 import (
 	"encoding/json"
@@ -11,8 +11,8 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/gypsumquay/gypsumquay/internal/adapter/platformhttp"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
+	"github.com/gypsumquay/gypsumquay/internal/adapter/kvhttp"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 )
 
 type (
@@ -93,16 +93,16 @@
 }
 
 func (s *Server) setMachine(_ http.ResponseWriter, r *http.Request) {
-	state := platform.MachineState(mux.Vars(r)["state"])
+	state := kv.MachineState(mux.Vars(r)["state"])
 	if state == "gone" {
 		state = ""
 	}
 	s.store.SetMachine(mux.Vars(r)["name"], state)
 }
 
-func keyOf(r *http.Request) platform.Key {
+func keyOf(r *http.Request) kv.Key {
 	key, _ := url.PathUnescape(mux.Vars(r)["key"])
-	return platform.Key(key)
+	return kv.Key(key)
 }
 
 // get reads a value, or waits until its revision is no longer the given one.
@@ -128,8 +128,8 @@
 	}
 }
 
-func writeValue(w http.ResponseWriter, value platform.Value, ok bool) {
-	w.Header().Set(platformhttp.HeaderRevision, strconv.FormatUint(uint64(value.Revision), 10))
+func writeValue(w http.ResponseWriter, value kv.Value, ok bool) {
+	w.Header().Set(kvhttp.HeaderRevision, strconv.FormatUint(uint64(value.Revision), 10))
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -138,17 +138,17 @@
 }
 
 func (s *Server) swap(w http.ResponseWriter, r *http.Request) {
-	expect, err := strconv.ParseUint(r.Header.Get(platformhttp.HeaderExpect), 10, 64)
-	data, readErr := io.ReadAll(http.MaxBytesReader(w, r.Body, platformhttp.MaxValueBytes))
+	expect, err := strconv.ParseUint(r.Header.Get(kvhttp.HeaderExpect), 10, 64)
+	data, readErr := io.ReadAll(http.MaxBytesReader(w, r.Body, kvhttp.MaxValueBytes))
 	if err != nil || readErr != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	revision, ok := s.store.Swap(keyOf(r), platform.Revision(expect), data)
+	revision, ok := s.store.Swap(keyOf(r), kv.Revision(expect), data)
 	if ok && s.loseAnswer() {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set(platformhttp.HeaderRevision, strconv.FormatUint(uint64(revision), 10))
+	w.Header().Set(kvhttp.HeaderRevision, strconv.FormatUint(uint64(revision), 10))
 	if !ok {
 		w.WriteHeader(http.StatusConflict)
 	}
@@ -165,7 +165,7 @@
 }
 
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
-	_ = json.NewEncoder(w).Encode(s.store.List(platform.Key(r.URL.Query().Get("prefix"))))
+	_ = json.NewEncoder(w).Encode(s.store.List(kv.Key(r.URL.Query().Get("prefix"))))
 }
 
 func (s *Server) machines(w http.ResponseWriter, r *http.Request) {
--- a/internal/fake/platformfake/store.go
+++ b/internal/fake/kvfake/store.go
@@ -1,31 +1,31 @@
-// Package platformfake stands in for the platform: a key-value service with
+// Package kvfake stands in for the platform: a key-value service with
 // compare-and-swap and watches, a lagging list of VMs, and failures on command.
-package platformfake
+package kvfake
 
 import (
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 )
 
 type (
 	// Store is the service's state.
 	Store struct {
 		mu       sync.Mutex
-		values   map[platform.Key]platform.Value
-		revision platform.Revision
+		values   map[kv.Key]kv.Value
+		revision kv.Revision
 		changed  chan struct{}
-		machines platform.Machines
+		machines kv.Machines
 		lag      time.Duration
-		saved    map[platform.Key]platform.Value
+		saved    map[kv.Key]kv.Value
 	}
 )
 
 // NewStore makes an empty store whose list of VMs lags by lag.
 func NewStore(lag time.Duration) *Store {
-	return &Store{values: make(map[platform.Key]platform.Value), changed: make(chan struct{}), lag: lag}
+	return &Store{values: make(map[kv.Key]kv.Value), changed: make(chan struct{}), lag: lag}
 }
 
 // wake tells all watchers. It is called with the lock held.
@@ -35,7 +35,7 @@
 }
 
 // Get reads a value and the channel that closes at the next change.
-func (s *Store) Get(key platform.Key) (platform.Value, bool, <-chan struct{}) {
+func (s *Store) Get(key kv.Key) (kv.Value, bool, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	value, ok := s.values[key]
@@ -43,23 +43,23 @@
 }
 
 // Swap writes a value at an expected revision.
-func (s *Store) Swap(key platform.Key, expect platform.Revision, data []byte) (platform.Revision, bool) {
+func (s *Store) Swap(key kv.Key, expect kv.Revision, data []byte) (kv.Revision, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.values[key].Revision != expect {
 		return s.values[key].Revision, false
 	}
 	s.revision++
-	s.values[key] = platform.Value{Revision: s.revision, Data: data}
+	s.values[key] = kv.Value{Revision: s.revision, Data: data}
 	s.wake()
 	return s.revision, true
 }
 
 // List reads all values under a prefix.
-func (s *Store) List(prefix platform.Key) map[platform.Key]platform.Value {
+func (s *Store) List(prefix kv.Key) map[kv.Key]kv.Value {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	found := make(map[platform.Key]platform.Value)
+	found := make(map[kv.Key]kv.Value)
 	for key, value := range s.values {
 		if strings.HasPrefix(string(key), string(prefix)) {
 			found[key] = value
@@ -72,7 +72,7 @@
 func (s *Store) Save() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.saved = make(map[platform.Key]platform.Value)
+	s.saved = make(map[kv.Key]kv.Value)
 	for key, value := range s.values {
 		s.saved[key] = value
 	}
@@ -82,7 +82,7 @@
 func (s *Store) Restore() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.values = make(map[platform.Key]platform.Value)
+	s.values = make(map[kv.Key]kv.Value)
 	for key, value := range s.saved {
 		s.revision++
 		value.Revision = s.revision
@@ -92,20 +92,20 @@
 }
 
 // Machines reads the list of VMs and the channel that closes at a change.
-func (s *Store) Machines() (platform.Machines, <-chan struct{}) {
+func (s *Store) Machines() (kv.Machines, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.machines
-	list.List = append([]platform.Machine(nil), s.machines.List...)
+	list.List = append([]kv.Machine(nil), s.machines.List...)
 	return list, s.changed
 }
 
 // SetMachine changes the list after the lag. An empty state removes the VM.
-func (s *Store) SetMachine(name string, state platform.MachineState) {
+func (s *Store) SetMachine(name string, state kv.MachineState) {
 	time.AfterFunc(s.lag, func() { s.setMachineNow(name, state) })
 }
 
-func (s *Store) setMachineNow(name string, state platform.MachineState) {
+func (s *Store) setMachineNow(name string, state kv.MachineState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.machines = s.machines.With(name, state)
--- a/internal/fake/simnet/message.go
+++ b/internal/fake/simnet/message.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 )
 
 // call sends a message to a peer and its answer back. lost runs in the caller
@@ -92,7 +92,7 @@
 		if !up {
 			return
 		}
-		stored, err := platform.ParseAssignment(value.Data)
+		stored, err := kv.ParseAssignment(value.Data)
 		if err == nil && stored.Version != a.Expect {
 			p.kernel.HearAssignment(p.now(), stored)
 			return
@@ -115,14 +115,14 @@
 	})
 }
 
-func (p *Proxy) watchFires(key platform.Key) {
+func (p *Proxy) watchFires(key kv.Key) {
 	if !p.alive || p.sim.platform.down {
 		return
 	}
 	p.after(platformDelay, func() { p.read(key) })
 }
 
-func (p *Proxy) read(key platform.Key) {
+func (p *Proxy) read(key kv.Key) {
 	if !p.kernel.Relay() || p.sim.platform.down {
 		return
 	}
@@ -136,13 +136,13 @@
 	p.after(platformDelay, func() { p.hear(key, value, asked) })
 }
 
-func (p *Proxy) hear(key platform.Key, value platform.Value, asked time.Time) {
+func (p *Proxy) hear(key kv.Key, value kv.Value, asked time.Time) {
 	var repair []byte
 	if key == keyBundle {
 		p.kernel.HearBundle(p.now(), value.Data)
 		repair = p.kernel.RepairBundle(value.Data)
 	} else {
-		a, err := platform.ParseAssignment(value.Data)
+		a, err := kv.ParseAssignment(value.Data)
 		if err == nil {
 			p.kernel.HearAssignment(p.now(), a)
 		}
@@ -165,7 +165,7 @@
 		}
 		p.listSeen = list.Version
 		p.sim.platform.Calls++
-		list.List = append([]platform.Machine(nil), list.List...)
+		list.List = append([]kv.Machine(nil), list.List...)
 		p.kernel.HearMachines(p.now(), &list)
 	})
 }
--- a/internal/fake/simnet/platform.go
+++ b/internal/fake/simnet/platform.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 )
 
 const (
-	keyBundle     = platform.KeyBundle
-	keyAssignment = platform.KeyAssignment
+	keyBundle     = kv.KeyBundle
+	keyAssignment = kv.KeyAssignment
 	platformDelay = 3 * time.Millisecond
 )
 
@@ -16,10 +16,10 @@
 	// Platform is the key-value service and the list of VMs.
 	Platform struct {
 		sim      *Sim
-		values   map[platform.Key]platform.Value
-		saved    map[platform.Key]platform.Value
-		revision platform.Revision
-		machines platform.Machines
+		values   map[kv.Key]kv.Value
+		saved    map[kv.Key]kv.Value
+		revision kv.Revision
+		machines kv.Machines
 		down     bool
 		lose     int
 		// Calls counts calls, a watch that ends as one.
@@ -28,12 +28,12 @@
 )
 
 func newPlatform(s *Sim) *Platform {
-	return &Platform{sim: s, values: make(map[platform.Key]platform.Value)}
+	return &Platform{sim: s, values: make(map[kv.Key]kv.Value)}
 }
 
-func (p *Platform) put(key platform.Key, data []byte) {
+func (p *Platform) put(key kv.Key, data []byte) {
 	p.revision++
-	p.values[key] = platform.Value{Revision: p.revision, Data: data}
+	p.values[key] = kv.Value{Revision: p.revision, Data: data}
 	for _, proxy := range p.sim.proxies {
 		proxy.watchFires(key)
 	}
@@ -56,7 +56,7 @@
 
 // SavePlatform keeps a copy of the values.
 func (s *Sim) SavePlatform() {
-	s.platform.saved = make(map[platform.Key]platform.Value)
+	s.platform.saved = make(map[kv.Key]kv.Value)
 	for key, value := range s.platform.values {
 		s.platform.saved[key] = value
 	}
@@ -68,7 +68,7 @@
 		return
 	}
 	s.trace("platform restored to an older value")
-	for _, key := range []platform.Key{keyBundle, keyAssignment} {
+	for _, key := range []kv.Key{keyBundle, keyAssignment} {
 		if value, ok := s.platform.saved[key]; ok {
 			s.platform.put(key, value.Data)
 		}
@@ -77,7 +77,7 @@
 
 // swap is a compare-and-swap on the version inside the value; the answer may
 // be lost after the write.
-func (p *Platform) swap(key platform.Key, expect platform.Revision, data []byte) (ok, answered bool) {
+func (p *Platform) swap(key kv.Key, expect kv.Revision, data []byte) (ok, answered bool) {
 	p.Calls++
 	if p.down {
 		return false, false
@@ -93,17 +93,17 @@
 	return true, true
 }
 
-func (p *Platform) get(key platform.Key) (platform.Value, bool) {
+func (p *Platform) get(key kv.Key) (kv.Value, bool) {
 	p.Calls++
 	return p.values[key], !p.down
 }
 
 // SetMachine changes the list of VMs after its lag.
-func (s *Sim) SetMachine(name string, state platform.MachineState) {
+func (s *Sim) SetMachine(name string, state kv.MachineState) {
 	s.After(s.config.ListLag, func() { s.platform.setMachine(name, state) })
 }
 
-func (p *Platform) setMachine(name string, state platform.MachineState) {
+func (p *Platform) setMachine(name string, state kv.MachineState) {
 	p.machines = p.machines.With(name, state)
 	for _, proxy := range p.sim.proxies {
 		proxy.machinesFire()
--- a/internal/fake/simnet/proxy.go
+++ b/internal/fake/simnet/proxy.go
@@ -9,8 +9,8 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
 )
 
 const (
@@ -42,7 +42,7 @@
 		pending int
 		// open holds, by send, what breaks a caller's connection.
 		open     map[uint64]func()
-		watching map[platform.Key]platform.Revision
+		watching map[kv.Key]kv.Revision
 		listSeen uint64
 	}
 
@@ -86,7 +86,7 @@
 	p.waiting = nil
 	p.pending = 0
 	p.open = make(map[uint64]func())
-	p.watching = make(map[platform.Key]platform.Revision)
+	p.watching = make(map[kv.Key]kv.Revision)
 	p.listSeen = 0
 	c := core.Config{
 		Self: peer.Member{
@@ -107,7 +107,7 @@
 	p.poll(p.life)
 }
 
-func (s *Sim) setMachineNow(name string) { s.platform.setMachine(name, platform.MachineLive) }
+func (s *Sim) setMachineNow(name string) { s.platform.setMachine(name, kv.MachineLive) }
 
 // now is the process's own clock.
 func (p *Proxy) now() time.Time { return p.sim.now.Add(-p.behind) }
--- a/internal/fake/simnet/scenario.go
+++ b/internal/fake/simnet/scenario.go
@@ -9,8 +9,8 @@
 	"github.com/go-faster/errors"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
 )
 
 const (
@@ -265,5 +265,5 @@
 		panic("simnet: " + err.Error())
 	}
 	s.trace("the first bundle is put back on the platform")
-	s.platform.put(platform.KeyBundle, e.Encode())
+	s.platform.put(kv.KeyBundle, e.Encode())
 }
--- a/internal/kernel/core/action.go
+++ b/internal/kernel/core/action.go
@@ -6,8 +6,8 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backend"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
 )
 
 const (
@@ -96,7 +96,7 @@
 	// back through HearAssignment like any other.
 	StoreAssignment struct {
 		Expect uint64
-		Value  *platform.Assignment
+		Value  *kv.Assignment
 	}
 )
 
--- a/internal/kernel/core/assign.go
+++ b/internal/kernel/core/assign.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
 )
 
 const (
@@ -15,7 +15,7 @@
 )
 
 // HearAssignment takes in an assignment of quota slots; versions only go up.
-func (k *Kernel) HearAssignment(now time.Time, a *platform.Assignment) {
+func (k *Kernel) HearAssignment(now time.Time, a *kv.Assignment) {
 	if k.assignment != nil && a.Version <= k.assignment.Version {
 		return
 	}
@@ -44,7 +44,7 @@
 	if k.releasing && len(owned) > 1 {
 		owned = owned[:len(owned)-1]
 	}
-	current := platform.CapacitiesOf(k.bundle)
+	current := kv.CapacitiesOf(k.bundle)
 	settled := current
 	if k.assignment != nil {
 		settled = k.assignment.Base
@@ -70,7 +70,7 @@
 // are the settled ones, and each slot that is new here was given back by its
 // last holder.
 func (k *Kernel) raisesCleanly(owned []int) bool {
-	if k.assignment == nil || !k.assignment.Base.Equal(platform.CapacitiesOf(k.bundle)) {
+	if k.assignment == nil || !k.assignment.Base.Equal(kv.CapacitiesOf(k.bundle)) {
 		return false
 	}
 	clean := k.shareFigures == k.assignment.Settled || k.shareFigures == 0
@@ -86,7 +86,7 @@
 
 // linkShare sums the own slots' parts of a link's limit. A limit that the
 // settled bundle lacks was no limit then.
-func linkShare(current, settled *platform.Capacities, from, to string, owned []int) int {
+func linkShare(current, settled *kv.Capacities, from, to string, owned []int) int {
 	total := 0
 	for _, slot := range owned {
 		share, _ := current.LinkShare(from, to, slot)
@@ -108,7 +108,7 @@
 	if k.prepareRelease(now, unseated) {
 		return actions
 	}
-	next := platform.Step(platform.View{
+	next := kv.Step(kv.View{
 		Self:         k.holder(),
 		Region:       k.config.Self.Region,
 		Bundle:       k.bundle,
@@ -162,7 +162,7 @@
 }
 
 // bundleOf is the bundle whose capacities a holder is known to go by.
-func (k *Kernel) bundleOf(h platform.Holder) uint64 {
+func (k *Kernel) bundleOf(h kv.Holder) uint64 {
 	m, ok := k.members.Get(h.Name)
 	if !ok || m.Incarnation != h.Incarnation {
 		return 0
@@ -176,7 +176,7 @@
 		if m.Name == k.config.Self.Name || (m.State != peer.Live && m.State != peer.Joining) {
 			continue
 		}
-		h := platform.Holder{Name: m.Name, Incarnation: m.Incarnation}
+		h := kv.Holder{Name: m.Name, Incarnation: m.Incarnation}
 		if len(k.assignment.Owned(h)) == 0 {
 			return true
 		}
--- a/internal/kernel/core/bench_test.go
+++ b/internal/kernel/core/bench_test.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backend"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
 )
 
 // readyKernel is a kernel with the example bundle and all quota slots.
@@ -45,7 +45,7 @@
 		Trust: operator.Trust{anna.Trusted(), bruno.Trusted()},
 	}, now)
 	k.HearBundle(now, e.Encode())
-	a := &platform.Assignment{Version: 1, Settled: 1, Base: platform.CapacitiesOf(b)}
+	a := &kv.Assignment{Version: 1, Settled: 1, Base: kv.CapacitiesOf(b)}
 	for range b.QuotaSlots() {
 		a.Slots = append(a.Slots, k.holder())
 	}
--- a/internal/kernel/core/bundle.go
+++ b/internal/kernel/core/bundle.go
@@ -9,9 +9,9 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backend"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/region"
 )
 
@@ -163,7 +163,7 @@
 	for i := range b.Services {
 		longest = max(longest, b.Services[i].Deadline.Std())
 	}
-	same := before != nil && platform.CapacitiesOf(before).Equal(platform.CapacitiesOf(b))
+	same := before != nil && kv.CapacitiesOf(before).Equal(kv.CapacitiesOf(b))
 	k.eachQuota(func(_ peer.Resource, q *peer.Quota) {
 		q.SetDeadline(longest)
 		if !same {
--- a/internal/kernel/core/gossip.go
+++ b/internal/kernel/core/gossip.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
 )
 
 const (
@@ -164,7 +164,7 @@
 func (k *Kernel) HearReply(now, asked time.Time, m peer.Exchange) {
 	k.members.Answered(m.From)
 	if len(m.Machines) > 0 {
-		if list, err := platform.ParseMachines(m.Machines); err == nil {
+		if list, err := kv.ParseMachines(m.Machines); err == nil {
 			k.HearMachines(now, list)
 		}
 	}
@@ -172,7 +172,7 @@
 		k.HearBundle(now, m.Bundle)
 	}
 	if len(m.Assignment) > 0 {
-		if a, err := platform.ParseAssignment(m.Assignment); err == nil {
+		if a, err := kv.ParseAssignment(m.Assignment); err == nil {
 			k.HearAssignment(now, a)
 		}
 	}
@@ -204,7 +204,7 @@
 }
 
 // HearMachines takes in a version of the platform's list of VMs.
-func (k *Kernel) HearMachines(now time.Time, list *platform.Machines) {
+func (k *Kernel) HearMachines(now time.Time, list *kv.Machines) {
 	if k.machines != nil && list.Version <= k.machines.Version {
 		return
 	}
--- a/internal/kernel/core/kernel.go
+++ b/internal/kernel/core/kernel.go
@@ -7,9 +7,9 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backend"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/region"
 )
 
@@ -62,6 +62,9 @@
 		QuotaOff      bool
 	}
 
+	// Access runs a function with a kernel, one at a time.
+	Access func(func(k *Kernel, now time.Time))
+
 	// Kernel is one proxy's state and decisions.
 	Kernel struct {
 		config  Config
@@ -74,8 +77,8 @@
 		bundle     *operator.Bundle
 		quotaSlots int
 		envelope   []byte
-		assignment *platform.Assignment
-		machines   *platform.Machines
+		assignment *kv.Assignment
+		machines   *kv.Machines
 		prefixes   *caller.PrefixTable
 
 		services map[string]*service
@@ -273,8 +276,8 @@
 // Envelope is the signed form of the bundle in force.
 func (k *Kernel) Envelope() []byte { return k.envelope }
 
-func (k *Kernel) holder() platform.Holder {
-	return platform.Holder{Name: k.config.Self.Name, Incarnation: k.config.Self.Incarnation}
+func (k *Kernel) holder() kv.Holder {
+	return kv.Holder{Name: k.config.Self.Name, Incarnation: k.config.Self.Incarnation}
 }
 
 func (k *Kernel) regionIndex(name string) int {
--- a/internal/kernel/core/lookup.go
+++ b/internal/kernel/core/lookup.go
@@ -6,9 +6,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
 )
 
 type (
@@ -132,7 +132,7 @@
 		return true
 	}
 	state, listed := k.machines.State(name)
-	if listed && state != platform.MachineLive {
+	if listed && state != kv.MachineLive {
 		return true
 	}
 	return k.bundle.Drained(operator.DrainProxy, name, now)
--- a/internal/kernel/core/relay.go
+++ b/internal/kernel/core/relay.go
@@ -1,9 +1,9 @@
 package core
 
 import (
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
 )
 
 const (
@@ -46,7 +46,7 @@
 }
 
 // RepairAssignment is the same for the assignment of quota slots.
-func (k *Kernel) RepairAssignment(stored *platform.Assignment) []byte {
+func (k *Kernel) RepairAssignment(stored *kv.Assignment) []byte {
 	if k.assignment == nil || stored != nil && stored.Version >= k.assignment.Version {
 		return nil
 	}
--- a/internal/kernel/core/route.go
+++ b/internal/kernel/core/route.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backend"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/region"
 )
 
@@ -190,7 +190,7 @@
 			was := s.Leaving(now)
 			s.SetDrained(k.bundle.Drained(operator.DrainServer, s.Name, now) && !k.config.Break.LeavingServes)
 			state, listed := k.machines.State(s.Name)
-			s.SetListed(!listed || state == platform.MachineLive, now)
+			s.SetListed(!listed || state == kv.MachineLive, now)
 			if !was && s.Leaving(now) {
 				k.log(now, Event{Kind: EventServerLeaving, Target: s.Name})
 			}
--- a/internal/kernel/core/stop.go
+++ b/internal/kernel/core/stop.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
 )
 
 const (
@@ -80,13 +80,13 @@
 // ReleaseSlots is the assignment without this proxy's slots, or nil when it
 // has none. Loans from them need not have ended: whoever takes the slots next
 // waits for that, and the VM need not.
-func (k *Kernel) ReleaseSlots(now time.Time) *platform.Assignment {
+func (k *Kernel) ReleaseSlots(now time.Time) *kv.Assignment {
 	if k.bundle == nil || k.assignment == nil {
 		return nil
 	}
 	k.givingUp = true
 	k.applyQuota(now)
-	return platform.Step(platform.View{
+	return kv.Step(kv.View{
 		Self:       k.holder(),
 		Bundle:     k.bundle,
 		Assignment: k.assignment,
--- a/internal/kernel/platform/assignment.go
+++ b/internal/kernel/kv/assignment.go
@@ -1,7 +1,7 @@
-// Package platform holds what the system keeps in the platform's key-value
+// Package kv holds what the system keeps in the platform's key-value
 // service and how a proxy reads it: the assignment of quota slots, the list
 // of VMs, and the rules that make a lost or stale answer harmless.
-package platform
+package kv
 
 import (
 	"encoding/json"
--- a/internal/kernel/platform/steps.go
+++ b/internal/kernel/kv/steps.go
@@ -1,4 +1,4 @@
-package platform
+package kv
 
 import (
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
--- a/internal/proxy/daemon/daemon.go
+++ b/internal/proxy/daemon/daemon.go
@@ -17,13 +17,13 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/backendhttp"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/callerhttp"
+	"github.com/gypsumquay/gypsumquay/internal/adapter/kvhttp"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/operatorhttp"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/peerdrpc"
-	"github.com/gypsumquay/gypsumquay/internal/adapter/platformhttp"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/errs"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/driver"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/runner"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/settings"
@@ -42,7 +42,7 @@
 		driver    *driver.Driver
 		runner    *runner.Runner
 		peers     *peerdrpc.Client
-		platform  *platformhttp.Client
+		platform  *kvhttp.Client
 		meters    *meters
 		callers   *http.Server
 		operators *http.Server
@@ -59,7 +59,7 @@
 	d.peers = peerdrpc.NewClient(identity.Client)
 	d.peers.Sent = d.meters.peerSent
 	d.peers.Received = d.meters.peerReceived
-	d.platform = platformhttp.NewClient(s.Platform)
+	d.platform = kvhttp.NewClient(s.Platform)
 	d.platform.Called = d.meters.platformCall
 	config, err := kernelConfig(s)
 	if err != nil {
@@ -78,7 +78,7 @@
 	backends = backendhttp.NewClient(connectionsPerServer, d.driver.Now)
 	d.runner = &runner.Runner{Name: s.Name, Kernel: d.driver.Do, Send: backends.Send, Forward: d.peers.Forward}
 	limits := callerhttp.Limits{Body: s.Limits.Body, Total: s.Limits.AllBodies}
-	d.callers = callerhttp.NewServer(d.driver.Do, d.runner, limits, d.driver.Now, d.meters.request).HTTP()
+	d.callers = callerhttp.NewServer(d.driver.Do, d.runner.Run, limits, d.driver.Now, d.meters.request).HTTP()
 	d.operators = (&operatorhttp.Server{
 		Kernel:   d.driver.Do,
 		Trust:    config.Trust,
@@ -122,7 +122,7 @@
 }
 
 func (d *Daemon) storeAssignment(ctx context.Context, a core.StoreAssignment) {
-	driver.StoreAssignment(ctx, d.platform.Store(), a, func(stored *platform.Assignment) {
+	driver.StoreAssignment(ctx, d.platform.Store(), a, func(stored *kv.Assignment) {
 		d.driver.Do(func(k *core.Kernel, now time.Time) { k.HearAssignment(now, stored) })
 	})
 }
--- a/internal/proxy/daemon/stop.go
+++ b/internal/proxy/daemon/stop.go
@@ -8,8 +8,8 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
 )
 
 const (
@@ -77,7 +77,7 @@
 // newer assignment, so the next try starts from that.
 func (d *Daemon) releaseSlots(ctx context.Context) {
 	for range releaseTries {
-		var next *platform.Assignment
+		var next *kv.Assignment
 		d.driver.Do(func(k *core.Kernel, now time.Time) { next = k.ReleaseSlots(now) })
 		if next == nil {
 			return
--- a/internal/proxy/driver/platform.go
+++ b/internal/proxy/driver/platform.go
@@ -9,7 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/platform"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/sleep"
 )
 
@@ -22,9 +22,9 @@
 type (
 	// Platform is the platform's service, as function fields.
 	Platform struct {
-		platform.Store
-		Watch    func(ctx context.Context, key platform.Key, after platform.Revision) (platform.Value, error)
-		Machines func(ctx context.Context, after uint64) (*platform.Machines, error)
+		kv.Store
+		Watch    func(ctx context.Context, key kv.Key, after kv.Revision) (kv.Value, error)
+		Machines func(ctx context.Context, after uint64) (*kv.Machines, error)
 	}
 
 	// Watcher brings what the platform holds to the kernel while this proxy
@@ -45,8 +45,8 @@
 		w.loop(ctx, once)
 		done <- struct{}{}
 	}
-	go loop(w.follow(platform.KeyBundle, w.hearBundle))
-	go loop(w.follow(platform.KeyAssignment, w.hearAssignment))
+	go loop(w.follow(kv.KeyBundle, w.hearBundle))
+	go loop(w.follow(kv.KeyAssignment, w.hearAssignment))
 	go loop(w.machines())
 	for range cap(done) {
 		<-done
@@ -80,12 +80,12 @@
 
 // follow watches one key. hear gets each new value, or nil data when the key
 // is absent, and may return data to write in its place.
-func (w *Watcher) follow(key platform.Key, hear func(time.Time, []byte) []byte) func(context.Context) error {
-	after := platform.Revision(0)
+func (w *Watcher) follow(key kv.Key, hear func(time.Time, []byte) []byte) func(context.Context) error {
+	after := kv.Revision(0)
 	return func(ctx context.Context) error {
 		asked := w.driver.Now()
 		value, err := w.platform.Watch(ctx, key, after)
-		if err != nil && !errors.Is(err, platform.ErrAbsent) {
+		if err != nil && !errors.Is(err, kv.ErrAbsent) {
 			return err
 		}
 		if value.Revision == after && after != 0 {
@@ -120,7 +120,7 @@
 func (w *Watcher) hearAssignment(asked time.Time, data []byte) []byte {
 	var repair []byte
 	w.driver.Do(func(k *core.Kernel, now time.Time) {
-		a, err := platform.ParseAssignment(data)
+		a, err := kv.ParseAssignment(data)
 		if err == nil {
 			k.HearAssignment(now, a)
 		}
@@ -145,12 +145,12 @@
 
 // StoreAssignment carries out the kernel's action: read, compare the version,
 // swap. The result is heard back through the watch, or here at once.
-func StoreAssignment(ctx context.Context, s platform.Store, a core.StoreAssignment, hear func(*platform.Assignment)) {
-	value, err := s.Get(ctx, platform.KeyAssignment)
-	if err != nil && !errors.Is(err, platform.ErrAbsent) {
+func StoreAssignment(ctx context.Context, s kv.Store, a core.StoreAssignment, hear func(*kv.Assignment)) {
+	value, err := s.Get(ctx, kv.KeyAssignment)
+	if err != nil && !errors.Is(err, kv.ErrAbsent) {
 		return
 	}
-	if stored, err := platform.ParseAssignment(value.Data); err == nil {
+	if stored, err := kv.ParseAssignment(value.Data); err == nil {
 		if stored.Version != a.Expect {
 			hear(stored)
 			return
@@ -158,7 +158,7 @@
 	} else if a.Expect != 0 {
 		return
 	}
-	if _, err := s.Swap(ctx, platform.KeyAssignment, value.Revision, a.Value.Encode()); err == nil {
+	if _, err := s.Swap(ctx, kv.KeyAssignment, value.Revision, a.Value.Encode()); err == nil {
 		hear(a.Value)
 	}
 }
--- a/internal/proxy/runner/runner.go
+++ b/internal/proxy/runner/runner.go
@@ -5,13 +5,13 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"net/netip"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/backendhttp"
+	"github.com/gypsumquay/gypsumquay/internal/adapter/callerhttp"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backend"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
@@ -19,35 +19,15 @@
 )
 
 type (
-	// Kernel runs a function on the kernel under its lock.
-	Kernel func(func(k *core.Kernel, now time.Time))
-
 	// Runner serves requests.
 	Runner struct {
 		Name    string
-		Kernel  Kernel
+		Kernel  core.Access
 		Send    func(context.Context, backendhttp.Request) backendhttp.Response
 		Forward func(context.Context, peer.Member, peer.ForwardRequest) (peer.ForwardReply, error)
 		late    sync.WaitGroup
 	}
 
-	// Request is one caller's request with its body.
-	Request struct {
-		core.Request
-		Header http.Header
-		Body   []byte
-	}
-
-	// Reply is the final result. Stream, if set, must be called to pass the
-	// answer on, for its body is still arriving; it returns an error when the
-	// answer broke off after bytes had gone out.
-	Reply struct {
-		Result   caller.Result
-		ID       string
-		NewToken string
-		Stream   func(io.Writer) error
-	}
-
 	attempt struct {
 		decision core.Decision
 		response backendhttp.Response
@@ -55,13 +35,13 @@
 )
 
 // Run serves one request to its final result.
-func (r *Runner) Run(ctx context.Context, q Request) Reply {
+func (r *Runner) Run(ctx context.Context, q callerhttp.Request) callerhttp.Reply {
 	var d core.Decision
 	r.Kernel(func(k *core.Kernel, now time.Time) { d = k.Begin(now, q.Request) })
 	for {
 		switch d.Step {
 		case core.Finish:
-			return Reply{Result: d.Result, ID: d.ID, NewToken: d.NewToken}
+			return callerhttp.Reply{Result: d.Result, ID: d.ID, NewToken: d.NewToken}
 		case core.Forward:
 			return r.forward(ctx, q, d)
 		}
@@ -82,7 +62,7 @@
 // attempt sends one dispatch. A non-idempotent one is not tied to its caller:
 // it goes on when the caller leaves or its deadline passes, so that a repeat
 // can be told what became of it.
-func (r *Runner) attempt(ctx context.Context, q Request, d core.Decision) (attempt, bool) {
+func (r *Runner) attempt(ctx context.Context, q callerhttp.Request, d core.Decision) (attempt, bool) {
 	if d.Idempotent {
 		return attempt{decision: d, response: r.send(ctx, q, d, d.Deadline)}, true
 	}
@@ -127,7 +107,7 @@
 	}
 }
 
-func (r *Runner) send(ctx context.Context, q Request, d core.Decision, until time.Time) backendhttp.Response {
+func (r *Runner) send(ctx context.Context, q callerhttp.Request, d core.Decision, until time.Time) backendhttp.Response {
 	ctx, cancel := context.WithDeadline(ctx, until)
 	response := r.Send(ctx, backendhttp.Request{
 		Address:  d.Server.Address,
@@ -161,16 +141,16 @@
 	return next
 }
 
-func (r *Runner) overdue(d core.Decision) Reply {
-	reply := Reply{ID: d.ID}
+func (r *Runner) overdue(d core.Decision) callerhttp.Reply {
+	reply := callerhttp.Reply{ID: d.ID}
 	r.Kernel(func(k *core.Kernel, now time.Time) { reply.Result = k.Overdue(now, d.Attempt) })
 	return reply
 }
 
 // stream passes a long answer on as it arrives. The attempt ends with it.
-func (r *Runner) stream(a attempt) Reply {
+func (r *Runner) stream(a attempt) callerhttp.Reply {
 	result := caller.Result{Outcome: caller.Done, Answer: a.response.Answer}
-	return Reply{Result: result, ID: a.decision.ID, Stream: func(w io.Writer) error {
+	return callerhttp.Reply{Result: result, ID: a.decision.ID, Stream: func(w io.Writer) error {
 		defer func() { _ = a.response.Rest.Close() }()
 		_, err := w.Write(a.response.Answer.Body)
 		if err == nil {
@@ -185,7 +165,7 @@
 	}}
 }
 
-func (r *Runner) forward(ctx context.Context, q Request, d core.Decision) Reply {
+func (r *Runner) forward(ctx context.Context, q callerhttp.Request, d core.Decision) callerhttp.Reply {
 	ctx, cancel := context.WithDeadline(ctx, d.Deadline)
 	defer cancel()
 	message := peer.ForwardRequest{
@@ -203,9 +183,9 @@
 	answer, err := r.Forward(ctx, d.Peer, message)
 	if err == nil {
 		r.Kernel(func(k *core.Kernel, _ time.Time) { k.ForwardHeard(answer.Stamp) })
-		return Reply{Result: answer.Result, ID: d.ID}
+		return callerhttp.Reply{Result: answer.Result, ID: d.ID}
 	}
-	reply := Reply{ID: d.ID}
+	reply := callerhttp.Reply{ID: d.ID}
 	r.Kernel(func(k *core.Kernel, now time.Time) {
 		reply.Result = k.ForwardLost(now, q.Service, d.ID, d.Peer.Name)
 	})
@@ -216,7 +196,7 @@
 func (r *Runner) HandleForward(ctx context.Context, f peer.ForwardRequest) peer.ForwardReply {
 	r.Kernel(func(k *core.Kernel, _ time.Time) { k.ForwardHeard(f.Stamp) })
 	client, _ := netip.ParseAddr(f.Client)
-	reply := r.Run(ctx, Request{
+	reply := r.Run(ctx, callerhttp.Request{
 		Request: core.Request{
 			Service: f.Service, Method: f.Method, Path: f.Path, Client: client,
 			Token: f.Token, Deadline: f.Deadline, Forwarded: true,
@@ -233,7 +213,7 @@
 }
 
 // collect gathers a long answer for a peer. A broken one becomes unknown.
-func (r *Runner) collect(reply Reply) caller.Result {
+func (r *Runner) collect(reply callerhttp.Reply) caller.Result {
 	var whole bodyBuffer
 	if err := reply.Stream(&whole); err != nil {
 		return caller.Result{Outcome: caller.Unknown, Reason: caller.ReasonBroken}
