A relay spreads what its own watch tells, also if it heard of it before

Cause: a relay that took a change in through an exchange with another region, just before its own watch answered, told nobody: the watch brought nothing new to it. TestRelaySpreadsWhatItsWatchTellsThoughItKnows failed first.

--- a/internal/proxy/forward/follow.go
+++ b/internal/proxy/forward/follow.go
@@ -107,7 +107,10 @@
 	}
 	f.feed.answered()
 	delta := replica.Delta{Base: before, Revision: newest(before, items), Entries: entriesOf(items)}
-	if f.feed.apply(f.feed.ownDelta(delta)) && len(items) > 0 {
+	f.feed.apply(f.feed.ownDelta(delta))
+	if len(items) > 0 {
+		// Also if an exchange with another region brought them a moment before:
+		// the rest of this region may not have heard.
 		f.advanced(before)
 		sleep.For(ctx, gather)
 	}
--- a/internal/proxy/forward/gossip_test.go
+++ b/internal/proxy/forward/gossip_test.go
@@ -217,3 +217,27 @@
 	g.handle(context.Background(), peerdrpc.SyncMessage{From: "far", Delta: replica.Delta{Base: 7, Revision: 8, Entries: []replica.Entry{{Key: "x", Revision: 8}}}})
 	f.eventually("the region is told", func() bool { return sent.Load() == 4 })
 }
+
+// The same where the relay heard of the change in an exchange of its own, a moment
+// before its watch answers.
+func TestRelaySpreadsWhatItsWatchTellsThoughItKnows(t *testing.T) {
+	f := newFleet(t, 1)
+	d := f.withServer()
+	items := []Item{{Key: "servers/s1", Revision: 2, Removed: true}}
+	spread := 0
+	w := &follower{feed: d.feed, advanced: func(before uint64) {
+		spread++
+		if before != 1 {
+			t.Errorf("spreads what is newer than revision %d, want 1", before)
+		}
+	}, store: Store{Watch: func(context.Context, string, uint64, time.Duration) ([]Item, error) {
+		d.feed.apply(replica.Delta{Base: 1, Revision: 2, Entries: entriesOf(items)})
+		return items, nil
+	}}}
+	if err := w.step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if spread != 1 {
+		t.Errorf("news were spread %d times, want once", spread)
+	}
+}
