--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -88,6 +88,7 @@
 		Draining      bool      `json:"draining,omitempty"`
 		Took          string    `json:"took,omitempty"`
 		ComeBack      string    `json:"come-back,omitempty"`
+		Pressure      float64   `json:"pressure,omitempty"`
 		Error         string    `json:"error,omitempty"`
 	}
 )
@@ -98,7 +99,7 @@
 		At: e.At, VM: vm, Kind: string(e.Kind), Request: e.Request, Route: e.Route, Configuration: e.Version,
 		Service: e.Service, Server: e.Server, Object: e.Object, Domain: e.Domain, Attempt: e.Attempt,
 		Reason: string(e.Reason), Load: e.Load, Warm: e.Warm, Draining: e.Draining,
-		Expected: span(e.Expected), Took: span(e.Took), ComeBack: span(e.ComeBack),
+		Expected: span(e.Expected), Took: span(e.Took), ComeBack: span(e.ComeBack), Pressure: e.Pressure,
 	}
 	if e.Result != 0 {
 		out.Result = e.Result.String()
--- a/internal/client/command/steering.go
+++ b/internal/client/command/steering.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -209,7 +210,7 @@
 	for _, f := range []struct{ name, value string }{
 		{"request", e.Request}, {"route", e.Route}, {"service", e.Service}, {"server", e.Server}, {"object", e.Object},
 		{"failure-domain", e.Domain}, {"result", e.Result}, {"outcome", e.Outcome}, {"reason", e.Reason},
-		{"expected", e.Expected}, {"took", e.Took}, {"load-age", e.LoadAge}, {"come-back", e.ComeBack}, {"error", e.Error},
+		{"expected", e.Expected}, {"took", e.Took}, {"load-age", e.LoadAge}, {"come-back", e.ComeBack}, {"pressure", level(e.Pressure)}, {"error", e.Error},
 	} {
 		if f.value != "" {
 			parts = append(parts, f.name+"="+f.value)
@@ -223,3 +224,11 @@
 	}
 	return strings.Join(parts, " ")
 }
+
+// level is a queue's length as text, empty for none.
+func level(pressure float64) string {
+	if pressure == 0 {
+		return ""
+	}
+	return strconv.FormatFloat(pressure, 'f', 2, 64)
+}
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -60,6 +60,9 @@
 		Took time.Duration
 		// ComeBack is when a refused caller was told to try again.
 		ComeBack time.Duration
+		// Pressure is how long the queues were where a request would go, as a
+		// part of what may wait there and still be answered in time.
+		Pressure float64
 		Err      error
 		// Target is the route's time for a good answer.
 		Target time.Duration
--- /dev/null
+++ b/internal/kernel/steering/learn.go
@@ -0,0 +1,54 @@
+package steering
+
+import (
+	"time"
+)
+
+// learn takes in what an attempt tells of the server.
+func (k *Kernel) learn(now time.Time, f *Flight, s *server, a Attempt, took time.Duration) {
+	s.domain.heard(a.RoundTrip)
+	if a.Loaded {
+		s.report(now, a.Running, a.Waiting)
+		k.feel(now, f, s, a.Waiting)
+	}
+	if a.Leaving && !s.Draining {
+		s.Draining = true
+		k.service(s.Service).stale = true
+		k.config.Observe(Event{Kind: EventServer, Server: s.id, Service: s.Service, Draining: true})
+	}
+	g := k.service(s.Service)
+	outs := s.outs
+	switch a.Result {
+	case Answered:
+		k.learnWork(now, f, s, g, took)
+	case Refused:
+		if !a.refusedThoughFree(s.Slots) {
+			s.outUntil = later(s.outUntil, now.Add(fullPause))
+		}
+	case Mistaken:
+		// Its address belongs to another server now: this one is gone.
+		k.RemoveServer(s.id)
+	case Failed:
+		s.hasFailed(now, false)
+	case Unreachable:
+		s.hasFailed(now, true)
+	case Broken:
+		s.hasFailed(now, false)
+	case Late:
+		s.hasFailed(now, false)
+	}
+	if s.outs > outs {
+		k.config.Observe(Event{Kind: EventServerOut, Server: s.id, Service: s.Service, Result: a.Result, Took: s.outUntil.Sub(now)})
+	}
+}
+
+func (k *Kernel) learnWork(now time.Time, f *Flight, s *server, g *service, took time.Duration) {
+	work := took - s.domain.roundTrip
+	s.succeeded(work, f.expected-s.domain.roundTrip)
+	work = time.Duration(float64(work) / max(1, s.speed))
+	idle := s.load(now) < float64(s.Slots)
+	if work > 0 && (idle || f.warm && g.work.longer(work)) {
+		g.work.heard(f.warm, work)
+	}
+	s.handled(f.Object, now)
+}
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -45,6 +45,8 @@
 	ReasonNoServer Reason = "no-server"
 	// ReasonOverload means that no server would answer in time.
 	ReasonOverload Reason = "overload"
+	// ReasonQueues says that the queues are so long that answers come late.
+	ReasonQueues Reason = "queues-too-long"
 	// ReasonRefused means that servers refused the request.
 	ReasonRefused Reason = "refused-by-server"
 	// ReasonBudget means that a repeat was not within the budget.
@@ -108,7 +110,9 @@
 		dials int
 		// mayHaveRun is set once a server may have begun to run the request.
 		mayHaveRun bool
-		steps      []Event
+		// pressure is how long the queues were where it would have gone.
+		pressure float64
+		steps    []Event
 	}
 
 	// Decision is the next step of a request.
@@ -207,7 +211,7 @@
 	}
 	if len(f.steps) == 0 {
 		if k.sheds(now, f, g, s) {
-			return nil, ReasonOverload
+			return nil, ReasonQueues
 		}
 		g.repeats.First(now)
 	}
@@ -294,55 +298,6 @@
 	return k.service(f.Service).repeats.Spend(now, len(k.sharers))
 }
 
-// learn takes in what an attempt tells of the server.
-func (k *Kernel) learn(now time.Time, f *Flight, s *server, a Attempt, took time.Duration) {
-	s.domain.heard(a.RoundTrip)
-	if a.Loaded {
-		s.report(now, a.Running, a.Waiting)
-		k.feel(now, f, s, a.Waiting)
-	}
-	if a.Leaving && !s.Draining {
-		s.Draining = true
-		k.service(s.Service).stale = true
-		k.config.Observe(Event{Kind: EventServer, Server: s.id, Service: s.Service, Draining: true})
-	}
-	g := k.service(s.Service)
-	outs := s.outs
-	switch a.Result {
-	case Answered:
-		k.learnWork(now, f, s, g, took)
-	case Refused:
-		if !a.refusedThoughFree(s.Slots) {
-			s.outUntil = later(s.outUntil, now.Add(fullPause))
-		}
-	case Mistaken:
-		// Its address belongs to another server now: this one is gone.
-		k.RemoveServer(s.id)
-	case Failed:
-		s.hasFailed(now, false)
-	case Unreachable:
-		s.hasFailed(now, true)
-	case Broken:
-		s.hasFailed(now, false)
-	case Late:
-		s.hasFailed(now, false)
-	}
-	if s.outs > outs {
-		k.config.Observe(Event{Kind: EventServerOut, Server: s.id, Service: s.Service, Result: a.Result, Took: s.outUntil.Sub(now)})
-	}
-}
-
-func (k *Kernel) learnWork(now time.Time, f *Flight, s *server, g *service, took time.Duration) {
-	work := took - s.domain.roundTrip
-	s.succeeded(work, f.expected-s.domain.roundTrip)
-	work = time.Duration(float64(work) / max(1, s.speed))
-	idle := s.load(now) < float64(s.Slots)
-	if work > 0 && (idle || f.warm && g.work.longer(work)) {
-		g.work.heard(f.warm, work)
-	}
-	s.handled(f.Object, now)
-}
-
 // giveUp ends a request without an answer, at once.
 func (k *Kernel) giveUp(now time.Time, f *Flight, reason Reason) Decision {
 	d := Decision{Reason: reason, NotRun: !f.mayHaveRun}
@@ -360,7 +315,7 @@
 	e := Event{
 		At: now, Kind: EventFinished, Request: f.ID, Service: f.Service, Object: f.Object, Version: k.Version(),
 		Outcome: d.Outcome(), Reason: d.Reason, Took: now.Sub(f.began), Attempt: (len(f.steps) + 1) / 2,
-		ComeBack: d.ComeBack, Steps: f.steps,
+		ComeBack: d.ComeBack, Pressure: f.pressure, Steps: f.steps,
 	}
 	if f.Route != nil {
 		e.Route, e.Target = f.Route.Name, f.Route.Target
--- a/internal/kernel/steering/shed.go
+++ b/internal/kernel/steering/shed.go
@@ -39,6 +39,7 @@
 	if p == nil || !k.placer.sheds {
 		return false
 	}
+	f.pressure = p.Level(now)
 	share := p.Shed(now)
 	if f.Route.Priority < k.leastUrgent[g.name] {
 		share = max(0, 2*share-1)
--- a/internal/kernel/steering/shed_test.go
+++ b/internal/kernel/steering/shed_test.go
@@ -34,7 +34,7 @@
 		f, d := k.Begin(now.Add(time.Duration(i)*time.Millisecond), Request{Host: "host", Path: path})
 		if d.Server == nil {
 			refused++
-			if !d.NotRun || d.ComeBack <= 0 || d.Reason != ReasonOverload {
+			if !d.NotRun || d.ComeBack <= 0 || d.Reason != ReasonQueues {
 				t.Fatalf("refused with %+v, want not run, with a time to come back", d)
 			}
 			continue
--- a/internal/proxy/forward/journal.go
+++ b/internal/proxy/forward/journal.go
@@ -66,7 +66,7 @@
 	j.keep(e)
 	klog.InfoS(string(e.Kind), "request", e.Request, "route", e.Route, "configuration", e.Version,
 		"outcome", e.Outcome.String(), "reason", string(e.Reason), "took", e.Took.String(), "attempts", e.Attempt,
-		"come-back", e.ComeBack.String())
+		"come-back", e.ComeBack.String(), "pressure", e.Pressure)
 }
 
 // writeStep writes a decision of a request that ended a while after it.
