Queues are judged by the server's own word where it is fresh; a short way back

Cause: with refusals for long queues half of the answers still came late in virtual time: servers with more than their part kept long queues while others idled, for only the region's mean counted; warm work came out at two thirds, because it was divided by a speed that queues had inflated; and refused callers came back after their target. Change: the server's own queue counts where it told of it within half a second, warm work is the least seen, and up to half refused a caller is told to come back while it can still be answered in time.

--- a/internal/fake/warmnet/warmnet_test.go
+++ b/internal/fake/warmnet/warmnet_test.go
@@ -88,7 +88,7 @@
 // back once if they are refused. Where all are sent, every queue stands at its end
 // and hardly one answer comes in time.
 func TestOverloadLeavesSomeInTime(t *testing.T) {
-	if share, worst, _ := mean(load(t, "overload"), steering.DefaultPlacer); share < 0.3 || worst < 0.25 {
-		t.Errorf("%.3f within the target, %.3f in the worst region; want 0.3 and 0.25 at least", share, worst)
+	if share, worst, _ := mean(load(t, "overload"), steering.DefaultPlacer); share < 0.42 || worst < 0.36 {
+		t.Errorf("%.3f within the target, %.3f in the worst region; want 0.42 and 0.36 at least", share, worst)
 	}
 }
--- a/internal/kernel/steering/learn.go
+++ b/internal/kernel/steering/learn.go
@@ -45,7 +45,12 @@
 func (k *Kernel) learnWork(now time.Time, f *Flight, s *server, g *service, took time.Duration) {
 	work := took - s.domain.roundTrip
 	s.succeeded(work, f.expected-s.domain.roundTrip)
-	work = time.Duration(float64(work) / max(1, s.speed))
+	// Warm work is the least that was seen, so it needs no correction for slow
+	// servers; divided by a speed that queues had inflated it came out at two
+	// thirds, and queues seemed to have room for twice as many.
+	if !f.warm {
+		work = time.Duration(float64(work) / max(1, s.speed))
+	}
 	idle := s.load(now) < float64(s.Slots)
 	if work > 0 && (idle || f.warm && g.work.longer(work)) {
 		g.work.heard(f.warm, work)
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -112,7 +112,10 @@
 		mayHaveRun bool
 		// pressure is how long the queues were where it would have gone.
 		pressure float64
-		steps    []Event
+		// soon is the longest time until a refused caller's return in which it
+		// can still be answered within the target; zero if it can't.
+		soon  time.Duration
+		steps []Event
 	}
 
 	// Decision is the next step of a request.
@@ -331,6 +334,9 @@
 	if !f.Deadline.IsZero() {
 		most = min(most, f.Deadline.Sub(now)/3)
 	}
+	if f.soon > 0 {
+		most = min(most, f.soon)
+	}
 	if most <= comeBackLeast {
 		return comeBackLeast
 	}
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -52,6 +52,8 @@
 		reported   int
 		ownThen    int
 		reportedAt time.Time
+		// pressure is how long its queue was of late.
+		pressure admission.Pressure
 
 		// speed is observed over expected time of answers.
 		speed    float64
--- a/internal/kernel/steering/shed.go
+++ b/internal/kernel/steering/shed.go
@@ -7,6 +7,13 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
 
+const (
+	// soonMost is the share refused up to which a refused caller is told to come
+	// back within the target: more than half of those that do are taken then, and
+	// answered in time. At more it had better wait for the overload to end.
+	soonMost = 0.5
+)
+
 // room is how many requests may wait at a server for the last of them to be
 // answered within the route's target, if the work is warm.
 func (k *Kernel) room(f *Flight, g *service, s *server) float64 {
@@ -18,7 +25,8 @@
 	return float64(s.Slots) * max(1, float64(left)/float64(work))
 }
 
-// feel takes in the queue that a server told of.
+// feel takes in the queue that a server told of: for the server itself, and for
+// all of its service in the region.
 func (k *Kernel) feel(now time.Time, f *Flight, s *server, waiting int) {
 	g := k.service(s.Service)
 	p := g.pressure[s.region]
@@ -26,7 +34,9 @@
 		p = &admission.Pressure{}
 		g.pressure[s.region] = p
 	}
-	p.Heard(now, float64(waiting), k.room(f, g, s))
+	room := k.room(f, g, s)
+	p.Heard(now, float64(waiting), room)
+	s.pressure.Heard(now, float64(waiting), room)
 }
 
 // sheds decides whether a request that has not been sent yet is refused because
@@ -39,12 +49,24 @@
 	if p == nil || !k.placer.sheds {
 		return false
 	}
+	// A proxy of a few hears of each server often enough to go by its own queue;
+	// one of many by that of the region's servers together.
+	if now.Sub(s.reportedAt) < reportHorizon {
+		p = &s.pressure
+	}
 	f.pressure = p.Level(now)
 	share := p.Shed(now)
 	if f.Route.Priority < k.leastUrgent[g.name] {
 		share = max(0, 2*share-1)
 	}
-	return share > 0 && k.random.Float64() < share
+	if share == 0 || k.random.Float64() >= share {
+		return false
+	}
+	if share <= soonMost {
+		work := s.domain.roundTrip + g.work.expect(true, f.Route.Target)
+		f.soon = max(0, (f.Route.Target-now.Sub(f.began)-work)/2)
+	}
+	return true
 }
 
 // leastUrgentOf finds the priority of the least urgent route of each service.
--- a/internal/kernel/steering/shed_test.go
+++ b/internal/kernel/steering/shed_test.go
@@ -62,3 +62,30 @@
 		t.Errorf("%d of the urgent are refused and %d of the others, want fewer", got, plain)
 	}
 }
+
+// A few are too many. A caller that is refused comes back while it can still be
+// answered within the target; one second later any answer would be late. Where
+// most are refused it had better wait for the overload to end.
+func TestRefusedCallersComeBackWithinTheTarget(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for _, c := range []struct {
+		waiting int
+		within  time.Duration
+		late    bool
+	}{{8, 300 * time.Millisecond, false}, {40, comeBackMost, true}} {
+		k := shedKernel(now)
+		longest := time.Duration(0)
+		for i := range 400 {
+			at := now.Add(time.Duration(i) * time.Millisecond)
+			f, d := k.Begin(at, Request{Host: "host", Path: "/plain/x"})
+			if d.Server == nil {
+				longest = max(longest, d.ComeBack)
+				continue
+			}
+			k.Ended(at, f, Attempt{Result: Answered, Loaded: true, Running: 4, Waiting: c.waiting})
+		}
+		if longest == 0 || longest > c.within || (longest > comeBackMost/2) != c.late {
+			t.Errorf("%d waiting: told to come back after %s at most, want up to %s", c.waiting, longest, c.within)
+		}
+	}
+}
