A proxy without fresh peers keeps asking the store; a stop does not wait for it

Each answer made the copy fresh, so it stopped for 1.9 s, and a server that drained then got requests for over 2.5 s with the way there. Ruled out: relays of other regions (each tells one of three proxies, two of which were cut off), exchanges (each with a peer that is cut off lasts 1 s). Change: it goes on asking until a peer of its region has a fresh copy. TestProxyWithoutFreshPeersKeepsFollowing failed first.

The stop waited 1.2 s for a store that was cut off to take the entry back, and then had no time left for requests in progress. Change: the call is made beside the stop.

--- a/internal/kernel/replica/relay.go
+++ b/internal/kernel/replica/relay.go
@@ -50,6 +50,10 @@
 	return len(ordered)
 }
 
+// Fresh reports whether a copy of an age is one that follows the store, or close
+// to one.
+func Fresh(age time.Duration) bool { return age < takeOver }
+
 // Follows reports whether a proxy of a rank should ask the store itself.
 func Follows(rank int, age time.Duration) bool {
 	if rank < Relays {
--- a/internal/proxy/forward/feed.go
+++ b/internal/proxy/forward/feed.go
@@ -35,6 +35,11 @@
 		// allowance bounds the whole copies given to peers.
 		allowance replica.Allowance
 		members   map[string]member
+		// nearAt is when a peer of the own region last had a copy fresh enough
+		// that nobody else need ask the store; alone is set while this proxy
+		// asks because none has.
+		nearAt time.Time
+		alone  bool
 		// outage is when the store was away.
 		outage replica.Outage
 		// rewrite asks for the own entry to be written again.
@@ -246,8 +251,28 @@
 	return replica.Rank(f.daemon.settings.Name, list)
 }
 
-// follows reports whether this proxy should ask the store itself.
-func (f *feed) follows() bool { return replica.Follows(f.rank(), f.age()) }
+// follows reports whether this proxy should ask the store itself. One that has
+// begun to, because no news came, goes on until a peer of its region has a fresh
+// copy. Its own answers keep its copy fresh, and if it stopped at each it would
+// hear nothing for two seconds after it.
+func (f *feed) follows() bool {
+	rank, age := f.rank(), f.age()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	since := f.daemon.now().Sub(f.nearAt)
+	f.alone = replica.Follows(rank, age) || f.alone && replica.Follows(rank, since)
+	return f.alone
+}
+
+// hearAge notes how fresh a peer's copy is.
+func (f *feed) hearAge(name string, age time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, known := f.members[name]
+	if known && m.Region == f.daemon.settings.Region && replica.Fresh(age) {
+		f.nearAt = f.daemon.now()
+	}
+}
 
 // failed notes a call to the store, begun at a moment, that was not answered. One
 // that ran out of time found the store away from its beginning.
--- a/internal/proxy/forward/fleet_test.go
+++ b/internal/proxy/forward/fleet_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +21,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/fake/ports"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+	"github.com/gypsumquay/gypsumquay/internal/proxy/sleep"
 )
 
 const (
@@ -464,6 +467,40 @@
 	f.eventually("both proxies are named again", func() bool { return f.named(1) == 2 })
 }
 
+// An operator stops a proxy that is cut off from the store. Taking its entry back
+// takes until the call gives up; if the stop waited for that, no time would be
+// left for requests, and those in progress would be cut.
+func TestPlannedStopDoesNotWaitForTheStore(t *testing.T) {
+	f := newFleet(t, 1)
+	d := f.daemons[0]
+	d.keeper.store.End = func(ctx context.Context, _ uint64) error {
+		sleep.For(ctx, time.Minute)
+		return ctx.Err()
+	}
+	address := d.settings.Listen.Callers
+	f.stops[0]()
+	began := time.Now()
+	var cut atomic.Int32
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			for time.Since(began) < d.bounds().Grace {
+				response, err := http.Get("http://" + address.String() + "/a/slow")
+				switch {
+				case err == nil:
+					_ = response.Body.Close()
+				case errors.Is(err, io.EOF):
+					cut.Add(1)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	if got := cut.Load(); got > 0 {
+		t.Errorf("%d requests were cut by the stop, want none", got)
+	}
+}
+
 // An operator stops a proxy while callers use it. It is not ready at once and
 // no longer named, yet serves whoever still comes, and cuts nobody off.
 func TestPlannedStopCutsNobodyOff(t *testing.T) {
--- a/internal/proxy/forward/gossip_test.go
+++ b/internal/proxy/forward/gossip_test.go
@@ -17,6 +17,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/adapter/peerdrpc"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+	"github.com/gypsumquay/gypsumquay/internal/proxy/sleep"
 )
 
 // idle makes a daemon that never runs, with the seams of one that does.
@@ -241,3 +242,42 @@
 		t.Errorf("news were spread %d times, want once", spread)
 	}
 }
+
+// The relays of a region are cut off, and so is every other peer there. Another
+// proxy asks the store itself. If it stopped at each answer until its copy was old
+// again, a server that drains just after an answer would get requests for two
+// seconds more.
+func TestProxyWithoutFreshPeersKeepsFollowing(t *testing.T) {
+	f := newFleet(t, 1)
+	d := f.withServer()
+	for _, name := range []string{"wide-a", "wide-b"} {
+		d.feed.members[name] = member{Name: name, Region: "north", LinkMbps: 1000}
+	}
+	d.feed.members["far"] = member{Name: "far", Region: "south"}
+	d.feed.members[d.settings.Name] = member{Name: d.settings.Name, Region: "north"}
+	var asked atomic.Int32
+	w := &follower{feed: d.feed, advanced: func(uint64) {}, store: Store{
+		Watch: func(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]Item, error) {
+			asked.Add(1)
+			sleep.For(ctx, 20*time.Millisecond)
+			return nil, ctx.Err()
+		},
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { w.run(ctx); close(ended) }()
+	defer func() { cancel(); <-ended }()
+	f.eventually("it asks the store itself", func() bool { return asked.Load() > 0 })
+	f.eventually("it goes on", func() bool {
+		d.gossip.take(peerdrpc.SyncMessage{From: "far", Delta: replica.Delta{Base: 1, Revision: 1}})
+		d.gossip.take(peerdrpc.SyncMessage{From: "wide-a", Delta: replica.Delta{Base: 1, Revision: 1, Age: time.Minute}})
+		return asked.Load() > 20
+	})
+	d.gossip.take(peerdrpc.SyncMessage{From: "wide-a", Delta: replica.Delta{Base: 1, Revision: 1}})
+	time.Sleep(100 * time.Millisecond)
+	before := asked.Load()
+	time.Sleep(300 * time.Millisecond)
+	if got := asked.Load() - before; got > 0 {
+		t.Errorf("asked %d times more though a peer of the region has a fresh copy, want none", got)
+	}
+}
--- a/internal/proxy/forward/stop.go
+++ b/internal/proxy/forward/stop.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+	"github.com/gypsumquay/gypsumquay/internal/proxy/sleep"
 )
 
 const (
@@ -27,8 +28,10 @@
 	close(d.stopping)
 	d.do(func(k *steering.Kernel, _ time.Time) { k.Leave() })
 	d.gossip.spread(ctx, d.feed.revision())
-	d.keeper.leave(ctx)
-	time.Sleep(time.Duration(drainShare * float64(grace)))
+	// A store that is cut off lets this call hang for over a second, which the
+	// requests in progress would lack at the end.
+	go d.keeper.leave(ctx)
+	sleep.For(ctx, time.Duration(drainShare*float64(grace)))
 	end := began.Add(grace - stopMargin)
 	limited, cancel := context.WithTimeout(ctx, end.Sub(d.now()))
 	defer cancel()
