Writing the entry again does not put the renewal off

If the platform takes the entry away every second or two, the lease was never renewed and ended. TestRewritingDoesNotPutRenewalsOff failed first.

--- a/internal/proxy/forward/keeper.go
+++ b/internal/proxy/forward/keeper.go
@@ -41,25 +41,25 @@
 
 func (k *keeper) run(ctx context.Context) {
 	k.feed.writeSoon()
-	pause := keepLeast
+	renew := time.NewTicker(renewEvery)
+	defer renew.Stop()
 	for ctx.Err() == nil {
-		next := time.NewTimer(renewEvery)
 		select {
 		case <-ctx.Done():
 		case <-k.feed.rewrite:
 			k.written = false
-		case <-next.C:
+		case <-renew.C:
 		}
-		next.Stop()
+		pause := keepLeast
 		for ctx.Err() == nil && !k.feed.daemon.isStopping() && !k.keep(ctx) {
 			sleep.For(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, keepMost)
 		}
-		pause = keepLeast
 	}
 }
 
-// keep makes the one call that is due and reports whether the entry is there. A
+// keep makes the call that is due, or the two of a new entry, and reports whether
+// the entry is there. A
 // renewal that fails is made again and no new entry written: the lease may well
 // be alive, and a renewal costs a tenth of a call.
 func (k *keeper) keep(ctx context.Context) bool {
--- a/internal/proxy/forward/keeper_test.go
+++ b/internal/proxy/forward/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -109,3 +110,19 @@
 		t.Errorf("another proxy waits %s at most, want %s", got, retryOthers)
 	}
 }
+
+// The platform takes the entry away again and again, and it is written each time.
+// If that put the renewal off, the lease would end, and with it the entry.
+func TestRewritingDoesNotPutRenewalsOff(t *testing.T) {
+	f := newFleet(t, 1)
+	s := &keeperStore{}
+	seams := s.seams()
+	var renewals atomic.Int32
+	seams.Renew = func(context.Context, uint64) error { renewals.Add(1); return nil }
+	k := &keeper{feed: f.idle().feed, store: seams}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { k.run(ctx); close(ended) }()
+	defer func() { cancel(); <-ended }()
+	f.eventually("the lease is renewed", func() bool { k.feed.writeSoon(); return renewals.Load() > 0 })
+}
