--- a/internal/kernel/placing/home.go
+++ b/internal/kernel/placing/home.go
@@ -22,9 +22,8 @@
 	Choices = 3
 	// window is how many consecutive objects are dealt out evenly.
 	window = 24
-	// shortList is how many servers of each object are weighed at first. An
-	// object is placed further down once in many thousand windows, and then all
-	// servers are weighed; the result is the same.
+	// shortList is how many servers of each object are tried at first. Where an
+	// object finds room only further down, all are tried; the result is the same.
 	shortList = 16
 )
 
@@ -159,8 +158,8 @@
 	return list
 }
 
-// least lists the most best pairs of one object, in no order. Most pairs are
-// worse than the worst one kept and cost one comparison.
+// least lists the most best pairs of one object. Most pairs are worse than the
+// worst one kept and cost one comparison.
 func least(all []pair, most int) []pair {
 	if len(all) <= most {
 		return all
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -88,26 +88,24 @@
 	if f.Object == "" {
 		return nil
 	}
-	mixed := 0.0
+	near, mixed := k.reach(f)
 	key := strings.Join(f.Route.Regions, " ")
 	switch {
-	case k.fartherThan(farShare, f):
+	case near:
 		key = "near " + key
-	case !k.fartherThan(mixShare, f):
-		mixed = placing.MixedShare
+	case mixed > 0:
 		key = "mixed " + key
 	}
 	h := g.homes[key]
 	if h == nil {
-		h = k.newHomes(f, g, mixed)
+		h = k.newHomes(f, g, near, mixed)
 		g.homes[key] = h
 	}
 	return h.Of(f.Object)
 }
 
 // newHomes deals the objects of this region's callers out.
-func (k *Kernel) newHomes(f *Flight, g *service, mixed float64) *placing.Homes {
-	near := k.fartherThan(farShare, f)
+func (k *Kernel) newHomes(f *Flight, g *service, near bool, mixed float64) *placing.Homes {
 	var candidates []*server
 	for _, s := range g.servers {
 		if f.Route.Allows(s.region) && (!near || s.region == k.config.Region) {
@@ -146,16 +144,23 @@
 	return list
 }
 
-// fartherThan reports whether a round trip to another region takes more than a
-// part of the route's target.
-func (k *Kernel) fartherThan(part float64, f *Flight) bool {
+// reach says how far the objects of a route may live: near, in this region only,
+// if a round trip to another takes too much of the route's target, and otherwise
+// which part of them is mixed over all regions.
+func (k *Kernel) reach(f *Flight) (near bool, mixed float64) {
 	farthest := time.Duration(0)
 	for domain, d := range k.distance {
 		if k.config.RegionOf[domain] != k.config.Region {
 			farthest = max(farthest, d.roundTrip)
 		}
 	}
-	return farthest > time.Duration(part*float64(f.Route.Target))
+	switch {
+	case farthest > time.Duration(farShare*float64(f.Route.Target)):
+		return true, 0
+	case farthest > time.Duration(mixShare*float64(f.Route.Target)):
+		return false, 0
+	}
+	return false, placing.MixedShare
 }
 
 // reckon estimates the time until the answer from one server.
--- a/internal/kernel/steering/learn.go
+++ b/internal/kernel/steering/learn.go
@@ -28,13 +28,9 @@
 	case Mistaken:
 		// Its address belongs to another server now: this one is gone.
 		k.RemoveServer(s.id)
-	case Failed:
-		s.hasFailed(now, false)
 	case Unreachable:
 		s.hasFailed(now, true)
-	case Broken:
-		s.hasFailed(now, false)
-	case Late:
+	case Failed, Broken, Late:
 		s.hasFailed(now, false)
 	}
 	if s.outs > outs {
--- a/internal/kernel/steering/sharers.go
+++ b/internal/kernel/steering/sharers.go
@@ -30,12 +30,14 @@
 // then took itself for the only one, a cold server would get the whole of what
 // it bears from every one of them.
 func (k *Kernel) share(now time.Time, listed []Proxy) {
-	var sharers []sharer
+	sharers := make([]sharer, 0, len(listed))
+	alive := make(map[string]bool, len(listed))
 	for _, p := range listed {
 		sharers = append(sharers, sharer{Proxy: p})
+		alive[p.Name] = true
 	}
 	for _, old := range k.sharers {
-		if slices.ContainsFunc(listed, func(p Proxy) bool { return p.Name == old.Name }) {
+		if alive[old.Name] {
 			continue
 		}
 		if old.until.IsZero() {
--- a/internal/proxy/forward/feed.go
+++ b/internal/proxy/forward/feed.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// absentFor is how long such a registration is waited for. Live servers
-	// are back within about two seconds of the store's return.
+	// absentFor is how long a server is waited for whose registration may have
+	// run out in an outage. Live ones are back within about two seconds of the
+	// store's return.
 	absentFor = 2200 * time.Millisecond
 
 	memberPrefix = "gypsumquay/proxies/"
@@ -189,12 +190,14 @@
 	}
 }
 
-// ownDelta is what the store itself told, from a revision on.
-func (f *feed) ownDelta(d replica.Delta) replica.Delta {
+// applyOwn takes in what the store itself told and reports whether the copy
+// advanced.
+func (f *feed) applyOwn(d replica.Delta) bool {
+	f.answered()
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	d.Doubtful = f.outage.Doubtful(f.daemon.now())
-	return d
+	f.mu.Unlock()
+	return f.apply(d)
 }
 
 func (f *feed) writeSoon() {
--- a/internal/proxy/forward/fleet_test.go
+++ b/internal/proxy/forward/fleet_test.go
@@ -395,12 +395,8 @@
 func TestRestartedProxyDoesNotWaitForSeeds(t *testing.T) {
 	f := newFleet(t, 1)
 	for first, want := range map[bool]bool{true: true, false: false} {
-		s := *f.daemons[0].settings
-		s.Seeds, s.FirstStart = []netip.AddrPort{freePort(t)}, first
-		idle, err := New(&s, f.daemons[0].seams)
-		if err != nil {
-			t.Fatal(err)
-		}
+		idle := f.idle()
+		idle.settings.Seeds, idle.settings.FirstStart = []netip.AddrPort{freePort(t)}, first
 		w := &follower{feed: idle.feed, store: f.links[0].seams()}
 		ctx, cancel := context.WithCancel(context.Background())
 		returned := make(chan struct{})
--- a/internal/proxy/forward/follow.go
+++ b/internal/proxy/forward/follow.go
@@ -105,9 +105,7 @@
 	if err != nil {
 		return errors.Wrap(err, "watch")
 	}
-	f.feed.answered()
-	delta := replica.Delta{Base: before, Revision: newest(before, items), Entries: entriesOf(items)}
-	f.feed.apply(f.feed.ownDelta(delta))
+	f.feed.applyOwn(replica.Delta{Base: before, Revision: newest(before, items), Entries: entriesOf(items)})
 	if len(items) > 0 {
 		// Also if an exchange with another region brought them a moment before:
 		// the rest of this region may not have heard.
@@ -161,8 +159,7 @@
 	if err != nil {
 		return errors.Wrap(err, "read all")
 	}
-	f.feed.answered()
-	if f.feed.apply(f.feed.ownDelta(replica.Delta{Revision: revision, Whole: true, Entries: entriesOf(items)})) {
+	if f.feed.applyOwn(replica.Delta{Revision: revision, Whole: true, Entries: entriesOf(items)}) {
 		f.advanced(before)
 	}
 	return nil
--- a/internal/proxy/forward/gossip.go
+++ b/internal/proxy/forward/gossip.go
@@ -98,8 +98,7 @@
 
 // take takes a peer's message in and reports whether the copy advanced.
 func (g *gossip) take(m peerdrpc.SyncMessage) bool {
-	g.feed.hear(m.From, m.Leaving)
-	g.feed.hearAge(m.From, m.Age)
+	g.feed.hear(m.From, m.Leaving, m.Age)
 	g.mu.Lock()
 	g.named = m.Others
 	g.mu.Unlock()
--- a/internal/proxy/forward/members.go
+++ b/internal/proxy/forward/members.go
@@ -73,28 +73,24 @@
 	f.daemon.do(func(k *steering.Kernel, now time.Time) { k.SetProxies(now, list) })
 }
 
-// hear takes in a proxy's own word that it leaves.
-func (f *feed) hear(name string, leaving bool) {
+// hear takes in a proxy's own word: whether it leaves, and how fresh its copy is.
+func (f *feed) hear(name string, leaving bool, age time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m, known := f.members[name]
-	if known && leaving && !m.Leaving {
+	if !known {
+		return
+	}
+	if m.Region == f.daemon.settings.Region && replica.Fresh(age) {
+		f.nearAt = f.daemon.now()
+	}
+	if leaving && !m.Leaving {
 		m.Leaving = true
 		f.members[name] = m
 		f.listProxies()
 	}
 }
 
-// hearAge notes how fresh a peer's copy is.
-func (f *feed) hearAge(name string, age time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	m, known := f.members[name]
-	if known && m.Region == f.daemon.settings.Region && replica.Fresh(age) {
-		f.nearAt = f.daemon.now()
-	}
-}
-
 // proxies lists the known proxies for operators.
 func (f *feed) proxies() []steeringhttp.Proxy {
 	f.mu.Lock()
