The doubt about a removal goes with it, decided by who read the store

One that is cut off from the store passed on as doubtful what a peer had told it for certain; if it was first, its neighbour waited 2.2 s for a server that had left, and the certain word of the neighbour's own watch brought nothing new to its copy. Change: a removal carries its doubt, remembered in the copy for as long as the doubt lasts; a certain word ends it and is told. TestCutOffProxyPassesRemovalsOnAsItHeardThem failed first.

--- a/internal/adapter/peerdrpc/sync.go
+++ b/internal/adapter/peerdrpc/sync.go
@@ -68,14 +68,14 @@
 func syncOut(m SyncMessage) (*peerpb.SyncMessage, error) {
 	out := &peerpb.SyncMessage{
 		From: m.From, Leaving: m.Leaving, Revision: m.Revision, AgeMilli: m.Age.Milliseconds(), Base: m.Base, Whole: m.Whole,
-		Unsure: m.Unsure, Keys: m.Keys, Doubtful: m.Doubtful,
+		Unsure: m.Unsure, Keys: m.Keys,
 	}
 	for _, a := range m.Others {
 		out.Others = append(out.Others, a.String())
 	}
 	entries := make([]*peerpb.Entry, 0, len(m.Entries))
 	for _, e := range m.Entries {
-		entries = append(entries, &peerpb.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Removed: e.Removed})
+		entries = append(entries, &peerpb.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Removed: e.Removed, Doubtful: e.Doubtful})
 	}
 	if m.Size() < packFrom {
 		out.Entries = entries
@@ -89,7 +89,7 @@
 func syncIn(in *peerpb.SyncMessage) (SyncMessage, error) {
 	m := SyncMessage{From: in.GetFrom(), Leaving: in.GetLeaving()}
 	m.Base, m.Revision, m.Whole = in.GetBase(), in.GetRevision(), in.GetWhole()
-	m.Unsure, m.Keys, m.Doubtful = in.GetUnsure(), in.GetKeys(), in.GetDoubtful()
+	m.Unsure, m.Keys = in.GetUnsure(), in.GetKeys()
 	m.Age = time.Duration(in.GetAgeMilli()) * time.Millisecond
 	for _, text := range in.GetOthers() {
 		a, err := netip.ParseAddrPort(text)
@@ -107,7 +107,7 @@
 	}
 	for _, e := range entries {
 		m.Entries = append(m.Entries, replica.Entry{
-			Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Removed: e.GetRemoved(),
+			Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Removed: e.GetRemoved(), Doubtful: e.GetDoubtful(),
 		})
 	}
 	return m, nil
--- a/internal/adapter/peerdrpc/sync_test.go
+++ b/internal/adapter/peerdrpc/sync_test.go
@@ -31,7 +31,10 @@
 func TestSyncMessagesSurviveTheWire(t *testing.T) {
 	for _, n := range []int{0, 3, 500} {
 		want := registrations(n)
-		want.Unsure, want.Doubtful, want.Leaving, want.Others = true, true, true, []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:7001")}
+		want.Unsure, want.Leaving, want.Others = true, true, []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:7001")}
+		for i := range want.Entries {
+			want.Entries[i].Removed, want.Entries[i].Doubtful = i%3 == 1, i%6 == 1
+		}
 		out, err := syncOut(want)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/kernel/replica/copy.go
+++ b/internal/kernel/replica/copy.go
@@ -27,6 +27,10 @@
 		Value    []byte
 		Revision uint64
 		Removed  bool
+		// Doubtful is set if a removal may be of an entry that ran out while the
+		// store was away, and may be back soon. Who reads the store decides it;
+		// the others pass it on.
+		Doubtful bool
 	}
 
 	// Delta is a part of a copy: the changes after Base up to Revision, or
@@ -40,8 +44,7 @@
 		// all there are if they lead to Keys, a digest of the keys at Revision.
 		Unsure bool
 		Keys   uint64
-		// Doubtful is set if what is missing may have run out while the store
-		// was away, and may be back soon.
+		// Doubtful is set by who reads the store in an outage: all removals are.
 		Doubtful bool
 		// Age is how long ago this was known to be the store's state.
 		Age time.Duration
@@ -53,7 +56,7 @@
 		revision  uint64
 		confirmed time.Time
 		entries   map[string]Entry
-		removals  map[string]uint64
+		removals  map[string]removal
 		// floor is the revision after which all removals are remembered.
 		floor uint64
 		// keys is the digest of the keys held: the hashes of all, XORed.
@@ -62,11 +65,18 @@
 		// to their keys.
 		mismatches int
 	}
+
+	// removal is what is remembered of a key that went.
+	removal struct {
+		revision uint64
+		// doubtUntil is how long it is told to others as doubtful.
+		doubtUntil time.Time
+	}
 )
 
 // NewCopy makes an empty copy.
 func NewCopy() *Copy {
-	return &Copy{entries: make(map[string]Entry), removals: make(map[string]uint64)}
+	return &Copy{entries: make(map[string]Entry), removals: make(map[string]removal)}
 }
 
 // Revision is the revision up to which the copy is complete.
@@ -98,7 +108,8 @@
 	var changed, removed []Entry
 	last := lastOfEach(d.Entries)
 	for i, e := range d.Entries {
-		if last[e.Key] != i || !c.put(e) {
+		e.Doubtful = e.Removed && (e.Doubtful || d.Doubtful)
+		if last[e.Key] != i || !c.put(now, e) {
 			continue
 		}
 		if e.Removed {
@@ -108,7 +119,7 @@
 		}
 	}
 	if d.Whole {
-		removed = append(removed, c.prune(d, last)...)
+		removed = append(removed, c.prune(now, d, last)...)
 	}
 	c.revision = d.Revision
 	if at := now.Add(-d.Age); at.After(c.confirmed) {
@@ -152,13 +163,13 @@
 
 // newer reports whether an entry is newer than what is known of its key.
 func (c *Copy) newer(e Entry) bool {
-	return e.Revision > c.entries[e.Key].Revision && e.Revision > c.removals[e.Key]
+	return e.Revision > c.entries[e.Key].Revision && e.Revision > c.removals[e.Key].revision
 }
 
 // put takes in one entry if it is newer than what is known of its key.
-func (c *Copy) put(e Entry) bool {
+func (c *Copy) put(now time.Time, e Entry) bool {
 	if !c.newer(e) {
-		return false
+		return c.confirms(now, e)
 	}
 	_, known := c.entries[e.Key]
 	if known == e.Removed {
@@ -170,12 +181,12 @@
 		return true
 	}
 	delete(c.entries, e.Key)
-	c.remember(e.Key, e.Revision)
+	c.remember(now, e)
 	return known
 }
 
 // prune removes what a whole copy of the store does not hold.
-func (c *Copy) prune(d Delta, held map[string]int) []Entry {
+func (c *Copy) prune(now time.Time, d Delta, held map[string]int) []Entry {
 	var removed []Entry
 	for key, e := range c.entries {
 		if _, stays := held[key]; stays || e.Revision > d.Revision {
@@ -183,8 +194,9 @@
 		}
 		delete(c.entries, key)
 		c.keys ^= xxhash.Sum64String(key)
-		c.remember(key, d.Revision)
-		removed = append(removed, Entry{Key: key, Revision: d.Revision, Removed: true})
+		gone := Entry{Key: key, Revision: d.Revision, Removed: true, Doubtful: d.Doubtful}
+		c.remember(now, gone)
+		removed = append(removed, gone)
 	}
 	if c.floor == 0 {
 		c.floor = d.Revision
@@ -192,12 +204,27 @@
 	return removed
 }
 
-func (c *Copy) remember(key string, revision uint64) {
+func (c *Copy) remember(now time.Time, e Entry) {
 	if len(c.removals) >= removalsMost {
 		clear(c.removals)
-		c.floor = revision
+		c.floor = e.Revision
+	}
+	r := removal{revision: e.Revision}
+	if e.Doubtful {
+		r.doubtUntil = now.Add(doubtFor)
+	}
+	c.removals[e.Key] = r
+}
+
+// confirms reports whether an entry says for certain that a key went whose removal
+// was doubtful so far.
+func (c *Copy) confirms(now time.Time, e Entry) bool {
+	r, known := c.removals[e.Key]
+	if !known || !e.Removed || e.Doubtful || e.Revision < r.revision || !now.Before(r.doubtUntil) {
+		return false
 	}
-	c.removals[key] = revision
+	c.removals[e.Key] = removal{revision: r.revision}
+	return true
 }
 
 // Since is what a copy at a revision lacks. One that lags by more than the
@@ -216,9 +243,9 @@
 	if d.Whole {
 		return d
 	}
-	for key, at := range c.removals {
-		if at > revision {
-			d.Entries = append(d.Entries, Entry{Key: key, Revision: at, Removed: true})
+	for key, r := range c.removals {
+		if r.revision > revision {
+			d.Entries = append(d.Entries, Entry{Key: key, Revision: r.revision, Removed: true, Doubtful: now.Before(r.doubtUntil)})
 		}
 	}
 	return d
--- a/internal/kernel/replica/replica_test.go
+++ b/internal/kernel/replica/replica_test.go
@@ -250,3 +250,29 @@
 		t.Errorf("the entry told is %q, want the last one", changed[0].Value)
 	}
 }
+
+// One peer tells a removal as doubtful, and the store itself, or a peer that read
+// it later, says that the entry is gone. The certain word must be told, or the
+// server would be waited for though it has left.
+func TestCertainWordEndsTheDoubt(t *testing.T) {
+	c := NewCopy()
+	c.Apply(start, whole("a", "b"))
+	gone := func(doubtful bool) Delta {
+		return Delta{Base: 10, Revision: 11, Entries: []Entry{{Key: "b", Revision: 11, Removed: true, Doubtful: doubtful}}}
+	}
+	if changed, _ := c.Apply(start, gone(true)); len(changed) != 1 || !changed[0].Doubtful {
+		t.Errorf("a doubtful removal changed %v, want b with doubt", changed)
+	}
+	if changed, _ := c.Apply(start, gone(true)); len(changed) != 0 {
+		t.Errorf("the same word again changed %v, want nothing", changed)
+	}
+	if changed, _ := c.Apply(start, gone(false)); len(changed) != 1 || changed[0].Doubtful {
+		t.Errorf("the certain word changed %v, want b without doubt", changed)
+	}
+	if changed, _ := c.Apply(start, gone(true)); len(changed) != 0 {
+		t.Errorf("doubt after the certain word changed %v, want nothing", changed)
+	}
+	if d := c.Since(start, 10); len(d.Entries) != 1 || d.Entries[0].Doubtful {
+		t.Errorf("others are told %v, want b without doubt", d.Entries)
+	}
+}
--- a/internal/proxy/forward/feed.go
+++ b/internal/proxy/forward/feed.go
@@ -65,15 +65,14 @@
 	}
 	f.tellProxies(changed)
 	for _, e := range changed {
-		f.tell(e, d.Doubtful)
+		f.tell(e)
 	}
 	f.beginOnce.Do(func() { close(f.begun) })
 	return f.copy.Revision() > before
 }
 
-// tell brings one change to the kernel. A removal is doubtful if the entry may
-// have run out while the store was away.
-func (f *feed) tell(e replica.Entry, doubtful bool) {
+// tell brings one change to the kernel.
+func (f *feed) tell(e replica.Entry) {
 	n := f.daemon.seams.Names
 	if e.Key == n.Configuration {
 		f.tellTable(e)
@@ -84,7 +83,7 @@
 		return
 	}
 	if id, ok := strings.CutPrefix(e.Key, n.Servers); ok {
-		f.tellServer(id, e, doubtful)
+		f.tellServer(id, e)
 	}
 }
 
@@ -103,10 +102,10 @@
 // tellServer brings a registration to the kernel. One whose removal is doubtful
 // is waited for, or all servers would vanish at once after an outage; any other
 // has left, and would get requests for too long.
-func (f *feed) tellServer(id string, e replica.Entry, doubtful bool) {
+func (f *feed) tellServer(id string, e replica.Entry) {
 	if e.Removed {
 		f.daemon.do(func(k *steering.Kernel, now time.Time) {
-			if doubtful {
+			if e.Doubtful {
 				k.ServerAbsent(id, now.Add(absentFor))
 				return
 			}
@@ -134,7 +133,6 @@
 		return hello
 	}
 	d := f.copy.Since(now, revision)
-	d.Doubtful = f.outage.Doubtful(now)
 	if d.Whole && !f.allowance.Take(now, d.Cost()) {
 		return hello
 	}
--- a/internal/proxy/forward/follow.go
+++ b/internal/proxy/forward/follow.go
@@ -168,7 +168,7 @@
 func entriesOf(items []Item) []replica.Entry {
 	list := make([]replica.Entry, 0, len(items))
 	for _, i := range items {
-		list = append(list, replica.Entry(i))
+		list = append(list, replica.Entry{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed})
 	}
 	return list
 }
--- a/internal/proxy/forward/gossip_test.go
+++ b/internal/proxy/forward/gossip_test.go
@@ -167,13 +167,14 @@
 // because its own calls had failed, it would go on sending requests for seconds.
 func TestRemovalThatPeersTellIsBelievedByAProxyThatWasCutOff(t *testing.T) {
 	f := newFleet(t, 1)
-	removal := replica.Delta{Base: 1, Revision: 2, Entries: []replica.Entry{{Key: "servers/s1", Revision: 2, Removed: true}}}
+	removal := replica.Delta{Base: 1, Revision: 2}
 	for _, doubtful := range []bool{false, true} {
 		d := f.withServer()
 		d.feed.failed(errCut, d.now().Add(-time.Minute))
 		d.feed.failed(context.DeadlineExceeded, d.now())
 		d.gossip.take(peerdrpc.SyncMessage{From: "peer", Delta: replica.Delta{
-			Base: removal.Base, Revision: removal.Revision, Entries: removal.Entries, Doubtful: doubtful,
+			Base: removal.Base, Revision: removal.Revision,
+			Entries: []replica.Entry{{Key: "servers/s1", Revision: 2, Removed: true, Doubtful: doubtful}},
 		}})
 		if got := knows(d, "s1"); got != doubtful {
 			t.Errorf("removal doubted by the peer %t: the server is still used %t", doubtful, got)
@@ -281,3 +282,25 @@
 		t.Errorf("asked %d times more though a peer of the region has a fresh copy, want none", got)
 	}
 }
+
+// A proxy that is cut off from the store hears of a removal from a peer that read
+// it, and passes it on. Its own outage says nothing of that removal: were it passed
+// on as doubtful, the next proxy would send requests to a server that has left.
+func TestCutOffProxyPassesRemovalsOnAsItHeardThem(t *testing.T) {
+	f := newFleet(t, 1)
+	for _, doubtful := range []bool{false, true} {
+		cut, next := f.withServer(), f.withServer()
+		cut.feed.failed(context.DeadlineExceeded, cut.now().Add(-time.Minute))
+		reader := f.withServer()
+		if doubtful {
+			reader.feed.failed(context.DeadlineExceeded, reader.now().Add(-time.Minute))
+		}
+		reader.feed.applyOwn(replica.Delta{Base: 1, Revision: 2, Entries: []replica.Entry{{Key: "servers/s1", Revision: 2, Removed: true}}})
+		cut.gossip.take(peerdrpc.SyncMessage{From: "reader", Delta: reader.feed.since(1)})
+		time.Sleep(time.Millisecond)
+		next.gossip.take(peerdrpc.SyncMessage{From: "cut", Delta: cut.feed.since(1)})
+		if got := knows(next, "s1"); got != doubtful {
+			t.Errorf("removal doubted by its reader %t: the server is still used %t", doubtful, got)
+		}
+	}
+}
