A stopping proxy answers what came last before it leaves

New requests are taken until half of the grace time; the process leaves 0.4 s before its end. With 3 s of grace, a request that comes at 1.2 s and meets a server that hangs has a time-out of 1.5 s and is still in progress at 2.6 s: its connection closed without an answer, and no log line told of it.

Ruled out: the store that is cut off (the leave runs beside the stop, log: stopped after 2.6 s, the whole time); idle connections that close under a request (the servers had run these).

Change: the kernel bounds the wait of requests that begin while the process leaves; their servers are told the shorter deadline, the caller gets its final result and the end is logged.

TestPlannedStopAnswersWhatCameLast failed before. The fleet's tests end a stopped proxy's connections, as the end of its process does.

--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -73,7 +73,10 @@
 		// alive and those that may be.
 		sharers  []sharer
 		distance map[string]*distance
-		leaving  bool
+		// leaving is set once the process stops; end is when the last request
+		// must have its result then.
+		leaving bool
+		end     time.Time
 		// coldRanks caches this proxy's rank at the cold servers of a failure
 		// domain, until the sharers change.
 		coldRanks map[string]int
@@ -279,14 +282,16 @@
 	return list
 }
 
-// Leave marks this proxy as leaving.
-func (k *Kernel) Leave() {
+// Leave marks this proxy as leaving. Requests that begin from now on get their
+// final result by end: a server that hangs would else hold them until the
+// process is gone, and their callers would see a connection that closes.
+func (k *Kernel) Leave(end time.Time) {
 	for i := range k.proxies {
 		if k.proxies[i].Name == k.config.Name {
 			k.proxies[i].Leaving = true
 		}
 	}
-	k.leaving = true
+	k.leaving, k.end = true, end
 }
 
 // SetProxies tells which proxies are alive. This one always is.
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -189,6 +189,9 @@
 	if !r.Deadline.IsZero() && r.Deadline.Before(f.Until) {
 		f.Until = r.Deadline
 	}
+	if k.leaving && k.end.Before(f.Until) {
+		f.Until = k.end
+	}
 	f.Service = k.splitter.Next(f.Route)
 	return f, k.send(now, f)
 }
--- a/internal/proxy/forward/fleet_test.go
+++ b/internal/proxy/forward/fleet_test.go
@@ -224,8 +224,11 @@
 		f.served.Store(r.Header.Get("Attempt"), true)
 		w.Header().Set("Attempt", r.Header.Get("Attempt"))
 		w.Header().Set("Seal", "s")
-		if r.URL.Path == "/a/slow" {
+		switch r.URL.Path {
+		case "/a/slow":
 			time.Sleep(300 * time.Millisecond)
+		case "/a/hangs":
+			<-r.Context().Done()
 		}
 	}))
 	t.Cleanup(f.backend.Close)
@@ -317,6 +320,14 @@
 	}
 }
 
+// endConnections closes a proxy's connections once it has stopped, as the end of
+// its process does.
+func (f *fleet) endConnections(i int) {
+	err := <-f.ended[i]
+	_ = f.daemons[i].callers.Close()
+	f.ended[i] <- err
+}
+
 func (f *fleet) eventually(what string, done func() bool) {
 	f.t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
@@ -475,6 +486,7 @@
 	}
 	address := d.settings.Listen.Callers
 	f.stops[0]()
+	go f.endConnections(0)
 	began := time.Now()
 	var cut atomic.Int32
 	var callers sync.WaitGroup
@@ -497,6 +509,37 @@
 	}
 }
 
+// A backend server hangs while an operator stops a proxy. Requests that come
+// late in the time in which new ones are still taken have longer to wait than
+// the process has left. Each must get an answer before the process ends; their
+// connections were closed without one.
+func TestPlannedStopAnswersWhatCameLast(t *testing.T) {
+	f := newFleet(t, 1)
+	d := f.daemons[0]
+	began, taken := time.Now(), time.Duration(drainShare*float64(d.bounds().Grace))
+	f.stops[0]()
+	go f.endConnections(0)
+	var cut, answered atomic.Int32
+	var callers sync.WaitGroup
+	for time.Since(began) < taken {
+		callers.Go(func() {
+			response, err := http.Get("http://" + d.settings.Listen.Callers.String() + "/a/hangs")
+			switch {
+			case err == nil:
+				answered.Add(1)
+				_ = response.Body.Close()
+			case errors.Is(err, io.EOF):
+				cut.Add(1)
+			}
+		})
+		time.Sleep(50 * time.Millisecond)
+	}
+	callers.Wait()
+	if got := cut.Load(); got > 0 || answered.Load() == 0 {
+		t.Errorf("%d requests were cut by the stop and %d answered, want none cut", got, answered.Load())
+	}
+}
+
 // An operator stops a proxy while callers use it. It is not ready at once and
 // no longer named, yet serves whoever still comes, and cuts nobody off.
 func TestPlannedStopCutsNobodyOff(t *testing.T) {
--- a/internal/proxy/forward/stop.go
+++ b/internal/proxy/forward/stop.go
@@ -14,6 +14,9 @@
 	// stopMargin is the end of the grace time that is kept free, so that the
 	// process leaves by itself before it is killed.
 	stopMargin = 400 * time.Millisecond
+	// answerMargin is how long before the process leaves the last request is
+	// given up on, so that its answer is still written and its end logged.
+	answerMargin = 100 * time.Millisecond
 	// drainShare is the part of the grace time in which new requests are
 	// still taken: callers keep an answer of the directory for its lifetime.
 	drainShare = 0.5
@@ -24,19 +27,22 @@
 // closes connections only when they are idle.
 func (d *Daemon) stop(ctx context.Context) {
 	began, grace := d.now(), d.bounds().Grace
+	end := began.Add(grace - stopMargin)
 	klog.InfoS("stopping", "grace", grace.String())
 	close(d.stopping)
-	d.do(func(k *steering.Kernel, _ time.Time) { k.Leave() })
+	d.do(func(k *steering.Kernel, _ time.Time) { k.Leave(end.Add(-answerMargin)) })
 	d.gossip.spread(ctx, d.feed.revision())
 	// A store that is cut off lets this call hang for over a second, which the
 	// requests in progress would lack at the end.
 	go d.keeper.leave(ctx)
 	sleep.For(ctx, time.Duration(drainShare*float64(grace)))
-	end := began.Add(grace - stopMargin)
 	limited, cancel := context.WithTimeout(ctx, end.Sub(d.now()))
 	defer cancel()
 	if err := d.callers.Shutdown(limited); err != nil {
-		klog.InfoS("requests were still in progress at the end of the grace time", "error", err.Error())
+		// Only requests whose time-out is longer than the grace time can be.
+		inFlight := 0
+		d.do(func(k *steering.Kernel, now time.Time) { inFlight = k.Status(now).InFlight })
+		klog.InfoS("requests were still in progress at the end of the grace time", "requests", inFlight, "error", err.Error())
 	}
 	klog.InfoS("stopped", "took", d.now().Sub(began).String())
 }
