Proxies share the connections that a server accepts

Cause: the configuration says how many connections one server accepts from all proxies; nobody held to it. Idle connections, eight a proxy, of 1,300 proxies would be seven times the 1,400 of a server (by arithmetic); the same with a server that hangs, to which each proxy may have any number open. What is over the bound is reset, whoever it belongs to.

Change: a proxy uses an equal part of 0.8 of the bound, one at least, for requests in progress and for idle connections; past it the server counts as full for this proxy and the request goes elsewhere or is refused as not run.

--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -104,7 +104,8 @@
 	return serverhttp.Request{
 		Address: t.Address, Instance: t.ID, Method: r.Method, Host: r.Host, Target: r.RequestURI,
 		Header: r.Header, Body: body, Attempt: q.ID, Deadline: f.Until,
-		DialLimit: min(dialBase+dialRoundTrips*t.RoundTrip, f.Until.Sub(s.Now())),
+		DialLimit:   min(dialBase+dialRoundTrips*t.RoundTrip, f.Until.Sub(s.Now())),
+		Connections: t.Connections,
 	}
 }
 
--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -89,6 +89,8 @@
 		Deadline time.Time
 		// DialLimit bounds the opening of a connection.
 		DialLimit time.Duration
+		// Connections bounds the connections to the server; zero for no bound.
+		Connections int
 	}
 
 	// Answer is a server's whole answer.
@@ -127,7 +129,7 @@
 		// The caller left, and the connection was closed to tell the server.
 		return steering.Attempt{Result: steering.Left, Err: context.Cause(ctx)}, nil
 	}
-	c.pool.put(connection, reusable)
+	c.pool.put(connection, reusable, r.Connections)
 	attempt := c.judge(r, answer, err)
 	attempt.RoundTrip = roundTrip
 	return attempt, answer
@@ -140,7 +142,7 @@
 		return 0, err
 	}
 	connection.uses = 0
-	c.pool.put(connection, true)
+	c.pool.put(connection, true, 0)
 	return roundTrip, nil
 }
 
--- a/internal/adapter/serverhttp/client_test.go
+++ b/internal/adapter/serverhttp/client_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +17,12 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
+const (
+	// patience bounds waits for what must happen soon; only a failure waits
+	// so long.
+	patience = 10 * time.Second
+)
+
 var (
 	headers = Headers{
 		Attempt: "Attempt", Deadline: "Time-Left", Instance: "Instance", Load: "Load", NotRun: "Not-Run", Seal: "Seal",
@@ -370,6 +377,46 @@
 	}
 }
 
+// Six requests at a time go to a server that accepts few connections from each
+// proxy. Kept idle, all six would stand in the way of other proxies' connections.
+func TestIdleConnectionsStayWithinTheirBound(t *testing.T) {
+	const most, together = 2, 6
+	var arrived sync.WaitGroup
+	arrived.Add(together)
+	var ended atomic.Int32
+	s := serveRaw(t, func(_, n int, r *http.Request, w net.Conn) bool {
+		if n == 1 {
+			arrived.Done()
+			arrived.Wait()
+		}
+		_, err := io.WriteString(w, ok(r.Header.Get("Attempt"), "x"))
+		if err == nil {
+			_, err = w.Read(make([]byte, 1))
+		}
+		if err != nil {
+			ended.Add(1)
+		}
+		return err == nil
+	})
+	c := newTestClient()
+	var clients sync.WaitGroup
+	for range together {
+		clients.Go(func() {
+			c.Send(context.Background(), Request{
+				Address: s.address(), Method: http.MethodGet, Host: "h", Target: "/", Attempt: "a",
+				Deadline: time.Now().Add(patience), DialLimit: patience, Connections: most,
+			})
+		})
+	}
+	clients.Wait()
+	for end := time.Now().Add(patience); ended.Load() < together-most && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if got := ended.Load(); got != together-most {
+		t.Errorf("%d connections were closed, want %d", got, together-most)
+	}
+}
+
 func TestServersWordOnIdleConnections(t *testing.T) {
 	for text, want := range map[string]time.Duration{
 		"": keepDefault, "timeout=5": 4 * time.Second, "max=3, timeout=2": time.Second, "timeout=0": 0, "timeout=x": keepDefault,
--- a/internal/adapter/serverhttp/pool.go
+++ b/internal/adapter/serverhttp/pool.go
@@ -110,7 +110,9 @@
 	return c
 }
 
-func (p *pool) put(c *conn, reusable bool) {
+// put takes a connection back. most bounds the idle ones to the server, if it is
+// not zero.
+func (p *pool) put(c *conn, reusable bool, most int) {
 	if !reusable {
 		_ = c.Close()
 		return
@@ -120,8 +122,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep(now)
+	if most <= 0 {
+		most = idleMost
+	}
 	list := p.idle[c.address]
-	if len(list) >= idleMost {
+	for len(list) >= min(most, idleMost) {
 		_ = list[0].Close()
 		list = list[1:]
 	}
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -57,12 +57,13 @@
 	best := pick{reason: ReasonNoServer}
 	homes := k.homes(f, g)
 	left := f.Until.Sub(now)
+	most, bounded := k.connections(g)
 	for _, s := range g.servers {
 		if !f.Route.Allows(s.region) || slices.Contains(f.tried, s) || !s.usable(now) {
 			continue
 		}
 		p := k.reckon(now, f, g, s, homes)
-		if p.start > left {
+		if p.start > left || bounded && s.inFlight >= most {
 			if best.server == nil {
 				best.reason = ReasonOverload
 			}
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -136,6 +136,9 @@
 		routing.Server
 		// RoundTrip to the server's failure domain.
 		RoundTrip time.Duration
+		// Connections is how many this proxy may hold to the server, used and
+		// idle; zero for no bound.
+		Connections int
 	}
 
 	// Attempt reports how a send ended.
@@ -228,7 +231,8 @@
 		At: now, Kind: EventSent, Server: s.id, Domain: s.Domain, Attempt: len(f.steps)/2 + 1, Expected: pick.expected,
 		Load: s.load(now), LoadAge: s.loadAge(now), Home: pick.home, Warm: pick.warm,
 	})
-	return &Target{Server: s.Server, RoundTrip: s.domain.roundTrip}, ReasonNone
+	most, _ := k.connections(g)
+	return &Target{Server: s.Server, RoundTrip: s.domain.roundTrip, Connections: most}, ReasonNone
 }
 
 // Ended takes in how an attempt ended and decides what follows.
