--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 # the seeds of platform/testdata/soak-seeds.json first and fresh ones after;
 # SEED=n plays one, SOAK_PROXIES=n sets the number of proxies.
 soak-processes:
-	SOAK_FOR=$(FOR) SOAK_SEED=$(SEED) $(GO) test -count=1 -timeout 2h -v -run TestSoak ./platform
+	SOAK_FOR=$(FOR) SOAK_SEED=$(SEED) SOAK_EACH=$(EACH) $(GO) test -count=1 -timeout 2h -v -run TestSoak ./platform
 
 bench: build
 	$(BIN)/gypsumquay-bench bench
