Queues are inferred where servers tell no load

Cause: only some services tell their load. Where none is told, a proxy knew its own requests only: overload went unnoticed until every queue was full, and requests without an object met queues of other proxies. Found by playing the emulator's loads with servers that tell nothing.

Ruled out: a late answer alone as a sign. Work varies: it counts only against the least of late on the same route, and only if that would have been in time.

--- a/internal/fake/warmnet/load.go
+++ b/internal/fake/warmnet/load.go
@@ -45,6 +45,18 @@
 		// once in each Period; the regions follow each other evenly.
 		Swing  float64           `json:"swing"`
 		Period operator.Duration `json:"period"`
+		// Calm is how long half the rate is asked at first.
+		Calm operator.Duration `json:"calm"`
+		// Speeds are the times that servers take, as parts of Work, dealt out in
+		// turn; none for servers that are alike.
+		Speeds []float64 `json:"speeds"`
+		// Spread is the standard deviation of the logarithm of the work; zero for
+		// work that varies evenly by a little.
+		Spread float64 `json:"spread"`
+		// Mute servers don't tell their load.
+		Mute bool `json:"mute"`
+		// Anonymous requests name no object.
+		Anonymous bool `json:"anonymous"`
 		// Leave is when one server of each region leaves; zero for never.
 		Leave operator.Duration `json:"leave"`
 	}
@@ -80,6 +92,9 @@
 	return l, nil
 }
 
+// even reports whether the rate stays the same all the time.
+func (l Load) even() bool { return l.Swing == 0 && l.Calm == 0 }
+
 // Share is the part of the requests answered within the target.
 func (o Outcome) Share() float64 { return float64(o.InTarget) / float64(max(1, o.Asked)) }
 
--- a/internal/fake/warmnet/play.go
+++ b/internal/fake/warmnet/play.go
@@ -22,6 +22,8 @@
 	service  = "service"
 	host     = "host"
 	workVary = 0.15
+	// calmShare is the rate while a load is calm, as a part of the load's.
+	calmShare = 0.5
 )
 
 type (
@@ -54,6 +56,8 @@
 		waiting    []*job
 		recent     []string
 		gone       bool
+		// slow is the time that it takes, as a part of the load's work.
+		slow float64
 	}
 
 	job struct {
@@ -125,7 +129,10 @@
 	for _, r := range w.load.Regions {
 		regionOf[r.Name+"-a"] = r.Name
 		for i := range r.Servers {
-			s := &server{id: fmt.Sprintf("%s-%d", r.Name, i), region: r.Name}
+			s := &server{id: fmt.Sprintf("%s-%d", r.Name, i), region: r.Name, slow: 1}
+			if n := len(w.load.Speeds); n > 0 {
+				s.slow = w.load.Speeds[len(w.servers)%n]
+			}
 			w.servers = append(w.servers, s)
 			w.byID[s.id] = s
 		}
@@ -191,7 +198,7 @@
 			return
 		}
 		// Moments at the highest rate are thinned out to the rate of now.
-		if w.load.Swing == 0 || w.random.Float64()*most < r.PerSecond*w.wave(i) {
+		if w.load.even() || w.random.Float64()*most < r.PerSecond*w.wave(i) {
 			w.ask(i, r.Name)
 		}
 		w.after(pause(), next)
@@ -201,6 +208,12 @@
 
 // wave is a region's rate now, as a part of its mean.
 func (w *world) wave(i int) float64 {
+	if w.now < w.load.Calm.Std() {
+		return calmShare
+	}
+	if w.load.Swing == 0 {
+		return 1
+	}
 	turns := w.now.Seconds()/w.load.Period.Std().Seconds() + float64(i)/float64(len(w.load.Regions))
 	return 1 + w.load.Swing*math.Sin(2*math.Pi*turns)
 }
@@ -208,7 +221,10 @@
 func (w *world) ask(i int, region string) {
 	w.out.Asked++
 	w.asked[region]++
-	object := strconv.FormatInt(int64(i*w.load.Objects+w.random.IntN(w.load.Objects)), 16)
+	object := ""
+	if !w.load.Anonymous {
+		object = strconv.FormatInt(int64(i*w.load.Objects+w.random.IntN(w.load.Objects)), 16)
+	}
 	w.begin(&job{region: region, began: w.now, object: object, returns: w.load.Returns})
 }
 
@@ -249,7 +265,7 @@
 		if s.gone {
 			continue
 		}
-		work := w.load.Work.Std()
+		work := time.Duration(float64(w.load.Work.Std()) * s.slow)
 		warm := time.Duration(float64(work) * w.load.WarmShare)
 		if s.knows(j.flight.Object) {
 			work = warm
@@ -292,7 +308,7 @@
 func (w *world) run(j *job) {
 	s := j.server
 	s.running++
-	work := float64(w.load.Work.Std()) * (1 + workVary*(2*w.random.Float64()-1))
+	work := float64(w.load.Work.Std()) * s.slow * w.vary()
 	if s.knows(j.flight.Object) {
 		work *= w.load.WarmShare
 	} else {
@@ -314,20 +330,35 @@
 	})
 }
 
+// vary is one request's work as a part of the mean.
+func (w *world) vary() float64 {
+	if w.load.Spread > 0 {
+		return math.Exp(w.load.Spread*w.random.NormFloat64() - w.load.Spread*w.load.Spread/2)
+	}
+	return 1 + workVary*(2*w.random.Float64()-1)
+}
+
 // end brings the result back to the proxy.
 func (w *world) end(j *job, result steering.Result) {
-	attempt := steering.Attempt{Result: result, Loaded: true, Running: j.server.running, Waiting: len(j.server.waiting)}
+	attempt := steering.Attempt{Result: result}
+	if !w.load.Mute {
+		attempt.Loaded, attempt.Running, attempt.Waiting = true, j.server.running, len(j.server.waiting)
+	}
 	w.after(w.roundTrip(j.region, j.server.region)/2, func() {
 		if attempt.Result == steering.Answered && w.clock().After(j.flight.Until) {
-			attempt.Result = steering.Late
+			// The proxy has gone before the server's word arrives.
+			attempt = steering.Attempt{Result: steering.Late}
 		}
 		w.follow(j, j.kernel.Ended(w.clock(), j.flight, attempt))
 	})
 }
 
-func (s *server) knows(object string) bool { return slices.Contains(s.recent, object) }
+func (s *server) knows(object string) bool { return object != "" && slices.Contains(s.recent, object) }
 
 func (s *server) remember(object string, most int) {
+	if object == "" {
+		return
+	}
 	if i := slices.Index(s.recent, object); i >= 0 {
 		s.recent = slices.Delete(s.recent, i, i+1)
 	}
--- a/internal/fake/warmnet/warmnet_test.go
+++ b/internal/fake/warmnet/warmnet_test.go
@@ -92,3 +92,30 @@
 		t.Errorf("%.3f within the target, %.3f in the worst region; want 0.42 and 0.36 at least", share, worst)
 	}
 }
+
+// Servers don't tell their load. After a calm third of the time, in which proxies
+// learn how long the work takes, callers ask for 2% more than warm servers can do.
+// Proxies that infer no queue from late answers send all, and a quarter is
+// answered in time.
+func TestOverloadIsNoticedWhereServersTellNothing(t *testing.T) {
+	if share, worst, _ := mean(load(t, "overload-mute"), steering.DefaultPlacer); share < 0.38 || worst < 0.32 {
+		t.Errorf("%.3f within the target, %.3f in the worst region; want 0.38 and 0.32 at least", share, worst)
+	}
+}
+
+// The work of single requests differs by a factor of three, and servers don't
+// tell their load. A long answer must not pass for a queue: none need be refused.
+func TestUnevenWorkIsNoOverload(t *testing.T) {
+	if o := Play(load(t, "uneven-mute"), steering.DefaultPlacer, 1); o.Refused > o.Asked/200 {
+		t.Errorf("%d of %d requests refused, want hardly any", o.Refused, o.Asked)
+	}
+}
+
+// Requests name no object, and servers don't tell their load. Each proxy knows
+// only its own requests; the queues of others show in how long answers take.
+func TestQueuesOfOthersShowInAnswers(t *testing.T) {
+	share, worst, _ := mean(load(t, "anonymous-mute"), steering.DefaultPlacer)
+	if share < 0.98 || worst < 0.97 {
+		t.Errorf("%.3f within the target, %.3f in the worst region; want 0.98 and 0.97 at least", share, worst)
+	}
+}
--- a/internal/kernel/admission/pressure.go
+++ b/internal/kernel/admission/pressure.go
@@ -5,7 +5,7 @@
 )
 
 const (
-	// shedFrom is the queue, as a part of the room for requests that can still be
+	// ShedFrom is the queue, as a part of the room for requests that can still be
 	// answered in time, from which some are refused, and shedSlope the share
 	// refused for each further whole room. A queue that is short for a moment is
 	// no overload. Refused callers come back, so a third must be refused for a
@@ -13,7 +13,7 @@
 	// can do, 0.006 of all are answered in time without it, 0.49 with these. A
 	// start at 0.7 or a slope of 0.7 cost 0.05 to 0.07 of that, a start at 0.3
 	// refuses also at the top of a wave that passes by itself.
-	shedFrom  = 0.5
+	ShedFrom  = 0.5
 	shedSlope = 1.0
 	// shedMost leaves a part that is always sent, so that the end of an overload
 	// is noticed.
@@ -63,5 +63,5 @@
 // then find a queue in which they are answered in time. Where none are refused
 // the queue grows to its end, and nearly all answers come late.
 func (p *Pressure) Shed(now time.Time) float64 {
-	return min(shedMost, max(0, shedSlope*(p.Level(now)-shedFrom)))
+	return min(shedMost, max(0, shedSlope*(p.Level(now)-ShedFrom)))
 }
--- a/internal/kernel/steering/learn.go
+++ b/internal/kernel/steering/learn.go
@@ -9,7 +9,7 @@
 	s.domain.heard(a.RoundTrip)
 	if a.Loaded {
 		s.report(now, a.Running, a.Waiting)
-		k.feel(now, f, s, a.Waiting)
+		k.feel(now, f, s, float64(a.Waiting))
 	}
 	if a.Leaving && !s.Draining {
 		s.Draining = true
@@ -21,6 +21,9 @@
 	switch a.Result {
 	case Answered:
 		k.learnWork(now, f, s, g, took)
+		if !a.Loaded {
+			k.guess(now, f, s, took-s.domain.roundTrip)
+		}
 	case Refused:
 		s.hasRefused(now, a)
 	case Mistaken:
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -56,8 +56,12 @@
 		reported   int
 		ownThen    int
 		reportedAt time.Time
-		// pressure is how long its queue was of late.
+		// pressure is how long its queue was of late, as heard at feltAt.
 		pressure admission.Pressure
+		feltAt   time.Time
+		// alone is its work without a queue, by route, if it does not tell its
+		// load.
+		alone map[string]*workModel
 
 		// speed is observed over expected time of answers.
 		speed    float64
@@ -145,6 +149,19 @@
 	s.reportedAt = now
 }
 
+// aloneOn is the server's work without a queue on the requests of a route.
+func (s *server) aloneOn(route string) *workModel {
+	w := s.alone[route]
+	if w == nil {
+		if s.alone == nil {
+			s.alone = make(map[string]*workModel)
+		}
+		w = &workModel{}
+		s.alone[route] = w
+	}
+	return w
+}
+
 // succeeded notes an answer that took a time against the one expected.
 func (s *server) succeeded(took, expected time.Duration) {
 	s.failures, s.refusals, s.outs = 0, 0, 0
--- a/internal/kernel/steering/shed.go
+++ b/internal/kernel/steering/shed.go
@@ -25,9 +25,9 @@
 	return float64(s.Slots) * max(1, float64(left)/float64(work))
 }
 
-// feel takes in the queue that a server told of: for the server itself, and for
+// feel takes in how many requests wait at a server: for the server itself, and for
 // all of its service in the region.
-func (k *Kernel) feel(now time.Time, f *Flight, s *server, waiting int) {
+func (k *Kernel) feel(now time.Time, f *Flight, s *server, waiting float64) {
 	g := k.service(s.Service)
 	p := g.pressure[s.region]
 	if p == nil {
@@ -35,8 +35,34 @@
 		g.pressure[s.region] = p
 	}
 	room := k.room(f, g, s)
-	p.Heard(now, float64(waiting), room)
-	s.pressure.Heard(now, float64(waiting), room)
+	p.Heard(now, waiting, room)
+	s.pressure.Heard(now, waiting, room)
+	s.feltAt = now
+}
+
+// guess infers the queue of a server that does not tell its load from how much
+// longer an answer took than the least of late for the route, which is the work
+// alone. Work varies too, so an answer within the target is no sign of overload,
+// and neither is a late one if the work alone takes longer than the target.
+// Answers on a first run are left out: how long these take varies more.
+func (k *Kernel) guess(now time.Time, f *Flight, s *server, work time.Duration) {
+	if !f.warm && f.Object != "" || work <= 0 {
+		return
+	}
+	alone := s.aloneOn(f.Route.Name)
+	alone.heard(true, work)
+	waiting := max(0, float64(work-alone.warm)/float64(alone.warm)*float64(s.Slots))
+	if waiting >= 1 {
+		s.report(now, s.Slots, int(waiting))
+	}
+	left := f.Route.Target - s.domain.roundTrip
+	switch {
+	case alone.warm > left:
+		return
+	case work <= left:
+		waiting = min(waiting, admission.ShedFrom*k.room(f, k.service(s.Service), s))
+	}
+	k.feel(now, f, s, waiting)
 }
 
 // sheds decides whether a request that has not been sent yet is refused because
@@ -51,7 +77,7 @@
 	}
 	// A proxy of a few hears of each server often enough to go by its own queue;
 	// one of many by that of the region's servers together.
-	if now.Sub(s.reportedAt) < reportHorizon {
+	if now.Sub(s.feltAt) < reportHorizon {
 		p = &s.pressure
 	}
 	f.pressure = p.Level(now)
