Bodies of requests and answers share a bounded part of the memory

Cause: a proxy on the platform held any number of bodies, 1 MB of a request and 16 MB of an answer each, on VMs of 184 to 536 MB; past its memory the process is killed with all its requests. A caller that announced a body and sent none held its connection for good.

Change: adapter/bodies reads bodies for both ways in and for answers, within a quarter of the process's memory. What doesn't fit is refused as not run, with a time to come back; an answer that doesn't fit ends its attempt. A body that isn't there after ten seconds, or the configuration's header time-out if that is longer, gets 408. The reading in callerhttp, which had a bound of its own, is gone.

TestBodiesBeyondMemoryAreRefusedAsNotRun and TestBodyThatNeverComesIsGivenUp need the new bounds; TestBodyLimits holds as before.

--- /dev/null
+++ b/internal/adapter/bodies/bodies.go
@@ -0,0 +1,127 @@
+// Package bodies reads the bodies of requests and answers into memory, whole,
+// and bounds what all of them take together. A body is held because a repeat
+// needs it again and because a part of an answer must never look like the whole.
+package bodies
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/semaphore"
+)
+
+const (
+	// step is how much room is taken for a body that does not tell its length,
+	// until it turns out to need more.
+	step = 64 << 10
+)
+
+var (
+	// ErrTooLarge means that a body is over its limit.
+	ErrTooLarge = errors.New("body too large")
+	// ErrNoMemory means that too much is held already.
+	ErrNoMemory = errors.New("too many bodies at once")
+)
+
+type (
+	// Memory is what all bodies together may take, in bytes.
+	Memory struct {
+		left *semaphore.Weighted
+	}
+
+	// Body is one that is held. Release gives its memory back; the bytes must not
+	// be used after.
+	Body struct {
+		Bytes  []byte
+		memory *Memory
+		room   int64
+	}
+)
+
+// NewMemory makes room for a number of bytes.
+func NewMemory(most int64) *Memory { return &Memory{left: semaphore.NewWeighted(most)} }
+
+// Release gives the body's memory back. Doing so again does nothing.
+func (b *Body) Release() {
+	if b == nil || b.room == 0 {
+		return
+	}
+	b.memory.left.Release(b.room)
+	b.room = 0
+}
+
+// Read reads a body of the length that is told, or of any up to limit if that is
+// negative. Without an error the caller must release the body.
+func (m *Memory) Read(r io.Reader, told, limit int64) (*Body, error) {
+	b := &Body{memory: m}
+	if told == 0 {
+		return b, nil
+	}
+	if told > limit {
+		return nil, ErrTooLarge
+	}
+	if err := b.fill(r, told, limit); err != nil {
+		b.Release()
+		return nil, err
+	}
+	return b, nil
+}
+
+func (b *Body) fill(r io.Reader, told, limit int64) error {
+	room := told
+	if told < 0 {
+		room = min(step, limit)
+	}
+	for {
+		if !b.memory.left.TryAcquire(room - b.room) {
+			return ErrNoMemory
+		}
+		b.room = room
+		more, err := io.ReadAll(io.LimitReader(r, room-int64(len(b.Bytes))))
+		b.Bytes = append(b.Bytes, more...)
+		if err != nil {
+			return errors.Wrap(err, "read body")
+		}
+		if int64(len(b.Bytes)) < room || told >= 0 {
+			return nil
+		}
+		if room == limit {
+			return overLimit(r)
+		}
+		room = min(2*room, limit)
+	}
+}
+
+// overLimit reports whether a body that has reached its limit goes on.
+func overLimit(r io.Reader) error {
+	if n, err := io.ReadFull(r, make([]byte, 1)); n > 0 {
+		return ErrTooLarge
+	} else if !errors.Is(err, io.EOF) {
+		return errors.Wrap(err, "read body")
+	}
+	return nil
+}
+
+// ReadRequest reads the body of a caller's request, which must be there within a
+// time: callers that send none of what they announced would hold memory and
+// connections for good.
+func (m *Memory) ReadRequest(w http.ResponseWriter, r *http.Request, limit int64, within time.Duration) (*Body, error) {
+	if r.ContentLength == 0 || r.Body == nil {
+		return &Body{memory: m}, nil
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Now().Add(within)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, errors.Wrap(err, "bound reading")
+	}
+	b, err := m.Read(r.Body, r.ContentLength, limit)
+	if err != nil {
+		return nil, err
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		b.Release()
+		return nil, errors.Wrap(err, "end the bound on reading")
+	}
+	return b, nil
+}
--- /dev/null
+++ b/internal/adapter/bodies/bodies_test.go
@@ -0,0 +1,129 @@
+package bodies
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+func body(n int) io.Reader { return strings.NewReader(strings.Repeat("b", n)) }
+
+func TestReadKeepsToTheLimit(t *testing.T) {
+	for _, c := range []struct {
+		size        int
+		told, limit int64
+		want        error
+	}{
+		{0, 0, 10, nil},
+		{10, 10, 10, nil},
+		{11, 11, 10, ErrTooLarge},
+		{10, -1, 10, nil},
+		{11, -1, 10, ErrTooLarge},
+		{3 * step, -1, 3 * step, nil},
+		{3*step + 1, -1, 3 * step, ErrTooLarge},
+		{3*step - 1, -1, 10 * step, nil},
+	} {
+		m := NewMemory(20 * step)
+		b, err := m.Read(iotest.HalfReader(body(c.size)), c.told, c.limit)
+		if !errors.Is(err, c.want) {
+			t.Errorf("%d bytes, told %d, limit %d: got error %v, want %v", c.size, c.told, c.limit, err, c.want)
+			continue
+		}
+		if err == nil && len(b.Bytes) != c.size {
+			t.Errorf("%d bytes, told %d, limit %d: got %d", c.size, c.told, c.limit, len(b.Bytes))
+		}
+		b.Release()
+		if !m.left.TryAcquire(20 * step) {
+			t.Errorf("%d bytes, told %d, limit %d: memory is not given back", c.size, c.told, c.limit)
+		}
+	}
+}
+
+// Callers send bodies together that would not fit in the VM's memory. Some are
+// refused, which can come back, instead of all being lost with the process.
+func TestBodiesTogetherStayWithinMemory(t *testing.T) {
+	m := NewMemory(150)
+	first, err := m.Read(body(100), 100, 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, told := range []int64{60, -1} {
+		if _, err := m.Read(body(60), told, 100); !errors.Is(err, ErrNoMemory) {
+			t.Errorf("60 bytes beside 100, told %d: got error %v, want %v", told, err, ErrNoMemory)
+		}
+	}
+	first.Release()
+	first.Release()
+	if _, err := m.Read(body(60), 60, 100); err != nil {
+		t.Errorf("60 bytes after the release: got error %v, want none", err)
+	}
+}
+
+// A caller announces a body and sends nothing. Its connection and the memory for
+// the body were held until it went away.
+func TestBodyThatNeverComesIsGivenUp(t *testing.T) {
+	m, failed := NewMemory(100), make(chan error, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := m.ReadRequest(w, r, 100, 10*time.Millisecond)
+		failed <- err
+	}))
+	defer server.Close()
+	c, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\nonly a part"); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-failed; !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("got error %v, want %v", err, os.ErrDeadlineExceeded)
+	}
+	if !m.left.TryAcquire(100) {
+		t.Error("memory is not given back")
+	}
+}
+
+// A caller keeps its connection and is slow between requests: the bound on a body
+// must not end what comes after.
+func TestBoundOnABodyEndsWithIt(t *testing.T) {
+	m, within := NewMemory(100), 50*time.Millisecond
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if b, err := m.ReadRequest(w, r, 100, within); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+		} else {
+			time.Sleep(2 * within)
+			b.Release()
+		}
+	}))
+	defer server.Close()
+	for range 2 {
+		response, err := server.Client().Post(server.URL, "text/plain", body(50))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			t.Errorf("got status %d, want 200", response.StatusCode)
+		}
+	}
+}
+
+func TestBrokenBodyIsAnError(t *testing.T) {
+	m := NewMemory(100)
+	broken := errors.New("broken")
+	if _, err := m.Read(io.MultiReader(body(5), iotest.ErrReader(broken)), 10, 100); !errors.Is(err, broken) {
+		t.Errorf("got error %v, want %v", err, broken)
+	}
+	if !m.left.TryAcquire(100) {
+		t.Error("memory is not given back")
+	}
+}
--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -15,8 +15,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
-	"golang.org/x/sync/semaphore"
 
+	"github.com/gypsumquay/gypsumquay/internal/adapter/bodies"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
@@ -29,8 +29,6 @@
 	writeTimeout   = 90 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
-	// unknownLength is how much room a body without a stated length gets.
-	unknownLength = 64 << 10
 )
 
 var (
@@ -50,11 +48,6 @@
 	}
 )
 
-var (
-	errTooLarge = errors.New("request body too large")
-	errNoMemory = errors.New("too many bodies at once")
-)
-
 type (
 	// Limits bounds what callers may take of this proxy's memory, in bytes.
 	Limits struct {
@@ -84,7 +77,7 @@
 		kernel   core.Access
 		run      func(context.Context, Request) Reply
 		limits   Limits
-		memory   *semaphore.Weighted
+		memory   *bodies.Memory
 		observed func(service string, r caller.Result, took time.Duration)
 		now      func() time.Time
 	}
@@ -118,7 +111,7 @@
 // NewServer makes a server. run takes a request to its final result; observed is told of each final result.
 func NewServer(k core.Access, run func(context.Context, Request) Reply, l Limits, now func() time.Time, observed func(string, caller.Result, time.Duration)) *Server {
 	return &Server{
-		kernel: k, run: run, limits: l, memory: semaphore.NewWeighted(l.Total),
+		kernel: k, run: run, limits: l, memory: bodies.NewMemory(l.Total),
 		observed: observed, now: now,
 	}
 }
@@ -201,12 +194,12 @@
 func (s *Server) request(w http.ResponseWriter, r *http.Request) {
 	began := s.now()
 	service := mux.Vars(r)["service"]
-	body, release, err := s.readBody(r)
-	defer release()
+	body, err := s.memory.ReadRequest(w, r, s.limits.Body, readTimeout)
 	if err != nil {
 		s.refuse(w, service, began, err)
 		return
 	}
+	defer body.Release()
 	q := Request{
 		Request: core.Request{
 			Service: service,
@@ -216,7 +209,7 @@
 			Token:   r.Header.Get(caller.HeaderToken),
 		},
 		Header: r.Header,
-		Body:   body,
+		Body:   body.Bytes,
 	}
 	if text := r.Header.Get(caller.HeaderTimeout); text != "" {
 		timeout, err := time.ParseDuration(text)
@@ -243,35 +236,10 @@
 	return path
 }
 
-// readBody takes the whole body in before any decision: a retry needs it
-// again, and a caller that breaks off half way must not leave half a request
-// with a backend server.
-func (s *Server) readBody(r *http.Request) ([]byte, func(), error) {
-	if r.ContentLength == 0 || r.Body == nil {
-		return nil, func() {}, nil
-	}
-	room := r.ContentLength
-	if room < 0 {
-		room = min(unknownLength, s.limits.Body)
-	}
-	if room > s.limits.Body {
-		return nil, func() {}, errTooLarge
-	}
-	if !s.memory.TryAcquire(room) {
-		return nil, func() {}, errNoMemory
-	}
-	release := func() { s.memory.Release(room) }
-	body, err := io.ReadAll(io.LimitReader(r.Body, room+1))
-	if err == nil && int64(len(body)) > room {
-		err = errTooLarge
-	}
-	return body, release, err
-}
-
 func (s *Server) refuse(w http.ResponseWriter, service string, began time.Time, err error) {
 	result := caller.Result{Outcome: caller.NotRun, Reason: caller.ReasonBusy, RetryAfter: time.Second}
 	switch {
-	case errors.Is(err, errTooLarge):
+	case errors.Is(err, bodies.ErrTooLarge):
 		writeOutcome(w, result)
 		writeJSON(w, http.StatusRequestEntityTooLarge, refusal{Outcome: caller.NotRun.String(), Text: err.Error()})
 	default:
--- a/internal/adapter/callerhttp/server_test.go
+++ b/internal/adapter/callerhttp/server_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/gypsumquay/gypsumquay/internal/adapter/bodies"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
 )
 
@@ -56,22 +57,21 @@
 // The request is refused before anything runs and the room is given back.
 func TestBodyLimits(t *testing.T) {
 	s := testServer(t)
-	read := func(size int) (func(), error) {
+	read := func(size int) (*bodies.Body, error) {
 		r := httptest.NewRequest(http.MethodPost, "/services/x/y", strings.NewReader(strings.Repeat("b", size)))
-		_, release, err := s.readBody(r)
-		return release, err
+		return s.memory.ReadRequest(httptest.NewRecorder(), r, s.limits.Body, readTimeout)
 	}
-	if _, err := read(101); !errors.Is(err, errTooLarge) {
-		t.Errorf("101 bytes: got error %v, want %v", err, errTooLarge)
+	if _, err := read(101); !errors.Is(err, bodies.ErrTooLarge) {
+		t.Errorf("101 bytes: got error %v, want %v", err, bodies.ErrTooLarge)
 	}
-	release, err := read(100)
+	held, err := read(100)
 	if err != nil {
 		t.Fatalf("100 bytes: got error %v, want none", err)
 	}
-	if _, err := read(60); !errors.Is(err, errNoMemory) {
-		t.Errorf("60 bytes beside 100: got error %v, want %v", err, errNoMemory)
+	if _, err := read(60); !errors.Is(err, bodies.ErrNoMemory) {
+		t.Errorf("60 bytes beside 100: got error %v, want %v", err, bodies.ErrNoMemory)
 	}
-	release()
+	held.Release()
 	if _, err := read(60); err != nil {
 		t.Errorf("60 bytes after the release: got error %v, want none", err)
 	}
--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -5,16 +5,17 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/gypsumquay/gypsumquay/internal/adapter/bodies"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
@@ -25,6 +26,13 @@
 	// and not this side close: a request then never crosses a close.
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
+	// bodyTimeout is how long a body may take to arrive unless the configuration
+	// gives callers longer.
+	bodyTimeout = 10 * time.Second
+	// noMemoryPause is when a caller may come back for whose body no memory was
+	// left: bodies are held for as long as their requests last, mostly under a
+	// second.
+	noMemoryPause = 500 * time.Millisecond
 	// bodyDefault bounds bodies while no configuration says more.
 	bodyDefault = 1 << 20
 	// dialBase and dialRoundTrips bound the opening of a connection: a dead
@@ -35,10 +43,6 @@
 	deadlineMost = 10 * time.Minute
 )
 
-var (
-	errTooLarge = errors.New("request body too large")
-)
-
 type (
 	// Headers names the header fields that callers send.
 	Headers struct {
@@ -57,8 +61,10 @@
 	Server struct {
 		Headers Headers
 		Kernel  Kernel
-		Send    func(context.Context, serverhttp.Request) (steering.Attempt, *serverhttp.Answer)
-		Now     func() time.Time
+		// Memory is what bodies may take together.
+		Memory *bodies.Memory
+		Send   func(context.Context, serverhttp.Request) (steering.Attempt, *serverhttp.Answer)
+		Now    func() time.Time
 		// Stopping reports whether callers should go elsewhere.
 		Stopping func() bool
 	}
@@ -76,11 +82,12 @@
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	began := s.Now()
-	body, err := s.readBody(r)
+	body, err := s.readBody(w, r)
 	if err != nil {
-		s.refuseBody(w, err)
+		s.refuseBody(w, r, err)
 		return
 	}
+	defer body.Release()
 	request := steering.Request{ID: r.Header.Get(s.Headers.Attempt), Host: hostOf(r.Host), Path: r.URL.Path}
 	if c, err := r.Cookie(s.Headers.ObjectCookie); err == nil {
 		request.Object = c.Value
@@ -94,10 +101,16 @@
 	var answer *serverhttp.Answer
 	for decision.Server != nil {
 		var attempt steering.Attempt
-		attempt, answer = s.Send(r.Context(), s.attempt(r, body, request, flight, decision.Server))
+		if answer != nil {
+			answer.Body.Release()
+		}
+		attempt, answer = s.Send(r.Context(), s.attempt(r, body.Bytes, request, flight, decision.Server))
 		s.Kernel(func(k *steering.Kernel, now time.Time) { decision = k.Ended(now, flight, attempt) })
 	}
 	s.reply(w, r, decision, answer)
+	if answer != nil {
+		answer.Body.Release()
+	}
 }
 
 func (s *Server) attempt(r *http.Request, body []byte, q steering.Request, f *steering.Flight, t *steering.Target) serverhttp.Request {
@@ -112,33 +125,36 @@
 // readBody takes the whole body in before any decision: a repeat needs it
 // again, and a caller that breaks off half way must not leave half a request
 // with a server.
-func (s *Server) readBody(r *http.Request) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	limit := int64(bodyDefault)
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) (*bodies.Body, error) {
+	limit, within := int64(bodyDefault), bodyTimeout
 	s.Kernel(func(k *steering.Kernel, _ time.Time) {
-		if t := k.Table(); t != nil && t.Limits.BodyBytes > 0 {
+		t := k.Table()
+		if t == nil {
+			return
+		}
+		if t.Limits.BodyBytes > 0 {
 			limit = t.Limits.BodyBytes
 		}
+		within = max(within, t.Limits.HeaderTimeout)
 	})
-	if r.ContentLength > limit {
-		return nil, errTooLarge
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		err = errTooLarge
-	}
-	return body, err
+	return s.Memory.ReadRequest(w, r, limit, within)
 }
 
-func (s *Server) refuseBody(w http.ResponseWriter, err error) {
-	if errors.Is(err, errTooLarge) {
+// refuseBody answers a request whose body is not there; nothing was sent on.
+func (s *Server) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
+	klog.InfoS("body refused", "request", r.Header.Get(s.Headers.Attempt), "length", r.ContentLength, "error", err.Error())
+	w.Header().Set("Connection", "close")
+	switch {
+	case errors.Is(err, bodies.ErrTooLarge):
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
-		return
+	case errors.Is(err, bodies.ErrNoMemory):
+		s.refuse(w, r, steering.Decision{NotRun: true, ComeBack: noMemoryPause})
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.WriteHeader(http.StatusRequestTimeout)
+	default:
+		// The caller broke off in its body; nobody reads an answer.
+		panic(http.ErrAbortHandler)
 	}
-	// The caller broke off in its body; nobody reads an answer.
-	panic(http.ErrAbortHandler)
 }
 
 // reply gives the caller the final answer.
@@ -155,10 +171,10 @@
 		header[name] = values
 	}
 	if r.Method != http.MethodHead && bodyAllowed(answer.Status) {
-		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+		header.Set("Content-Length", strconv.Itoa(len(answer.Body.Bytes)))
 	}
 	w.WriteHeader(answer.Status)
-	if _, err := w.Write(answer.Body); err != nil {
+	if _, err := w.Write(answer.Body.Bytes); err != nil {
 		klog.V(1).InfoS("answer not delivered", "request", r.Header.Get(s.Headers.Attempt), "error", err.Error())
 	}
 }
--- a/internal/adapter/forwardhttp/server_test.go
+++ b/internal/adapter/forwardhttp/server_test.go
@@ -12,11 +12,17 @@
 	"testing"
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/adapter/bodies"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
+const (
+	// testMemory is less than two bodies of the largest size.
+	testMemory = 150
+)
+
 type (
 	// front is a server over a kernel with one backend server that a function
 	// stands in for.
@@ -40,7 +46,7 @@
 			defer mu.Unlock()
 			do(f.kernel, time.Now())
 		},
-		Send: send, Now: time.Now, Stopping: func() bool { return f.stopping },
+		Memory: bodies.NewMemory(testMemory), Send: send, Now: time.Now, Stopping: func() bool { return f.stopping },
 	}
 	if configured {
 		route := &routing.Route{
@@ -87,7 +93,7 @@
 
 func answers(result steering.Result, status int, body string) sender {
 	return func(context.Context, serverhttp.Request) (steering.Attempt, *serverhttp.Answer) {
-		return steering.Attempt{Result: result}, &serverhttp.Answer{Status: status, Header: http.Header{"Seal": {"s"}}, Body: []byte(body)}
+		return steering.Attempt{Result: result}, &serverhttp.Answer{Status: status, Header: http.Header{"Seal": {"s"}}, Body: &bodies.Body{Bytes: []byte(body)}}
 	}
 }
 
@@ -159,12 +165,39 @@
 	}
 }
 
+// Callers send bodies that are allowed each but together more than the proxy has
+// memory for. Those in excess are told that nothing ran and when to come back;
+// before, the process was killed with all its requests.
+func TestBodiesBeyondMemoryAreRefusedAsNotRun(t *testing.T) {
+	entered, leave := make(chan bool, 1), make(chan bool)
+	f := newFront(t, true, func(context.Context, serverhttp.Request) (steering.Attempt, *serverhttp.Answer) {
+		entered <- true
+		<-leave
+		return steering.Attempt{Result: steering.Answered}, &serverhttp.Answer{Status: http.StatusOK, Body: &bodies.Body{}}
+	})
+	body := strings.Repeat("x", 100)
+	first := make(chan reply, 1)
+	go func() { first <- get(t, http.MethodPost, f.URL+"/a/x", body) }()
+	<-entered
+	if got := get(t, http.MethodPost, f.URL+"/a/x", body); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("second body: status is %d, come back after %q, want 503 and a time", got.status, got.header.Get("Retry-After"))
+	}
+	leave <- true
+	if got := <-first; got.status != http.StatusOK {
+		t.Errorf("first body: status is %d, want 200", got.status)
+	}
+	go func() { <-entered; leave <- true }()
+	if got := get(t, http.MethodPost, f.URL+"/a/x", body); got.status != http.StatusOK {
+		t.Errorf("body after the first is released: status is %d, want 200", got.status)
+	}
+}
+
 // The deadline handed on is the sooner of the caller's and the route's.
 func TestDeadlineHandedOn(t *testing.T) {
 	var left time.Duration
 	f := newFront(t, true, func(_ context.Context, r serverhttp.Request) (steering.Attempt, *serverhttp.Answer) {
 		left = time.Until(r.Deadline)
-		return steering.Attempt{Result: steering.Answered}, &serverhttp.Answer{Status: http.StatusOK}
+		return steering.Attempt{Result: steering.Answered}, &serverhttp.Answer{Status: http.StatusOK, Body: &bodies.Body{}}
 	})
 	get(t, http.MethodGet, f.URL+"/a/x", "")
 	if left <= 0 || left > 700*time.Millisecond {
--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -21,6 +21,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/gypsumquay/gypsumquay/internal/adapter/bodies"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/errs"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
@@ -42,7 +43,6 @@
 	errStray     = errors.New("answers to other requests only")
 	errUnsigned  = errors.New("success without the server's seal")
 	errUnclaimed = errors.New("answer on a kept connection does not name its request")
-	errTooLarge  = errors.New("answer too large to hold")
 
 	// hopHeaders concern one connection only and are never passed on.
 	hopHeaders = []string{
@@ -72,6 +72,7 @@
 	Client struct {
 		headers Headers
 		pool    *pool
+		memory  *bodies.Memory
 		now     func() time.Time
 	}
 
@@ -93,11 +94,11 @@
 		Connections int
 	}
 
-	// Answer is a server's whole answer.
+	// Answer is a server's whole answer. Its body must be released.
 	Answer struct {
 		Status int
 		Header http.Header
-		Body   []byte
+		Body   *bodies.Body
 	}
 
 	exchange struct {
@@ -108,9 +109,10 @@
 	}
 )
 
-// NewClient makes a client. opened is told of each new connection.
-func NewClient(h Headers, now func() time.Time, opened func()) *Client {
-	return &Client{headers: h, now: now, pool: newPool(now, opened)}
+// NewClient makes a client that holds answers in memory. opened is told of each
+// new connection.
+func NewClient(h Headers, m *bodies.Memory, now func() time.Time, opened func()) *Client {
+	return &Client{headers: h, memory: m, now: now, pool: newPool(now, opened)}
 }
 
 // Send makes one attempt. The answer is nil unless a whole one arrived.
@@ -127,6 +129,9 @@
 	answer, reusable, err := e.run()
 	if !stop() {
 		// The caller left, and the connection was closed to tell the server.
+		if answer != nil {
+			answer.Body.Release()
+		}
 		return steering.Attempt{Result: steering.Left, Err: context.Cause(ctx)}, nil
 	}
 	c.pool.put(connection, reusable, r.Connections)
@@ -269,8 +274,10 @@
 			// other request that the answer could belong to.
 			return e.checked(answer, closes)
 		case id == "":
+			answer.Body.Release()
 			return nil, true, errUnclaimed
 		}
+		answer.Body.Release()
 		strayed = true
 	}
 	return nil, true, errStray
@@ -279,6 +286,7 @@
 func (e *exchange) checked(answer *Answer, closes bool) (*Answer, bool, error) {
 	success := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
 	if success && answer.Header.Get(e.client.headers.Seal) == "" {
+		answer.Body.Release()
 		return nil, true, errUnsigned
 	}
 	return answer, closes, nil
@@ -290,12 +298,14 @@
 		return nil, true, errors.Wrap(err, "read answer")
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, answerMost+1))
-	if err != nil {
-		return nil, true, errors.Wrap(err, "read answer's body")
+	told := response.ContentLength
+	if e.request.Method == http.MethodHead {
+		// The length is that of the answer to a GET; nothing follows.
+		told = 0
 	}
-	if len(body) > answerMost {
-		return nil, true, errTooLarge
+	body, err := e.client.memory.Read(response.Body, told, answerMost)
+	if err != nil {
+		return nil, true, errors.Wrap(err, "hold answer")
 	}
 	e.conn.keepFor(response.Header.Get("Keep-Alive"))
 	header := make(http.Header, len(response.Header))
--- a/internal/adapter/serverhttp/client_test.go
+++ b/internal/adapter/serverhttp/client_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/adapter/bodies"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
@@ -84,7 +85,9 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt: %s\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", attempt, len(body), body)
 }
 
-func newTestClient() *Client { return NewClient(headers, time.Now, func() {}) }
+func newTestClient() *Client {
+	return NewClient(headers, bodies.NewMemory(64<<20), time.Now, func() {})
+}
 
 func send(c *Client, s *rawServer, attempt string) (steering.Attempt, *Answer) {
 	return c.Send(context.Background(), request(s, attempt))
@@ -103,8 +106,8 @@
 	if a.Result != result {
 		t.Fatalf("result is %s (%v), want %s", a.Result, a.Err, result)
 	}
-	if result == steering.Answered && string(answer.Body) != body {
-		t.Errorf("body is %q, want %q", answer.Body, body)
+	if result == steering.Answered && string(answer.Body.Bytes) != body {
+		t.Errorf("body is %q, want %q", answer.Body.Bytes, body)
 	}
 }
 
@@ -139,7 +142,7 @@
 		a, answer := send(c, s, id)
 		expect(t, a, answer, steering.Answered, "to "+id)
 	}
-	if a, answer := send(c, s, "three"); answer == nil || string(answer.Body) != "to three" {
+	if a, answer := send(c, s, "three"); answer == nil || string(answer.Body.Bytes) != "to three" {
 		t.Errorf("result after a stray answer is %s, want the answer on a new connection", a.Result)
 	}
 	if got := s.opened.Load(); got != 2 {
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/gypsumquay/gypsumquay/internal/adapter/bodies"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/forwardhttp"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/peerdrpc"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
@@ -33,6 +34,11 @@
 	// memoryShare of what the process may use makes the collector work harder:
 	// past all of it the process is killed. Measured peaks are 25 MB.
 	memoryShare = 0.8
+	// bodiesShare is the part of it that bodies of requests and answers may take
+	// together: a body that grows is held twice for a moment, and the collector
+	// leaves as much again. bodiesDefault applies if the settings name no memory.
+	bodiesShare   = 0.25
+	bodiesDefault = 64 << 20
 )
 
 type (
@@ -87,9 +93,10 @@
 	d.gossip = &gossip{feed: d.feed, send: d.peers.Sync}
 	d.follower = &follower{feed: d.feed, store: seams.Store}
 	d.keeper = &keeper{feed: d.feed, store: seams.Store}
-	d.servers = serverhttp.NewClient(seams.Names.Server, d.now, d.meters.connections.Inc)
+	memory := bodies.NewMemory(bodiesMost(s.MemoryBytes))
+	d.servers = serverhttp.NewClient(seams.Names.Server, memory, d.now, d.meters.connections.Inc)
 	d.callers = (&forwardhttp.Server{
-		Headers: seams.Names.Caller, Kernel: d.do, Send: d.servers.Send, Now: d.now,
+		Headers: seams.Names.Caller, Kernel: d.do, Memory: memory, Send: d.servers.Send, Now: d.now,
 		Stopping: d.isStopping,
 	}).HTTP()
 	d.readiness = &http.Server{Handler: d.readinessHandler(), ReadHeaderTimeout: time.Second}
@@ -97,6 +104,14 @@
 	return d, nil
 }
 
+// bodiesMost is what bodies may take of the memory of the process, in bytes.
+func bodiesMost(memory int64) int64 {
+	if memory <= 0 {
+		return bodiesDefault
+	}
+	return int64(bodiesShare * float64(memory))
+}
+
 // now reads the steady clock: the time of day may jump.
 func (d *Daemon) now() time.Time { return d.start.Add(time.Since(d.start)) }
 
