A proxy's recording replays to the same decisions, call by call

Open before: a recorded time line could not be replayed against the kernel, and the log tells what was chosen but not how the other servers looked.

The kernel reads no clock and draws from its own seed, so nothing else is needed.

--- a/cmd/gypsumquayd/main.go
+++ b/cmd/gypsumquayd/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alexflint/go-arg"
 	"k8s.io/klog/v2"
@@ -15,6 +16,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/proxy/daemon"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/forward"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/logs"
+	"github.com/gypsumquay/gypsumquay/internal/proxy/recording"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/settings"
 	"github.com/gypsumquay/gypsumquay/platform"
 )
@@ -31,6 +33,7 @@
 		Settings      string `arg:"positional" help:"settings file (JSON)"`
 		CheckSettings bool   `arg:"--check-settings" help:"check the settings and exit"`
 		OnPlatform    bool   `arg:"--on-platform" help:"run on the platform, by the settings file that it names"`
+		Record        string `arg:"--record" help:"directory for a recording of the kernel's calls, for gypsumquayctl steering replay (with --on-platform)"`
 		Verbosity     int    `arg:"-v,--verbosity" default:"0" help:"log detail, 0 to 2"`
 	}
 )
@@ -93,7 +96,17 @@
 	buffer := logs.NewBuffer(os.Stdout, logLines)
 	defer buffer.Close()
 	logs.Setup(buffer, a.Verbosity, "vm", s.Proxy.Name)
-	d, err := forward.New(&s.Proxy, platform.Seams(a.Settings, s, buffer.Dropped))
+	seams := platform.Seams(a.Settings, s, buffer.Dropped)
+	if a.Record != "" {
+		file, err := recording.Create(a.Record, s.Proxy.Name, time.Now())
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitSettings
+		}
+		defer closeRecording(file)
+		seams.Record = file.Write
+	}
+	d, err := forward.New(&s.Proxy, seams)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
@@ -101,6 +114,12 @@
 	return run(stop, func(stop context.Context) error { return d.Run(stop, told) })
 }
 
+func closeRecording(f *recording.File) {
+	if err := f.Close(); err != nil {
+		klog.ErrorS(err, "end of the recording lost")
+	}
+}
+
 // hangUps tells of each hang-up signal; unhandled it would end the process.
 func hangUps() <-chan struct{} {
 	signals := make(chan os.Signal, 1)
--- /dev/null
+++ b/internal/client/command/replay.go
@@ -0,0 +1,66 @@
+package command
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+)
+
+type (
+	// SteeringReplayArguments names a recording.
+	SteeringReplayArguments struct {
+		File    string `arg:"positional,required" help:"recording, as gypsumquayd --record writes it"`
+		Request string `help:"tell how servers were weighed for the request of this id"`
+	}
+)
+
+// run replays a recording and tells which decisions differ from those recorded.
+func (a *SteeringReplayArguments) run() (Result, error) {
+	file, err := os.Open(a.File)
+	if err != nil {
+		return Result{}, usageError(err.Error())
+	}
+	defer func() { _ = file.Close() }()
+	r, err := steering.ReplayCalls(file, a.Request)
+	if err != nil {
+		return Result{}, usageError(errors.Wrap(err, a.File).Error())
+	}
+	var text strings.Builder
+	fmt.Fprintf(&text, "%d calls, %d decisions, %d differ\n", r.Calls, r.Decisions, r.Differing)
+	if r.CutShort {
+		text.WriteString("the last call is cut short: the process was killed\n")
+	}
+	for _, d := range r.Differences {
+		fmt.Fprintf(&text, "%s request %s: recorded %s, now %s\n", d.At.Format("15:04:05.000"), d.Request, verdictText(d.Recorded), verdictText(d.Now))
+	}
+	if len(r.Weighed) > 0 {
+		fmt.Fprintf(&text, "%-12s %7s %-20s %6s %5s %5s %4s %6s %6s %9s %12s\n", "AT", "ATTEMPT", "SERVER", "USABLE", "COLD", "WARM", "HOME", "LOAD", "SPEED", "EXPECTED", "COST")
+	}
+	for _, w := range r.Weighed {
+		mark := ""
+		if w.Chosen {
+			mark = " chosen"
+		}
+		fmt.Fprintf(&text, "%-12s %7d %-20s %6t %5t %5t %4d %6.1f %6.2f %9s %12s%s\n", w.At.Format("15:04:05.000"), w.Attempt, w.Server,
+			w.Usable, w.Cold, w.Warm, w.Home, w.Load, w.Speed, rounded(w.Expected), rounded(w.Cost), mark)
+	}
+	return Result{Text: text.String(), Data: r}, nil
+}
+
+func verdictText(v steering.Verdict) string {
+	switch {
+	case v.Server != "":
+		return "to " + v.Server
+	case v.Answer:
+		return "answered"
+	}
+	return string(v.Reason)
+}
+
+// rounded leaves out what nobody reads.
+func rounded(d time.Duration) string { return d.Round(10 * time.Microsecond).String() }
--- a/internal/client/command/steering.go
+++ b/internal/client/command/steering.go
@@ -28,6 +28,7 @@
 		Routes  *SteeringRoutesArguments  `arg:"subcommand:routes" help:"routes in force at one proxy"`
 		Explain *SteeringExplainArguments `arg:"subcommand:explain" help:"all decisions on one request, over all proxies"`
 		Events  *SteeringEventsArguments  `arg:"subcommand:events" help:"decisions and changes of all proxies, merged"`
+		Replay  *SteeringReplayArguments  `arg:"subcommand:replay" help:"give a recording of a proxy to a new kernel and compare the decisions"`
 	}
 
 	// SteeringStatusArguments has no fields.
@@ -75,8 +76,10 @@
 		return steeringEvents(s, client, a.Explain.Request, func(steeringhttp.Event) bool { return true })
 	case a.Events != nil:
 		return steeringEvents(s, client, "", a.Events.match)
+	case a.Replay != nil:
+		return a.Replay.run()
 	}
-	return Result{}, usageError("steering: needs status, servers, routes, explain or events")
+	return Result{}, usageError("steering: needs status, servers, routes, explain, events or replay")
 }
 
 func (a *SteeringEventsArguments) match(e steeringhttp.Event) bool {
--- a/internal/fake/warmnet/play.go
+++ b/internal/fake/warmnet/play.go
@@ -48,6 +48,7 @@
 		inRange map[string]int
 		asked   map[string]int
 		oracle  bool
+		record  func(steering.Call)
 	}
 
 	server struct {
@@ -88,9 +89,13 @@
 }
 
 // Play plays a load with a placer. Equal arguments give equal outcomes.
-func Play(l Load, placer string, seed uint64) Outcome {
+func Play(l Load, placer string, seed uint64) Outcome { return play(l, placer, seed, nil) }
+
+// play does so and records the calls of the first proxy's kernel.
+func play(l Load, placer string, seed uint64, record func(steering.Call)) Outcome {
 	w := &world{
-		load: l, random: rand.New(rand.NewPCG(seed, 1)), byID: make(map[string]*server),
+		record: record,
+		load:   l, random: rand.New(rand.NewPCG(seed, 1)), byID: make(map[string]*server),
 		proxies: make(map[string][]*steering.Kernel), inRange: make(map[string]int), asked: make(map[string]int),
 		oracle: placer == AllSeeing,
 	}
@@ -144,8 +149,13 @@
 		}
 	}
 	for i, p := range all {
+		var record func(steering.Call)
+		if i == 0 {
+			record = w.record
+		}
 		k := steering.New(steering.Config{
-			Name: p.Name, Domain: p.Domain, Region: p.Region, RegionOf: regionOf, Placer: placer, Seed: [32]byte{byte(i), byte(seed)},
+			Record: record,
+			Name:   p.Name, Domain: p.Domain, Region: p.Region, RegionOf: regionOf, Placer: placer, Seed: [32]byte{byte(i), byte(seed)},
 			Bounds: steering.Bounds{
 				Retry: steering.RetryBudget{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}, ColdFactor: 1.5, ColdSlack: 5,
 			},
@@ -231,7 +241,7 @@
 // begin brings a caller to one of its region's proxies.
 func (w *world) begin(j *job) {
 	j.kernel = w.proxies[j.region][w.random.IntN(len(w.proxies[j.region]))]
-	flight, decision := j.kernel.Begin(w.clock(), steering.Request{Host: host, Path: "/", Object: j.object})
+	flight, decision := j.kernel.Begin(w.clock(), steering.Request{ID: strconv.Itoa(w.out.Asked), Host: host, Path: "/", Object: j.object})
 	j.flight = flight
 	w.follow(j, decision)
 }
--- /dev/null
+++ b/internal/fake/warmnet/replay_test.go
@@ -0,0 +1,121 @@
+package warmnet
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+)
+
+// recorded plays a load and returns the recording of one proxy's kernel, and the
+// calls in it.
+func recorded(t *testing.T, name string) (*bytes.Buffer, []steering.Call) {
+	t.Helper()
+	var recording bytes.Buffer
+	var calls []steering.Call
+	encoder := json.NewEncoder(&recording)
+	play(load(t, name), steering.DefaultPlacer, 1, func(c steering.Call) {
+		calls = append(calls, c)
+		if err := encoder.Encode(c); err != nil {
+			t.Fatal(err)
+		}
+	})
+	return &recording, calls
+}
+
+// An operator has a recording of a proxy that placed requests badly. Given the
+// same calls, a new kernel must decide the same to the last request, or nobody
+// could find the cause with it.
+func TestRecordingsReplay(t *testing.T) {
+	for _, name := range []string{"refusals", "leave", "overload"} {
+		recording, _ := recorded(t, name)
+		got, err := steering.ReplayCalls(recording, "")
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if got.Differing > 0 || got.Decisions < 200 {
+			t.Errorf("%s: %d of %d decisions differ, want none of 200 at least: %+v", name, got.Differing, got.Decisions, got.Differences)
+		}
+	}
+}
+
+// The replay of a request tells how each server was weighed and which was chosen.
+func TestReplayTellsHowARequestWasPlaced(t *testing.T) {
+	recording, calls := recorded(t, "heavy")
+	var about, server string
+	for _, c := range calls {
+		if c.Request != nil && c.Decision.Server != "" {
+			about, server = c.Request.ID, c.Decision.Server
+		}
+	}
+	got, err := steering.ReplayCalls(recording, about)
+	if err != nil {
+		t.Fatal(err)
+	}
+	chosen := ""
+	for _, w := range got.Weighed {
+		if w.Chosen {
+			chosen += w.Server
+		}
+	}
+	if len(got.Weighed) != 12 || chosen != server {
+		t.Errorf("request %s: %d servers weighed, chosen %q; want 12 and %q", about, len(got.Weighed), chosen, server)
+	}
+}
+
+// The code is changed and decides otherwise on one request. The replay must name
+// it, and what was recorded after it must still be compared.
+func TestReplayNamesTheDecisionThatDiffers(t *testing.T) {
+	_, calls := recorded(t, "heavy")
+	other := -1
+	for i, c := range calls {
+		if c.Request != nil && c.Decision.Server != "" && i > len(calls)/2 {
+			other = i
+			break
+		}
+	}
+	changed := *calls[other].Decision
+	changed.Server = "many-5"
+	if changed == *calls[other].Decision {
+		changed.Server = "many-4"
+	}
+	calls[other].Decision = &changed
+	var recording bytes.Buffer
+	for _, c := range calls {
+		if err := json.NewEncoder(&recording).Encode(c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := steering.ReplayCalls(&recording, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(got.Differences) == 0 || got.Differences[0].Request != calls[other].Request.ID || got.Calls != len(calls) {
+		t.Errorf("got %d differences over %d calls, want request %s first over %d", got.Differing, got.Calls, calls[other].Request.ID, len(calls))
+	}
+}
+
+// A VM loses power while a call is written. What comes before it must replay.
+func TestRecordingThatIsCutShortReplays(t *testing.T) {
+	recording, calls := recorded(t, "refusals")
+	recording.Truncate(recording.Len() - 5)
+	got, err := steering.ReplayCalls(recording, "")
+	if err != nil || !got.CutShort || got.Calls != len(calls)-1 || got.Differing > 0 {
+		t.Errorf("got %d calls, cut short %t, %d differ, error %v; want %d, cut short, none, none", got.Calls, got.CutShort, got.Differing, err, len(calls)-1)
+	}
+}
+
+func TestReplayNamesWhatIsWrong(t *testing.T) {
+	for text, want := range map[string]string{
+		`{"do":"tick"}`: "call 1, tick: recording does not begin with the start of a proxy",
+		`{"do":"start","config":{}}{"do":"dance"}`:             `call 2, dance: do: "dance" is no call`,
+		`{"do":"start","config":{}}{"do":"ended","flight":3}`:  "call 2, ended: recording ends an attempt of a request that it does not begin",
+		`{"do":"start","config":{}}{"do":"begin","at":"noon"}`: "call 2: ",
+	} {
+		_, err := steering.ReplayCalls(bytes.NewBufferString(text), "")
+		if err == nil || len(err.Error()) < len(want) || err.Error()[:len(want)] != want {
+			t.Errorf("%s: got error %v, want %q", text, err, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/kernel/steering/call.go
@@ -0,0 +1,72 @@
+package steering
+
+import (
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
+)
+
+const (
+	// The calls that change what a kernel knows or decide on a request.
+	callStart     = "start"
+	callBounds    = "bounds"
+	callTable     = "table"
+	callServer    = "server"
+	callRemove    = "remove-server"
+	callAbsent    = "server-absent"
+	callTick      = "tick"
+	callMeasured  = "measured"
+	callEvacuated = "evacuated"
+	callLeave     = "leave"
+	callProxies   = "proxies"
+	callBegin     = "begin"
+	callEnded     = "ended"
+)
+
+type (
+	// Call is one call of a kernel with all that it was given and, if it decided
+	// on a request, what it decided. A kernel reads no clock and draws from its
+	// own seed, so the same calls lead to the same decisions.
+	Call struct {
+		Do       string          `json:"do"`
+		At       time.Time       `json:"at,omitzero"`
+		Config   *Config         `json:"config,omitempty"`
+		Bounds   *Bounds         `json:"bounds,omitempty"`
+		Table    *routing.Table  `json:"table,omitempty"`
+		Server   *routing.Server `json:"server,omitempty"`
+		ID       string          `json:"id,omitempty"`
+		Until    time.Time       `json:"until,omitzero"`
+		Domain   string          `json:"failure-domain,omitempty"`
+		On       bool            `json:"on,omitempty"`
+		Took     time.Duration   `json:"took,omitempty"`
+		Proxies  []Proxy         `json:"proxies,omitempty"`
+		Flight   uint64          `json:"flight,omitempty"`
+		Request  *Request        `json:"request,omitempty"`
+		Attempt  *Attempt        `json:"attempt,omitempty"`
+		Decision *Verdict        `json:"decision,omitempty"`
+	}
+
+	// Verdict is a decision as it is recorded.
+	Verdict struct {
+		Server   string        `json:"server,omitempty"`
+		Answer   bool          `json:"answer,omitempty"`
+		Reason   Reason        `json:"reason,omitempty"`
+		NotRun   bool          `json:"not-run,omitempty"`
+		ComeBack time.Duration `json:"come-back,omitempty"`
+	}
+)
+
+// record tells of a call, if anybody wants to know.
+func (k *Kernel) record(c Call) {
+	if k.config.Record != nil {
+		k.config.Record(c)
+	}
+}
+
+func verdictOf(d Decision) Verdict {
+	v := Verdict{Answer: d.Answer, Reason: d.Reason, NotRun: d.NotRun, ComeBack: d.ComeBack}
+	if d.Server != nil {
+		v.Server = d.Server.ID
+	}
+	return v
+}
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -59,6 +59,9 @@
 	left := f.Until.Sub(now)
 	most, bounded := k.connections(g)
 	for _, s := range g.servers {
+		if k.weighed != nil {
+			k.weigh(now, f, g, s, homes)
+		}
 		if !f.Route.Allows(s.region) || slices.Contains(f.tried, s) || !s.usable(now) {
 			continue
 		}
@@ -84,6 +87,15 @@
 	return best.server, best
 }
 
+// weigh tells how a server is weighed.
+func (k *Kernel) weigh(now time.Time, f *Flight, g *service, s *server, homes []string) {
+	p := k.reckon(now, f, g, s, homes)
+	k.weighed(Weighed{
+		Server: s.id, Usable: f.Route.Allows(s.region) && !slices.Contains(f.tried, s) && s.usable(now), Cold: s.isCold(now),
+		Home: p.home, Warm: p.warm, Load: s.load(now), Speed: s.speed, Expected: p.expected, Cost: k.placer.cost(k, f, p),
+	})
+}
+
 // homes lists the servers on which the request's object lives, best first.
 func (k *Kernel) homes(f *Flight, g *service) []string {
 	if f.Object == "" {
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -35,7 +35,9 @@
 		// Placer names a registered placer; empty for the default.
 		Placer string
 		// Observe sees each decision; nil for none.
-		Observe func(Event)
+		Observe func(Event) `json:"-"`
+		// Record sees each call, for a replay; nil for none.
+		Record func(Call) `json:"-"`
 	}
 
 	// Bounds are the limits that the operators have agreed on.
@@ -80,6 +82,10 @@
 		// coldRanks caches this proxy's rank at the cold servers of a failure
 		// domain, until the sharers change.
 		coldRanks map[string]int
+		// flights counts the requests so far.
+		flights uint64
+		// weighed sees each server that a choice looks at; nil for none.
+		weighed func(Weighed)
 	}
 
 	// Proxy is a proxy that is alive, this one included.
@@ -127,12 +133,14 @@
 		distance:  make(map[string]*distance),
 		coldRanks: make(map[string]int),
 	}
-	k.SetProxies(time.Time{}, nil)
+	k.setProxies(time.Time{}, nil)
+	k.record(Call{Do: callStart, Config: &c})
 	return k
 }
 
 // SetBounds brings other limits into force; what was counted stands.
 func (k *Kernel) SetBounds(b Bounds) {
+	k.record(Call{Do: callBounds, Bounds: &b})
 	k.config.Bounds = b
 	for _, g := range k.services {
 		g.repeats.Ratio, g.repeats.Slack = b.Retry.Ratio, b.Retry.Slack
@@ -156,6 +164,7 @@
 	if k.table != nil && t.Version <= k.table.Version {
 		return false
 	}
+	k.record(Call{Do: callTable, Table: t})
 	k.table = t
 	k.leastUrgent = leastUrgentOf(t)
 	k.splitter.Forget(t)
@@ -165,6 +174,7 @@
 
 // SetServer takes in a server's registration.
 func (k *Kernel) SetServer(now time.Time, r routing.Server) {
+	k.record(Call{Do: callServer, At: now, Server: &r})
 	s := k.servers[r.ID]
 	if s == nil {
 		s = &server{id: r.ID, speed: 1}
@@ -189,6 +199,11 @@
 
 // RemoveServer forgets a server that has left.
 func (k *Kernel) RemoveServer(id string) {
+	k.record(Call{Do: callRemove, ID: id})
+	k.remove(id)
+}
+
+func (k *Kernel) remove(id string) {
 	s := k.servers[id]
 	if s == nil {
 		return
@@ -202,6 +217,7 @@
 // ServerAbsent notes that a server's registration is missing. If it has not
 // come back by a moment, the server is gone.
 func (k *Kernel) ServerAbsent(id string, until time.Time) {
+	k.record(Call{Do: callAbsent, ID: id, Until: until})
 	if s := k.servers[id]; s != nil && s.absentUntil.IsZero() {
 		s.absentUntil = until
 	}
@@ -210,10 +226,11 @@
 // Tick drops servers whose registration has not come back, and what else has
 // run out.
 func (k *Kernel) Tick(now time.Time) {
+	k.record(Call{Do: callTick, At: now})
 	k.forget(now)
 	for id, s := range k.servers {
 		if !s.absentUntil.IsZero() && now.After(s.absentUntil) {
-			k.RemoveServer(id)
+			k.remove(id)
 		}
 	}
 }
@@ -247,6 +264,7 @@
 
 // Measured takes in a round trip to a failure domain.
 func (k *Kernel) Measured(domain string, roundTrip time.Duration) {
+	k.record(Call{Do: callMeasured, Domain: domain, Took: roundTrip})
 	k.distanceTo(domain).heard(roundTrip)
 }
 
@@ -257,6 +275,7 @@
 	if k.evacuated[domain] == evacuated {
 		return
 	}
+	k.record(Call{Do: callEvacuated, At: now, Domain: domain, On: evacuated})
 	if evacuated {
 		k.evacuated[domain] = true
 	} else {
@@ -286,6 +305,7 @@
 // final result by end: a server that hangs would else hold them until the
 // process is gone, and their callers would see a connection that closes.
 func (k *Kernel) Leave(end time.Time) {
+	k.record(Call{Do: callLeave, Until: end})
 	for i := range k.proxies {
 		if k.proxies[i].Name == k.config.Name {
 			k.proxies[i].Leaving = true
@@ -296,6 +316,11 @@
 
 // SetProxies tells which proxies are alive. This one always is.
 func (k *Kernel) SetProxies(now time.Time, list []Proxy) {
+	k.record(Call{Do: callProxies, At: now, Proxies: list})
+	k.setProxies(now, list)
+}
+
+func (k *Kernel) setProxies(now time.Time, list []Proxy) {
 	self := Proxy{Name: k.config.Name, Domain: k.config.Domain, Region: k.config.Region, Address: k.config.Address, Leaving: k.leaving}
 	list = slices.DeleteFunc(slices.Clone(list), func(p Proxy) bool { return p.Name == self.Name })
 	k.proxies = append(list, self)
--- a/internal/kernel/steering/learn.go
+++ b/internal/kernel/steering/learn.go
@@ -28,7 +28,7 @@
 		s.hasRefused(now, a)
 	case Mistaken:
 		// Its address belongs to another server now: this one is gone.
-		k.RemoveServer(s.id)
+		k.remove(s.id)
 	case Unreachable:
 		s.hasFailed(now, true)
 	case Failed, Broken, Late:
--- /dev/null
+++ b/internal/kernel/steering/replay.go
@@ -0,0 +1,204 @@
+package steering
+
+import (
+	"encoding/json"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
+)
+
+const (
+	// differencesMost bounds the differences that a replay keeps.
+	differencesMost = 20
+)
+
+var (
+	errNoStart  = errors.New("recording does not begin with the start of a proxy")
+	errNoFlight = errors.New("recording ends an attempt of a request that it does not begin")
+)
+
+type (
+	// Replay is what became of a recording when a new kernel was given its calls.
+	Replay struct {
+		Calls     int
+		Decisions int
+		// CutShort is set if the recording ends within a call, as that of a
+		// process that was killed does.
+		CutShort bool
+		// Differing counts the decisions that are others now, Differences tells
+		// of the first.
+		Differing   int
+		Differences []Difference
+		// Weighed are the servers that were weighed for the request asked about.
+		Weighed []Weighed
+	}
+
+	// Difference is a decision that was recorded and is another one now.
+	Difference struct {
+		Call     int
+		At       time.Time
+		Request  string
+		Recorded Verdict
+		Now      Verdict
+	}
+
+	// Weighed is one server as a choice saw it.
+	Weighed struct {
+		At      time.Time
+		Attempt int
+		Server  string
+		// Usable is false for one that is out, leaves or waits for a probe.
+		Usable   bool
+		Cold     bool
+		Home     int
+		Warm     bool
+		Load     float64
+		Speed    float64
+		Expected time.Duration
+		Cost     time.Duration
+		Chosen   bool
+	}
+
+	replayer struct {
+		kernel  *Kernel
+		flights map[uint64]*Flight
+		about   string
+		result  Replay
+	}
+)
+
+// ReplayCalls gives the calls of a recording, JSON values one after the other, to
+// a new kernel and compares its decisions with those recorded. For the request
+// named, if any, it tells how each server was weighed.
+func ReplayCalls(recording io.Reader, about string) (Replay, error) {
+	r := &replayer{about: about}
+	for decoder := json.NewDecoder(recording); ; {
+		var c Call
+		err := decoder.Decode(&c)
+		switch {
+		case errors.Is(err, io.EOF):
+			return r.result, nil
+		case errors.Is(err, io.ErrUnexpectedEOF):
+			r.result.CutShort = true
+			return r.result, nil
+		case err != nil:
+			return r.result, errors.Wrapf(err, "call %d", r.result.Calls+1)
+		}
+		r.result.Calls++
+		if err := r.call(c); err != nil {
+			return r.result, errors.Wrapf(err, "call %d, %s", r.result.Calls, c.Do)
+		}
+	}
+}
+
+func (r *replayer) call(c Call) error {
+	if c.Do == callStart && c.Config != nil {
+		// Each start of the process is a kernel of its own.
+		r.kernel, r.flights = New(*c.Config), make(map[uint64]*Flight)
+		return nil
+	}
+	if r.kernel == nil {
+		return errNoStart
+	}
+	k := r.kernel
+	switch c.Do {
+	case callBounds:
+		k.SetBounds(*c.Bounds)
+	case callTable:
+		t := c.Table
+		k.SetTable(routing.NewTable(t.Version, slices.Collect(maps.Values(t.Routes)), slices.Collect(maps.Values(t.Services)), t.Limits))
+	case callServer:
+		k.SetServer(c.At, *c.Server)
+	case callRemove:
+		k.RemoveServer(c.ID)
+	case callAbsent:
+		k.ServerAbsent(c.ID, c.Until)
+	case callTick:
+		k.Tick(c.At)
+	case callMeasured:
+		k.Measured(c.Domain, c.Took)
+	case callEvacuated:
+		k.SetEvacuated(c.At, c.Domain, c.On)
+	case callLeave:
+		k.Leave(c.Until)
+	case callProxies:
+		k.SetProxies(c.At, c.Proxies)
+	case callBegin, callEnded:
+		return r.request(c)
+	default:
+		return errors.Errorf("do: %q is no call", c.Do)
+	}
+	return nil
+}
+
+// request replays a call that decides on a request.
+func (r *replayer) request(c Call) error {
+	var f *Flight
+	var d Decision
+	if c.Do == callBegin {
+		r.watch(c, c.Request.ID, 1)
+		f, d = r.kernel.Begin(c.At, *c.Request)
+		r.flights[c.Flight] = f
+	} else {
+		if f = r.flights[c.Flight]; f == nil {
+			return errNoFlight
+		}
+		r.watch(c, f.ID, (len(f.steps)+1)/2+1)
+		d = r.kernel.Ended(c.At, f, *c.Attempt)
+	}
+	r.compare(c, f, verdictOf(d))
+	return nil
+}
+
+// watch notes how servers are weighed if the request is the one asked about.
+func (r *replayer) watch(c Call, id string, attempt int) {
+	r.kernel.weighed = nil
+	if r.about != "" && id == r.about {
+		r.kernel.weighed = func(w Weighed) {
+			w.At, w.Attempt = c.At, attempt
+			r.result.Weighed = append(r.result.Weighed, w)
+		}
+	}
+}
+
+func (r *replayer) compare(c Call, f *Flight, now Verdict) {
+	r.result.Decisions++
+	if now.Server != "" {
+		for i := range r.result.Weighed {
+			if w := &r.result.Weighed[i]; w.At.Equal(c.At) && w.Server == now.Server {
+				w.Chosen = true
+			}
+		}
+	}
+	if now == *c.Decision {
+		return
+	}
+	r.result.Differing++
+	if len(r.result.Differences) < differencesMost {
+		r.result.Differences = append(r.result.Differences, Difference{
+			Call: r.result.Calls, At: c.At, Request: f.ID, Recorded: *c.Decision, Now: now,
+		})
+	}
+	r.follow(f, c.Decision.Server)
+}
+
+// follow puts a request at the server where it was recorded, so that what is
+// recorded of its attempt applies to the server that it was sent to.
+func (r *replayer) follow(f *Flight, id string) {
+	if f.server != nil && f.server.id != id && f.server.inFlight > 0 {
+		f.server.inFlight--
+	}
+	s := r.kernel.servers[id]
+	if s == nil {
+		s = &server{id: id, speed: 1, domain: &distance{}}
+	}
+	if s != f.server {
+		s.inFlight++
+	}
+	f.server = s
+}
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -99,6 +99,8 @@
 		// Until is when the request ends at the latest, answered or not.
 		Until time.Time
 
+		// number counts the kernel's requests.
+		number   uint64
 		began    time.Time
 		server   *server
 		sentAt   time.Time
@@ -151,7 +153,7 @@
 		Running, Waiting int
 		// Leaving is set if the server said that it leaves.
 		Leaving bool
-		Err     error
+		Err     error `json:"-"`
 	}
 )
 
@@ -180,23 +182,33 @@
 
 // Begin finds the route of a request and its first step.
 func (k *Kernel) Begin(now time.Time, r Request) (*Flight, Decision) {
-	f := &Flight{Request: r, began: now}
+	k.flights++
+	f := &Flight{Request: r, number: k.flights, began: now}
+	d := k.begin(now, f)
+	if k.config.Record != nil {
+		given, v := r, verdictOf(d)
+		k.config.Record(Call{Do: callBegin, At: now, Flight: f.number, Request: &given, Decision: &v})
+	}
+	return f, d
+}
+
+func (k *Kernel) begin(now time.Time, f *Flight) Decision {
 	if k.table == nil {
-		return f, k.finish(now, f, Decision{Reason: ReasonNoTable, NotRun: true, ComeBack: k.comeBack(now, f)})
+		return k.finish(now, f, Decision{Reason: ReasonNoTable, NotRun: true, ComeBack: k.comeBack(now, f)})
 	}
-	f.Route = k.table.Match(r.Host, r.Path)
+	f.Route = k.table.Match(f.Host, f.Path)
 	if f.Route == nil {
-		return f, k.finish(now, f, Decision{Reason: ReasonNoRoute, NotRun: true})
+		return k.finish(now, f, Decision{Reason: ReasonNoRoute, NotRun: true})
 	}
 	f.Until = now.Add(f.Route.Timeout)
-	if !r.Deadline.IsZero() && r.Deadline.Before(f.Until) {
-		f.Until = r.Deadline
+	if !f.Deadline.IsZero() && f.Deadline.Before(f.Until) {
+		f.Until = f.Deadline
 	}
 	if k.leaving && k.end.Before(f.Until) {
 		f.Until = k.end
 	}
 	f.Service = k.splitter.Next(f.Route)
-	return f, k.send(now, f)
+	return k.send(now, f)
 }
 
 // send picks a server or gives up.
@@ -237,6 +249,15 @@
 
 // Ended takes in how an attempt ended and decides what follows.
 func (k *Kernel) Ended(now time.Time, f *Flight, a Attempt) Decision {
+	d := k.ended(now, f, a)
+	if k.config.Record != nil {
+		given, v := a, verdictOf(d)
+		k.config.Record(Call{Do: callEnded, At: now, Flight: f.number, Attempt: &given, Decision: &v})
+	}
+	return d
+}
+
+func (k *Kernel) ended(now time.Time, f *Flight, a Attempt) Decision {
 	s := f.server
 	s.inFlight--
 	if !a.refusedThoughFree(s.Slots) {
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -82,7 +82,7 @@
 	d := &Daemon{settings: s, seams: seams, start: config.Joined, inForce: s.Bounds, stopping: make(chan struct{})}
 	d.meters = newMeters()
 	d.journal = newJournal(s.Name, d.now, d.meters)
-	config.Observe = d.journal.event
+	config.Observe, config.Record = d.journal.event, seams.Record
 	d.kernel = steering.New(config)
 	d.operators = (&steeringhttp.Server{Status: d.status, Events: d.journal.events, Metrics: d.meters.set}).HTTP()
 	seams.Store = counted(seams.Store, d.meters.storeCall)
--- a/internal/proxy/forward/settings.go
+++ b/internal/proxy/forward/settings.go
@@ -12,6 +12,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/adapter/forwardhttp"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
 const (
@@ -126,6 +127,8 @@
 		Settings func() (*Settings, error)
 		// Dropped counts the log lines that found no room.
 		Dropped func() uint64
+		// Record sees each call of the kernel; nil for none.
+		Record func(steering.Call)
 	}
 )
 
--- /dev/null
+++ b/internal/proxy/recording/file_test.go
@@ -0,0 +1,87 @@
+package recording
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/client/command"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+)
+
+// recorded has a kernel place two requests, the second in vain, and returns the
+// recording's path.
+func recorded(t *testing.T) string {
+	t.Helper()
+	directory, now := t.TempDir(), time.Unix(1_000_000, 0)
+	file, err := Create(directory, "vm-1", now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := steering.New(steering.Config{Name: "vm-1", Domain: "north-a", Region: "north", RegionOf: map[string]string{"north-a": "north"}, Record: file.Write})
+	route := &routing.Route{Name: "route", Host: "host", Prefix: "/", Attempts: 1, Timeout: time.Second, Target: time.Second, Parts: []routing.Part{{Service: "service", Weight: 1}}}
+	k.SetTable(routing.NewTable(1, []*routing.Route{route}, nil, routing.Limits{}))
+	k.SetServer(now, routing.Server{ID: "server-1", Service: "service", Domain: "north-a", Slots: 4})
+	f, _ := k.Begin(now, steering.Request{ID: "first", Host: "host", Path: "/"})
+	k.Ended(now.Add(time.Millisecond), f, steering.Attempt{Result: steering.Answered})
+	k.RemoveServer("server-1")
+	k.Begin(now, steering.Request{ID: "second", Host: "host", Path: "/"})
+	if err := file.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return filepath.Join(directory, "vm-1-19700112T134640.000.json")
+}
+
+func replay(path, request string) (code int, out, complaints string) {
+	var printed, complained strings.Builder
+	code = command.Run(context.Background(), command.Arguments{
+		Steering: &command.SteeringArguments{Replay: &command.SteeringReplayArguments{File: path, Request: request}},
+	}, &printed, &complained)
+	return code, printed.String(), complained.String()
+}
+
+// An operator asks why a request went where it went. The command line replays the
+// recording and shows the servers as they were weighed.
+func TestCommandLineReplaysARecording(t *testing.T) {
+	code, out, complaints := replay(recorded(t), "first")
+	if code != command.ExitOK {
+		t.Fatalf("exit code %d: %s", code, complaints)
+	}
+	for _, want := range []string{"7 calls, 3 decisions, 0 differ", "server-1", "chosen"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("got %q, want %q in it", out, want)
+		}
+	}
+}
+
+// The recording was made by other code, which refused the first request.
+func TestCommandLineNamesDecisionsThatDiffer(t *testing.T) {
+	path := recorded(t)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := strings.Replace(string(data), `"decision":{"server":"server-1"}`, `"decision":{"reason":"no-server"}`, 1)
+	if err := os.WriteFile(path, []byte(changed), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, out, _ := replay(path, ""); !strings.Contains(out, "request first: recorded no-server, now to server-1") {
+		t.Errorf("got %q, want the first request with both decisions", out)
+	}
+}
+
+func TestWrongRecordingIsNamed(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "wrong.json")
+	if err := os.WriteFile(path, []byte(`{"do":"tick"}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range []string{path, path + "-missing"} {
+		if code, _, complaints := replay(p, ""); code != command.ExitUsage || !strings.Contains(complaints, p) {
+			t.Errorf("exit code %d, %q; want %d and the file's name", code, complaints, command.ExitUsage)
+		}
+	}
+}
