Each of the first 500 failed requests of a second is found by its id

Cause: past 100 requests a second written in full a failed request left no line at all, only a count without a reason. A service that fails makes several hundred a second, so most callers who complained could not be answered.

Change: the first 100 of a second are written decision by decision as before, the next 400 by their last line, which now names the servers tried and what came of each; the rest is counted by how it ended. About 240 KB of log a second at most.

Also: gypsumquayctl asked only the proxies that the first one lists.

--- a/internal/client/command/steering.go
+++ b/internal/client/command/steering.go
@@ -86,12 +86,17 @@
 	return (a.Kind == "" || a.Kind == e.Kind) && (a.Server == "" || a.Server == e.Server)
 }
 
-// first is the view of the first proxy that answers.
+// first is the view of the first proxy that answers. It counts among those that it
+// lists: one whose entry was taken away still serves, and may be the one that a
+// caller complains about.
 func first(s *session, c *steeringhttp.Client) (steeringhttp.Status, error) {
 	var failed error
 	for _, address := range s.proxies {
 		status, err := c.Status(s.ctx, address)
 		if err == nil {
+			if !slices.ContainsFunc(status.Proxies, func(p steeringhttp.Proxy) bool { return p.Name == status.VM }) {
+				status.Proxies = append(status.Proxies, steeringhttp.Proxy{Name: status.VM, Operators: address})
+			}
 			return status, nil
 		}
 		failed = err
--- /dev/null
+++ b/internal/client/command/steering_test.go
@@ -0,0 +1,38 @@
+package command
+
+import (
+	"context"
+	"io"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/gypsumquay/gypsumquay/internal/adapter/steeringhttp"
+)
+
+// The store has taken a proxy's entry away, and the proxy serves on: it lists no
+// proxy, not even itself. An operator asks it about a request that it refused, and
+// was told that nothing is known, for only listed proxies were asked.
+func TestProxyWithoutAnEntryIsAskedToo(t *testing.T) {
+	s := steeringhttp.Server{
+		Status: func() steeringhttp.Status { return steeringhttp.Status{VM: "vm-1"} },
+		Events: func(id string) []steeringhttp.Event {
+			return []steeringhttp.Event{{VM: "vm-1", Request: id, Reason: "no-server"}}
+		},
+		Metrics: metrics.NewSet(),
+	}
+	server := httptest.NewServer(s.HTTP().Handler)
+	defer server.Close()
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	var out strings.Builder
+	code := Run(context.Background(), Arguments{
+		Proxies:  []netip.AddrPort{address},
+		Steering: &SteeringArguments{Explain: &SteeringExplainArguments{Request: "r-1"}},
+	}, &out, io.Discard)
+	if code != ExitOK || !strings.Contains(out.String(), "reason=no-server") {
+		t.Errorf("exit code %d, %q; want the reason no-server", code, out.String())
+	}
+}
--- a/internal/proxy/forward/bench_test.go
+++ b/internal/proxy/forward/bench_test.go
@@ -29,7 +29,7 @@
 		{"sampled", func(d *Daemon) func(steering.Event) { return d.journal.event }},
 		{"written", func(d *Daemon) func(steering.Event) {
 			return func(e steering.Event) {
-				d.journal.written, e.Attempt = 0, 2
+				d.journal.full, e.Attempt = 0, 2
 				d.journal.event(e)
 			}
 		}},
--- a/internal/proxy/forward/journal.go
+++ b/internal/proxy/forward/journal.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,12 +17,17 @@
 	// sampleOneIn is how many requests that ended well leave one in the log.
 	// Failed, slow, refused and repeated ones are always kept.
 	sampleOneIn = 200
-	// requestsPerSecond bounds the requests written in full: a server group
-	// that fails must not turn the log into the load. At 300 bytes a line and
-	// four lines a request this is 120 KB a second.
-	requestsPerSecond = 100
+	// fullPerSecond bounds the requests written decision by decision: a server
+	// group that fails must not turn the log into the load. At 300 bytes a line
+	// and four lines a request this is 120 KB a second.
+	fullPerSecond = 100
+	// briefPerSecond bounds the requests beyond those that get their last line
+	// only, with the servers tried in it: another 120 KB a second. Past both they
+	// are counted by how they ended.
+	briefPerSecond = 400
 	// leftOutEvery is how often the number of requests left out is told.
-	leftOutEvery = 10 * time.Second
+	leftOutEvery   = 10 * time.Second
+	messageLeftOut = "requests left out of the log"
 	// recordsKept is how many events are kept for operators to ask for.
 	recordsKept = 4096
 )
@@ -32,18 +39,29 @@
 		now    func() time.Time
 		meters *meters
 
-		mu      sync.Mutex
-		ring    *core.Ring[steeringhttp.Event]
-		served  uint64
-		second  time.Time
-		written int
-		leftOut int
+		mu     sync.Mutex
+		ring   *core.Ring[steeringhttp.Event]
+		served uint64
+		second time.Time
+		full   int
+		brief  int
+		// leftOut counts the requests that were not written, by reason.
+		leftOut map[string]int
 		toldAt  time.Time
 	}
+
+	// detail is how much of a request is written.
+	detail int
+)
+
+const (
+	nothing detail = iota
+	lastLine
+	allLines
 )
 
 func newJournal(vm string, now func() time.Time, m *meters) *journal {
-	return &journal{vm: vm, now: now, meters: m, ring: core.NewRing[steeringhttp.Event](recordsKept), toldAt: now()}
+	return &journal{vm: vm, now: now, meters: m, ring: core.NewRing[steeringhttp.Event](recordsKept), leftOut: make(map[string]int), toldAt: now()}
 }
 
 // event takes in what the kernel tells.
@@ -55,20 +73,34 @@
 			"configuration", e.Version, "draining", e.Draining, "cause", e.Result.String(), "for", e.Took.String())
 		return
 	}
-	if !j.wanted(e) {
+	wanted := j.wanted(e)
+	if wanted == nothing {
 		return
 	}
-	for _, s := range e.Steps {
-		s.Request, s.Route, s.Service, s.Object, s.Version = e.Request, e.Route, e.Service, e.Object, e.Version
-		j.keep(s)
-		j.writeStep(s, e.At.Sub(s.At))
+	if wanted == allLines {
+		for _, s := range e.Steps {
+			s.Request, s.Route, s.Service, s.Object, s.Version = e.Request, e.Route, e.Service, e.Object, e.Version
+			j.keep(s)
+			j.writeStep(s, e.At.Sub(s.At))
+		}
 	}
 	j.keep(e)
 	klog.InfoS(string(e.Kind), "request", e.Request, "route", e.Route, "configuration", e.Version,
-		"outcome", e.Outcome.String(), "reason", string(e.Reason), "took", e.Took.String(), "attempts", e.Attempt,
+		"outcome", e.Outcome.String(), "reason", string(e.Reason), "took", e.Took.String(), "attempts", e.Attempt, "tried", tried(e.Steps),
 		"come-back", e.ComeBack.String(), "pressure", e.Pressure)
 }
 
+// tried lists the servers that a request was sent to, with what came of it.
+func tried(steps []steering.Event) string {
+	var list []string
+	for _, s := range steps {
+		if s.Kind == steering.EventAttemptEnded {
+			list = append(list, s.Server+" "+s.Result.String())
+		}
+	}
+	return strings.Join(list, ", ")
+}
+
 // writeStep writes a decision of a request that ended a while after it.
 func (j *journal) writeStep(s steering.Event, ago time.Duration) {
 	if s.Kind == steering.EventSent {
@@ -81,31 +113,45 @@
 		"expected", s.Expected.String(), "took", s.Took.String(), "server-load", s.Load, "ago", ago.String(), "error", text(s.Err))
 }
 
-// wanted decides whether a request is written, and counts those left out.
-func (j *journal) wanted(e steering.Event) bool {
+// wanted decides how much of a request is written, and counts those left out.
+func (j *journal) wanted(e steering.Event) detail {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := j.now()
 	if now.Sub(j.second) >= time.Second {
-		j.second, j.written = now, 0
+		j.second, j.full, j.brief = now, 0, 0
 	}
 	j.tellLeftOut(now)
 	notable := e.Reason != steering.ReasonNone || e.Attempt > 1 || e.Target > 0 && e.Took > e.Target
 	j.served++
-	if !notable && j.served%sampleOneIn != 0 || j.written >= requestsPerSecond {
-		j.leftOut++
-		return false
+	switch {
+	case !notable && j.served%sampleOneIn != 0:
+	case j.full < fullPerSecond:
+		j.full++
+		return allLines
+	case j.brief < briefPerSecond:
+		j.brief++
+		return lastLine
+	}
+	j.leftOut[ending(e)]++
+	return nothing
+}
+
+// ending names how a request ended, for counts.
+func ending(e steering.Event) string {
+	if e.Reason == steering.ReasonNone {
+		return e.Outcome.String()
 	}
-	j.written++
-	return true
+	return string(e.Reason)
 }
 
 func (j *journal) tellLeftOut(now time.Time) {
 	if now.Sub(j.toldAt) < leftOutEvery {
 		return
 	}
-	klog.InfoS("requests left out of the log", "count", j.leftOut, "served", j.served)
-	j.toldAt, j.leftOut = now, 0
+	klog.InfoS(messageLeftOut, "counts", maps.Clone(j.leftOut), "served", j.served)
+	clear(j.leftOut)
+	j.toldAt = now
 }
 
 // keep holds an event for operators to ask for.
--- /dev/null
+++ b/internal/proxy/forward/journal_test.go
@@ -0,0 +1,126 @@
+package forward
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+	"github.com/gypsumquay/gypsumquay/internal/proxy/logs"
+)
+
+type (
+	// logged is what the journal wrote of requests.
+	logged struct {
+		Message string         `json:"msg"`
+		Request string         `json:"request"`
+		Tried   string         `json:"tried"`
+		Counts  map[string]int `json:"counts"`
+	}
+
+	// lockedBuffer takes the log, in which goroutines of other tests that are
+	// still ending may write too.
+	lockedBuffer struct {
+		mu   sync.Mutex
+		data bytes.Buffer
+	}
+)
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.Write(p)
+}
+
+func (b *lockedBuffer) bytes() []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return bytes.Clone(b.data.Bytes())
+}
+
+// journalLines has a journal take in events and reads what it wrote.
+func journalLines(t *testing.T, play func(j *journal, clock *time.Time)) []logged {
+	t.Helper()
+	var out lockedBuffer
+	logs.Setup(&out, 0)
+	t.Cleanup(klog.ClearLogger)
+	clock := time.Unix(1_000_000, 0)
+	play(newJournal("vm-1", func() time.Time { return clock }, newMeters()), &clock)
+	var list []logged
+	for decoder := json.NewDecoder(bytes.NewReader(out.bytes())); decoder.More(); {
+		var l logged
+		if err := decoder.Decode(&l); err != nil {
+			t.Fatal(err)
+		}
+		switch l.Message {
+		case string(steering.EventFinished), string(steering.EventSent), string(steering.EventAttemptEnded), messageLeftOut:
+			list = append(list, l)
+		}
+	}
+	return list
+}
+
+func ended(n int, r steering.Reason) steering.Event {
+	return steering.Event{
+		Kind: steering.EventFinished, Request: fmt.Sprintf("r-%d", n), Outcome: steering.MayHaveRun, Reason: r, Attempt: 2,
+		Steps: []steering.Event{
+			{Kind: steering.EventSent, Server: "i-1"}, {Kind: steering.EventAttemptEnded, Server: "i-1", Result: steering.Refused},
+			{Kind: steering.EventSent, Server: "i-2"}, {Kind: steering.EventAttemptEnded, Server: "i-2", Result: steering.Late},
+		},
+	}
+}
+
+// A service fails for seconds, and a caller complains. Its request was one of a
+// thousand in that second: each of the first five hundred must be found by its id,
+// with the servers that it was sent to, and the others counted by reason.
+func TestEachFailedRequestIsFoundInTheLog(t *testing.T) {
+	const failed = 1000
+	lines := journalLines(t, func(j *journal, clock *time.Time) {
+		for n := range failed {
+			j.event(ended(n, steering.ReasonLate))
+		}
+		*clock = clock.Add(leftOutEvery)
+		j.event(ended(failed, steering.ReasonRefused))
+	})
+	last, steps, counts := make(map[string]string), 0, map[string]int{}
+	for _, l := range lines {
+		switch l.Message {
+		case string(steering.EventFinished):
+			last[l.Request] = l.Tried
+		case string(steering.EventSent), string(steering.EventAttemptEnded):
+			steps++
+		case messageLeftOut:
+			counts = l.Counts
+		}
+	}
+	for n := range fullPerSecond + briefPerSecond {
+		if got, want := last[fmt.Sprintf("r-%d", n)], "i-1 refused, i-2 late"; got != want {
+			t.Fatalf("request %d: tried %q, want %q", n, got, want)
+		}
+	}
+	if want := 4 * (fullPerSecond + 1); steps != want {
+		t.Errorf("%d lines of single decisions, want %d", steps, want)
+	}
+	if got, want := counts[string(steering.ReasonLate)], failed-fullPerSecond-briefPerSecond; got != want {
+		t.Errorf("%d requests counted as late and left out, want %d", got, want)
+	}
+}
+
+// Requests that end well would drown the others; one in some is written.
+func TestGoodRequestsAreSampled(t *testing.T) {
+	lines := journalLines(t, func(j *journal, _ *time.Time) {
+		for range 3 * sampleOneIn {
+			j.event(steering.Event{Kind: steering.EventFinished, Outcome: steering.Done, Attempt: 1, Target: time.Second, Took: time.Millisecond})
+		}
+		j.event(steering.Event{Kind: steering.EventFinished, Request: "slow", Outcome: steering.Done, Attempt: 1, Target: time.Second, Took: 2 * time.Second})
+	})
+	if len(lines) != 4 || lines[3].Request != "slow" {
+		t.Errorf("%d lines, want three of good requests and one of the slow one: %+v", len(lines), lines)
+	}
+}
