Slow servers as a load of the emulator; two tries on them reverted

Tried: leaving out an object's first homes while they are too slow for the target, and the whole slowness of a server in its estimate, where what is learnt settles at its square root.

--- a/internal/fake/warmnet/load.go
+++ b/internal/fake/warmnet/load.go
@@ -53,6 +53,11 @@
 		// Spread is the standard deviation of the logarithm of the work; zero for
 		// work that varies evenly by a little.
 		Spread float64 `json:"spread"`
+		// SlowBy is how many times as long one server of each region takes
+		// between the two moments.
+		SlowBy   float64           `json:"slow-by"`
+		SlowFrom operator.Duration `json:"slow-from"`
+		SlowTo   operator.Duration `json:"slow-to"`
 		// Mute servers don't tell their load.
 		Mute bool `json:"mute"`
 		// Anonymous requests name no object.
--- a/internal/fake/warmnet/play.go
+++ b/internal/fake/warmnet/play.go
@@ -275,7 +275,7 @@
 		if s.gone {
 			continue
 		}
-		work := time.Duration(float64(w.load.Work.Std()) * s.slow)
+		work := time.Duration(float64(w.load.Work.Std()) * w.slowness(s))
 		warm := time.Duration(float64(work) * w.load.WarmShare)
 		if s.knows(j.flight.Object) {
 			work = warm
@@ -318,7 +318,7 @@
 func (w *world) run(j *job) {
 	s := j.server
 	s.running++
-	work := float64(w.load.Work.Std()) * s.slow * w.vary()
+	work := float64(w.load.Work.Std()) * w.slowness(s) * w.vary()
 	if s.knows(j.flight.Object) {
 		work *= w.load.WarmShare
 	} else {
@@ -340,6 +340,14 @@
 	})
 }
 
+// slowness is how many times as long a server takes now.
+func (w *world) slowness(s *server) float64 {
+	if s.id == s.region+"-0" && w.now >= w.load.SlowFrom.Std() && w.now < w.load.SlowTo.Std() {
+		return s.slow * w.load.SlowBy
+	}
+	return s.slow
+}
+
 // vary is one request's work as a part of the mean.
 func (w *world) vary() float64 {
 	if w.load.Spread > 0 {
--- a/internal/fake/warmnet/warmnet_test.go
+++ b/internal/fake/warmnet/warmnet_test.go
@@ -33,7 +33,7 @@
 // objects are spread over servers, each runs cold on many of them and callers
 // wait; where all proxies name one home, most requests are warm.
 func TestHomesServeMoreWithinTheTarget(t *testing.T) {
-	for _, name := range []string{"heavy", "far", "refusals", "leave", "waves"} {
+	for _, name := range []string{"heavy", "far", "refusals", "leave", "waves", "slow"} {
 		t.Run(name, func(t *testing.T) {
 			l := load(t, name)
 			share, worst, first := mean(l, steering.DefaultPlacer)
