The kernel's servers and services in files of their own

kernel.go had grown to 395 lines with the kernel's beginnings, its servers and the lists of each service in it. Moved as they were; nothing else changed.

--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -13,8 +13,6 @@
 	"strings"
 	"time"
 
-	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
 
@@ -98,20 +96,6 @@
 		// Leaving proxies still serve but are not named to callers.
 		Leaving bool
 	}
-
-	service struct {
-		name string
-		// members are all registered servers, by id; servers those of them
-		// that may take requests, in order, unless stale is set.
-		members map[string]*server
-		servers []*server
-		stale   bool
-		repeats admission.Repeats
-		work    workModel
-		homes   map[string]*placing.Homes
-		// pressure is how long the queues are, by the servers' region.
-		pressure map[string]*admission.Pressure
-	}
 )
 
 // New makes a kernel that knows no configuration yet.
@@ -172,135 +156,6 @@
 	return true
 }
 
-// SetServer takes in a server's registration.
-func (k *Kernel) SetServer(now time.Time, r routing.Server) {
-	k.record(Call{Do: callServer, At: now, Server: &r})
-	s := k.servers[r.ID]
-	if s == nil {
-		s = &server{id: r.ID, speed: 1}
-		k.servers[r.ID] = s
-	}
-	moved := s.Service != r.Service || s.Slots != r.Slots || s.Draining != r.Draining || s.Domain != r.Domain
-	if moved {
-		k.service(s.Service).drop(s)
-		k.service(r.Service).add(s)
-	}
-	s.Server = r
-	s.absentUntil = time.Time{}
-	s.region = k.config.RegionOf[r.Domain]
-	s.domain = k.distanceTo(r.Domain)
-	if r.ColdFor > 0 {
-		s.coldUntil = later(s.coldUntil, now.Add(r.ColdFor))
-	}
-	if moved {
-		k.config.Observe(Event{Kind: EventServer, Server: r.ID, Service: r.Service, Draining: r.Draining})
-	}
-}
-
-// RemoveServer forgets a server that has left.
-func (k *Kernel) RemoveServer(id string) {
-	k.record(Call{Do: callRemove, ID: id})
-	k.remove(id)
-}
-
-func (k *Kernel) remove(id string) {
-	s := k.servers[id]
-	if s == nil {
-		return
-	}
-	s.gone = true
-	delete(k.servers, id)
-	k.service(s.Service).drop(s)
-	k.config.Observe(Event{Kind: EventServerGone, Server: id, Service: s.Service})
-}
-
-// ServerAbsent notes that a server's registration is missing. If it has not
-// come back by a moment, the server is gone.
-func (k *Kernel) ServerAbsent(id string, until time.Time) {
-	k.record(Call{Do: callAbsent, ID: id, Until: until})
-	if s := k.servers[id]; s != nil && s.absentUntil.IsZero() {
-		s.absentUntil = until
-	}
-}
-
-// Tick drops servers whose registration has not come back, and what else has
-// run out.
-func (k *Kernel) Tick(now time.Time) {
-	k.record(Call{Do: callTick, At: now})
-	k.forget(now)
-	for id, s := range k.servers {
-		if !s.absentUntil.IsZero() && now.After(s.absentUntil) {
-			k.remove(id)
-		}
-	}
-}
-
-// Servers lists the ids of all registered servers.
-func (k *Kernel) Servers() []string {
-	ids := make([]string, 0, len(k.servers))
-	for id := range k.servers {
-		ids = append(ids, id)
-	}
-	return ids
-}
-
-// Unmeasured names one server in each failure domain to which no round trip
-// was measured yet.
-func (k *Kernel) Unmeasured() []routing.Server {
-	var list []routing.Server
-	for domain, d := range k.distance {
-		if d.measured {
-			continue
-		}
-		for _, s := range k.servers {
-			if s.Domain == domain && !s.Draining && !s.gone {
-				list = append(list, s.Server)
-				break
-			}
-		}
-	}
-	return list
-}
-
-// Measured takes in a round trip to a failure domain.
-func (k *Kernel) Measured(domain string, roundTrip time.Duration) {
-	k.record(Call{Do: callMeasured, Domain: domain, Took: roundTrip})
-	k.distanceTo(domain).heard(roundTrip)
-}
-
-// SetEvacuated marks a failure domain whose servers must get nothing, or takes
-// the mark back. Servers that come back got nothing for a while and are taken
-// for cold, whatever their last registration says.
-func (k *Kernel) SetEvacuated(now time.Time, domain string, evacuated bool) {
-	if k.evacuated[domain] == evacuated {
-		return
-	}
-	k.record(Call{Do: callEvacuated, At: now, Domain: domain, On: evacuated})
-	if evacuated {
-		k.evacuated[domain] = true
-	} else {
-		delete(k.evacuated, domain)
-		for _, s := range k.servers {
-			if s.Domain == domain {
-				s.coldUntil = later(s.coldUntil, now.Add(k.coldStart(s.Service)))
-			}
-		}
-	}
-	for _, g := range k.services {
-		g.stale = true
-	}
-	k.config.Observe(Event{Kind: EventEvacuated, Domain: domain, Draining: evacuated})
-}
-
-// Evacuated lists the evacuated failure domains.
-func (k *Kernel) Evacuated() []string {
-	list := make([]string, 0, len(k.evacuated))
-	for domain := range k.evacuated {
-		list = append(list, domain)
-	}
-	return list
-}
-
 // Leave marks this proxy as leaving. Requests that begin from now on get their
 // final result by end: a server that hangs would else hold them until the
 // process is gone, and their callers would see a connection that closes.
@@ -327,69 +182,3 @@
 	slices.SortFunc(k.proxies, func(a, b Proxy) int { return strings.Compare(a.Name, b.Name) })
 	k.share(now, k.proxies)
 }
-
-func (k *Kernel) coldStart(service string) time.Duration {
-	if k.table == nil || k.table.Services[service] == nil {
-		return 0
-	}
-	return k.table.Services[service].ColdStart
-}
-
-// group is a service with the servers that may take its requests. They are
-// listed anew when next asked for and not at each change: a proxy that starts
-// hears of thousands of servers at once. Other services keep their lists and
-// homes: to deal out the objects of 1,000 servers takes tens of milliseconds.
-func (k *Kernel) group(name string) *service {
-	g := k.service(name)
-	if g.stale {
-		g.list(k.evacuated)
-	}
-	return g
-}
-
-func (g *service) add(s *server) {
-	g.members[s.id] = s
-	g.stale = true
-}
-
-func (g *service) drop(s *server) {
-	if g.members[s.id] != nil {
-		delete(g.members, s.id)
-		g.stale = true
-	}
-}
-
-// list lists the servers that may take requests anew after changes.
-func (g *service) list(evacuated map[string]bool) {
-	g.stale = false
-	g.servers = g.servers[:0]
-	clear(g.homes)
-	for _, s := range g.members {
-		if !s.Draining && !s.gone && !evacuated[s.Domain] {
-			g.servers = append(g.servers, s)
-		}
-	}
-	slices.SortFunc(g.servers, func(a, b *server) int { return strings.Compare(a.id, b.id) })
-}
-
-func (k *Kernel) service(name string) *service {
-	s := k.services[name]
-	if s == nil {
-		s = &service{
-			name: name, homes: make(map[string]*placing.Homes), members: make(map[string]*server),
-			pressure: make(map[string]*admission.Pressure),
-			repeats: admission.Repeats{
-				Ratio: k.config.Retry.Ratio, Slack: k.config.Retry.Slack, Window: k.config.Retry.Window,
-			},
-		}
-		k.services[name] = s
-	}
-	return s
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- /dev/null
+++ b/internal/kernel/steering/servers.go
@@ -0,0 +1,150 @@
+package steering
+
+import (
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
+)
+
+// SetServer takes in a server's registration.
+func (k *Kernel) SetServer(now time.Time, r routing.Server) {
+	k.record(Call{Do: callServer, At: now, Server: &r})
+	s := k.servers[r.ID]
+	if s == nil {
+		s = &server{id: r.ID, speed: 1}
+		k.servers[r.ID] = s
+	}
+	moved := s.Service != r.Service || s.Slots != r.Slots || s.Draining != r.Draining || s.Domain != r.Domain
+	if moved {
+		k.service(s.Service).drop(s)
+		k.service(r.Service).add(s)
+	}
+	s.Server = r
+	s.absentUntil = time.Time{}
+	s.region = k.config.RegionOf[r.Domain]
+	s.domain = k.distanceTo(r.Domain)
+	if r.ColdFor > 0 {
+		s.coldUntil = later(s.coldUntil, now.Add(r.ColdFor))
+	}
+	if moved {
+		k.config.Observe(Event{Kind: EventServer, Server: r.ID, Service: r.Service, Draining: r.Draining})
+	}
+}
+
+// RemoveServer forgets a server that has left.
+func (k *Kernel) RemoveServer(id string) {
+	k.record(Call{Do: callRemove, ID: id})
+	k.remove(id)
+}
+
+func (k *Kernel) remove(id string) {
+	s := k.servers[id]
+	if s == nil {
+		return
+	}
+	s.gone = true
+	delete(k.servers, id)
+	k.service(s.Service).drop(s)
+	k.config.Observe(Event{Kind: EventServerGone, Server: id, Service: s.Service})
+}
+
+// ServerAbsent notes that a server's registration is missing. If it has not
+// come back by a moment, the server is gone.
+func (k *Kernel) ServerAbsent(id string, until time.Time) {
+	k.record(Call{Do: callAbsent, ID: id, Until: until})
+	if s := k.servers[id]; s != nil && s.absentUntil.IsZero() {
+		s.absentUntil = until
+	}
+}
+
+// Tick drops servers whose registration has not come back, and what else has
+// run out.
+func (k *Kernel) Tick(now time.Time) {
+	k.record(Call{Do: callTick, At: now})
+	k.forget(now)
+	for id, s := range k.servers {
+		if !s.absentUntil.IsZero() && now.After(s.absentUntil) {
+			k.remove(id)
+		}
+	}
+}
+
+// Servers lists the ids of all registered servers.
+func (k *Kernel) Servers() []string {
+	ids := make([]string, 0, len(k.servers))
+	for id := range k.servers {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Unmeasured names one server in each failure domain to which no round trip
+// was measured yet.
+func (k *Kernel) Unmeasured() []routing.Server {
+	var list []routing.Server
+	for domain, d := range k.distance {
+		if d.measured {
+			continue
+		}
+		for _, s := range k.servers {
+			if s.Domain == domain && !s.Draining && !s.gone {
+				list = append(list, s.Server)
+				break
+			}
+		}
+	}
+	return list
+}
+
+// Measured takes in a round trip to a failure domain.
+func (k *Kernel) Measured(domain string, roundTrip time.Duration) {
+	k.record(Call{Do: callMeasured, Domain: domain, Took: roundTrip})
+	k.distanceTo(domain).heard(roundTrip)
+}
+
+// SetEvacuated marks a failure domain whose servers must get nothing, or takes
+// the mark back. Servers that come back got nothing for a while and are taken
+// for cold, whatever their last registration says.
+func (k *Kernel) SetEvacuated(now time.Time, domain string, evacuated bool) {
+	if k.evacuated[domain] == evacuated {
+		return
+	}
+	k.record(Call{Do: callEvacuated, At: now, Domain: domain, On: evacuated})
+	if evacuated {
+		k.evacuated[domain] = true
+	} else {
+		delete(k.evacuated, domain)
+		for _, s := range k.servers {
+			if s.Domain == domain {
+				s.coldUntil = later(s.coldUntil, now.Add(k.coldStart(s.Service)))
+			}
+		}
+	}
+	for _, g := range k.services {
+		g.stale = true
+	}
+	k.config.Observe(Event{Kind: EventEvacuated, Domain: domain, Draining: evacuated})
+}
+
+// Evacuated lists the evacuated failure domains.
+func (k *Kernel) Evacuated() []string {
+	list := make([]string, 0, len(k.evacuated))
+	for domain := range k.evacuated {
+		list = append(list, domain)
+	}
+	return list
+}
+
+func (k *Kernel) coldStart(service string) time.Duration {
+	if k.table == nil || k.table.Services[service] == nil {
+		return 0
+	}
+	return k.table.Services[service].ColdStart
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/kernel/steering/service.go
@@ -0,0 +1,77 @@
+package steering
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
+)
+
+type (
+	service struct {
+		name string
+		// members are all registered servers, by id; servers those of them
+		// that may take requests, in order, unless stale is set.
+		members map[string]*server
+		servers []*server
+		stale   bool
+		repeats admission.Repeats
+		work    workModel
+		homes   map[string]*placing.Homes
+		// pressure is how long the queues are, by the servers' region.
+		pressure map[string]*admission.Pressure
+	}
+)
+
+// group is a service with the servers that may take its requests. They are
+// listed anew when next asked for and not at each change: a proxy that starts
+// hears of thousands of servers at once. Other services keep their lists and
+// homes: to deal out the objects of 1,000 servers takes tens of milliseconds.
+func (k *Kernel) group(name string) *service {
+	g := k.service(name)
+	if g.stale {
+		g.list(k.evacuated)
+	}
+	return g
+}
+
+func (g *service) add(s *server) {
+	g.members[s.id] = s
+	g.stale = true
+}
+
+func (g *service) drop(s *server) {
+	if g.members[s.id] != nil {
+		delete(g.members, s.id)
+		g.stale = true
+	}
+}
+
+// list lists the servers that may take requests anew after changes.
+func (g *service) list(evacuated map[string]bool) {
+	g.stale = false
+	g.servers = g.servers[:0]
+	clear(g.homes)
+	for _, s := range g.members {
+		if !s.Draining && !s.gone && !evacuated[s.Domain] {
+			g.servers = append(g.servers, s)
+		}
+	}
+	slices.SortFunc(g.servers, func(a, b *server) int { return strings.Compare(a.id, b.id) })
+}
+
+func (k *Kernel) service(name string) *service {
+	s := k.services[name]
+	if s == nil {
+		s = &service{
+			name: name, homes: make(map[string]*placing.Homes), members: make(map[string]*server),
+			pressure: make(map[string]*admission.Pressure),
+			repeats: admission.Repeats{
+				Ratio: k.config.Retry.Ratio, Slack: k.config.Retry.Slack, Window: k.config.Retry.Window,
+			},
+		}
+		k.services[name] = s
+	}
+	return s
+}
