Requests just after the start wait for the first configuration

Ruled out: listening only once configured, for callers of kept addresses would find nobody at all.

Change: a request waits for the first configuration until 0.2 s after the start, not longer and not later, for then there is neither store nor peer.

TestRequestsWaitForTheFirstConfiguration failed first.

--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -33,6 +33,12 @@
 	// left: bodies are held for as long as their requests last, mostly under a
 	// second.
 	noMemoryPause = 500 * time.Millisecond
+	// startWait is how long after the start a request waits for the first
+	// configuration. A proxy reads it within 10 to 150 ms; refused callers would
+	// come back after 80 ms at the soonest, and those of a fleet that has lost
+	// power all at once. After that time there is no store and no peer, and a
+	// request is refused at once.
+	startWait = 200 * time.Millisecond
 	// bodyDefault bounds bodies while no configuration says more.
 	bodyDefault = 1 << 20
 	// dialBase and dialRoundTrips bound the opening of a connection: a dead
@@ -67,6 +73,10 @@
 		Now    func() time.Time
 		// Stopping reports whether callers should go elsewhere.
 		Stopping func() bool
+		// Configured is closed once the first configuration is known.
+		Configured <-chan struct{}
+		// Started is when the process began to listen.
+		Started time.Time
 	}
 )
 
@@ -95,6 +105,7 @@
 	if left, ok := parseLeft(r.Header.Get(s.Headers.Deadline)); ok {
 		request.Deadline = began.Add(left)
 	}
+	s.awaitConfiguration(r.Context())
 	var flight *steering.Flight
 	var decision steering.Decision
 	s.Kernel(func(k *steering.Kernel, now time.Time) { flight, decision = k.Begin(now, request) })
@@ -113,6 +124,19 @@
 	}
 }
 
+// awaitConfiguration waits for the first configuration just after the start.
+func (s *Server) awaitConfiguration(ctx context.Context) {
+	left := startWait - s.Now().Sub(s.Started)
+	if left <= 0 {
+		return
+	}
+	select {
+	case <-s.Configured:
+	case <-ctx.Done():
+	case <-time.After(left):
+	}
+}
+
 func (s *Server) attempt(r *http.Request, body []byte, q steering.Request, f *steering.Flight, t *steering.Target) serverhttp.Request {
 	return serverhttp.Request{
 		Address: t.Address, Instance: t.ID, Method: r.Method, Host: r.Host, Target: r.RequestURI,
--- a/internal/adapter/forwardhttp/server_test.go
+++ b/internal/adapter/forwardhttp/server_test.go
@@ -28,6 +28,7 @@
 	// stands in for.
 	front struct {
 		*httptest.Server
+		mu       sync.Mutex
 		kernel   *steering.Kernel
 		stopping bool
 	}
@@ -36,33 +37,46 @@
 )
 
 func newFront(t *testing.T, configured bool, send sender) *front {
+	t.Helper()
+	return startFront(t, configured, send, time.Time{}, nil)
+}
+
+// startFront makes a front of a process that started at a moment and tells on a
+// channel when its configuration is known.
+func startFront(t *testing.T, configured bool, send sender, started time.Time, begun <-chan struct{}) *front {
 	t.Helper()
 	f := &front{kernel: steering.New(steering.Config{Name: "p", Domain: "a", Region: "r", RegionOf: map[string]string{"a": "r"}})}
-	var mu sync.Mutex
 	s := &Server{
 		Headers: Headers{Attempt: "Attempt", Deadline: "Wait", ObjectCookie: "Object"},
 		Kernel: func(do func(*steering.Kernel, time.Time)) {
-			mu.Lock()
-			defer mu.Unlock()
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			do(f.kernel, time.Now())
 		},
 		Memory: bodies.NewMemory(testMemory), Send: send, Now: time.Now, Stopping: func() bool { return f.stopping },
+		Configured: begun, Started: started,
 	}
 	if configured {
-		route := &routing.Route{
-			Name: "route", Host: "127.0.0.1", Prefix: "/a/", Attempts: 2, Timeout: time.Second, Target: time.Second,
-			Parts: []routing.Part{{Service: "service", Weight: 1}},
-		}
-		f.kernel.SetTable(routing.NewTable(1, []*routing.Route{route}, nil, routing.Limits{BodyBytes: 100}))
-		f.kernel.SetServer(time.Now(), routing.Server{
-			ID: "s1", Service: "service", Domain: "a", Slots: 4, Address: netip.MustParseAddrPort("127.0.0.1:1"),
-		})
+		f.configure()
 	}
 	f.Server = httptest.NewServer(s.HTTP().Handler)
 	t.Cleanup(f.Close)
 	return f
 }
 
+func (f *front) configure() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	route := &routing.Route{
+		Name: "route", Host: "127.0.0.1", Prefix: "/a/", Attempts: 2, Timeout: time.Second, Target: time.Second,
+		Parts: []routing.Part{{Service: "service", Weight: 1}},
+	}
+	f.kernel.SetTable(routing.NewTable(1, []*routing.Route{route}, nil, routing.Limits{BodyBytes: 100}))
+	f.kernel.SetServer(time.Now(), routing.Server{
+		ID: "s1", Service: "service", Domain: "a", Slots: 4, Address: netip.MustParseAddrPort("127.0.0.1:1"),
+	})
+}
+
 // reply is a response that was read to its end.
 type reply struct {
 	status int
@@ -192,6 +206,37 @@
 	}
 }
 
+// All VMs lost power and are back, and callers come before the first read of the
+// store has ended, some milliseconds later. They must be served then: refused, all
+// would come back later together, and late.
+func TestRequestsWaitForTheFirstConfiguration(t *testing.T) {
+	configured := make(chan struct{})
+	f := startFront(t, false, func(context.Context, serverhttp.Request) (steering.Attempt, *serverhttp.Answer) {
+		return steering.Attempt{Result: steering.Answered}, &serverhttp.Answer{Status: http.StatusOK, Body: &bodies.Body{}}
+	}, time.Now(), configured)
+	answered := make(chan int, 1)
+	go func() { answered <- get(t, http.MethodGet, f.URL+"/a/x", "").status }()
+	time.Sleep(startWait / 10)
+	f.configure()
+	close(configured)
+	if got := <-answered; got != http.StatusOK {
+		t.Errorf("status is %d, want 200", got)
+	}
+}
+
+// Neither the store nor a peer answers. Requests that come just after the start
+// wait for a configuration no longer than is of use, later ones not at all.
+func TestNoConfigurationIsNotWaitedForLong(t *testing.T) {
+	f := startFront(t, false, nil, time.Now(), make(chan struct{}))
+	for range 2 {
+		got := get(t, http.MethodGet, f.URL+"/a/x", "")
+		if got.status != http.StatusServiceUnavailable {
+			t.Errorf("status is %d, want 503", got.status)
+		}
+		expectComeBack(t, got)
+	}
+}
+
 // The deadline handed on is the sooner of the caller's and the route's.
 func TestDeadlineHandedOn(t *testing.T) {
 	var left time.Duration
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -97,7 +97,7 @@
 	d.servers = serverhttp.NewClient(seams.Names.Server, memory, d.now, d.meters.connections.Inc)
 	d.callers = (&forwardhttp.Server{
 		Headers: seams.Names.Caller, Kernel: d.do, Memory: memory, Send: d.servers.Send, Now: d.now,
-		Stopping: d.isStopping,
+		Stopping: d.isStopping, Configured: d.feed.begun, Started: d.start,
 	}).HTTP()
 	d.readiness = &http.Server{Handler: d.readinessHandler(), ReadHeaderTimeout: time.Second}
 	d.directory = &http.Server{Handler: d.directoryHandler(), ReadHeaderTimeout: time.Second}
