A server's own failure is in the log and has a reason

Cause: an answer of 5xx that is the server's own ended its request without a reason, so a request with one attempt passed for a good one and was left out but for one in 200. A caller who complains has its 500, and the log nothing.

Change: such an answer carries the reason server-failed in the event, the log, the metrics and the command line; what the caller gets is the same.

TestServersOwnFailureIsInTheLog failed first (it did not build without the reason; with the old reason no line is written).

--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -35,7 +35,7 @@
 )
 
 const (
-	// ReasonNone goes with an answer.
+	// ReasonNone goes with a good answer.
 	ReasonNone Reason = ""
 	// ReasonNoTable means that no configuration is known yet.
 	ReasonNoTable Reason = "no-configuration"
@@ -53,6 +53,8 @@
 	ReasonBudget Reason = "repeat-budget"
 	// ReasonBroken means that an exchange broke and may have run.
 	ReasonBroken Reason = "broken"
+	// ReasonFailed goes with an answer that tells of the server's own failure.
+	ReasonFailed Reason = "server-failed"
 	// ReasonLeft means that the caller has gone.
 	ReasonLeft Reason = "caller-left"
 	// ReasonLate means that the route's timeout has passed.
@@ -299,7 +301,7 @@
 	}
 	if a.Result == Failed {
 		// The server's own failure is an answer, and tells more than a refusal.
-		return k.finish(now, f, Decision{Answer: true})
+		return k.finish(now, f, Decision{Answer: true, Reason: ReasonFailed})
 	}
 	return k.giveUp(now, f, reason)
 }
--- a/internal/proxy/forward/journal_test.go
+++ b/internal/proxy/forward/journal_test.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/logs"
 )
@@ -19,6 +20,7 @@
 	logged struct {
 		Message string         `json:"msg"`
 		Request string         `json:"request"`
+		Reason  string         `json:"reason"`
 		Tried   string         `json:"tried"`
 		Counts  map[string]int `json:"counts"`
 	}
@@ -112,6 +114,25 @@
 	}
 }
 
+// A server fails, and the route allows one attempt: the caller gets the server's
+// own 500. Such requests passed for good ones and were left out with them.
+func TestServersOwnFailureIsInTheLog(t *testing.T) {
+	lines := journalLines(t, func(j *journal, clock *time.Time) {
+		k := steering.New(steering.Config{Name: "vm-1", Observe: j.event})
+		route := &routing.Route{Name: "r", Host: "h", Prefix: "/", Attempts: 1, Timeout: time.Second, Target: time.Second, Parts: []routing.Part{{Service: "s", Weight: 1}}}
+		k.SetTable(routing.NewTable(1, []*routing.Route{route}, nil, routing.Limits{}))
+		k.SetServer(*clock, routing.Server{ID: "i-1", Service: "s", Slots: 4})
+		f, _ := k.Begin(*clock, steering.Request{ID: "complaint", Host: "h", Path: "/"})
+		if d := k.Ended(*clock, f, steering.Attempt{Result: steering.Failed}); !d.Answer {
+			t.Errorf("the server's answer is not passed on: %+v", d)
+		}
+	})
+	last := lines[len(lines)-1]
+	if last.Request != "complaint" || last.Reason != string(steering.ReasonFailed) || last.Tried != "i-1 failed" {
+		t.Errorf("last line is %+v, want the request with the reason %q", last, steering.ReasonFailed)
+	}
+}
+
 // Requests that end well would drown the others; one in some is written.
 func TestGoodRequestsAreSampled(t *testing.T) {
 	lines := journalLines(t, func(j *journal, _ *time.Time) {
