--- a/internal/client/command/steering.go
+++ b/internal/client/command/steering.go
@@ -55,6 +55,19 @@
 		Server string `help:"only this backend server"`
 	}
 
+	// EventsAnswer is what events and explain print as JSON: the events in order, and
+	// the proxies that did not answer, whose events are missing.
+	EventsAnswer struct {
+		Events     []steeringhttp.Event `json:"events"`
+		Unanswered []Unanswered         `json:"unanswered,omitempty"`
+	}
+
+	// Unanswered is a proxy that did not answer, and why.
+	Unanswered struct {
+		Proxy string `json:"proxy"`
+		Error string `json:"error"`
+	}
+
 	// answer is what one proxy said, or why it did not.
 	answer[T any] struct {
 		Proxy steeringhttp.Proxy `json:"proxy"`
@@ -190,11 +203,13 @@
 	if err != nil {
 		return Result{}, err
 	}
-	var all []steeringhttp.Event
+	all := []steeringhttp.Event{}
+	var unanswered []Unanswered
 	var text strings.Builder
 	for _, a := range answers {
 		if a.Error != "" {
 			fmt.Fprintf(&text, "%s did not answer: %s\n", a.Proxy.Name, a.Error)
+			unanswered = append(unanswered, Unanswered{Proxy: a.Proxy.Name, Error: a.Error})
 		}
 		for _, e := range a.Value {
 			if match(e) {
@@ -209,7 +224,7 @@
 	for _, e := range all {
 		fmt.Fprintf(&text, "%s %-22s %-22s %s\n", e.At.Format("15:04:05.000"), e.VM, e.Kind, steeringDetail(e))
 	}
-	return Result{Text: text.String(), Data: all}, nil
+	return Result{Text: text.String(), Data: EventsAnswer{Events: all, Unanswered: unanswered}}, nil
 }
 
 // steeringDetail lists the fields that an event has, each with its name.
--- a/internal/client/command/steering_test.go
+++ b/internal/client/command/steering_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http/httptest"
 	"net/netip"
@@ -36,3 +37,29 @@
 		t.Errorf("exit code %d, %q; want the reason no-server", code, out.String())
 	}
 }
+
+// A proxy does not answer while an operator asks for a request's cause by a script.
+// Printed without a word on it, an empty list would say that nothing is known.
+func TestJSONNamesProxiesThatDidNotAnswer(t *testing.T) {
+	s := steeringhttp.Server{
+		Status: func() steeringhttp.Status {
+			return steeringhttp.Status{VM: "vm-1", Proxies: []steeringhttp.Proxy{{Name: "vm-2", Operators: netip.MustParseAddrPort("127.0.0.1:1")}}}
+		},
+		Events:  func(string) []steeringhttp.Event { return nil },
+		Metrics: metrics.NewSet(),
+	}
+	server := httptest.NewServer(s.HTTP().Handler)
+	defer server.Close()
+	var out strings.Builder
+	code := Run(context.Background(), Arguments{
+		JSON: true, Proxies: []netip.AddrPort{netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))},
+		Steering: &SteeringArguments{Explain: &SteeringExplainArguments{Request: "r-1"}},
+	}, &out, io.Discard)
+	var got EventsAnswer
+	if err := json.Unmarshal([]byte(out.String()), &got); err != nil {
+		t.Fatal(err)
+	}
+	if code != ExitOK || got.Events == nil || len(got.Unanswered) != 1 || got.Unanswered[0].Proxy != "vm-2" {
+		t.Errorf("exit code %d, got %s; want no events and vm-2 unanswered", code, out.String())
+	}
+}
