An answer that its caller does not read is given up

Found on reading the diff again: memory for bodies is bounded now, and a caller that asks for much and reads nothing would hold its part for good; six with 16 MB leave none for others. An answer must be read within 30 s.

--- a/internal/adapter/bodies/bodies.go
+++ b/internal/adapter/bodies/bodies.go
@@ -125,3 +125,17 @@
 	}
 	return b, nil
 }
+
+// Write writes an answer's body to a caller, which must have read it within a time:
+// one that reads nothing would hold its memory for good. The bound stays, for what
+// is still buffered is written once the handler has returned.
+func Write(w http.ResponseWriter, body []byte, within time.Duration) error {
+	err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(within))
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return errors.Wrap(err, "bound writing")
+	}
+	if _, err := w.Write(body); err != nil {
+		return errors.Wrap(err, "write body")
+	}
+	return nil
+}
--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -29,6 +29,9 @@
 	// bodyTimeout is how long a body may take to arrive unless the configuration
 	// gives callers longer.
 	bodyTimeout = 10 * time.Second
+	// answerTimeout is how long a caller may take to read an answer: 4.5 Mbit/s for
+	// the largest.
+	answerTimeout = 30 * time.Second
 	// noMemoryPause is when a caller may come back for whose body no memory was
 	// left: bodies are held for as long as their requests last, mostly under a
 	// second.
@@ -92,6 +95,7 @@
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	began := s.Now()
+	s.awaitConfiguration(r.Context())
 	body, err := s.readBody(w, r)
 	if err != nil {
 		s.refuseBody(w, r, err)
@@ -105,23 +109,18 @@
 	if left, ok := parseLeft(r.Header.Get(s.Headers.Deadline)); ok {
 		request.Deadline = began.Add(left)
 	}
-	s.awaitConfiguration(r.Context())
 	var flight *steering.Flight
 	var decision steering.Decision
 	s.Kernel(func(k *steering.Kernel, now time.Time) { flight, decision = k.Begin(now, request) })
 	var answer *serverhttp.Answer
 	for decision.Server != nil {
 		var attempt steering.Attempt
-		if answer != nil {
-			answer.Body.Release()
-		}
+		answer.Release()
 		attempt, answer = s.Send(r.Context(), s.attempt(r, body.Bytes, request, flight, decision.Server))
 		s.Kernel(func(k *steering.Kernel, now time.Time) { decision = k.Ended(now, flight, attempt) })
 	}
 	s.reply(w, r, decision, answer)
-	if answer != nil {
-		answer.Body.Release()
-	}
+	answer.Release()
 }
 
 // awaitConfiguration waits for the first configuration just after the start.
@@ -198,7 +197,7 @@
 		header.Set("Content-Length", strconv.Itoa(len(answer.Body.Bytes)))
 	}
 	w.WriteHeader(answer.Status)
-	if _, err := w.Write(answer.Body.Bytes); err != nil {
+	if err := bodies.Write(w, answer.Body.Bytes, answerTimeout); err != nil {
 		klog.V(1).InfoS("answer not delivered", "request", r.Header.Get(s.Headers.Attempt), "error", err.Error())
 	}
 }
--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -109,6 +109,13 @@
 	}
 )
 
+// Release gives the memory of an answer's body back; there may be no answer.
+func (a *Answer) Release() {
+	if a != nil {
+		a.Body.Release()
+	}
+}
+
 // NewClient makes a client that holds answers in memory. opened is told of each
 // new connection.
 func NewClient(h Headers, m *bodies.Memory, now func() time.Time, opened func()) *Client {
@@ -129,9 +136,7 @@
 	answer, reusable, err := e.run()
 	if !stop() {
 		// The caller left, and the connection was closed to tell the server.
-		if answer != nil {
-			answer.Body.Release()
-		}
+		answer.Release()
 		return steering.Attempt{Result: steering.Left, Err: context.Cause(ctx)}, nil
 	}
 	c.pool.put(connection, reusable, r.Connections)
@@ -274,10 +279,10 @@
 			// other request that the answer could belong to.
 			return e.checked(answer, closes)
 		case id == "":
-			answer.Body.Release()
+			answer.Release()
 			return nil, true, errUnclaimed
 		}
-		answer.Body.Release()
+		answer.Release()
 		strayed = true
 	}
 	return nil, true, errStray
@@ -286,7 +291,7 @@
 func (e *exchange) checked(answer *Answer, closes bool) (*Answer, bool, error) {
 	success := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
 	if success && answer.Header.Get(e.client.headers.Seal) == "" {
-		answer.Body.Release()
+		answer.Release()
 		return nil, true, errUnsigned
 	}
 	return answer, closes, nil
