Callers may take 0.6 of the open files

A proxy accepted any number of connections. With 4,100 open files a crowd of callers would leave none to reach servers and the store, and all requests would fail. Those beyond the bound are reset at once, so that their callers go elsewhere; a counter tells of them. TestCallersBeyondTheBoundAreTurnedAwayAtOnce.

--- /dev/null
+++ b/internal/adapter/forwardhttp/listener_test.go
@@ -0,0 +1,57 @@
+package forwardhttp
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// More callers connect than the proxy has files for. Those beyond the bound must be
+// told at once, those connected be served on, and a place that is given up must
+// serve the next caller.
+func TestCallersBeyondTheBoundAreTurnedAwayAtOnce(t *testing.T) {
+	const most = 3
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var refused atomic.Int32
+	server := &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(LimitConnections(inner, most, func() { refused.Add(1) })) }()
+	defer func() { _ = server.Close() }()
+	served := func(c net.Conn) bool {
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		_, err := c.Read(make([]byte, 1))
+		return err == nil
+	}
+	connect := func() net.Conn {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	var open []net.Conn
+	for range most {
+		c := connect()
+		open = append(open, c)
+		if !served(c) {
+			t.Error("a caller within the bound is not served")
+		}
+	}
+	if beyond := connect(); served(beyond) {
+		t.Error("a caller beyond the bound is served")
+	}
+	if got := refused.Load(); got != 1 {
+		t.Errorf("%d connections refused, want 1", got)
+	}
+	_ = open[0].Close()
+	for end := time.Now().Add(10 * time.Second); !served(connect()); {
+		if time.Now().After(end) {
+			t.Fatal("a place that was given up serves nobody")
+		}
+	}
+}
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/bodies"
@@ -39,6 +40,13 @@
 	// leaves as much again. bodiesDefault applies if the settings name no memory.
 	bodiesShare   = 0.25
 	bodiesDefault = 64 << 20
+	// callerShare is the part of the open files that callers' connections may
+	// take. Servers, peers and the store need the rest: 424 were the most of all
+	// kinds on the users' days. filesDefault applies where the limit is not known,
+	// and more than filesMost are not counted on.
+	callerShare  = 0.6
+	filesDefault = 1024
+	filesMost    = 1 << 20
 )
 
 type (
@@ -112,6 +120,16 @@
 	return int64(bodiesShare * float64(memory))
 }
 
+// callersMost is how many connections callers may hold.
+func callersMost() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		klog.ErrorS(err, "limit of open files not known", "assumed", filesDefault)
+		limit.Cur = filesDefault
+	}
+	return int(callerShare * float64(min(limit.Cur, filesMost)))
+}
+
 // now reads the steady clock: the time of day may jump.
 func (d *Daemon) now() time.Time { return d.start.Add(time.Since(d.start)) }
 
@@ -153,6 +171,9 @@
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
+		if l.server == d.callers {
+			listener = forwardhttp.LimitConnections(listener, callersMost(), d.meters.turnedAway.Inc)
+		}
 		go func() { failed <- l.server.Serve(listener) }()
 	}
 	peers, err := net.Listen("tcp", d.settings.Listen.Peers.String())
--- a/internal/proxy/forward/meters.go
+++ b/internal/proxy/forward/meters.go
@@ -15,6 +15,7 @@
 	meters struct {
 		set         *metrics.Set
 		connections *metrics.Counter
+		turnedAway  *metrics.Counter
 		sent        *metrics.Counter
 		received    *metrics.Counter
 		requests    map[requestLabels]*metrics.Counter
@@ -39,6 +40,7 @@
 	return &meters{
 		set:         set,
 		connections: set.NewCounter("gypsumquay_server_connections_opened_total"),
+		turnedAway:  set.NewCounter("gypsumquay_caller_connections_refused_total"),
 		sent:        set.NewCounter("gypsumquay_peer_sent_bytes_total"),
 		received:    set.NewCounter("gypsumquay_peer_received_bytes_total"),
 		requests:    make(map[requestLabels]*metrics.Counter),
