Connections for look-ups end when they rest, and are bounded

Found on reading the daemon: the directory's connections had no idle time-out, so each caller that ever asked held an open file, and no bound. What the process allows itself stands in a file of its own.

--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/bodies"
@@ -32,21 +31,6 @@
 	// longest round trip that is waited for.
 	measureEvery = time.Second
 	measureLimit = 500 * time.Millisecond
-	// memoryShare of what the process may use makes the collector work harder:
-	// past all of it the process is killed. Measured peaks are 25 MB.
-	memoryShare = 0.8
-	// bodiesShare is the part of it that bodies of requests and answers may take
-	// together: a body that grows is held twice for a moment, and the collector
-	// leaves as much again. bodiesDefault applies if the settings name no memory.
-	bodiesShare   = 0.25
-	bodiesDefault = 64 << 20
-	// callerShare is the part of the open files that callers' connections may
-	// take. Servers, peers and the store need the rest: 424 were the most of all
-	// kinds on the users' days. filesDefault applies where the limit is not known,
-	// and more than filesMost are not counted on.
-	callerShare  = 0.6
-	filesDefault = 1024
-	filesMost    = 1 << 20
 )
 
 type (
@@ -107,29 +91,11 @@
 		Headers: seams.Names.Caller, Kernel: d.do, Memory: memory, Send: d.servers.Send, Now: d.now,
 		Stopping: d.isStopping, Configured: d.feed.begun, Started: d.start,
 	}).HTTP()
-	d.readiness = &http.Server{Handler: d.readinessHandler(), ReadHeaderTimeout: time.Second}
-	d.directory = &http.Server{Handler: d.directoryHandler(), ReadHeaderTimeout: time.Second}
+	d.readiness = &http.Server{Handler: d.readinessHandler(), ReadHeaderTimeout: time.Second, IdleTimeout: faceIdle}
+	d.directory = &http.Server{Handler: d.directoryHandler(), ReadHeaderTimeout: time.Second, IdleTimeout: faceIdle}
 	return d, nil
 }
 
-// bodiesMost is what bodies may take of the memory of the process, in bytes.
-func bodiesMost(memory int64) int64 {
-	if memory <= 0 {
-		return bodiesDefault
-	}
-	return int64(bodiesShare * float64(memory))
-}
-
-// callersMost is how many connections callers may hold.
-func callersMost() int {
-	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
-		klog.ErrorS(err, "limit of open files not known", "assumed", filesDefault)
-		limit.Cur = filesDefault
-	}
-	return int(callerShare * float64(min(limit.Cur, filesMost)))
-}
-
 // now reads the steady clock: the time of day may jump.
 func (d *Daemon) now() time.Time { return d.start.Add(time.Since(d.start)) }
 
@@ -161,18 +127,21 @@
 	for _, l := range []struct {
 		server  *http.Server
 		address netip.AddrPort
+		// share of the open files that its connections may take; zero for no
+		// bound.
+		share float64
 	}{
-		{d.callers, d.settings.Listen.Callers},
-		{d.readiness, d.settings.Listen.Readiness},
-		{d.directory, d.settings.Listen.Directory},
-		{d.operators, d.settings.Listen.Operators},
+		{d.callers, d.settings.Listen.Callers, callerShare},
+		{d.readiness, d.settings.Listen.Readiness, 0},
+		{d.directory, d.settings.Listen.Directory, directoryShare},
+		{d.operators, d.settings.Listen.Operators, 0},
 	} {
 		listener, err := net.Listen("tcp", l.address.String())
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		if l.server == d.callers {
-			listener = forwardhttp.LimitConnections(listener, callersMost(), d.meters.turnedAway.Inc)
+		if l.share > 0 {
+			listener = forwardhttp.LimitConnections(listener, int(l.share*openFiles()), d.meters.turnedAway.Inc)
 		}
 		go func() { failed <- l.server.Serve(listener) }()
 	}
