One question for whether a server may be tried, one figure for its connections

The replay's view of a server asked by its own copy of the three conditions by which choose picks; both ask mayTry now. connections told its bound and whether there is one, where its callers take zero for none.

--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -57,16 +57,16 @@
 	best := pick{reason: ReasonNoServer}
 	homes := k.homes(f, g)
 	left := f.Until.Sub(now)
-	most, bounded := k.connections(g)
+	most := k.connections(g)
 	for _, s := range g.servers {
 		if k.weighed != nil {
 			k.weigh(now, f, g, s, homes)
 		}
-		if !f.Route.Allows(s.region) || slices.Contains(f.tried, s) || !s.usable(now) {
+		if !f.mayTry(now, s) {
 			continue
 		}
 		p := k.reckon(now, f, g, s, homes)
-		if p.start > left || bounded && s.inFlight >= most {
+		if p.start > left || most > 0 && s.inFlight >= most {
 			if best.server == nil {
 				best.reason = ReasonOverload
 			}
@@ -87,11 +87,16 @@
 	return best.server, best
 }
 
+// mayTry reports whether the request may go to a server now.
+func (f *Flight) mayTry(now time.Time, s *server) bool {
+	return f.Route.Allows(s.region) && !slices.Contains(f.tried, s) && s.usable(now)
+}
+
 // weigh tells how a server is weighed.
 func (k *Kernel) weigh(now time.Time, f *Flight, g *service, s *server, homes []string) {
 	p := k.reckon(now, f, g, s, homes)
 	k.weighed(Weighed{
-		Server: s.id, Usable: f.Route.Allows(s.region) && !slices.Contains(f.tried, s) && s.usable(now), Cold: s.isCold(now),
+		Server: s.id, Usable: f.mayTry(now, s), Cold: s.isCold(now),
 		Home: p.home, Warm: p.warm, Load: s.load(now), Speed: s.speed, Expected: p.expected, Cost: k.placer.cost(k, f, p),
 	})
 }
--- a/internal/kernel/steering/connections.go
+++ b/internal/kernel/steering/connections.go
@@ -10,13 +10,13 @@
 )
 
 // connections is how many connections a proxy may hold to each server of a
-// service, or no bound if the configuration names none. Without it eight idle
+// service, zero for no bound if the configuration names none. Without it eight idle
 // connections of each of 1,300 proxies would be seven times the 1,400 that a
 // server accepts, and whoever came later would be reset.
-func (k *Kernel) connections(g *service) (most int, bounded bool) {
+func (k *Kernel) connections(g *service) int {
 	c := k.table.Services[g.name]
 	if c == nil || c.Connections <= 0 {
-		return 0, false
+		return 0
 	}
-	return max(connLeast, int(connShare*float64(c.Connections)/float64(len(k.sharers)))), true
+	return max(connLeast, int(connShare*float64(c.Connections)/float64(len(k.sharers))))
 }
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -245,8 +245,7 @@
 		At: now, Kind: EventSent, Server: s.id, Domain: s.Domain, Attempt: len(f.steps)/2 + 1, Expected: pick.expected,
 		Load: s.load(now), LoadAge: s.loadAge(now), Home: pick.home, Warm: pick.warm,
 	})
-	most, _ := k.connections(g)
-	return &Target{Server: s.Server, RoundTrip: s.domain.roundTrip, Connections: most}, ReasonNone
+	return &Target{Server: s.Server, RoundTrip: s.domain.roundTrip, Connections: k.connections(g)}, ReasonNone
 }
 
 // Ended takes in how an attempt ended and decides what follows.
--- a/internal/proxy/forward/journal.go
+++ b/internal/proxy/forward/journal.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -149,7 +148,7 @@
 	if now.Sub(j.toldAt) < leftOutEvery {
 		return
 	}
-	klog.InfoS(messageLeftOut, "counts", maps.Clone(j.leftOut), "served", j.served)
+	klog.InfoS(messageLeftOut, "counts", j.leftOut, "served", j.served)
 	clear(j.leftOut)
 	j.toldAt = now
 }
