gypsumquayctl steering losses: late, refused and failed requests by cause

A late request's line did not say where its time went. Ruled out: weighing losses by what a request is worth (operators' logs know no worth). Requests left out of the log are counted under 'not told'. TestLossesOfALog, TestCauseOfALateRequest.

--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -96,6 +96,13 @@
 		ComeBack  string  `json:"come-back,omitempty"`
 		Pressure  float64 `json:"pressure,omitempty"`
 		Error     string  `json:"error,omitempty"`
+		// Wait is the part of Expected until a slot is free.
+		Wait string `json:"wait,omitempty"`
+		// State is how the server stood when the request was sent there last.
+		State string `json:"server-state,omitempty"`
+		// Cause says where the time of a late request went, Target is the route's.
+		Cause  string `json:"cause,omitempty"`
+		Target string `json:"target,omitempty"`
 	}
 )
 
@@ -106,6 +113,7 @@
 		Service: e.Service, Server: e.Server, Object: e.Object, Domain: e.Domain, Region: e.Region, Elsewhere: e.Elsewhere, Attempt: e.Attempt,
 		Reason: string(e.Reason), Load: e.Load, Warm: e.Warm, Draining: e.Draining,
 		Expected: span(e.Expected), Took: span(e.Took), ComeBack: span(e.ComeBack), Pressure: e.Pressure,
+		Wait: span(e.Wait), State: string(e.State), Cause: string(e.Cause), Target: span(e.Target),
 	}
 	if e.Result != 0 {
 		out.Result = e.Result.String()
--- a/internal/client/command/steering.go
+++ b/internal/client/command/steering.go
@@ -28,6 +28,7 @@
 		Routes  *SteeringRoutesArguments  `arg:"subcommand:routes" help:"routes in force at one proxy"`
 		Explain *SteeringExplainArguments `arg:"subcommand:explain" help:"all decisions on one request, over all proxies"`
 		Events  *SteeringEventsArguments  `arg:"subcommand:events" help:"decisions and changes of all proxies, merged"`
+		Losses  *SteeringLossesArguments  `arg:"subcommand:losses" help:"late, refused and failed requests by cause, route, region, server state and time"`
 		Replay  *SteeringReplayArguments  `arg:"subcommand:replay" help:"give a recording of a proxy to a new kernel and compare the decisions"`
 	}
 
@@ -89,10 +90,12 @@
 		return steeringEvents(s, client, a.Explain.Request, func(steeringhttp.Event) bool { return true })
 	case a.Events != nil:
 		return steeringEvents(s, client, "", a.Events.match)
+	case a.Losses != nil:
+		return a.Losses.run(s, client)
 	case a.Replay != nil:
 		return a.Replay.run()
 	}
-	return Result{}, usageError("steering: needs status, servers, routes, explain, events or replay")
+	return Result{}, usageError("steering: needs status, servers, routes, explain, events, losses or replay")
 }
 
 func (a *SteeringEventsArguments) match(e steeringhttp.Event) bool {
@@ -236,7 +239,8 @@
 	for _, f := range []struct{ name, value string }{
 		{"request", e.Request}, {"route", e.Route}, {"service", e.Service}, {"server", e.Server}, {"object", e.Object},
 		{"failure-domain", e.Domain}, {"result", e.Result}, {"outcome", e.Outcome}, {"reason", e.Reason},
-		{"expected", e.Expected}, {"took", e.Took}, {"load-age", e.LoadAge}, {"come-back", e.ComeBack}, {"pressure", level(e.Pressure)}, {"error", e.Error},
+		{"expected", e.Expected}, {"took", e.Took}, {"load-age", e.LoadAge}, {"come-back", e.ComeBack}, {"pressure", level(e.Pressure)},
+		{"cause", e.Cause}, {"server-state", e.State}, {"wait", e.Wait}, {"target", e.Target}, {"error", e.Error},
 	} {
 		if f.value != "" {
 			parts = append(parts, f.name+"="+f.value)
--- a/internal/client/command/steering_test.go
+++ b/internal/client/command/steering_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http/httptest"
 	"net/netip"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -63,3 +64,18 @@
 		t.Errorf("exit code %d, got %s; want no events and vm-2 unanswered", code, out.String())
 	}
 }
+
+// An engineer counts what callers lost from the logs of a bad minute, and misspells
+// a file's name. The count is printed, and the error names the file.
+func TestLossesFromLogFiles(t *testing.T) {
+	log := filepath.Join("..", "losses", "testdata", "proxy.log")
+	var out, complaints strings.Builder
+	a := Arguments{Steering: &SteeringArguments{Losses: &SteeringLossesArguments{Files: []string{log}, Most: 3}}}
+	if code := Run(context.Background(), a, &out, &complaints); code != ExitOK || !strings.HasPrefix(out.String(), "14 requests lost\n1 lines could not be read\n") {
+		t.Errorf("exit code %d, %q", code, out.String())
+	}
+	a.Steering.Losses.Files = []string{"nowhere.log"}
+	if code := Run(context.Background(), a, io.Discard, &complaints); code != ExitUsage || !strings.Contains(complaints.String(), "nowhere.log") {
+		t.Errorf("exit code %d, %q; want the file named", code, complaints.String())
+	}
+}
--- /dev/null
+++ b/internal/client/losses/losses.go
@@ -0,0 +1,180 @@
+// Package losses counts the requests that callers lost: late, refused or failed,
+// by why and where. It reads what proxies log or keep of each.
+package losses
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+)
+
+const (
+	// Late requests were answered after their route's target.
+	Late Kind = "late"
+	// Refused requests have not run, and their callers were told to come back.
+	Refused Kind = "refused"
+	// Failed requests got no answer and may have run, or a server's own failure.
+	Failed Kind = "failed"
+	// Left requests were given up by their callers.
+	Left Kind = "left"
+
+	// Unknown stands for what was counted without being told.
+	Unknown = "not told"
+)
+
+type (
+	// Kind is what a caller lost.
+	Kind string
+
+	// Ended is one request as a proxy tells of its end.
+	Ended struct {
+		At      time.Time
+		Request string
+		Route   string
+		Region  string
+		Outcome string
+		Reason  string
+		Cause   string
+		State   string
+		Took    time.Duration
+		Target  time.Duration
+	}
+
+	// Key is what losses are counted by.
+	Key struct {
+		Kind   Kind   `json:"kind"`
+		Why    string `json:"why"`
+		Route  string `json:"route"`
+		Region string `json:"region"`
+		State  string `json:"server-state"`
+	}
+
+	// Row is one count.
+	Row struct {
+		Key
+		Count int `json:"count"`
+	}
+
+	// Second counts the losses that became known in one second.
+	Second struct {
+		At     time.Time    `json:"at"`
+		Counts map[Kind]int `json:"counts"`
+	}
+
+	// Table is all that was counted.
+	Table struct {
+		Rows    []Row    `json:"rows"`
+		Seconds []Second `json:"seconds"`
+		// Lost is the sum of the rows.
+		Lost int `json:"lost"`
+	}
+
+	// Counter counts ended requests.
+	Counter struct {
+		rows    map[Key]int
+		seconds map[time.Time]map[Kind]int
+		seen    map[string]bool
+	}
+)
+
+// NewCounter makes an empty counter.
+func NewCounter() *Counter {
+	return &Counter{rows: make(map[Key]int), seconds: make(map[time.Time]map[Kind]int), seen: make(map[string]bool)}
+}
+
+// Add counts a request if its caller lost anything. One that is told twice, by a
+// log and by its proxy, counts once.
+func (c *Counter) Add(e Ended) {
+	kind, why := judge(e)
+	if kind == "" || e.Request != "" && c.seen[e.Request] {
+		return
+	}
+	c.seen[e.Request] = true
+	c.rows[Key{Kind: kind, Why: why, Route: e.Route, Region: e.Region, State: e.State}]++
+	c.count(e.At, kind, 1)
+}
+
+// AddLeftOut counts requests of which a log tells only how many ended in a way.
+func (c *Counter) AddLeftOut(at time.Time, region string, endings map[string]int) {
+	for ending, n := range endings {
+		kind, why := Kind(""), ending
+		switch ending {
+		case steering.Done.String():
+			continue
+		case string(Late):
+			kind, why = Late, Unknown
+		default:
+			kind, _ = judge(Ended{Reason: ending, Outcome: steering.NotRun.String()})
+		}
+		c.rows[Key{Kind: kind, Why: why, Route: Unknown, Region: region, State: Unknown}] += n
+		c.count(at, kind, n)
+	}
+}
+
+func (c *Counter) count(at time.Time, kind Kind, n int) {
+	second := at.Truncate(time.Second)
+	if c.seconds[second] == nil {
+		c.seconds[second] = make(map[Kind]int)
+	}
+	c.seconds[second][kind] += n
+}
+
+// judge says what a caller lost and why; nothing for a good answer.
+func judge(e Ended) (Kind, string) {
+	switch steering.Reason(e.Reason) {
+	case steering.ReasonNone:
+		if e.Target <= 0 || e.Took <= e.Target {
+			return "", ""
+		}
+		return Late, cmp.Or(e.Cause, Unknown)
+	case steering.ReasonLeft:
+		return Left, e.Reason
+	case steering.ReasonFailed, steering.ReasonBroken:
+		return Failed, e.Reason
+	case steering.ReasonLate:
+		if e.Cause == "" {
+			return Failed, e.Reason
+		}
+		return Failed, e.Reason + ", " + e.Cause
+	}
+	if e.Outcome == steering.MayHaveRun.String() {
+		return Failed, e.Reason
+	}
+	return Refused, e.Reason
+}
+
+// Table lists the counts, the largest first.
+func (c *Counter) Table() Table {
+	t := Table{Rows: make([]Row, 0, len(c.rows)), Seconds: make([]Second, 0, len(c.seconds))}
+	for key, n := range c.rows {
+		t.Rows = append(t.Rows, Row{Key: key, Count: n})
+		t.Lost += n
+	}
+	slices.SortFunc(t.Rows, func(a, b Row) int {
+		return cmp.Or(b.Count-a.Count, cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Why, b.Why),
+			cmp.Compare(a.Route, b.Route), cmp.Compare(a.Region, b.Region), cmp.Compare(a.State, b.State))
+	})
+	for at, counts := range c.seconds {
+		t.Seconds = append(t.Seconds, Second{At: at, Counts: counts})
+	}
+	slices.SortFunc(t.Seconds, func(a, b Second) int { return a.At.Compare(b.At) })
+	return t
+}
+
+// Sum adds the rows up by a part of their keys, the largest first.
+func (t Table) Sum(part func(Key) string) []Row {
+	sums := make(map[Key]int)
+	for _, r := range t.Rows {
+		sums[Key{Kind: r.Kind, Why: part(r.Key)}] += r.Count
+	}
+	list := make([]Row, 0, len(sums))
+	for key, n := range sums {
+		list = append(list, Row{Key: key, Count: n})
+	}
+	slices.SortFunc(list, func(a, b Row) int {
+		return cmp.Or(b.Count-a.Count, cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Why, b.Why))
+	})
+	return list
+}
--- /dev/null
+++ b/internal/client/losses/losses_test.go
@@ -0,0 +1,63 @@
+package losses
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A log of two proxies holds good, late, refused and failed requests, one of them
+// twice, one of another program, one cut short, and a count of those left out. Each
+// loss is counted once, with its cause, and the rest is not.
+func TestLossesOfALog(t *testing.T) {
+	file, err := os.Open(filepath.Join("testdata", "proxy.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	c := NewCounter()
+	skipped, err := c.Read(file)
+	if err != nil || skipped != 1 {
+		t.Fatalf("%d lines skipped (%v), want the one that is cut short", skipped, err)
+	}
+	table := c.Table()
+	want := []Row{
+		{Key{Late, Unknown, Unknown, "south", Unknown}, 4},
+		{Key{Refused, "queues-too-long", Unknown, "south", Unknown}, 3},
+		{Key{Failed, "timeout", Unknown, "south", Unknown}, 2},
+		{Key{Failed, "timeout, cold-server", "book", "south", "cold"}, 1},
+		{Key{Late, "first-run", "browse", "north", "in-use"}, 1},
+		{Key{Late, "queue", "browse", "north", "full"}, 1},
+		{Key{Left, "caller-left", "book", "south", "in-use"}, 1},
+		{Key{Refused, "queues-too-long", "book", "south", ""}, 1},
+	}
+	if !reflect.DeepEqual(table.Rows, want) {
+		t.Errorf("rows are %+v, want %+v", table.Rows, want)
+	}
+	if table.Lost != 14 || len(table.Seconds) != 3 {
+		t.Errorf("%d lost in %d seconds, want 14 in 3", table.Lost, len(table.Seconds))
+	}
+	sums := table.Sum(func(k Key) string { return k.Why })
+	if got, want := sums[0], (Row{Key{Kind: Late, Why: Unknown}, 4}); got != want {
+		t.Errorf("largest sum is %+v, want %+v", got, want)
+	}
+}
+
+func TestPlotNeedsLosses(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "losses.svg")
+	if err := NewCounter().Table().Plot(path); err == nil {
+		t.Error("nothing was lost, and a plot of it was drawn")
+	}
+	c := NewCounter()
+	c.Add(Ended{At: time.Unix(10, 0), Reason: "overload", Outcome: "not-run"})
+	c.Add(Ended{At: time.Unix(13, 0), Reason: "overload", Outcome: "not-run"})
+	if err := c.Table().Plot(path); err != nil {
+		t.Fatal(err)
+	}
+	if data, err := os.ReadFile(path); err != nil || !strings.Contains(string(data), "<svg") {
+		t.Errorf("the plot is no drawing (%v)", err)
+	}
+}
--- /dev/null
+++ b/internal/client/losses/read.go
@@ -0,0 +1,80 @@
+package losses
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/errs"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+)
+
+const (
+	// lineMost bounds a line of a log, in bytes; the longest of ours have 2 KB.
+	lineMost = 1 << 20
+	// messageLeftOut is the line that counts the requests left out.
+	messageLeftOut = "requests left out of the log"
+)
+
+type (
+	// line holds the fields that are read of a line of a proxy's log.
+	line struct {
+		Time    time.Time      `json:"time"`
+		Message string         `json:"msg"`
+		Region  string         `json:"vm-region"`
+		Request string         `json:"request"`
+		Route   string         `json:"route"`
+		Outcome string         `json:"outcome"`
+		Reason  string         `json:"reason"`
+		Cause   string         `json:"cause"`
+		State   string         `json:"server-state"`
+		Took    string         `json:"took"`
+		Target  string         `json:"target"`
+		Counts  map[string]int `json:"counts"`
+	}
+)
+
+// Read counts what a log tells. Lines of other programs, and what a collector has
+// put before a line, are passed over; a line of ours that is cut short is counted
+// in skipped.
+func (c *Counter) Read(log io.Reader) (skipped int, err error) {
+	lines := bufio.NewScanner(log)
+	lines.Buffer(make([]byte, 0, 64<<10), lineMost)
+	for lines.Scan() {
+		start := bytes.IndexByte(lines.Bytes(), '{')
+		if start < 0 {
+			continue
+		}
+		var l line
+		if err := json.Unmarshal(lines.Bytes()[start:], &l); err != nil {
+			skipped++
+			continue
+		}
+		switch l.Message {
+		case string(steering.EventFinished):
+			c.Add(l.ended())
+		case messageLeftOut:
+			c.AddLeftOut(l.Time, l.Region, l.Counts)
+		}
+	}
+	return skipped, errs.Wrap(lines.Err(), "log")
+}
+
+func (l line) ended() Ended {
+	return Ended{
+		At: l.Time, Request: l.Request, Route: l.Route, Region: l.Region, Outcome: l.Outcome, Reason: l.Reason,
+		Cause: l.Cause, State: l.State, Took: ParseSpan(l.Took), Target: ParseSpan(l.Target),
+	}
+}
+
+// ParseSpan reads a time from a log; one that is not there is zero.
+func ParseSpan(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return 0
+	}
+	return d
+}
--- /dev/null
+++ b/internal/kernel/steering/cause_test.go
@@ -0,0 +1,39 @@
+package steering
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
+)
+
+// An engineer asks why requests were late. Each line says where most of the time of
+// its request went, so that a count by cause needs no other line.
+func TestCauseOfALateRequest(t *testing.T) {
+	const (
+		ms     = time.Millisecond
+		target = 600 * ms
+	)
+	sent := func(at, wait, expected time.Duration, warm bool, state ServerState) Event {
+		return Event{Kind: EventSent, At: time.Unix(0, 0).Add(at), Wait: wait, Expected: expected, Warm: warm, State: state}
+	}
+	for name, c := range map[string]struct {
+		sent []Event
+		took time.Duration
+		want Cause
+	}{
+		"in time":                  {[]Event{sent(0, 0, 300*ms, true, StateInUse)}, 500 * ms, CauseNone},
+		"never sent":               {nil, 900 * ms, CauseNone},
+		"first run":                {[]Event{sent(0, 0, 880*ms, false, StateInUse)}, 900 * ms, CauseFirstRun},
+		"queue":                    {[]Event{sent(0, 700*ms, 900*ms, true, StateFull)}, 900 * ms, CauseQueue},
+		"cold server":              {[]Event{sent(0, 0, 600*ms, true, StateCold)}, 900 * ms, CauseColdServer},
+		"longer than reckoned":     {[]Event{sent(0, 0, 300*ms, true, StateInUse)}, 900 * ms, CauseSlowServer},
+		"work itself":              {[]Event{sent(0, 0, 800*ms, true, StateInUse)}, 900 * ms, CauseWork},
+		"second attempt came late": {[]Event{sent(0, 0, 300*ms, true, StateInUse), sent(600*ms, 0, 300*ms, true, StateInUse)}, 900 * ms, CauseRepeat},
+	} {
+		f := &Flight{began: time.Unix(0, 0), Route: &routing.Route{Target: target}, steps: c.sent}
+		if got, _ := f.causeOf(f.began.Add(c.took)); got != c.want {
+			t.Errorf("%s: the cause is %q, want %q", name, got, c.want)
+		}
+	}
+}
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"net/netip"
 	"time"
 )
 
@@ -11,6 +12,8 @@
 	EventServer Kind = "server-changed"
 	// EventServerGone marks a server that left.
 	EventServerGone Kind = "server-gone"
+	// EventServerRestarted marks a server that has started again under its id.
+	EventServerRestarted Kind = "server-restarted"
 	// EventServerOut marks a server passed over after failures.
 	EventServerOut Kind = "server-out"
 	// EventEvacuated marks a failure domain emptied or taken back.
@@ -42,6 +45,8 @@
 		Object  string
 		Domain  string
 		Region  string
+		// Address is where a server that has started again was before.
+		Address netip.AddrPort
 		// Elsewhere is set if the region's callers count with other regions.
 		Elsewhere bool
 		// Version is that of the configuration.
@@ -58,6 +63,12 @@
 		Expected time.Duration
 		Load     float64
 		LoadAge  time.Duration
+		// Wait is the part of Expected until a slot is free, and State how the server
+		// stood then.
+		Wait  time.Duration
+		State ServerState
+		// Cause says where the time of a late request went.
+		Cause Cause
 		// Home is the server's rank among the object's homes, from 0.
 		Home int
 		Warm bool
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -247,11 +247,13 @@
 		g.repeats.First(now)
 	}
 	f.server, f.sentAt, f.expected, f.warm = s, now, pick.expected, pick.warm
+	state := s.state(now)
 	s.inFlight++
 	s.turns++
 	f.note(Event{
 		At: now, Kind: EventSent, Server: s.id, Domain: s.Domain, Attempt: len(f.steps)/2 + 1, Expected: pick.expected,
 		Load: s.load(now), LoadAge: s.loadAge(now), Home: pick.home, Warm: pick.warm,
+		Wait: pick.start - s.domain.roundTrip, State: state,
 	})
 	return &Target{Server: s.Server, RoundTrip: s.domain.roundTrip, Connections: k.connections(g)}, ReasonNone
 }
@@ -360,6 +362,7 @@
 	if f.Route != nil {
 		e.Route, e.Target = f.Route.Name, f.Route.Target
 	}
+	e.Cause, e.State = f.causeOf(now)
 	k.config.Observe(e)
 	return d
 }
--- a/internal/proxy/forward/journal.go
+++ b/internal/proxy/forward/journal.go
@@ -27,6 +27,8 @@
 	// leftOutEvery is how often the number of requests left out is told.
 	leftOutEvery   = 10 * time.Second
 	messageLeftOut = "requests left out of the log"
+	// endingLate counts answers that came after the route's target.
+	endingLate = "late"
 	// recordsKept is how many events are kept for operators to ask for.
 	recordsKept = 4096
 )
@@ -86,7 +88,7 @@
 	j.keep(e)
 	klog.InfoS(string(e.Kind), "request", e.Request, "route", e.Route, "configuration", e.Version,
 		"outcome", e.Outcome.String(), "reason", string(e.Reason), "took", e.Took.String(), "attempts", e.Attempt, "tried", tried(e.Steps),
-		"come-back", e.ComeBack.String(), "pressure", e.Pressure)
+		"come-back", e.ComeBack.String(), "pressure", e.Pressure, "target", e.Target.String(), "cause", string(e.Cause), "server-state", string(e.State))
 }
 
 // tried lists the servers that a request was sent to, with what came of it.
@@ -105,7 +107,7 @@
 	if s.Kind == steering.EventSent {
 		klog.InfoS(string(s.Kind), "request", s.Request, "route", s.Route, "configuration", s.Version, "service", s.Service,
 			"server", s.Server, "failure-domain", s.Domain, "object", s.Object, "home-rank", s.Home, "warm", s.Warm, "attempt", s.Attempt,
-			"expected", s.Expected.String(), "load", s.Load, "load-age", age(s.LoadAge), "ago", ago.String())
+			"expected", s.Expected.String(), "load", s.Load, "wait", s.Wait.String(), "server-state", string(s.State), "load-age", age(s.LoadAge), "ago", ago.String())
 		return
 	}
 	klog.InfoS(string(s.Kind), "request", s.Request, "server", s.Server, "attempt", s.Attempt, "result", s.Result.String(),
@@ -121,7 +123,7 @@
 		j.second, j.full, j.brief = now, 0, 0
 	}
 	j.tellLeftOut(now)
-	notable := e.Reason != steering.ReasonNone || e.Attempt > 1 || e.Target > 0 && e.Took > e.Target
+	notable := e.Reason != steering.ReasonNone || e.Attempt > 1 || late(e)
 	j.served++
 	switch {
 	case !notable && j.served%sampleOneIn != 0:
@@ -136,12 +138,18 @@
 	return nothing
 }
 
+// late reports whether a request took longer than its route's target.
+func late(e steering.Event) bool { return e.Target > 0 && e.Took > e.Target }
+
 // ending names how a request ended, for counts.
 func ending(e steering.Event) string {
-	if e.Reason == steering.ReasonNone {
-		return e.Outcome.String()
+	switch {
+	case e.Reason != steering.ReasonNone:
+		return string(e.Reason)
+	case late(e):
+		return endingLate
 	}
-	return string(e.Reason)
+	return e.Outcome.String()
 }
 
 func (j *journal) tellLeftOut(now time.Time) {
