--- a/internal/adapter/peerdrpc/sync.go
+++ b/internal/adapter/peerdrpc/sync.go
@@ -29,7 +29,10 @@
 type (
 	// SyncMessage is what two proxies tell each other of their copies.
 	SyncMessage struct {
-		From    string
+		From string
+		// Started is when the sender's process started: Unix milliseconds of its
+		// own clock, zero if it does not tell.
+		Started int64
 		Leaving bool
 		replica.Delta
 		// Others may have what the sender may not give away now.
@@ -67,7 +70,7 @@
 
 func syncOut(m SyncMessage) (*peerpb.SyncMessage, error) {
 	out := &peerpb.SyncMessage{
-		From: m.From, Leaving: m.Leaving, Revision: m.Revision, AgeMilli: m.Age.Milliseconds(), Base: m.Base, Whole: m.Whole,
+		From: m.From, StartedUnixMilli: m.Started, Leaving: m.Leaving, Revision: m.Revision, AgeMilli: m.Age.Milliseconds(), Base: m.Base, Whole: m.Whole,
 		Unsure: m.Unsure, Keys: m.Keys,
 	}
 	for _, a := range m.Others {
@@ -87,7 +90,7 @@
 }
 
 func syncIn(in *peerpb.SyncMessage) (SyncMessage, error) {
-	m := SyncMessage{From: in.GetFrom(), Leaving: in.GetLeaving()}
+	m := SyncMessage{From: in.GetFrom(), Started: in.GetStartedUnixMilli(), Leaving: in.GetLeaving()}
 	m.Base, m.Revision, m.Whole = in.GetBase(), in.GetRevision(), in.GetWhole()
 	m.Unsure, m.Keys = in.GetUnsure(), in.GetKeys()
 	m.Age = time.Duration(in.GetAgeMilli()) * time.Millisecond
--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -156,6 +156,9 @@
 	return roundTrip, nil
 }
 
+// Forget closes the idle connections to a server that has started again.
+func (c *Client) Forget(address netip.AddrPort) { c.pool.forget(address) }
+
 // message is the request as the server sees it.
 func (c *Client) message(r Request) *http.Request {
 	header := make(http.Header, len(r.Header)+4)
--- a/internal/adapter/serverhttp/client_test.go
+++ b/internal/adapter/serverhttp/client_test.go
@@ -380,6 +380,24 @@
 	}
 }
 
+// A server starts again behind a cut that hides the end of its connections. A kept
+// one looks idle and sound, and the next request on it would be lost. Once the
+// start is known, no kept connection of before is used.
+func TestConnectionsToAnEarlierStartAreNotUsed(t *testing.T) {
+	s := serveRaw(t, func(conn, _ int, r *http.Request, w net.Conn) bool {
+		_, _ = io.WriteString(w, ok(r.Header.Get("Attempt"), fmt.Sprint(conn)))
+		return true
+	})
+	c := newTestClient()
+	for i, want := range []string{"1", "1", "2"} {
+		if i == 2 {
+			c.Forget(s.address())
+		}
+		a, answer := send(c, s, fmt.Sprint("a", i))
+		expect(t, a, answer, steering.Answered, want)
+	}
+}
+
 // Six requests at a time go to a server that accepts few connections from each
 // proxy. Kept idle, all six would stand in the way of other proxies' connections.
 func TestIdleConnectionsStayWithinTheirBound(t *testing.T) {
--- a/internal/adapter/serverhttp/pool.go
+++ b/internal/adapter/serverhttp/pool.go
@@ -133,6 +133,17 @@
 	p.idle[c.address] = append(list, c)
 }
 
+// forget closes the idle connections to a server. One that has started again knows
+// nothing of them, and a cut may hide that for as long as it lasts.
+func (p *pool) forget(address netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		_ = c.Close()
+	}
+	delete(p.idle, address)
+}
+
 // sweep closes the connections that have been idle for too long, also those
 // to servers that are gone. The lock is held.
 func (p *pool) sweep(now time.Time) {
--- a/internal/kernel/routing/table.go
+++ b/internal/kernel/routing/table.go
@@ -70,7 +70,7 @@
 		ColdPerSecond float64
 	}
 
-	// Server is one incarnation of a backend server as it registered itself.
+	// Server is one start of a backend server as it registered itself.
 	Server struct {
 		ID      string
 		Service string
@@ -81,6 +81,9 @@
 		Draining bool
 		// ColdFor is how much longer the server stays cold, as of the entry.
 		ColdFor time.Duration
+		// Started tells the starts under one id apart; zero if the server does not
+		// say. It is of the server's own clock.
+		Started time.Time
 	}
 )
 
--- a/internal/kernel/steering/call.go
+++ b/internal/kernel/steering/call.go
@@ -14,6 +14,7 @@
 	callServer       = "server"
 	callRemove       = "remove-server"
 	callAbsent       = "server-absent"
+	callUnreadable   = "server-unreadable"
 	callTick         = "tick"
 	callMeasured     = "measured"
 	callEvacuated    = "evacuated"
--- a/internal/kernel/steering/learn.go
+++ b/internal/kernel/steering/learn.go
@@ -28,8 +28,11 @@
 	case Refused:
 		s.hasRefused(now, a)
 	case Mistaken:
-		// Its address belongs to another server now: this one is gone.
-		k.remove(s.id)
+		// Its address belongs to another server now: this one is gone, unless it
+		// has started again meanwhile.
+		if !s.gone {
+			k.remove(s.id)
+		}
 	case Unreachable:
 		s.hasFailed(now, true)
 	case Failed, Broken, Late:
--- a/internal/kernel/steering/replay.go
+++ b/internal/kernel/steering/replay.go
@@ -116,6 +116,8 @@
 		k.SetServer(c.At, *c.Server)
 	case callRemove:
 		k.RemoveServer(c.ID)
+	case callUnreadable:
+		k.ServerUnreadable(c.ID)
 	case callAbsent:
 		k.ServerAbsent(c.ID, c.Until)
 	case callTick:
--- /dev/null
+++ b/internal/kernel/steering/restart_test.go
@@ -0,0 +1,59 @@
+package steering
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
+)
+
+// A server is lost behind a cut and starts again under its id. A request that the
+// earlier start had ends with the word that another server has the address. That
+// must not take the new start away.
+func TestRequestOfAnEarlierStartDoesNotRemoveTheNewOne(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	fleet, _ := shareFleet(now)
+	k := fleet[0]
+	first := routing.Server{ID: "s", Service: "service", Domain: "north-a", Slots: 4, Started: time.UnixMilli(1000)}
+	k.RemoveServer("cold")
+	k.SetServer(now, first)
+	f, d := k.Begin(now, Request{ID: "r", Host: "host", Path: "/a/x", Deadline: now.Add(time.Second)})
+	if d.Server == nil {
+		t.Fatalf("not sent: %+v", d)
+	}
+	again := first
+	again.Started = time.UnixMilli(2000)
+	k.SetServer(now, again)
+	k.Ended(now, f, Attempt{Result: Mistaken})
+	if _, d := k.Begin(now, Request{ID: "q", Host: "host", Path: "/a/x", Deadline: now.Add(time.Second)}); d.Server == nil {
+		t.Errorf("the new start gets nothing: %+v", d)
+	}
+}
+
+// A server that knew an object starts again under its id. It knows nothing, and a
+// request for the object must be reckoned as a first run.
+func TestNewStartKnowsNoObjects(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	k := New(Config{Name: "proxy", Domain: "north-a", Region: "north", RegionOf: regionOf})
+	route := &routing.Route{
+		Name: "route", Host: "host", Prefix: "/a/", Sticky: true, Attempts: 1, Timeout: time.Second, Target: time.Second,
+		Parts: []routing.Part{{Service: "service", Weight: 1}},
+	}
+	k.SetTable(routing.NewTable(1, []*routing.Route{route}, nil, routing.Limits{}))
+	ask := func() (warm bool) {
+		k.weighed = func(w Weighed) { warm = w.Warm }
+		f, _ := k.Begin(now, Request{ID: "r", Host: "host", Path: "/a/x", Object: "o", Deadline: now.Add(time.Second)})
+		k.Ended(now, f, Attempt{Result: Answered})
+		return warm
+	}
+	s := routing.Server{ID: "s", Service: "service", Domain: "north-a", Slots: 4, Started: time.UnixMilli(1000)}
+	k.SetServer(now, s)
+	if first, second := ask(), ask(); first || !second {
+		t.Fatalf("taken to know the object: %t and then %t, want only after the first request", first, second)
+	}
+	s.Started = time.UnixMilli(2000)
+	k.SetServer(now, s)
+	if ask() {
+		t.Error("a server that has just started is taken to know the object")
+	}
+}
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -40,6 +40,8 @@
 		region string
 		gone   bool
 		domain *distance
+		// unreadable is set while its entry names no server.
+		unreadable bool
 		// absentUntil is set while the server's registration is missing.
 		absentUntil time.Time
 
@@ -109,9 +111,17 @@
 
 func (s *server) isCold(now time.Time) bool { return now.Before(s.coldUntil) }
 
+// takesRequests reports whether the server is registered and does not leave.
+func (s *server) takesRequests() bool { return !s.gone && !s.Draining && !s.unreadable }
+
+// startedAfter reports whether a registration is of an earlier start.
+func (s *server) startedAfter(r routing.Server) bool {
+	return !r.Started.IsZero() && r.Started.Before(s.Started)
+}
+
 // usable reports whether a request may go there now.
 func (s *server) usable(now time.Time) bool {
-	if now.Before(s.outUntil) || s.gone || s.Draining {
+	if now.Before(s.outUntil) || !s.takesRequests() {
 		return false
 	}
 	// A server that was out gets one request at a time until one succeeds.
--- a/internal/kernel/steering/servers.go
+++ b/internal/kernel/steering/servers.go
@@ -6,20 +6,33 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
 
-// SetServer takes in a server's registration.
+// SetServer takes in a server's registration. A server that has started again under
+// its id is another one: what was believed of the earlier start is forgotten, or
+// its objects would be sent there as warm ones, its slowness and its drain held
+// against the new start, and its cold time not kept. News of an earlier start than
+// the one known come late, and change nothing.
 func (k *Kernel) SetServer(now time.Time, r routing.Server) {
 	k.record(Call{Do: callServer, At: now, Server: &r})
 	s := k.servers[r.ID]
+	if s != nil && s.startedAfter(r) {
+		return
+	}
+	if s != nil && !s.Started.IsZero() && r.Started.After(s.Started) {
+		k.config.Observe(Event{Kind: EventServerRestarted, Server: r.ID, Service: r.Service, Address: s.Address})
+		k.forgetServer(s)
+		s = nil
+	}
 	if s == nil {
 		s = &server{id: r.ID, speed: 1}
 		k.servers[r.ID] = s
 	}
-	moved := s.Service != r.Service || s.Slots != r.Slots || s.Draining != r.Draining || s.Domain != r.Domain
+	moved := s.Service != r.Service || s.Slots != r.Slots || s.Draining != r.Draining || s.Domain != r.Domain || s.unreadable
 	if moved {
 		k.service(s.Service).drop(s)
 		k.service(r.Service).add(s)
 	}
 	s.Server = r
+	s.unreadable = false
 	s.absentUntil = time.Time{}
 	s.region = k.config.RegionOf[r.Domain]
 	s.domain = k.distanceTo(r.Domain)
@@ -31,6 +44,20 @@
 	}
 }
 
+// ServerUnreadable notes that what stands where a server registers names no server.
+// It gets nothing until it registers again; what is known of it stays, for the text
+// may be another program's and the server as it was.
+func (k *Kernel) ServerUnreadable(id string) {
+	k.record(Call{Do: callUnreadable, ID: id})
+	s := k.servers[id]
+	if s == nil || s.unreadable {
+		return
+	}
+	s.unreadable = true
+	k.service(s.Service).stale = true
+	k.config.Observe(Event{Kind: EventServer, Server: id, Service: s.Service, Draining: true})
+}
+
 // RemoveServer forgets a server that has left.
 func (k *Kernel) RemoveServer(id string) {
 	k.record(Call{Do: callRemove, ID: id})
@@ -42,10 +69,16 @@
 	if s == nil {
 		return
 	}
+	k.forgetServer(s)
+	k.config.Observe(Event{Kind: EventServerGone, Server: id, Service: s.Service})
+}
+
+// forgetServer drops a server and all that is known of it. Requests that it has
+// still end there.
+func (k *Kernel) forgetServer(s *server) {
 	s.gone = true
-	delete(k.servers, id)
+	delete(k.servers, s.id)
 	k.service(s.Service).drop(s)
-	k.config.Observe(Event{Kind: EventServerGone, Server: id, Service: s.Service})
 }
 
 // ServerAbsent notes that a server's registration is missing. If it has not
@@ -88,7 +121,7 @@
 			continue
 		}
 		for _, s := range k.servers {
-			if s.Domain == domain && !s.Draining && !s.gone {
+			if s.Domain == domain && s.takesRequests() && k.names(s.Service) {
 				list = append(list, s.Server)
 				break
 			}
@@ -97,6 +130,12 @@
 	return list
 }
 
+// names reports whether a route of the configuration in force leads to a service.
+func (k *Kernel) names(service string) bool {
+	_, named := k.leastUrgent[service]
+	return named
+}
+
 // Measured takes in a round trip to a failure domain.
 func (k *Kernel) Measured(domain string, roundTrip time.Duration) {
 	k.record(Call{Do: callMeasured, Domain: domain, Took: roundTrip})
--- a/internal/kernel/steering/service.go
+++ b/internal/kernel/steering/service.go
@@ -57,7 +57,7 @@
 	g.servers = g.servers[:0]
 	g.forgetHomes()
 	for _, s := range g.members {
-		if !s.Draining && !s.gone && !evacuated[s.Domain] {
+		if s.takesRequests() && !evacuated[s.Domain] {
 			g.servers = append(g.servers, s)
 		}
 	}
--- a/internal/kernel/steering/story_test.go
+++ b/internal/kernel/steering/story_test.go
@@ -36,6 +36,8 @@
 		Slots  int    `json:"slots"`
 		Cold   string `json:"cold"`
 		Drains bool   `json:"drains"`
+		// Started tells starts under one id apart, in milliseconds.
+		Started int64 `json:"started"`
 	}
 
 	storyStep struct {
@@ -45,6 +47,7 @@
 		Server  *storyServer `json:"server"`
 		Remove  string       `json:"remove"`
 		Absent  string       `json:"absent"`
+		Garbled string       `json:"unreadable"`
 		For     string       `json:"for"`
 		Empty   string       `json:"evacuate"`
 		Fill    string       `json:"take-back"`
@@ -154,9 +157,13 @@
 	if slots == 0 {
 		slots = 4
 	}
-	r.kernel.SetServer(r.now, routing.Server{
+	server := routing.Server{
 		ID: s.ID, Service: "service", Domain: s.Domain, Slots: slots, Draining: s.Drains, ColdFor: span(r.t, s.Cold),
-	})
+	}
+	if s.Started > 0 {
+		server.Started = time.UnixMilli(s.Started)
+	}
+	r.kernel.SetServer(r.now, server)
 }
 
 func (r *storyRun) table(version uint64) bool {
@@ -184,6 +191,8 @@
 		r.kernel.RemoveServer(s.Remove)
 	case s.Absent != "":
 		r.kernel.ServerAbsent(s.Absent, r.now.Add(span(r.t, s.For)))
+	case s.Garbled != "":
+		r.kernel.ServerUnreadable(s.Garbled)
 	case s.Empty != "":
 		r.kernel.SetEvacuated(r.now, s.Empty, true)
 	case s.Fill != "":
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -74,7 +74,7 @@
 	d := &Daemon{settings: s, seams: seams, start: config.Joined, inForce: s.Bounds, stopping: make(chan struct{})}
 	d.meters = newMeters()
 	d.journal = newJournal(s.Name, d.now, d.meters)
-	config.Observe, config.Record = d.journal.event, seams.Record
+	config.Observe, config.Record = d.observe, seams.Record
 	d.kernel = steering.New(config)
 	d.operators = (&steeringhttp.Server{Status: d.status, Events: d.journal.events, Metrics: d.meters.set}).HTTP()
 	seams.Store = counted(seams.Store, d.meters.storeCall)
@@ -96,9 +96,20 @@
 	return d, nil
 }
 
+// observe takes in what the kernel tells, with its lock held.
+func (d *Daemon) observe(e steering.Event) {
+	d.journal.event(e)
+	if e.Kind == steering.EventServerRestarted {
+		d.servers.Forget(e.Address)
+	}
+}
+
 // now reads the steady clock: the time of day may jump.
 func (d *Daemon) now() time.Time { return d.start.Add(time.Since(d.start)) }
 
+// started tells this start of the VM's process from others, for peers.
+func (d *Daemon) started() int64 { return d.start.UnixMilli() }
+
 // do runs a function with the kernel, one at a time.
 func (d *Daemon) do(f func(*steering.Kernel, time.Time)) {
 	d.mu.Lock()
--- a/internal/proxy/forward/feed.go
+++ b/internal/proxy/forward/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
@@ -79,6 +81,10 @@
 		return
 	}
 	if domain, ok := strings.CutPrefix(e.Key, n.Evacuations); ok {
+		if err := f.checkDomain(domain, ""); err != nil && !e.Removed {
+			f.refused("evacuation", domain, err)
+			return
+		}
 		f.daemon.do(func(k *steering.Kernel, now time.Time) { k.SetEvacuated(now, domain, !e.Removed) })
 		return
 	}
@@ -93,7 +99,7 @@
 	}
 	t, err := f.daemon.seams.Codec.Table(e.Value)
 	if err != nil {
-		klog.ErrorS(err, "configuration refused; the one before stays in force")
+		f.refused("configuration", "", err)
 		return
 	}
 	f.daemon.do(func(k *steering.Kernel, _ time.Time) { k.SetTable(t) })
@@ -101,7 +107,9 @@
 
 // tellServer brings a registration to the kernel. One whose removal is doubtful
 // is waited for, or all servers would vanish at once after an outage; any other
-// has left, and would get requests for too long.
+// has left, and would get requests for too long. An entry that cannot be read, or
+// that stands in no known failure domain, names no server to use: what stood there
+// before no longer holds.
 func (f *feed) tellServer(id string, e replica.Entry) {
 	if e.Removed {
 		f.daemon.do(func(k *steering.Kernel, now time.Time) {
@@ -114,13 +122,37 @@
 		return
 	}
 	r, err := f.daemon.seams.Codec.Server(id, e.Value)
+	if err == nil {
+		err = f.checkDomain(r.Domain, "")
+	}
 	if err != nil {
-		klog.ErrorS(err, "registration refused", "server", id)
+		f.refused("server", id, err)
+		f.daemon.do(func(k *steering.Kernel, _ time.Time) { k.ServerUnreadable(id) })
 		return
 	}
 	f.daemon.do(func(k *steering.Kernel, now time.Time) { k.SetServer(now, r) })
 }
 
+// checkDomain refuses a failure domain that is in no region, or not in the one
+// named: nobody could say whom what stands there may serve.
+func (f *feed) checkDomain(domain, region string) error {
+	in, known := f.daemon.settings.RegionOf[domain]
+	switch {
+	case !known:
+		return &operator.FieldError{Field: "failure-domain", Want: "one of the settings", Got: strconv.Quote(domain)}
+	case region != "" && region != in:
+		return &operator.FieldError{Field: "region", Want: strconv.Quote(in) + ", which the failure domain is in", Got: strconv.Quote(region)}
+	}
+	return nil
+}
+
+// refused tells of an entry that another program wrote and that names nothing to
+// use, once for each time that it is written.
+func (f *feed) refused(kind, name string, err error) {
+	f.daemon.meters.entryRefused(kind)
+	klog.ErrorS(err, "entry refused", "kind", kind, "name", name)
+}
+
 // since is what a peer at a revision lacks; without anything newer, or where the
 // peer needs more than may be given away now, it tells the own revision and age
 // alone. A peer that sees a newer revision and gets no news asks elsewhere.
--- a/internal/proxy/forward/gossip.go
+++ b/internal/proxy/forward/gossip.go
@@ -98,7 +98,7 @@
 
 // take takes a peer's message in and reports whether the copy advanced.
 func (g *gossip) take(m peerdrpc.SyncMessage) bool {
-	g.feed.hear(m.From, m.Leaving, m.Age)
+	g.feed.hear(m)
 	g.mu.Lock()
 	g.named = m.Others
 	g.mu.Unlock()
@@ -114,7 +114,7 @@
 }
 
 func (g *gossip) message(d replica.Delta) peerdrpc.SyncMessage {
-	return peerdrpc.SyncMessage{From: g.feed.daemon.settings.Name, Leaving: g.feed.daemon.isStopping(), Delta: d}
+	return peerdrpc.SyncMessage{From: g.feed.daemon.settings.Name, Started: g.feed.daemon.started(), Leaving: g.feed.daemon.isStopping(), Delta: d}
 }
 
 // pick draws a peer, mostly of the own region; without any known, one that a
--- a/internal/proxy/forward/keeper.go
+++ b/internal/proxy/forward/keeper.go
@@ -102,7 +102,7 @@
 	s := k.feed.daemon.settings
 	data, err := json.Marshal(member{
 		Name: s.Name, Domain: s.Domain, Region: s.Region, Callers: s.Listen.Callers, Peers: s.Listen.Peers,
-		Operators: s.Listen.Operators, LinkMbps: s.LinkMbps,
+		Operators: s.Listen.Operators, LinkMbps: s.LinkMbps, Started: k.feed.daemon.started(),
 	})
 	if err != nil {
 		return errors.Wrap(err, "own entry")
--- a/internal/proxy/forward/members.go
+++ b/internal/proxy/forward/members.go
@@ -4,12 +4,16 @@
 	"encoding/json"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/gypsumquay/gypsumquay/internal/adapter/peerdrpc"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/steeringhttp"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
@@ -27,6 +31,9 @@
 		// LinkMbps is how wide its link is, in Mbit/s; zero if not known.
 		LinkMbps int  `json:"link-mbps,omitempty"`
 		Leaving  bool `json:"leaving,omitempty"`
+		// Started tells the starts of a VM under one name apart: Unix milliseconds
+		// of its own clock, zero from a proxy that does not tell.
+		Started int64 `json:"started,omitempty"`
 	}
 )
 
@@ -58,15 +65,41 @@
 		klog.InfoS("proxy gone", "proxy", name)
 		return
 	}
-	var m member
-	if err := json.Unmarshal(e.Value, &m); err != nil {
-		klog.ErrorS(err, "proxy's entry refused", "proxy", name)
+	m, err := f.decodeMember(name, e.Value)
+	if err != nil {
+		f.refused("proxy", name, err)
+		delete(f.members, name)
+		if name == f.daemon.settings.Name {
+			f.writeSoon()
+		}
 		return
 	}
 	f.members[name] = m
 	klog.InfoS("proxy known", "proxy", name, "failure-domain", m.Domain)
 }
 
+// decodeMember reads a proxy's entry. Callers are sent to the address in it and
+// limits are divided by the number of entries, so one that is not whole names no
+// proxy.
+func (f *feed) decodeMember(name string, data []byte) (member, error) {
+	var m member
+	if err := operator.CheckSyntax(data); err != nil {
+		return m, err
+	}
+	if err := json.Unmarshal(data, &m); err != nil {
+		return m, errors.Wrap(err, "entry")
+	}
+	if m.Name != name {
+		return m, &operator.FieldError{Field: "name", Want: strconv.Quote(name) + ", as in the key", Got: strconv.Quote(m.Name)}
+	}
+	for field, address := range map[string]netip.AddrPort{"callers": m.Callers, "peers": m.Peers} {
+		if !address.IsValid() || address.Port() == 0 {
+			return m, &operator.FieldError{Field: field, Want: "an IP address and a port", Got: strconv.Quote(address.String())}
+		}
+	}
+	return m, f.checkDomain(m.Domain, m.Region)
+}
+
 // listProxies brings the list of live proxies to the kernel.
 func (f *feed) listProxies() {
 	list := make([]steering.Proxy, 0, len(f.members))
@@ -77,17 +110,21 @@
 }
 
 // hear takes in a proxy's own word: whether it leaves, and how fresh its copy is.
-func (f *feed) hear(name string, leaving bool, age time.Duration) {
+// What a process said before its VM started again may come after the new entry,
+// and would have the new process leave for as long as it lives.
+func (f *feed) hear(said peerdrpc.SyncMessage) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	name := said.From
 	m, known := f.members[name]
 	if !known {
 		return
 	}
-	if m.Region == f.daemon.settings.Region && replica.Fresh(age) {
+	if m.Region == f.daemon.settings.Region && replica.Fresh(said.Age) {
 		f.nearAt = f.daemon.now()
 	}
-	if leaving && !m.Leaving {
+	sameStart := said.Started == 0 || said.Started == m.Started
+	if said.Leaving && sameStart && !m.Leaving {
 		m.Leaving = true
 		f.members[name] = m
 		f.listProxies()
--- a/internal/proxy/forward/members_test.go
+++ b/internal/proxy/forward/members_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/adapter/peerdrpc"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
@@ -22,10 +25,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		entry, err := json.Marshal(member{Name: "far", Domain: "b", Region: "south"})
-		if err != nil {
-			t.Fatal(err)
-		}
+		entry := farMember(t, func(*member) {})
 		d.feed.apply(replica.Delta{Revision: 1, Whole: true, Entries: []replica.Entry{{Key: memberPrefix + "far", Value: entry, Revision: 1}}})
 		d.feed.apply(replica.Delta{Base: 1, Revision: 2, Entries: []replica.Entry{{Key: memberPrefix + "far", Revision: 2, Removed: true, Doubtful: doubtful}}})
 		var stranded []string
@@ -42,3 +42,91 @@
 		}
 	}
 }
+
+// farFleet is a proxy that never runs and knows two regions.
+func farFleet(t *testing.T) *Daemon {
+	t.Helper()
+	f := newFleet(t, 1)
+	settings := *f.daemons[0].settings
+	settings.RegionOf = map[string]string{"a": "north", "b": "south"}
+	d, err := New(&settings, f.daemons[0].seams)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func farMember(t *testing.T, change func(*member)) []byte {
+	t.Helper()
+	m := member{
+		Name: "far", Domain: "b", Region: "south", Started: 1000,
+		Callers: netip.MustParseAddrPort("10.1.0.1:80"), Peers: netip.MustParseAddrPort("10.1.0.1:81"),
+	}
+	change(&m)
+	data, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// Another program writes over a proxy's entry. Its text was kept as a proxy with
+// no address, which callers were told to ask, or left the old entry in force. It
+// names no proxy until the proxy writes it again; the others stay.
+func TestEntriesOfOtherWritersNameNoProxy(t *testing.T) {
+	d := farFleet(t)
+	good := farMember(t, func(*member) {})
+	for text, named := range map[string]bool{
+		string(good): true,
+		"":           false, "{": false, "null": false, "[]": false, `"far"`: false, "{}": false, "\xff\xfe": false,
+		string(farMember(t, func(m *member) { m.Name = "near" })):                 false,
+		string(farMember(t, func(m *member) { m.Callers = netip.AddrPort{} })):    false,
+		string(farMember(t, func(m *member) { m.Peers = netip.AddrPort{} })):      false,
+		string(farMember(t, func(m *member) { m.Domain = "nowhere" })):            false,
+		string(farMember(t, func(m *member) { m.Region = "north" })):              false,
+		strings.Replace(string(good), `"name":"far"`, `"name":7`, 1):              false,
+		strings.Replace(string(good), `"name"`, `"name":"far","name"`, 1):         false,
+		strings.Replace(string(good), `10.1.0.1:80"`, `10.1.0.1"`, 1):             false,
+		strings.Replace(string(good), `"started":1000`, `"started":"a while"`, 1): false,
+	} {
+		before := d.feed.revision()
+		d.feed.apply(replica.Delta{Revision: before + 1, Base: before, Whole: before == 0, Entries: []replica.Entry{
+			{Key: memberPrefix + "far", Value: []byte(text), Revision: before + 1},
+		}})
+		list := d.feed.proxies()
+		if got := len(list) == 1 && list[0].Name == "far"; got != named {
+			t.Errorf("%q: names the proxy %t, want %t (%+v)", text, got, named, list)
+		}
+	}
+}
+
+// A VM stops and starts again under its name. What the old process said to its
+// peers as it left arrives after the new entry: the new process was taken to leave
+// for as long as it lived, and no caller was sent to it.
+func TestLastWordsOfAnEarlierStartDoNotCountAsTheNewOnes(t *testing.T) {
+	d := farFleet(t)
+	d.feed.apply(replica.Delta{Revision: 1, Whole: true, Entries: []replica.Entry{
+		{Key: memberPrefix + "far", Value: farMember(t, func(m *member) { m.Started = 2000 }), Revision: 1},
+	}})
+	d.feed.hear(peerdrpc.SyncMessage{From: "far", Started: 1000, Leaving: true})
+	if d.feed.proxies()[0].Leaving {
+		t.Error("the new process is taken to leave")
+	}
+	d.feed.hear(peerdrpc.SyncMessage{From: "far", Started: 2000, Leaving: true})
+	if !d.feed.proxies()[0].Leaving {
+		t.Error("a proxy's own word that it leaves is not believed")
+	}
+}
+
+// FuzzDecodeMember looks for entries that end the process or come out as a proxy
+// that cannot be asked.
+func FuzzDecodeMember(f *testing.F) {
+	feed := &feed{daemon: &Daemon{settings: &Settings{RegionOf: map[string]string{"b": "south"}}}}
+	f.Add([]byte(`{"name":"far","failure-domain":"b","region":"south","callers":"10.1.0.1:80","peers":"10.1.0.1:81"}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := feed.decodeMember("far", data)
+		if err == nil && (m.Name != "far" || !m.Callers.IsValid() || !m.Peers.IsValid() || m.Region != "south") {
+			t.Errorf("%q is taken for a proxy: %+v", data, m)
+		}
+	})
+}
--- a/internal/proxy/forward/meters.go
+++ b/internal/proxy/forward/meters.go
@@ -94,6 +94,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("gypsumquay_store_calls_total{operation=%q,failed=\"%t\"}", operation, err != nil)).Inc()
 }
 
+// entryRefused counts an entry that cannot be used.
+func (m *meters) entryRefused(kind string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("gypsumquay_entries_refused_total{kind=%q}", kind)).Inc()
+}
+
 // watch adds gauges that are read when asked for.
 func (m *meters) watch(d *Daemon, dropped func() uint64) {
 	status := func(read func(steering.Status) float64) func() float64 {
