--- a/cmd/gypsumquay-bench/experiment.go
+++ b/cmd/gypsumquay-bench/experiment.go
@@ -5,9 +5,8 @@
 	"path/filepath"
 	"strings"
 
-	"github.com/go-faster/errors"
-
 	"github.com/gypsumquay/gypsumquay/internal/fake/warmnet"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/errs"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
@@ -21,13 +20,9 @@
 
 // run plays loads x placers x seeds and prints a table.
 func (a *experimentArguments) run() error {
-	loads := a.Loads
-	if len(loads) == 0 {
-		found, err := filepath.Glob("internal/fake/warmnet/testdata/*.json")
-		if err != nil {
-			return errors.Wrap(err, "loads")
-		}
-		loads = found
+	loads, err := loadFiles(a.Loads)
+	if err != nil {
+		return err
 	}
 	placers := a.Placers
 	if len(placers) == 0 {
@@ -46,6 +41,15 @@
 	return nil
 }
 
+// loadFiles are the files named, or all of the emulator's own.
+func loadFiles(named []string) ([]string, error) {
+	if len(named) > 0 {
+		return named, nil
+	}
+	found, err := filepath.Glob("internal/fake/warmnet/testdata/*.json")
+	return found, errs.Wrap(err, "loads")
+}
+
 func (a *experimentArguments) row(name string, load warmnet.Load, placer string) {
 	var share, worst, refused, first, p99 float64
 	n := float64(a.Seeds)
--- a/cmd/gypsumquay-bench/main.go
+++ b/cmd/gypsumquay-bench/main.go
@@ -15,6 +15,7 @@
 		Bench      *benchArguments      `arg:"subcommand:bench" help:"latency and goodput against baselines and the bound"`
 		Slopes     *slopesArguments     `arg:"subcommand:slopes" help:"costs against size, for the capacity page"`
 		Experiment *experimentArguments `arg:"subcommand:experiment" help:"placers against loads with warm servers, as a table"`
+		Ablate     *ablateArguments     `arg:"subcommand:ablate" help:"each mechanism switched off in turn, against loads, as a table"`
 		Soak       *soakArguments       `arg:"subcommand:soak" help:"randomised faults with fresh seeds until the time is over"`
 	}
 )
@@ -32,6 +33,8 @@
 		err = a.Bench.run()
 	case a.Soak != nil:
 		err = a.Soak.run()
+	case a.Ablate != nil:
+		err = a.Ablate.run()
 	case a.Experiment != nil:
 		err = a.Experiment.run()
 	case a.Slopes != nil:
--- a/cmd/gypsumquayd/main.go
+++ b/cmd/gypsumquayd/main.go
@@ -13,6 +13,7 @@
 	"github.com/alexflint/go-arg"
 	"k8s.io/klog/v2"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/daemon"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/forward"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/logs"
@@ -30,11 +31,12 @@
 
 type (
 	arguments struct {
-		Settings      string `arg:"positional" help:"settings file (JSON)"`
-		CheckSettings bool   `arg:"--check-settings" help:"check the settings and exit"`
-		OnPlatform    bool   `arg:"--on-platform" help:"run on the platform, by the settings file that it names"`
-		Record        string `arg:"--record" help:"directory for a recording of the kernel's calls, for gypsumquayctl steering replay (with --on-platform)"`
-		Verbosity     int    `arg:"-v,--verbosity" default:"0" help:"log detail, 0 to 2"`
+		Settings      string               `arg:"positional" help:"settings file (JSON)"`
+		CheckSettings bool                 `arg:"--check-settings" help:"check the settings and exit"`
+		OnPlatform    bool                 `arg:"--on-platform" help:"run on the platform, by the settings file that it names"`
+		Record        string               `arg:"--record" help:"directory for a recording of the kernel's calls, for gypsumquayctl steering replay (with --on-platform)"`
+		Off           []steering.Mechanism `arg:"--off,separate" help:"mechanism to do without, repeat for more; a wrong name lists them (with --on-platform)"`
+		Verbosity     int                  `arg:"-v,--verbosity" default:"0" help:"log detail, 0 to 2"`
 	}
 )
 
@@ -96,6 +98,7 @@
 	buffer := logs.NewBuffer(os.Stdout, logLines)
 	defer buffer.Close()
 	logs.Setup(buffer, a.Verbosity, "vm", s.Proxy.Name, "vm-region", s.Proxy.Region)
+	s.Proxy.Off = a.Off
 	seams := platform.Seams(a.Settings, s, buffer.Dropped)
 	if a.Record != "" {
 		file, err := recording.Create(a.Record, s.Proxy.Name, time.Now())
--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -74,6 +74,10 @@
 		Memory *bodies.Memory
 		Send   func(context.Context, serverhttp.Request) (steering.Attempt, *serverhttp.Answer)
 		Now    func() time.Time
+		// Ask waits for a place at a server; it reports false if there is no answer.
+		// GiveBack gives one back.
+		Ask      func(context.Context, steering.Ask) (steering.Reply, bool)
+		GiveBack func(steering.Release)
 		// Stopping reports whether callers should go elsewhere.
 		Stopping func() bool
 		// Configured is closed once the first configuration is known.
@@ -114,15 +118,43 @@
 	s.Kernel(func(k *steering.Kernel, now time.Time) { flight, decision = k.Begin(now, request) })
 	var answer *serverhttp.Answer
 	for decision.Server != nil {
+		if decision.Ask != nil {
+			decision = s.place(r.Context(), flight, *decision.Ask)
+			continue
+		}
 		var attempt steering.Attempt
 		answer.Release()
 		attempt, answer = s.Send(r.Context(), s.attempt(r, body.Bytes, request, flight, decision.Server))
-		s.Kernel(func(k *steering.Kernel, now time.Time) { decision = k.Ended(now, flight, attempt) })
+		decision = s.ended(flight, attempt)
 	}
 	s.reply(w, r, decision, answer)
 	answer.Release()
 }
 
+// place waits for a place at the server that the request should go to.
+func (s *Server) place(ctx context.Context, f *steering.Flight, a steering.Ask) (d steering.Decision) {
+	reply, answered := s.Ask(ctx, a)
+	if ctx.Err() != nil {
+		return s.ended(f, steering.Attempt{Result: steering.Left, Err: ctx.Err()})
+	}
+	s.Kernel(func(k *steering.Kernel, now time.Time) { d = k.Asked(now, f, reply, answered) })
+	s.giveBack(d)
+	return d
+}
+
+// ended tells how an attempt ended and gives the request's place back.
+func (s *Server) ended(f *steering.Flight, a steering.Attempt) (d steering.Decision) {
+	s.Kernel(func(k *steering.Kernel, now time.Time) { d = k.Ended(now, f, a) })
+	s.giveBack(d)
+	return d
+}
+
+func (s *Server) giveBack(d steering.Decision) {
+	if d.Release != nil {
+		s.GiveBack(*d.Release)
+	}
+}
+
 // awaitConfiguration waits for the first configuration just after the start.
 func (s *Server) awaitConfiguration(ctx context.Context) {
 	left := startWait - s.Now().Sub(s.Started)
--- /dev/null
+++ b/internal/adapter/peerdrpc/place.go
@@ -0,0 +1,106 @@
+package peerdrpc
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/gypsumquay/gypsumquay/internal/adapter/peerpb"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/errs"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+)
+
+const (
+	// askTimeout bounds a question to the owner of a gate: a round trip to another
+	// region and some time on a slow VM. Until then a caller's request waits.
+	askTimeout = 200 * time.Millisecond
+)
+
+// Ask asks the owner of a server's gate for a place, at a moment of the own clock.
+func (c *Client) Ask(ctx context.Context, to netip.AddrPort, now time.Time, a steering.Ask) (steering.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	out, err := peerpb.NewDRPCReplicaClient(c.pool.Get(ctx, to, c.dial)).Ask(ctx, &peerpb.AskMessage{
+		From: a.From, Id: a.ID, Server: a.Server, Priority: uint32(a.Priority), WorkMicro: a.Work.Microseconds(),
+		GoodMicro: a.Good.Sub(now).Microseconds(), LastMicro: a.Last.Sub(now).Microseconds(), UntilMicro: a.Until.Sub(now).Microseconds(),
+		Limit: limitOut("", a.Limit),
+	})
+	if err != nil {
+		return steering.Reply{}, errors.Wrap(err, "ask for a place")
+	}
+	return placeIn(out), nil
+}
+
+// Release gives a place back to the owner of its gate.
+func (c *Client) Release(ctx context.Context, to netip.AddrPort, r steering.Release) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := peerpb.NewDRPCReplicaClient(c.pool.Get(ctx, to, c.dial)).Release(ctx, &peerpb.ReleaseMessage{
+		From: r.From, Id: r.ID, Server: r.Server, Rank: uint32(r.Rank), Ratio: float32(r.Ratio),
+	})
+	return errs.Wrap(err, "give a place back")
+}
+
+// Grant tells a proxy what has become of its question.
+func (c *Client) Grant(ctx context.Context, to netip.AddrPort, r steering.Reply) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := peerpb.NewDRPCReplicaClient(c.pool.Get(ctx, to, c.dial)).Grant(ctx, placeOut(r))
+	return errs.Wrap(err, "grant a place")
+}
+
+// Ask implements the generated interface.
+func (s *syncService) Ask(_ context.Context, in *peerpb.AskMessage) (*peerpb.PlaceMessage, error) {
+	now := s.handlers.Now()
+	after := func(micro int64) time.Time { return now.Add(time.Duration(micro) * time.Microsecond) }
+	return placeOut(s.handlers.Ask(steering.Ask{
+		Server: in.GetServer(), Work: time.Duration(in.GetWorkMicro()) * time.Microsecond, Limit: limitIn(in.GetLimit()),
+		Ticket: admission.Ticket{
+			ID: in.GetId(), From: in.GetFrom(), Priority: int(in.GetPriority()),
+			Good: after(in.GetGoodMicro()), Last: after(in.GetLastMicro()), Until: after(in.GetUntilMicro()),
+		},
+	})), nil
+}
+
+// Release implements the generated interface.
+func (s *syncService) Release(_ context.Context, in *peerpb.ReleaseMessage) (*peerpb.Nothing, error) {
+	s.handlers.Release(steering.Release{
+		From: in.GetFrom(), ID: in.GetId(), Server: in.GetServer(), Rank: int(in.GetRank()), Ratio: float64(in.GetRatio()),
+	})
+	return &peerpb.Nothing{}, nil
+}
+
+// Grant implements the generated interface.
+func (s *syncService) Grant(_ context.Context, in *peerpb.PlaceMessage) (*peerpb.Nothing, error) {
+	s.handlers.Grant(placeIn(in))
+	return &peerpb.Nothing{}, nil
+}
+
+func placeOut(r steering.Reply) *peerpb.PlaceMessage {
+	return &peerpb.PlaceMessage{
+		From: r.From, Id: r.ID, Verdict: uint32(r.Verdict), Rank: uint32(r.Rank), Running: uint32(r.Running), Waiting: uint32(r.Waiting),
+		Limit: limitOut("", r.Limit), Unknown: r.Unknown, Whole: r.Whole, Sound: r.Sound,
+	}
+}
+
+func placeIn(in *peerpb.PlaceMessage) steering.Reply {
+	return steering.Reply{
+		Grant: admission.Grant{
+			Ticket:  admission.Ticket{ID: in.GetId(), From: in.GetFrom()},
+			Verdict: admission.Verdict(in.GetVerdict()), Rank: int(in.GetRank()),
+		},
+		Running: int(in.GetRunning()), Waiting: int(in.GetWaiting()), Limit: limitIn(in.GetLimit()),
+		Unknown: in.GetUnknown(), Whole: in.GetWhole(), Sound: in.GetSound(),
+	}
+}
+
+func limitOut(service string, l admission.Limit) *peerpb.Held {
+	return &peerpb.Held{Service: service, Most: uint32(l.Most), Evidence: uint32(l.Evidence)}
+}
+
+func limitIn(in *peerpb.Held) admission.Limit {
+	return admission.Limit{Most: int(in.GetMost()), Evidence: int(in.GetEvidence())}
+}
--- a/internal/adapter/peerdrpc/server.go
+++ b/internal/adapter/peerdrpc/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/go-faster/errors"
 	"storj.io/drpc/drpcmanager"
@@ -13,6 +14,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/adapter/peerpb"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/errs"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
 const (
@@ -30,8 +32,18 @@
 		Handover func(peer.HandoverRequest) peer.Stamp
 	}
 
-	// SyncHandler answers peers that compare copies of the store.
-	SyncHandler func(SyncMessage) SyncMessage
+	// SyncHandlers answers proxies on the platform.
+	SyncHandlers struct {
+		// Sync compares copies of the store.
+		Sync func(SyncMessage) SyncMessage
+		// Ask answers for places at servers whose gates are here, Release takes them
+		// back, Grant hears what has become of an own question.
+		Ask     func(steering.Ask) steering.Reply
+		Release func(steering.Release)
+		Grant   func(steering.Reply)
+		// Now is the clock by which moments are told.
+		Now func() time.Time
+	}
 
 	service struct {
 		handlers Handlers
@@ -47,10 +59,10 @@
 	return serveMux(ctx, listener, mux)
 }
 
-// ServeSync answers peers that compare copies until the context ends.
-func ServeSync(ctx context.Context, listener net.Listener, h SyncHandler) error {
+// ServeSync answers proxies on the platform until the context ends.
+func ServeSync(ctx context.Context, listener net.Listener, h SyncHandlers) error {
 	mux := drpcmux.New()
-	if err := peerpb.DRPCRegisterReplica(mux, &syncService{sync: h}); err != nil {
+	if err := peerpb.DRPCRegisterReplica(mux, &syncService{handlers: h}); err != nil {
 		return errors.Wrap(err, "register replica service")
 	}
 	return serveMux(ctx, listener, mux)
--- a/internal/adapter/peerdrpc/sync.go
+++ b/internal/adapter/peerdrpc/sync.go
@@ -13,6 +13,7 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/peerpb"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
 const (
@@ -35,12 +36,14 @@
 		Started int64
 		Leaving bool
 		replica.Delta
+		// Held are the services that the sender holds back by its own signs.
+		Held []steering.Held
 		// Others may have what the sender may not give away now.
 		Others []netip.AddrPort
 	}
 
 	syncService struct {
-		sync func(SyncMessage) SyncMessage
+		handlers SyncHandlers
 	}
 )
 
@@ -50,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return syncOut(s.sync(m))
+	return syncOut(s.handlers.Sync(m))
 }
 
 // Sync exchanges copies with a peer.
@@ -76,6 +79,9 @@
 	for _, a := range m.Others {
 		out.Others = append(out.Others, a.String())
 	}
+	for _, h := range m.Held {
+		out.Held = append(out.Held, limitOut(h.Service, h.Limit))
+	}
 	entries := make([]*peerpb.Entry, 0, len(m.Entries))
 	for _, e := range m.Entries {
 		entries = append(entries, &peerpb.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Removed: e.Removed, Doubtful: e.Doubtful})
@@ -101,6 +107,9 @@
 		}
 		m.Others = append(m.Others, a)
 	}
+	for _, h := range in.GetHeld() {
+		m.Held = append(m.Held, steering.Held{Service: h.GetService(), Limit: limitIn(h)})
+	}
 	entries := in.GetEntries()
 	if len(in.GetPacked()) > 0 {
 		var err error
--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -28,11 +28,15 @@
 		Stopping      bool     `json:"stopping"`
 		Evacuated     []string `json:"evacuated-failure-domains,omitempty"`
 		// Stranded regions have no proxies; their callers ask those of others.
-		Stranded []string        `json:"regions-without-proxies,omitempty"`
-		Proxies  []Proxy         `json:"proxies"`
-		Servers  []BackendServer `json:"backend-servers"`
-		Routes   []Route         `json:"routes"`
-		At       time.Time       `json:"at"`
+		Stranded []string `json:"regions-without-proxies,omitempty"`
+		// Off lists the mechanisms that are not used.
+		Off []steering.Mechanism `json:"mechanisms-off,omitempty"`
+		// Holding lists services whose servers slow down when full.
+		Holding []steering.Held `json:"holding-back,omitempty"`
+		Proxies []Proxy         `json:"proxies"`
+		Servers []BackendServer `json:"backend-servers"`
+		Routes  []Route         `json:"routes"`
+		At      time.Time       `json:"at"`
 	}
 
 	// Proxy is a proxy that the asked one knows.
--- a/internal/client/command/steering.go
+++ b/internal/client/command/steering.go
@@ -163,6 +163,12 @@
 		v := a.Value
 		fmt.Fprintf(&text, "%-24s %-16s %-12s %7d %9d %8s %9d %8d\n", v.VM, a.Proxy.Domain, a.Proxy.Region,
 			v.Configuration, v.CopyRevision, v.CopyAge, v.InFlight, len(v.Servers))
+		if len(v.Off) > 0 {
+			fmt.Fprintf(&text, "%24s switched off: %v\n", "", v.Off)
+		}
+		for _, h := range v.Holding {
+			fmt.Fprintf(&text, "%24s holding back: %s, %d at once (%d answers)\n", "", h.Service, h.Most, h.Evidence)
+		}
 		if len(v.Stranded) > 0 {
 			fmt.Fprintf(&text, "%24s without proxies: %s\n", "", strings.Join(v.Stranded, ", "))
 		}
--- /dev/null
+++ b/internal/fake/warmnet/holds.go
@@ -0,0 +1,91 @@
+package warmnet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+)
+
+const (
+	// gossipEvery is how often proxies tell each other which services they hold back.
+	gossipEvery = 500 * time.Millisecond
+)
+
+type (
+	// holds carries the messages between proxies that ask for places at servers and
+	// those that own the gates.
+	holds struct {
+		gossip  time.Duration
+		waiting map[ticketKey]*job
+	}
+
+	ticketKey struct {
+		from string
+		id   uint64
+	}
+)
+
+// kernelOf finds a proxy's kernel and region by its name.
+func (w *world) kernelOf(name string) (*steering.Kernel, string) {
+	for _, r := range w.load.Regions {
+		first := slices.IndexFunc(w.listed, func(p steering.Proxy) bool { return p.Region == r.Name })
+		i := slices.IndexFunc(w.listed, func(p steering.Proxy) bool { return p.Name == name })
+		if i >= first && first >= 0 && i < first+len(w.proxies[r.Name]) {
+			return w.proxies[r.Name][i-first], r.Name
+		}
+	}
+	return nil, ""
+}
+
+// askFor brings a question to the gate's owner and its answer back.
+func (w *world) askFor(j *job, a steering.Ask) {
+	owner, region := w.kernelOf(a.Owner.Name)
+	way := w.roundTrip(j.entry, region) / 2
+	if owner == j.kernel {
+		way = 0
+	}
+	w.after(way, func() {
+		reply := owner.HearAsk(w.clock(), a)
+		if reply.Verdict == admission.Queued {
+			if w.holds.waiting == nil {
+				w.holds.waiting = make(map[ticketKey]*job)
+			}
+			w.holds.waiting[ticketKey{a.From, a.ID}] = j
+			return
+		}
+		w.after(way, func() { w.follow(j, j.kernel.Asked(w.clock(), j.flight, reply, true)) })
+	})
+}
+
+// release brings a place back and tells those that get it.
+func (w *world) release(entry string, r steering.Release) {
+	owner, region := w.kernelOf(r.Owner.Name)
+	w.after(w.roundTrip(entry, region)/2, func() { w.granted(region, owner.HearRelease(w.clock(), r)) })
+}
+
+func (w *world) granted(region string, grants []steering.Reply) {
+	for _, g := range grants {
+		key := ticketKey{g.From, g.ID}
+		j := w.holds.waiting[key]
+		if j == nil {
+			continue
+		}
+		delete(w.holds.waiting, key)
+		w.after(w.roundTrip(j.entry, region)/2, func() {
+			w.follow(j, j.kernel.Asked(w.clock(), j.flight, g, true))
+		})
+	}
+}
+
+// exchange has all proxies tell each other which services they hold back.
+func (w *world) exchange() {
+	if w.now < w.holds.gossip {
+		return
+	}
+	w.holds.gossip = w.now + gossipEvery
+	var all []steering.Held
+	w.each(func(k *steering.Kernel) { all = append(all, k.Holding(w.clock())...) })
+	w.each(func(k *steering.Kernel) { k.SetHolding(w.clock(), all) })
+}
--- a/internal/fake/warmnet/load.go
+++ b/internal/fake/warmnet/load.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
 type (
@@ -58,6 +59,10 @@
 		SlowBy   float64           `json:"slow-by"`
 		SlowFrom operator.Duration `json:"slow-from"`
 		SlowTo   operator.Duration `json:"slow-to"`
+		// Knee is the part of its slots beyond which a server slows down: work that
+		// begins with more running takes KneeTimes as long. Zero for no knee.
+		Knee      float64 `json:"knee"`
+		KneeTimes float64 `json:"knee-times"`
 		// Mute servers don't tell their load.
 		Mute bool `json:"mute"`
 		// Anonymous requests name no object.
@@ -67,6 +72,8 @@
 		// Plain routes promise nothing of servers that know an object; WarmShare
 		// should be 1 then.
 		Plain bool `json:"plain"`
+		// Off lists the mechanisms that the proxies do without.
+		Off []steering.Mechanism `json:"off"`
 		// Leave is when one server of each region leaves; zero for never.
 		Leave operator.Duration `json:"leave"`
 		// Away servers of a region refuse connections for a while and have forgotten
--- a/internal/fake/warmnet/losses.go
+++ b/internal/fake/warmnet/losses.go
@@ -31,7 +31,14 @@
 }
 
 func (w *world) tick() {
-	w.each(func(k *steering.Kernel) { k.Tick(w.clock()) })
+	w.each(func(k *steering.Kernel) {
+		k.Tick(w.clock())
+		if grants := k.Grants(); len(grants) > 0 {
+			_, region := w.kernelOf(k.Name())
+			w.granted(region, grants)
+		}
+	})
+	w.exchange()
 	if w.now < w.load.Span.Std() {
 		w.after(tickEvery, w.tick)
 	}
--- a/internal/fake/warmnet/play.go
+++ b/internal/fake/warmnet/play.go
@@ -50,7 +50,9 @@
 		inRange map[string]int
 		asked   map[string]int
 		oracle  bool
-		record  func(steering.Call)
+		// holds passes what proxies tell each other of gates.
+		holds  holds
+		record func(steering.Call)
 	}
 
 	server struct {
@@ -115,6 +117,8 @@
 	}
 	if len(l.Stranded) > 0 {
 		w.after(l.StrandAt.Std(), w.strand)
+	}
+	if len(l.Stranded) > 0 || l.Knee > 0 {
 		w.after(tickEvery, w.tick)
 	}
 	for len(w.queue) > 0 {
@@ -162,7 +166,7 @@
 		}
 		k := steering.New(steering.Config{
 			Record: record,
-			Name:   p.Name, Domain: p.Domain, Region: p.Region, RegionOf: regionOf, Placer: placer, Seed: [32]byte{byte(i), byte(seed)},
+			Name:   p.Name, Domain: p.Domain, Off: w.load.Off, Region: p.Region, RegionOf: regionOf, Placer: placer, Seed: [32]byte{byte(i), byte(seed)},
 			Bounds: steering.Bounds{
 				Retry: steering.RetryBudget{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}, ColdFactor: 1.5, ColdSlack: 5,
 			},
@@ -256,7 +260,12 @@
 }
 
 func (w *world) follow(j *job, d steering.Decision) {
+	if d.Release != nil {
+		w.release(j.entry, *d.Release)
+	}
 	switch {
+	case d.Ask != nil && !w.oracle:
+		w.askFor(j, *d.Ask)
 	case d.Server != nil:
 		s := w.byID[d.Server.ID]
 		if w.oracle {
@@ -333,6 +342,9 @@
 	s := j.server
 	s.running++
 	work := float64(w.load.Work.Std()) * w.slowness(s) * w.vary()
+	if w.load.Knee > 0 && float64(s.running) > w.load.Knee*float64(w.load.Slots) {
+		work *= w.load.KneeTimes
+	}
 	if s.knows(j.flight.Object) {
 		work *= w.load.WarmShare
 	} else {
@@ -375,6 +387,10 @@
 	attempt := steering.Attempt{Result: result}
 	if !w.load.Mute {
 		attempt.Loaded, attempt.Running, attempt.Waiting = true, j.server.running, len(j.server.waiting)
+		if result == steering.Answered {
+			// A server that answers counts the request that it answers.
+			attempt.Running++
+		}
 	}
 	w.after(w.roundTrip(j.entry, j.server.region)/2, func() {
 		if attempt.Result == steering.Answered && w.clock().After(j.flight.Until) {
--- a/internal/fake/warmnet/warmnet_test.go
+++ b/internal/fake/warmnet/warmnet_test.go
@@ -173,3 +173,19 @@
 		t.Errorf("%.3f within the target and %.0f first runs, want 0.75 at least and 160 at most", share, first)
 	}
 }
+
+// Servers take three times as long once two of their three slots are used,
+// and half of what they can do with two is asked for. Where proxies sent at once, every
+// server filled all its slots from its own queue, ran at its worst point and never
+// caught up: a tenth was answered in time.
+func TestServersThatSlowDownWhenFullAreNotFilled(t *testing.T) {
+	l := load(t, "knee")
+	share, worst, _ := mean(l, steering.DefaultPlacer)
+	if share < 0.45 || worst < 0.38 {
+		t.Errorf("%.3f within the target, %.3f in the worst region; want 0.45 and 0.38 at least", share, worst)
+	}
+	l.Off = []steering.Mechanism{steering.MechanismHold}
+	if without, _, _ := mean(l, steering.DefaultPlacer); share < 3*without {
+		t.Errorf("%.3f within the target, want three times the %.3f without holding back", share, without)
+	}
+}
--- a/internal/kernel/steering/call.go
+++ b/internal/kernel/steering/call.go
@@ -14,6 +14,10 @@
 	callServer       = "server"
 	callRemove       = "remove-server"
 	callAbsent       = "server-absent"
+	callHolding      = "holding"
+	callAsked        = "asked"
+	callHearAsk      = "hear-ask"
+	callHearRelease  = "hear-release"
 	callUnreadable   = "server-unreadable"
 	callTick         = "tick"
 	callMeasured     = "measured"
@@ -46,6 +50,10 @@
 		Request  *Request        `json:"request,omitempty"`
 		Attempt  *Attempt        `json:"attempt,omitempty"`
 		Decision *Verdict        `json:"decision,omitempty"`
+		Holding  []Held          `json:"holding,omitempty"`
+		Ask      *Ask            `json:"ask,omitempty"`
+		Reply    *Reply          `json:"reply,omitempty"`
+		Release  *Release        `json:"release,omitempty"`
 	}
 
 	// Verdict is a decision as it is recorded.
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -143,7 +143,7 @@
 
 // homes lists the servers on which the request's object lives, best first.
 func (k *Kernel) homes(f *Flight, g *service) []string {
-	if f.Object == "" {
+	if f.Object == "" || !k.on(MechanismHomes) {
 		return nil
 	}
 	r := k.reachOf(f)
@@ -209,9 +209,9 @@
 	}
 	key := strings.Join(f.Route.Regions, " ")
 	switch {
-	case farthest > time.Duration(farShare*float64(f.Route.Target)):
+	case farthest > time.Duration(farShare*float64(f.Route.Target)) || !k.on(MechanismRooms):
 		return reach{near: true, key: "near " + key}
-	case farthest > time.Duration(mixShare*float64(f.Route.Target)):
+	case farthest > time.Duration(mixShare*float64(f.Route.Target)) || !k.on(MechanismMixing):
 		return reach{key: key}
 	}
 	return reach{mixed: placing.MixedShare, key: "mixed " + key}
@@ -220,20 +220,26 @@
 // reckon estimates the time until the answer from one server.
 func (k *Kernel) reckon(now time.Time, f *Flight, g *service, s *server, homes []string) pick {
 	warm := s.knows(f.Object, now)
-	slow := max(1, s.speed)
+	slow := 1.0
+	if k.on(MechanismSpeed) {
+		slow = max(1, s.speed)
+	}
 	work := time.Duration(float64(g.workOn(f.Route).expect(warm, f.Route.Target)) * slow)
 	if s.isCold(now) {
 		work *= coldWork
 	}
 	typical := float64(g.workOn(f.Route).typical(f.Route)) * slow
-	wait := time.Duration(max(0, s.load(now)+1-float64(s.Slots)) / float64(s.Slots) * typical)
+	places := float64(s.places())
+	wait := time.Duration(max(0, s.load(now)+1-places) / places * typical)
 	p := pick{server: s, warm: warm, home: rank(homes, s.id), start: s.domain.roundTrip + wait, expected: s.domain.roundTrip + wait + work}
 	p.cost = p.expected + time.Duration(s.failed*float64(f.Route.Target))
 	if f.Object == "" {
 		if s.region != f.region {
 			p.cost += otherRegion
 		}
-		p.cost += time.Duration(unseenWait * float64(s.inFlight*k.neighbours) / float64(s.Slots) * typical)
+		if k.on(MechanismUnseen) {
+			p.cost += time.Duration(unseenWait * float64(s.inFlight*k.neighbours) / float64(s.Slots) * typical)
+		}
 	}
 	if len(homes) > 0 && !warm {
 		p.cost += time.Duration(spillCost * float64(p.home) * float64(work))
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -14,6 +14,8 @@
 	EventServerGone Kind = "server-gone"
 	// EventServerRestarted marks a server that has started again under its id.
 	EventServerRestarted Kind = "server-restarted"
+	// EventHolding marks a service whose requests are held back from now on.
+	EventHolding Kind = "holding-back"
 	// EventServerOut marks a server passed over after failures.
 	EventServerOut Kind = "server-out"
 	// EventEvacuated marks a failure domain emptied or taken back.
--- a/internal/kernel/steering/failover.go
+++ b/internal/kernel/steering/failover.go
@@ -23,7 +23,7 @@
 // while other regions have room. What moves is what must move anyway; an object
 // whose home is sound stays there.
 func (k *Kernel) failover(now time.Time, f *Flight, g *service, homes []string) []string {
-	if len(homes) == 0 {
+	if len(homes) == 0 || !k.on(MechanismFailover) {
 		return homes
 	}
 	home := g.members[homes[0]]
--- /dev/null
+++ b/internal/kernel/steering/gates.go
@@ -0,0 +1,102 @@
+package steering
+
+import (
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
+)
+
+type (
+	// gate is the queue before a server that this proxy owns.
+	gate struct {
+		admission.Gate
+		service string
+		// used is when it last had a ticket.
+		used time.Time
+	}
+)
+
+const (
+	// gateIdle is how long a gate that nobody asks is kept.
+	gateIdle = time.Minute
+)
+
+// HearAsk answers a proxy that asks for a place at a server whose gate is here.
+func (k *Kernel) HearAsk(now time.Time, a Ask) Reply {
+	k.record(Call{Do: callHearAsk, At: now, Ask: &a})
+	s := k.servers[a.Server]
+	if s == nil || !s.takesRequests() {
+		return Reply{Unknown: true, Grant: admission.Grant{Ticket: a.Ticket, Verdict: admission.Granted}}
+	}
+	g := k.service(s.Service)
+	h := &g.holding
+	if h.levels == nil {
+		h.levels = admission.NewConcurrency(s.Slots)
+	}
+	h.adopt(a.Limit)
+	q := k.gates[a.Server]
+	if q == nil {
+		q = &gate{service: s.Service}
+		k.gates[a.Server] = q
+	}
+	q.used = now
+	limit := h.levels.Trial(now)
+	grant := q.Ask(now, a.Ticket, limit, a.Work)
+	if grant.Rank > h.levels.Limit() {
+		h.levels.Tried(now)
+	}
+	return q.reply(grant, h.levels)
+}
+
+func (q *gate) reply(g admission.Grant, levels *admission.Concurrency) Reply {
+	r := Reply{Grant: g, Limit: levels.Learned(), Whole: levels.Whole(), Sound: levels.Sound()}
+	r.Running, r.Waiting = q.Load()
+	return r
+}
+
+// next gives free places to those that wait.
+func (q *gate) next(now time.Time, levels *admission.Concurrency) []Reply {
+	var replies []Reply
+	for _, g := range q.Next(now, levels.Limit()) {
+		replies = append(replies, q.reply(g, levels))
+	}
+	return replies
+}
+
+// HearRelease takes a place back and tells who gets it.
+func (k *Kernel) HearRelease(now time.Time, r Release) []Reply {
+	k.record(Call{Do: callHearRelease, At: now, Release: &r})
+	q := k.gates[r.Server]
+	if q == nil {
+		return nil
+	}
+	q.GiveBack(r.From, r.ID)
+	h := &k.service(q.service).holding
+	if h.levels == nil {
+		return nil
+	}
+	if r.Ratio > 0 {
+		h.levels.Heard(now, r.Rank, r.Ratio)
+	}
+	return q.next(now, h.levels)
+}
+
+// expireGates ends waits that have become useless and places that were not given
+// back, and drops gates that nobody uses. What follows is told by Grants.
+func (k *Kernel) expireGates(now time.Time) {
+	for id, q := range k.gates {
+		if h := k.service(q.service).holding.levels; h != nil {
+			k.grants = append(k.grants, q.next(now, h)...)
+		}
+		if now.Sub(q.used) > gateIdle {
+			delete(k.gates, id)
+		}
+	}
+}
+
+// Grants hands over what the last tick has granted or denied.
+func (k *Kernel) Grants() []Reply {
+	list := k.grants
+	k.grants = nil
+	return list
+}
--- /dev/null
+++ b/internal/kernel/steering/hold_test.go
@@ -0,0 +1,170 @@
+package steering
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
+)
+
+// holdFleet makes two proxies of one region that hold back before one server of
+// three slots, of which two should be used.
+func holdFleet(now time.Time) (fleet []*Kernel) {
+	list := []Proxy{{Name: "proxy-0", Domain: "north-a", Region: "north"}, {Name: "proxy-1", Domain: "north-a", Region: "north"}}
+	for _, p := range list {
+		k := New(Config{Name: p.Name, Domain: p.Domain, Region: p.Region, RegionOf: regionOf, Bounds: Bounds{Retry: RetryBudget{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}}})
+		k.SetTable(routing.NewTable(1, []*routing.Route{
+			{Name: "route", Host: "host", Prefix: "/a/", Sticky: true, Attempts: 2, Timeout: 2 * time.Second, Target: time.Second, Parts: []routing.Part{{Service: "service", Weight: 1}}},
+			{Name: "short", Host: "host", Prefix: "/short/", Attempts: 1, Timeout: 300 * time.Millisecond, Target: time.Second, Parts: []routing.Part{{Service: "service", Weight: 1}}},
+		}, nil, routing.Limits{}))
+		k.SetProxies(now, list)
+		k.SetServer(now, routing.Server{ID: "s", Service: "service", Domain: "north-a", Slots: 3})
+		k.Measured("north-a", time.Millisecond)
+		k.SetHolding(now, []Held{{Service: "service", Limit: admission.Limit{Most: 2, Evidence: 100}}})
+		fleet = append(fleet, k)
+	}
+	return fleet
+}
+
+func begin(t *testing.T, k *Kernel, now time.Time, id, path string) (*Flight, Ask) {
+	t.Helper()
+	f, d := k.Begin(now, Request{ID: id, Host: "host", Path: path, Object: id, Deadline: now.Add(4 * time.Second)})
+	if d.Server == nil || d.Ask == nil {
+		t.Fatalf("request %s: %+v, want a question for a place", id, d)
+	}
+	return f, *d.Ask
+}
+
+// Servers of three slots slow down when the third is used. Requests of two proxies
+// come at once; all ask the same gate, and no more than two run.
+func TestProxiesTogetherStayWithinTheLimit(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	fleet := holdFleet(now)
+	owner := fleet[0]
+	granted, flights := 0, make(map[uint64]*Flight)
+	for i := range 6 {
+		k := fleet[i%2]
+		f, a := begin(t, k, now, fmt.Sprint("r", i), "/a/x")
+		if a.Owner.Name != fleet[0].Name() {
+			owner = fleet[1]
+		}
+		reply := owner.HearAsk(now, a)
+		if reply.Verdict == admission.Granted {
+			granted++
+			flights[a.ID] = f
+			if d := k.Asked(now, f, reply, true); d.Server == nil || d.Ask != nil {
+				t.Errorf("granted, and then %+v; want it sent", d)
+			}
+			d := k.Ended(now.Add(300*time.Millisecond), f, Attempt{Result: Answered, Loaded: true, Running: 1})
+			if d.Release == nil || d.Release.Server != "s" {
+				t.Fatalf("the place is not given back: %+v", d)
+			}
+			if i == 5 {
+				continue
+			}
+		}
+	}
+	if granted != 2 {
+		t.Errorf("%d of six were granted, want 2", granted)
+	}
+}
+
+// The owner of a gate is gone or cut off. Its answer must not be waited for twice,
+// and the request goes out as it would without a gate.
+func TestGateThatDoesNotAnswerHoldsNobodyUp(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	k := holdFleet(now)[0]
+	f, _ := begin(t, k, now, "r", "/a/x")
+	if d := k.Asked(now, f, Reply{}, false); d.Server == nil || d.Ask != nil {
+		t.Errorf("no answer, and then %+v; want it sent", d)
+	}
+	_, d := k.Begin(now, Request{ID: "q", Host: "host", Path: "/a/x", Object: "q"})
+	if d.Server == nil || d.Ask != nil {
+		t.Errorf("the next request: %+v, want it sent without a question", d)
+	}
+	if _, d := k.Begin(now.Add(2*time.Second), Request{ID: "p", Host: "host", Path: "/a/x", Object: "p"}); d.Ask == nil {
+		t.Error("the owner is not asked again after a while")
+	}
+}
+
+// A gate denies a place that would come too late. The request has not run, its caller
+// learns when to come back, and the place, should there be one, is given back.
+func TestDeniedRequestHasNotRun(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	k := holdFleet(now)[0]
+	f, a := begin(t, k, now, "r", "/a/x")
+	d := k.Asked(now, f, Reply{Grant: admission.Grant{Ticket: a.Ticket, Verdict: admission.Denied}}, true)
+	if d.Server != nil || !d.NotRun || d.ComeBack <= 0 || d.Release == nil || d.Reason != ReasonQueues {
+		t.Errorf("denied, and then %+v; want it refused as not run", d)
+	}
+	if got := k.Status(now).InFlight; got != 0 {
+		t.Errorf("%d requests count as in flight, want none", got)
+	}
+}
+
+// The caller leaves while its request waits for a place: the place is given back.
+func TestLeavingCallerGivesItsPlaceBack(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	k := holdFleet(now)[0]
+	f, _ := begin(t, k, now, "r", "/a/x")
+	if d := k.Ended(now, f, Attempt{Result: Left}); d.Release == nil || d.Reason != ReasonLeft {
+		t.Errorf("left, and then %+v; want the place given back", d)
+	}
+}
+
+// A route that is new has a time-out that is shorter than its target, and nothing is
+// known of its work. Denied by what its work might be, it never got a place, so it
+// never became known, and the new route was out of service for good.
+func TestNothingIsDeniedByAGuess(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	fleet := holdFleet(now)
+	f, a := begin(t, fleet[0], now, "r", "/short/x")
+	owner := fleet[0]
+	if a.Owner.Name != owner.Name() {
+		owner = fleet[1]
+	}
+	reply := owner.HearAsk(now, a)
+	if d := fleet[0].Asked(now, f, reply, true); reply.Verdict != admission.Granted || d.Server == nil {
+		t.Errorf("verdict %d and then %+v, want it granted and sent", reply.Verdict, d)
+	}
+}
+
+// A server falls silent with requests in it. They time out, which says nothing of how
+// servers work when they are full, and nobody must be held back for it.
+func TestSilentServersAreNotSlow(t *testing.T) {
+	for silent, want := range map[bool]bool{true: false, false: true} {
+		now := time.Unix(1_000_000, 0)
+		k := New(Config{Name: "proxy", Domain: "north-a", Region: "north", RegionOf: regionOf})
+		k.SetTable(routing.NewTable(1, []*routing.Route{{
+			Name: "route", Host: "host", Prefix: "/a/", Sticky: true, Attempts: 1, Timeout: 2 * time.Second, Target: time.Second, Parts: []routing.Part{{Service: "service", Weight: 1}},
+		}}, nil, routing.Limits{}))
+		for _, id := range []string{"a", "b", "c", "d"} {
+			k.SetServer(now, routing.Server{ID: id, Service: "service", Domain: "north-a", Slots: 2})
+		}
+		for n := range 120 {
+			object := fmt.Sprint("o", n%12)
+			f, d := k.Begin(now, Request{ID: "r", Host: "host", Path: "/a/x", Object: object})
+			now = now.Add(50 * time.Millisecond)
+			if d.Server == nil {
+				continue
+			}
+			if !silent || n < 24 {
+				k.servers[d.Server.ID].answeredAt = now
+			}
+			result := Answered
+			if n >= 24 {
+				result = Late
+				now = now.Add(time.Second)
+				for _, s := range k.servers {
+					s.outs, s.outUntil = 0, time.Time{}
+				}
+			}
+			k.Ended(now, f, Attempt{Result: result, Loaded: result == Answered, Running: 1})
+		}
+		if got := len(k.Holding(now)) > 0; got != want {
+			t.Errorf("servers silent %t: held back %t, want %t", silent, got, want)
+		}
+	}
+}
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -32,6 +32,8 @@
 		Seed   [32]byte
 		// Placer names a registered placer; empty for the default.
 		Placer string
+		// Off lists the mechanisms that are not used.
+		Off []Mechanism
 		// Observe sees each decision; nil for none.
 		Observe func(Event) `json:"-"`
 		// Record sees each call, for a replay; nil for none.
@@ -59,6 +61,7 @@
 	Kernel struct {
 		config   Config
 		placer   placer
+		off      map[Mechanism]bool
 		random   *rand.Rand
 		table    *routing.Table
 		splitter *routing.Splitter
@@ -88,6 +91,10 @@
 		// coldRanks caches this proxy's rank at the cold servers of a failure
 		// domain, until the sharers change.
 		coldRanks map[string]int
+		// gates are those that this proxy owns, by server; grants are what the last
+		// tick has granted there.
+		gates  map[string]*gate
+		grants []Reply
 		// flights counts the requests so far.
 		flights uint64
 		// weighed sees each server that a choice looks at; nil for none.
@@ -124,9 +131,14 @@
 		evacuated: make(map[string]bool),
 		distance:  make(map[string]*distance),
 		coldRanks: make(map[string]int),
+		gates:     make(map[string]*gate),
+		off:       make(map[Mechanism]bool),
 		regions:   regionsOf(c.RegionOf),
 		stranded:  make(map[string]*stranding),
 	}
+	for _, m := range c.Off {
+		k.off[m] = true
+	}
 	for _, region := range k.regions {
 		k.stranded[region] = &stranding{}
 	}
@@ -144,6 +156,9 @@
 	}
 }
 
+// Name is this proxy's name.
+func (k *Kernel) Name() string { return k.config.Name }
+
 // Version is the version in force, zero for none.
 func (k *Kernel) Version() uint64 {
 	if k.table == nil {
--- a/internal/kernel/steering/learn.go
+++ b/internal/kernel/steering/learn.go
@@ -17,6 +17,7 @@
 		k.config.Observe(Event{Kind: EventServer, Server: s.id, Service: s.Service, Draining: true})
 	}
 	g := k.service(s.Service)
+	k.suspect(now, f, s, g, a, took)
 	outs := s.outs
 	switch a.Result {
 	case Answered:
@@ -38,6 +39,9 @@
 	case Failed, Broken, Late:
 		s.hasFailed(now, false)
 	}
+	if !k.on(MechanismOutliers) {
+		s.outs, s.outUntil = 0, now
+	}
 	if s.outs > outs {
 		k.config.Observe(Event{Kind: EventServerOut, Server: s.id, Service: s.Service, Result: a.Result, Took: s.outUntil.Sub(now)})
 	}
--- a/internal/kernel/steering/replay.go
+++ b/internal/kernel/steering/replay.go
@@ -132,7 +132,13 @@
 		k.SetProxies(c.At, c.Proxies)
 	case callDoubtProxies:
 		k.DoubtProxies(c.Until)
-	case callBegin, callEnded:
+	case callHolding:
+		k.SetHolding(c.At, c.Holding)
+	case callHearAsk:
+		k.HearAsk(c.At, *c.Ask)
+	case callHearRelease:
+		k.HearRelease(c.At, *c.Release)
+	case callBegin, callEnded, callAsked:
 		return r.request(c)
 	default:
 		return errors.Errorf("do: %q is no call", c.Do)
@@ -153,7 +159,11 @@
 			return errNoFlight
 		}
 		r.watch(c, f.ID, (len(f.steps)+1)/2+1)
-		d = r.kernel.Ended(c.At, f, *c.Attempt)
+		if c.Do == callAsked {
+			d = r.kernel.Asked(c.At, f, *c.Reply, c.On)
+		} else {
+			d = r.kernel.Ended(c.At, f, *c.Attempt)
+		}
 	}
 	r.compare(c, f, verdictOf(d))
 	return nil
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -108,12 +108,18 @@
 		sentAt   time.Time
 		expected time.Duration
 		warm     bool
+		// load is what the server was reckoned to run and queue when it was sent.
+		load float64
 		// region is where a request without an object should run.
 		region string
 		tried  []*server
 		// sends counts sends that reached or may have reached a server.
 		sends int
 		dials int
+		// asking is the question for a place at the server's gate, until the place is
+		// given back; rank is how many ran there with this one, zero if not asked.
+		asking *Ask
+		rank   int
 		// mayHaveRun is set once a server may have begun to run the request.
 		mayHaveRun bool
 		// pressure is how long the queues were where it would have gone.
@@ -128,6 +134,10 @@
 	Decision struct {
 		// Server to send to; nil ends the request.
 		Server *Target
+		// Ask is set if a place must be asked for before it is sent, Release if one
+		// must be given back.
+		Ask     *Ask
+		Release *Release
 		// Answer ends the request with the attempt's answer.
 		Answer bool
 		Reason Reason
@@ -227,7 +237,7 @@
 	if target == nil {
 		return k.giveUp(now, f, reason)
 	}
-	return Decision{Server: target}
+	return Decision{Server: target, Ask: f.asking}
 }
 
 // place picks a server and counts the request in there.
@@ -246,7 +256,7 @@
 		}
 		g.repeats.First(now)
 	}
-	f.server, f.sentAt, f.expected, f.warm = s, now, pick.expected, pick.warm
+	f.server, f.sentAt, f.expected, f.warm, f.load = s, now, pick.expected, pick.warm, s.load(now)
 	state := s.state(now)
 	s.inFlight++
 	s.turns++
@@ -255,12 +265,20 @@
 		Load: s.load(now), LoadAge: s.loadAge(now), Home: pick.home, Warm: pick.warm,
 		Wait: pick.start - s.domain.roundTrip, State: state,
 	})
-	return &Target{Server: s.Server, RoundTrip: s.domain.roundTrip, Connections: k.connections(g)}, ReasonNone
+	f.asking, f.rank = k.ask(now, f, g, s, pick), 0
+	return k.targetOf(g, s), ReasonNone
 }
 
-// Ended takes in how an attempt ended and decides what follows.
+func (k *Kernel) targetOf(g *service, s *server) *Target {
+	return &Target{Server: s.Server, RoundTrip: s.domain.roundTrip, Connections: k.connections(g)}
+}
+
+// Ended takes in how an attempt ended and decides what follows. If the request had
+// a place at a gate, the place must be given back.
 func (k *Kernel) Ended(now time.Time, f *Flight, a Attempt) Decision {
+	release := f.release(f.ratio(now, a))
 	d := k.ended(now, f, a)
+	d.Release = release
 	if k.config.Record != nil {
 		given, v := a, verdictOf(d)
 		k.config.Record(Call{Do: callEnded, At: now, Flight: f.number, Attempt: &given, Decision: &v})
@@ -268,6 +286,17 @@
 	return d
 }
 
+// ratio is how long the work took at a server that knew the object, as a part of the
+// route's target; zero if that is not known. The target stays the same whatever the
+// servers do, so figures of different moments and proxies compare. One that was not
+// answered in time took so long at least.
+func (f *Flight) ratio(now time.Time, a Attempt) float64 {
+	if f.asking == nil || !f.warm || f.Route.Target <= 0 || a.Result != Answered && a.Result != Late {
+		return 0
+	}
+	return float64(now.Sub(f.sentAt)-f.server.domain.roundTrip) / float64(f.Route.Target)
+}
+
 func (k *Kernel) ended(now time.Time, f *Flight, a Attempt) Decision {
 	s := f.server
 	s.inFlight--
@@ -305,7 +334,7 @@
 	if k.mayRepeat(now, f) {
 		var target *Target
 		if target, reason = k.place(now, f); target != nil {
-			return Decision{Server: target}
+			return Decision{Server: target, Ask: f.asking}
 		}
 	}
 	if a.Result == Failed {
@@ -334,7 +363,7 @@
 	if f.mayHaveRun && !f.Route.Idempotent {
 		return false
 	}
-	if f.sends >= f.Route.Attempts || f.dials >= sendsMost || f.Until.Sub(now) < leastLeft {
+	if !k.on(MechanismRepeats) || f.sends >= f.Route.Attempts || f.dials >= sendsMost || f.Until.Sub(now) < leastLeft {
 		return false
 	}
 	return k.service(f.Service).repeats.Spend(now, len(k.sharers))
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -55,6 +55,10 @@
 		reported   int
 		ownThen    int
 		reportedAt time.Time
+		// limit is how many it should run at once, as its gate said; zero for all its
+		// slots. ownerLost is until when nobody asks its gate.
+		limit     int
+		ownerLost time.Time
 		// pressure is how long its queue was of late, as heard at feltAt.
 		pressure admission.Pressure
 		feltAt   time.Time
@@ -128,6 +132,14 @@
 	return s.outs == 0 || s.inFlight == 0
 }
 
+// places is how many requests it should run at once.
+func (s *server) places() int {
+	if s.limit > 0 && s.limit < s.Slots {
+		return s.limit
+	}
+	return s.Slots
+}
+
 // load estimates how many requests the server runs and queues, over all
 // proxies.
 func (s *server) load(now time.Time) float64 {
--- a/internal/kernel/steering/servers.go
+++ b/internal/kernel/steering/servers.go
@@ -96,6 +96,7 @@
 	k.record(Call{Do: callTick, At: now})
 	k.forget(now)
 	k.strand(now)
+	k.expireGates(now)
 	for id, s := range k.servers {
 		if !s.absentUntil.IsZero() && now.After(s.absentUntil) {
 			k.remove(id)
--- a/internal/kernel/steering/service.go
+++ b/internal/kernel/steering/service.go
@@ -17,6 +17,7 @@
 		servers []*server
 		stale   bool
 		repeats admission.Repeats
+		holding holding
 		// work is how long the requests of each route take, by its name.
 		work  map[string]*workModel
 		homes map[string]*placing.Homes
--- a/internal/kernel/steering/shed.go
+++ b/internal/kernel/steering/shed.go
@@ -22,7 +22,7 @@
 		return 0
 	}
 	left := f.Route.Target - s.domain.roundTrip - work
-	return float64(s.Slots) * max(1, float64(left)/float64(work))
+	return float64(s.places()) * max(1, float64(left)/float64(work))
 }
 
 // feel takes in how many requests wait at a server: for the server itself, and for
@@ -46,7 +46,7 @@
 // and neither is a late one if the work alone takes longer than the target.
 // Answers on a first run are left out: how long these take varies more.
 func (k *Kernel) guess(now time.Time, f *Flight, s *server, work time.Duration) {
-	if !f.warm && f.Object != "" || work <= 0 {
+	if !f.warm && f.Object != "" || work <= 0 || !k.on(MechanismInfer) {
 		return
 	}
 	alone := s.aloneOn(f.Route.Name)
@@ -75,7 +75,7 @@
 // refused.
 func (k *Kernel) sheds(now time.Time, f *Flight, g *service, s *server) bool {
 	p := g.pressure[s.region]
-	if p == nil || !k.placer.sheds {
+	if p == nil || !k.placer.sheds || !k.on(MechanismShed) {
 		return false
 	}
 	// A proxy of a few hears of each server often enough to go by its own queue;
--- a/internal/kernel/steering/status.go
+++ b/internal/kernel/steering/status.go
@@ -17,6 +17,10 @@
 		// Stranded regions have no proxies, and their callers count with others.
 		Stranded []string
 		Servers  []ServerStatus
+		// Off are the mechanisms that are not used; Holding are the services that are
+		// held back, with what was learned of them.
+		Off     []Mechanism
+		Holding []Held
 	}
 
 	// ServerStatus is one backend server as one proxy sees it.
@@ -43,7 +47,7 @@
 
 // Status describes the kernel at one moment.
 func (k *Kernel) Status(now time.Time) Status {
-	s := Status{Version: k.Version(), Proxies: slices.Clone(k.proxies), Evacuated: k.Evacuated(), Stranded: k.strandedRegions()}
+	s := Status{Version: k.Version(), Proxies: slices.Clone(k.proxies), Evacuated: k.Evacuated(), Stranded: k.strandedRegions(), Off: k.config.Off, Holding: k.Holding(now)}
 	for _, b := range k.servers {
 		s.InFlight += b.inFlight
 		s.Servers = append(s.Servers, ServerStatus{
--- a/internal/kernel/steering/stranded.go
+++ b/internal/kernel/steering/stranded.go
@@ -36,7 +36,7 @@
 // the others would idle. What moves does so at once: each second of waiting, and
 // any move in steps, runs objects cold twice and leaves the servers overloaded.
 func (k *Kernel) strand(now time.Time) {
-	if now.Sub(k.config.Joined) < joinFor || now.Before(k.doubtUntil) {
+	if now.Sub(k.config.Joined) < joinFor || now.Before(k.doubtUntil) || !k.on(MechanismStranded) {
 		return
 	}
 	open := make(map[string]bool)
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -57,6 +57,7 @@
 		gossip    *gossip
 		keeper    *keeper
 		peers     *peerdrpc.Client
+		places    *places
 
 		stopping chan struct{}
 	}
@@ -66,7 +67,7 @@
 func New(s *Settings, seams Seams) (*Daemon, error) {
 	config := steering.Config{
 		Name: s.Name, Domain: s.Domain, Region: s.Region, Address: s.Listen.Callers, RegionOf: s.RegionOf,
-		Bounds: boundsOf(s), Joined: time.Now(),
+		Bounds: boundsOf(s), Joined: time.Now(), Off: s.Off,
 	}
 	if _, err := rand.Read(config.Seed[:]); err != nil {
 		return nil, errors.Wrap(err, "seed")
@@ -82,6 +83,7 @@
 	d.peers = peerdrpc.NewClient(func() *tls.Config { return nil })
 	d.peers.Sent, d.peers.Received = d.meters.sent.Add, d.meters.received.Add
 	d.meters.watch(d, seams.Dropped)
+	d.places = newPlaces(d)
 	d.gossip = &gossip{feed: d.feed, send: d.peers.Sync}
 	d.follower = &follower{feed: d.feed, store: seams.Store}
 	d.keeper = &keeper{feed: d.feed, store: seams.Store}
@@ -89,6 +91,7 @@
 	d.servers = serverhttp.NewClient(seams.Names.Server, memory, d.now, d.meters.connections.Inc)
 	d.callers = (&forwardhttp.Server{
 		Headers: seams.Names.Caller, Kernel: d.do, Memory: memory, Send: d.servers.Send, Now: d.now,
+		Ask: d.places.ask, GiveBack: d.places.giveBack,
 		Stopping: d.isStopping, Configured: d.feed.begun, Started: d.start,
 	}).HTTP()
 	d.readiness = &http.Server{Handler: d.readinessHandler(), ReadHeaderTimeout: time.Second, IdleTimeout: faceIdle}
@@ -110,6 +113,12 @@
 // started tells this start of the VM's process from others, for peers.
 func (d *Daemon) started() int64 { return d.start.UnixMilli() }
 
+// holding lists the services that are held back by own signs.
+func (d *Daemon) holding() (held []steering.Held) {
+	d.do(func(k *steering.Kernel, now time.Time) { held = k.Holding(now) })
+	return held
+}
+
 // do runs a function with the kernel, one at a time.
 func (d *Daemon) do(f func(*steering.Kernel, time.Time)) {
 	d.mu.Lock()
@@ -160,8 +169,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	answer := func(m peerdrpc.SyncMessage) peerdrpc.SyncMessage { return d.gossip.handle(ctx, m) }
-	go func() { failed <- peerdrpc.ServeSync(ctx, peers, answer) }()
+	go func() { failed <- peerdrpc.ServeSync(ctx, peers, d.peerHandlers(ctx)) }()
 	d.follower.advanced = func(before uint64) { d.gossip.spread(ctx, before) }
 	go d.follower.run(ctx)
 	go d.gossip.run(ctx)
@@ -169,6 +177,9 @@
 	go d.followSettings(ctx, told)
 	go d.tick(ctx)
 	go d.measure(ctx)
+	if len(d.settings.Off) > 0 {
+		klog.InfoS("mechanisms switched off", "mechanisms", d.settings.Off)
+	}
 	klog.InfoS("serving", "callers", d.settings.Listen.Callers, "directory", d.settings.Listen.Directory)
 	select {
 	case <-stop.Done():
@@ -179,6 +190,18 @@
 	}
 }
 
+// peerHandlers answers other proxies.
+func (d *Daemon) peerHandlers(ctx context.Context) peerdrpc.SyncHandlers {
+	return peerdrpc.SyncHandlers{
+		Sync: func(m peerdrpc.SyncMessage) peerdrpc.SyncMessage { return d.gossip.handle(ctx, m) },
+		Ask: func(a steering.Ask) (reply steering.Reply) {
+			d.do(func(k *steering.Kernel, now time.Time) { reply = k.HearAsk(now, a) })
+			return reply
+		},
+		Release: d.places.release, Grant: d.places.hear, Now: d.now,
+	}
+}
+
 // tick lets the kernel act on what has run out.
 func (d *Daemon) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickEvery)
@@ -188,7 +211,12 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			d.do(func(k *steering.Kernel, now time.Time) { k.Tick(now) })
+			var grants []steering.Reply
+			d.do(func(k *steering.Kernel, now time.Time) {
+				k.Tick(now)
+				grants = k.Grants()
+			})
+			d.places.tell(grants)
 		}
 	}
 }
--- a/internal/proxy/forward/face.go
+++ b/internal/proxy/forward/face.go
@@ -70,7 +70,7 @@
 	s := steeringhttp.Status{
 		VM: d.settings.Name, Configuration: view.Version, CopyRevision: d.feed.revision(),
 		CopyAge: d.feed.age().Round(time.Millisecond).String(), InFlight: view.InFlight, Stopping: d.isStopping(),
-		Evacuated: view.Evacuated, Stranded: view.Stranded, Proxies: d.feed.proxies(), At: time.Now(),
+		Evacuated: view.Evacuated, Stranded: view.Stranded, Off: view.Off, Holding: view.Holding, Proxies: d.feed.proxies(), At: time.Now(),
 	}
 	for _, b := range view.Servers {
 		s.Servers = append(s.Servers, steeringhttp.BackendServer{
--- a/internal/proxy/forward/gossip.go
+++ b/internal/proxy/forward/gossip.go
@@ -13,6 +13,7 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/peerdrpc"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/sleep"
 )
 
@@ -99,6 +100,9 @@
 // take takes a peer's message in and reports whether the copy advanced.
 func (g *gossip) take(m peerdrpc.SyncMessage) bool {
 	g.feed.hear(m)
+	if len(m.Held) > 0 {
+		g.feed.daemon.do(func(k *steering.Kernel, now time.Time) { k.SetHolding(now, m.Held) })
+	}
 	g.mu.Lock()
 	g.named = m.Others
 	g.mu.Unlock()
@@ -114,7 +118,10 @@
 }
 
 func (g *gossip) message(d replica.Delta) peerdrpc.SyncMessage {
-	return peerdrpc.SyncMessage{From: g.feed.daemon.settings.Name, Started: g.feed.daemon.started(), Leaving: g.feed.daemon.isStopping(), Delta: d}
+	return peerdrpc.SyncMessage{
+		From: g.feed.daemon.settings.Name, Started: g.feed.daemon.started(), Leaving: g.feed.daemon.isStopping(),
+		Held: g.feed.daemon.holding(), Delta: d,
+	}
 }
 
 // pick draws a peer, mostly of the own region; without any known, one that a
--- a/internal/proxy/forward/gossip_test.go
+++ b/internal/proxy/forward/gossip_test.go
@@ -40,7 +40,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- peerdrpc.ServeSync(ctx, listener, answer) }()
+	go func() { ended <- peerdrpc.ServeSync(ctx, listener, peerdrpc.SyncHandlers{Sync: answer}) }()
 	t.Cleanup(func() {
 		cancel()
 		if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
--- a/internal/proxy/forward/keeper.go
+++ b/internal/proxy/forward/keeper.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/sleep"
 )
 
@@ -34,6 +36,8 @@
 		store Store
 		// lease is zero for none. A planned stop reads it too.
 		lease atomic.Uint64
+		// held is what the entry says of services that are held back.
+		held []steering.Held
 		// written is set while the entry is taken to be there.
 		written bool
 	}
@@ -49,6 +53,7 @@
 		case <-k.feed.rewrite:
 			k.written = false
 		case <-renew.C:
+			k.written = k.written && k.tells(k.feed.daemon.holding())
 		}
 		pause := keepLeast
 		for ctx.Err() == nil && !k.feed.daemon.isStopping() && !k.keep(ctx) {
@@ -58,6 +63,12 @@
 	}
 }
 
+// tells reports whether the entry says which services are held back, and how far.
+// How many answers speak for a limit changes all the time and is not worth a call.
+func (k *keeper) tells(held []steering.Held) bool {
+	return slices.EqualFunc(k.held, held, func(a, b steering.Held) bool { return a.Service == b.Service && a.Most == b.Most })
+}
+
 // keep makes the call that is due, or the two of a new entry, and reports whether
 // the entry is there. A
 // renewal that fails is made again and no new entry written: the lease may well
@@ -100,9 +111,10 @@
 
 func (k *keeper) write(ctx context.Context) error {
 	s := k.feed.daemon.settings
+	k.held = k.feed.daemon.holding()
 	data, err := json.Marshal(member{
 		Name: s.Name, Domain: s.Domain, Region: s.Region, Callers: s.Listen.Callers, Peers: s.Listen.Peers,
-		Operators: s.Listen.Operators, LinkMbps: s.LinkMbps, Started: k.feed.daemon.started(),
+		Operators: s.Listen.Operators, LinkMbps: s.LinkMbps, Started: k.feed.daemon.started(), Held: k.held,
 	})
 	if err != nil {
 		return errors.Wrap(err, "own entry")
--- a/internal/proxy/forward/members.go
+++ b/internal/proxy/forward/members.go
@@ -31,6 +31,10 @@
 		// LinkMbps is how wide its link is, in Mbit/s; zero if not known.
 		LinkMbps int  `json:"link-mbps,omitempty"`
 		Leaving  bool `json:"leaving,omitempty"`
+		// Held is what the proxy has learned of services whose servers slow down when
+		// full. It outlives the process by its lease: proxies that have all lost power
+		// need not learn it again while every queue is full.
+		Held []steering.Held `json:"held,omitempty"`
 		// Started tells the starts of a VM under one name apart: Unix milliseconds
 		// of its own clock, zero from a proxy that does not tell.
 		Started int64 `json:"started,omitempty"`
@@ -75,6 +79,9 @@
 		return
 	}
 	f.members[name] = m
+	if len(m.Held) > 0 {
+		f.daemon.do(func(k *steering.Kernel, now time.Time) { k.SetHolding(now, m.Held) })
+	}
 	klog.InfoS("proxy known", "proxy", name, "failure-domain", m.Domain)
 }
 
@@ -143,6 +150,14 @@
 	return list
 }
 
+// peerOf is where other proxies reach one by its name.
+func (f *feed) peerOf(name string) (netip.AddrPort, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, known := f.members[name]
+	return m.Peers, known
+}
+
 // rank is this proxy's place among those of its region.
 func (f *feed) rank() int {
 	f.mu.Lock()
--- a/internal/proxy/forward/settings.go
+++ b/internal/proxy/forward/settings.go
@@ -44,6 +44,8 @@
 		// LinkMbps is how wide the VM's link is, in Mbit/s.
 		LinkMbps int
 		Bounds   Bounds
+		// Off lists the mechanisms that are not used, from the command line.
+		Off []steering.Mechanism
 	}
 
 	// Listen holds the addresses that the process listens on.
