--- a/internal/kernel/placing/spread.go
+++ b/internal/kernel/placing/spread.go
@@ -11,13 +11,6 @@
 	// travel though there is room; at more, the region with the fewest
 	// servers queues while others idle when its callers' wave comes.
 	RoomShare = 1.15
-	// MixedShare of the objects is dealt out over all regions alike where the way
-	// is short for the route. The regions' callers come in waves, and what is
-	// mixed meets the mean of them: with waves of 0.55 around the mean, the
-	// share answered in time rose from 0.931 to 0.951 in the emulator, in the
-	// worst region from 0.895 to 0.924; a half brings no more and costs twice
-	// the bytes between regions.
-	MixedShare = 0.25
 	// weightScale turns shares into whole weights.
 	weightScale = 100000
 )
@@ -36,10 +29,9 @@
 // Spread says how many of a region's objects live in each region, as a weight
 // for one slot there. Objects live where their callers are as far as there is
 // room; the rest goes to the regions with room to spare, by how much they
-// have, up to a share of the mean load. A part, mixed, is dealt out over all
-// slots alike. All proxies of a region
-// come to the same answer from the same list.
-func Spread(rooms []Room, from string, mixed, share float64) map[string]int {
+// have, up to a share of the mean load. All proxies of a region come to the same
+// answer from the same list.
+func Spread(rooms []Room, from string, share float64) map[string]int {
 	slots, demand := 0.0, 0.0
 	for _, r := range rooms {
 		slots += float64(r.Slots)
@@ -75,8 +67,7 @@
 			flow = home
 		}
 		if r.Slots > 0 {
-			kept := (1 - mixed) * flow / own / float64(r.Slots)
-			weights[r.Region] = int(math.Round(weightScale * (kept + mixed/slots)))
+			weights[r.Region] = int(math.Round(weightScale * flow / own / float64(r.Slots)))
 		}
 	}
 	return weights
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -13,11 +13,6 @@
 	// another region may take for objects of this region to live there. Half
 	// leaves as much for the work.
 	farShare = 0.5
-	// mixShare is the largest part of a route's target that a round trip may
-	// take for objects to be mixed over regions. At a tenth (70 of 600 ms) mixing
-	// won 0.07 of the worth of the heaviest day, at a third (110 of 300 ms) it
-	// lost 0.01 of a quiet one.
-	mixShare = 0.2
 	// spillCost is charged for work on a server that does not know the
 	// object, as a part of that work and for each rank away from home: it takes
 	// the slots of others. Measured on two deployments: 0.5 and 1 make overload
@@ -51,13 +46,11 @@
 
 type (
 	// reach is how far the work of a route may go: near, in this region only, if a
-	// round trip to another takes too much of the route's target, and otherwise
-	// which part of it is mixed over all regions. Routes with the same key reach
-	// the same servers.
+	// round trip to another takes too much of the route's target. Routes with the same
+	// key reach the same servers.
 	reach struct {
-		near  bool
-		mixed float64
-		key   string
+		near bool
+		key  string
 	}
 
 	// pick is a choice and what it was reckoned to take.
@@ -179,7 +172,7 @@
 	if f.Object == "" {
 		share = plainShare
 	}
-	return candidates, placing.Spread(k.rooms(f, candidates), k.config.Region, r.mixed, share)
+	return candidates, placing.Spread(k.rooms(f, candidates), k.config.Region, share)
 }
 
 // rooms lists the regions that may serve the route. The callers' shares are
@@ -208,13 +201,10 @@
 		}
 	}
 	key := strings.Join(f.Route.Regions, " ")
-	switch {
-	case farthest > time.Duration(farShare*float64(f.Route.Target)) || !k.on(MechanismRooms):
+	if farthest > time.Duration(farShare*float64(f.Route.Target)) || !k.on(MechanismRooms) {
 		return reach{near: true, key: "near " + key}
-	case farthest > time.Duration(mixShare*float64(f.Route.Target)) || !k.on(MechanismMixing):
-		return reach{key: key}
 	}
-	return reach{mixed: placing.MixedShare, key: "mixed " + key}
+	return reach{key: key}
 }
 
 // reckon estimates the time until the answer from one server.
--- a/internal/kernel/steering/mechanism.go
+++ b/internal/kernel/steering/mechanism.go
@@ -13,8 +13,6 @@
 	// MechanismRooms deals objects out over regions by the room there; without it
 	// each region keeps its own.
 	MechanismRooms Mechanism = "rooms"
-	// MechanismMixing deals a part of the objects out over all regions alike.
-	MechanismMixing Mechanism = "mixing"
 	// MechanismFailover moves objects of lost servers to regions with room.
 	MechanismFailover Mechanism = "failover"
 	// MechanismStranded counts callers of regions without proxies elsewhere.
@@ -39,7 +37,7 @@
 
 var (
 	mechanisms = []Mechanism{
-		MechanismHomes, MechanismRooms, MechanismMixing, MechanismFailover, MechanismStranded, MechanismShed, MechanismInfer,
+		MechanismHomes, MechanismRooms, MechanismFailover, MechanismStranded, MechanismShed, MechanismInfer,
 		MechanismOutliers, MechanismSpeed, MechanismShareConnections, MechanismUnseen, MechanismRepeats, MechanismHold,
 	}
 )
