Services found sound are told of; without homes regions keep their parts

And nothing said when a service was no longer held back. Change: without homes a request counts as one of a route that is not sticky, whose region is drawn by fixed parts; an event no-longer-held-back.

--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -136,7 +136,7 @@
 
 // homes lists the servers on which the request's object lives, best first.
 func (k *Kernel) homes(f *Flight, g *service) []string {
-	if f.Object == "" || !k.on(MechanismHomes) {
+	if f.Object == "" {
 		return nil
 	}
 	r := k.reachOf(f)
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -16,6 +16,9 @@
 	EventServerRestarted Kind = "server-restarted"
 	// EventHolding marks a service whose requests are held back from now on.
 	EventHolding Kind = "holding-back"
+	// EventSound marks a service whose servers were found to be as good when full: its
+	// requests are no longer held back.
+	EventSound Kind = "no-longer-held-back"
 	// EventServerOut marks a server passed over after failures.
 	EventServerOut Kind = "server-out"
 	// EventEvacuated marks a failure domain emptied or taken back.
--- a/internal/kernel/steering/hold.go
+++ b/internal/kernel/steering/hold.go
@@ -122,9 +122,11 @@
 }
 
 // clear ends the holding back: the servers do not slow down.
-func (h *holding) clear(now time.Time) {
+func (k *Kernel) clear(now time.Time, g *service) {
+	h := &g.holding
 	h.until, h.own, h.cleared = now, now, now.Add(clearFor)
 	h.suspicion.Reset()
+	k.config.Observe(Event{Kind: EventSound, Service: g.name})
 }
 
 // adopt takes over a limit with more evidence than the own one.
@@ -266,7 +268,7 @@
 		g.holding.own = later(g.holding.own, now.Add(holdFor))
 		k.hold(now, g, holdFor)
 	case r.Sound && g.holding.limit.Most >= s.Slots:
-		g.holding.clear(now)
+		k.clear(now, g)
 	}
 }
 
--- a/internal/kernel/steering/mechanism.go
+++ b/internal/kernel/steering/mechanism.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// MechanismHomes keeps each object at few servers; without it every request
-	// goes where the answer is expected first.
+	// MechanismHomes keeps each object at few servers; without it all requests are
+	// taken for those of routes that are not sticky.
 	MechanismHomes Mechanism = "homes"
 	// MechanismRooms deals objects out over regions by the room there; without it
 	// each region keeps its own.
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -221,7 +221,7 @@
 	if k.leaving && k.end.Before(f.Until) {
 		f.Until = k.end
 	}
-	if !f.Route.Sticky {
+	if !f.Route.Sticky || !k.on(MechanismHomes) {
 		// No server is faster for having handled the object, and one home each
 		// would only leave some servers with long queues while others idle: in the
 		// emulator 0.93 answered within the target, against 1.00 without homes.
