Whoever waits for a place goes elsewhere if its server leaves or is cold

Cause, found by reading the gates as a newcomer: a request may wait for a place for as long as its route allows. If its server began to drain meanwhile, or its failure domain was emptied, it was sent there when the place came, beyond the time in which that is allowed; to a cold server it was counted in the second in which it asked and sent in a later one. And one limit held for all servers of a service, whatever their slots. Change: a granted request whose server no longer takes requests, or is cold, gives the place back and is placed anew; nobody asks for a place at a cold server; limits are learned by the slots of the servers. Tests, failing first: TestWaitingRequestDoesNotGoToAServerThatLeaves, TestNobodyWaitsForAColdServer, TestLimitsAreOfServersWithAsManySlots.

--- a/internal/client/command/steering.go
+++ b/internal/client/command/steering.go
@@ -167,7 +167,7 @@
 			fmt.Fprintf(&text, "%24s switched off: %v\n", "", v.Off)
 		}
 		for _, h := range v.Holding {
-			fmt.Fprintf(&text, "%24s holding back: %s, %d at once (%d answers)\n", "", h.Service, h.Most, h.Evidence)
+			fmt.Fprintf(&text, "%24s holding back: %s, %d of %d slots (%d answers)\n", "", h.Service, h.Most, h.Slots, h.Evidence)
 		}
 		if len(v.Stranded) > 0 {
 			fmt.Fprintf(&text, "%24s without proxies: %s\n", "", strings.Join(v.Stranded, ", "))
--- a/internal/kernel/admission/concurrency.go
+++ b/internal/kernel/admission/concurrency.go
@@ -100,6 +100,8 @@
 	// Limit is what a proxy has learned of a service: how many its servers should run
 	// at once, and how many answers speak for that.
 	Limit struct {
+		// Slots are those of the servers that it is about.
+		Slots    int `json:"slots"`
 		Most     int `json:"most"`
 		Evidence int `json:"evidence"`
 	}
@@ -160,7 +162,9 @@
 func (c *Concurrency) limitAt(level int) int { return min(c.slots, level*c.step) }
 
 // Learned is the limit with the evidence for it.
-func (c *Concurrency) Learned() Limit { return Limit{Most: c.limitAt(c.at), Evidence: c.evidence()} }
+func (c *Concurrency) Learned() Limit {
+	return Limit{Slots: c.slots, Most: c.limitAt(c.at), Evidence: c.evidence()}
+}
 
 // evidence counts the answers that speak for the limit: those that began at the level
 // above it, or at the highest if there is none.
@@ -169,7 +173,7 @@
 // Adopt takes over what another proxy has learned from more answers. Each gate sees
 // a few answers a second; alone, each would take tens of seconds to learn.
 func (c *Concurrency) Adopt(l Limit) {
-	if l.Most < 1 || l.Most > c.slots || l.Evidence < levelAnswers || l.Evidence <= c.evidence() {
+	if l.Slots != c.slots || l.Most < 1 || l.Most > c.slots || l.Evidence < levelAnswers || l.Evidence <= c.evidence() {
 		return
 	}
 	c.at, c.told = (l.Most+c.step-1)/c.step, l.Evidence
--- a/internal/kernel/admission/concurrency_test.go
+++ b/internal/kernel/admission/concurrency_test.go
@@ -58,13 +58,13 @@
 func TestLimitsWithMoreEvidenceAreAdopted(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	c := NewConcurrency(4)
-	c.Adopt(Limit{Most: 2, Evidence: 3})
-	c.Adopt(Limit{Most: 9, Evidence: 300})
+	c.Adopt(Limit{Slots: 4, Most: 2, Evidence: 3})
+	c.Adopt(Limit{Slots: 9, Most: 2, Evidence: 300})
 	if got := c.Limit(); got != 4 {
 		t.Errorf("%d run at once after words with no evidence or of other slots, want 4", got)
 	}
-	c.Adopt(Limit{Most: 2, Evidence: 100})
-	c.Adopt(Limit{Most: 3, Evidence: 50})
+	c.Adopt(Limit{Slots: 4, Most: 2, Evidence: 100})
+	c.Adopt(Limit{Slots: 4, Most: 3, Evidence: 50})
 	if got := c.Limit(); got != 2 {
 		t.Errorf("%d run at once, want the 2 that 100 answers speak for", got)
 	}
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -76,6 +76,7 @@
 	if f.Object == "" && f.region == "" {
 		f.region = k.drawRegion(f, g)
 	}
+	f.work = g.workOn(f.Route)
 	left := f.Until.Sub(now)
 	most := k.connections(g)
 	homeFull := false
@@ -211,14 +212,14 @@
 func (k *Kernel) reckon(now time.Time, f *Flight, g *service, s *server, homes []string) pick {
 	warm := s.knows(f.Object, now)
 	slow := 1.0
-	if k.on(MechanismSpeed) {
+	if k.bySpeed {
 		slow = max(1, s.speed)
 	}
-	work := time.Duration(float64(g.workOn(f.Route).expect(warm, f.Route.Target)) * slow)
+	work := time.Duration(float64(f.work.expect(warm, f.Route.Target)) * slow)
 	if s.isCold(now) {
 		work *= coldWork
 	}
-	typical := float64(g.workOn(f.Route).typical(f.Route)) * slow
+	typical := float64(f.work.typical(f.Route)) * slow
 	places := float64(s.places())
 	wait := time.Duration(max(0, s.load(now)+1-places) / places * typical)
 	p := pick{server: s, warm: warm, home: rank(homes, s.id), start: s.domain.roundTrip + wait, expected: s.domain.roundTrip + wait + work}
--- a/internal/kernel/steering/gates.go
+++ b/internal/kernel/steering/gates.go
@@ -10,7 +10,7 @@
 	// gate is the queue before a server that this proxy owns.
 	gate struct {
 		admission.Gate
-		service string
+		levels *admission.Concurrency
 		// used is when it last had a ticket.
 		used time.Time
 	}
@@ -28,37 +28,33 @@
 	if s == nil || !s.takesRequests() {
 		return Reply{Unknown: true, Grant: admission.Grant{Ticket: a.Ticket, Verdict: admission.Granted}}
 	}
-	g := k.service(s.Service)
-	h := &g.holding
-	if h.levels == nil {
-		h.levels = admission.NewConcurrency(s.Slots)
-	}
+	h := &k.service(s.Service).holding
 	h.adopt(a.Limit)
 	q := k.gates[a.Server]
 	if q == nil {
-		q = &gate{service: s.Service}
+		q = &gate{}
 		k.gates[a.Server] = q
 	}
-	q.used = now
-	limit := h.levels.Trial(now)
+	q.levels, q.used = h.levelsOf(s.Slots), now
+	limit := q.levels.Trial(now)
 	grant := q.Ask(now, a.Ticket, limit, a.Work)
-	if grant.Rank > h.levels.Limit() {
-		h.levels.Tried(now)
+	if grant.Rank > q.levels.Limit() {
+		q.levels.Tried(now)
 	}
-	return q.reply(grant, h.levels)
+	return q.reply(grant)
 }
 
-func (q *gate) reply(g admission.Grant, levels *admission.Concurrency) Reply {
-	r := Reply{Grant: g, Limit: levels.Learned(), Whole: levels.Whole(), Sound: levels.Sound()}
+func (q *gate) reply(g admission.Grant) Reply {
+	r := Reply{Grant: g, Limit: q.levels.Learned(), Whole: q.levels.Whole(), Sound: q.levels.Sound()}
 	r.Running, r.Waiting = q.Load()
 	return r
 }
 
 // next gives free places to those that wait.
-func (q *gate) next(now time.Time, levels *admission.Concurrency) []Reply {
+func (q *gate) next(now time.Time) []Reply {
 	var replies []Reply
-	for _, g := range q.Next(now, levels.Limit()) {
-		replies = append(replies, q.reply(g, levels))
+	for _, g := range q.Next(now, q.levels.Limit()) {
+		replies = append(replies, q.reply(g))
 	}
 	return replies
 }
@@ -71,23 +67,17 @@
 		return nil
 	}
 	q.GiveBack(r.From, r.ID)
-	h := &k.service(q.service).holding
-	if h.levels == nil {
-		return nil
-	}
 	if r.Ratio > 0 {
-		h.levels.Heard(now, r.Rank, r.Ratio)
+		q.levels.Heard(now, r.Rank, r.Ratio)
 	}
-	return q.next(now, h.levels)
+	return q.next(now)
 }
 
 // expireGates ends waits that have become useless and places that were not given
 // back, and drops gates that nobody uses. What follows is told by Grants.
 func (k *Kernel) expireGates(now time.Time) {
 	for id, q := range k.gates {
-		if h := k.service(q.service).holding.levels; h != nil {
-			k.grants = append(k.grants, q.next(now, h)...)
-		}
+		k.grants = append(k.grants, q.next(now)...)
 		if now.Sub(q.used) > gateIdle {
 			delete(k.gates, id)
 		}
--- a/internal/kernel/steering/hold_test.go
+++ b/internal/kernel/steering/hold_test.go
@@ -22,7 +22,7 @@
 		k.SetProxies(now, list)
 		k.SetServer(now, routing.Server{ID: "s", Service: "service", Domain: "north-a", Slots: 3})
 		k.Measured("north-a", time.Millisecond)
-		k.SetHolding(now, []Held{{Service: "service", Limit: admission.Limit{Most: 2, Evidence: 100}}})
+		k.SetHolding(now, []Held{{Service: "service", Limit: admission.Limit{Slots: 3, Most: 2, Evidence: 100}}})
 		fleet = append(fleet, k)
 	}
 	return fleet
@@ -168,3 +168,65 @@
 		}
 	}
 }
+
+// A request waits for a place, and its server begins to drain, or its failure domain is
+// emptied, or it starts again and is cold. Sent when the place comes, it would reach a
+// leaving server too late, or a cold one beyond what it bears. It goes elsewhere, and
+// the place is given back.
+func TestWaitingRequestDoesNotGoToAServerThatLeaves(t *testing.T) {
+	for name, change := range map[string]func(*Kernel, time.Time){
+		"draining": func(k *Kernel, now time.Time) {
+			k.SetServer(now, routing.Server{ID: "s", Service: "service", Domain: "north-a", Slots: 3, Draining: true})
+		},
+		"gone":      func(k *Kernel, _ time.Time) { k.RemoveServer("s") },
+		"evacuated": func(k *Kernel, now time.Time) { k.SetEvacuated(now, "north-a", true) },
+		"cold": func(k *Kernel, now time.Time) {
+			k.SetServer(now, routing.Server{ID: "s", Service: "service", Domain: "north-a", Slots: 3, ColdFor: time.Minute})
+		},
+	} {
+		now := time.Unix(1_000_000, 0)
+		k := holdFleet(now)[0]
+		f, a := begin(t, k, now, "r", "/a/x")
+		k.SetServer(now, routing.Server{ID: "other", Service: "service", Domain: "north-b", Slots: 3})
+		change(k, now)
+		d := k.Asked(now.Add(time.Second), f, Reply{Grant: admission.Grant{Ticket: a.Ticket, Verdict: admission.Granted, Rank: 1}}, true)
+		if d.Server == nil || d.Server.ID != "other" || d.Release == nil || d.Release.Server != "s" {
+			t.Errorf("%s: %+v, want it at the other server and the place given back", name, d)
+		}
+	}
+}
+
+// A cold server bears a few requests a second, counted as they are sent. One that
+// waited would be counted in one second and sent in the next.
+func TestNobodyWaitsForAColdServer(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	k := holdFleet(now)[0]
+	k.SetTable(routing.NewTable(2, []*routing.Route{{
+		Name: "route", Host: "host", Prefix: "/a/", Sticky: true, Attempts: 2, Timeout: 2 * time.Second, Target: time.Second, Parts: []routing.Part{{Service: "service", Weight: 1}},
+	}}, []*routing.Service{{Name: "service", ColdStart: time.Minute, ColdPerSecond: 10}}, routing.Limits{}))
+	k.SetBounds(Bounds{Retry: RetryBudget{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}, ColdFactor: 1.5, ColdSlack: 5})
+	k.SetServer(now, routing.Server{ID: "s", Service: "service", Domain: "north-a", Slots: 3, ColdFor: time.Minute})
+	_, d := k.Begin(now, Request{ID: "r", Host: "host", Path: "/a/x", Object: "o", Deadline: now.Add(4 * time.Second)})
+	if d.Server == nil || d.Ask != nil {
+		t.Errorf("at a cold server: %+v, want it sent without a question", d)
+	}
+}
+
+// The servers of a service have unlike slots. What those of three should run at once
+// must not be the limit of those of thirty.
+func TestLimitsAreOfServersWithAsManySlots(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	fleet := holdFleet(now)
+	for _, k := range fleet {
+		k.RemoveServer("s")
+		k.SetServer(now, routing.Server{ID: "wide", Service: "service", Domain: "north-a", Slots: 30})
+	}
+	_, a := begin(t, fleet[0], now, "r", "/a/x")
+	owner := fleet[0]
+	if a.Owner.Name != owner.Name() {
+		owner = fleet[1]
+	}
+	if got := owner.HearAsk(now, a).Limit; got.Slots != 30 || got.Most != 30 {
+		t.Errorf("a server of 30 slots is limited to %+v", got)
+	}
+}
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -59,9 +59,12 @@
 	// Kernel is one proxy's state and decisions. It is not safe for use by
 	// several goroutines at once.
 	Kernel struct {
-		config   Config
-		placer   placer
-		off      map[Mechanism]bool
+		config Config
+		placer placer
+		off    map[Mechanism]bool
+		// bySpeed is set if servers' speed is reckoned with: asked for each server of
+		// each choice, where a look-up by name would show.
+		bySpeed  bool
 		random   *rand.Rand
 		table    *routing.Table
 		splitter *routing.Splitter
@@ -139,6 +142,7 @@
 	for _, m := range c.Off {
 		k.off[m] = true
 	}
+	k.bySpeed = k.on(MechanismSpeed)
 	for _, region := range k.regions {
 		k.stranded[region] = &stranding{}
 	}
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -108,6 +108,8 @@
 		sentAt   time.Time
 		expected time.Duration
 		warm     bool
+		// work is what is known of how long such requests take at the service.
+		work *workModel
 		// load is what the server was reckoned to run and queue when it was sent.
 		load float64
 		// region is where a request without an object should run.
