--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -82,12 +82,12 @@
 	homeFull := false
 	for _, s := range g.servers {
 		if k.weighed != nil {
-			k.weigh(now, f, g, s, homes)
+			k.weigh(now, f, s, homes)
 		}
 		if !f.mayTry(now, s) {
 			continue
 		}
-		p := k.reckon(now, f, g, s, homes)
+		p := k.reckon(now, f, s, homes)
 		full := most > 0 && s.inFlight >= most
 		homeFull = homeFull || full && len(homes) > 0 && p.home == 0 && now.Sub(s.answeredAt) < busyFor*f.Route.Target
 		if full || p.start > left {
@@ -127,8 +127,8 @@
 }
 
 // weigh tells how a server is weighed.
-func (k *Kernel) weigh(now time.Time, f *Flight, g *service, s *server, homes []string) {
-	p := k.reckon(now, f, g, s, homes)
+func (k *Kernel) weigh(now time.Time, f *Flight, s *server, homes []string) {
+	p := k.reckon(now, f, s, homes)
 	k.weighed(Weighed{
 		Server: s.id, Usable: f.mayTry(now, s), Cold: s.isCold(now),
 		Home: p.home, Warm: p.warm, Load: s.load(now), Speed: s.speed, Expected: p.expected, Cost: k.placer.cost(k, f, p),
@@ -209,7 +209,7 @@
 }
 
 // reckon estimates the time until the answer from one server.
-func (k *Kernel) reckon(now time.Time, f *Flight, g *service, s *server, homes []string) pick {
+func (k *Kernel) reckon(now time.Time, f *Flight, s *server, homes []string) pick {
 	warm := s.knows(f.Object, now)
 	slow := 1.0
 	if k.bySpeed {
