With holding back off nothing is suspected

Cause, found by reading the whole change again: the switch was asked only where a request is about to ask for a place. With it off, as deployed, proxies went on reckoning suspicions on every answer, logged holding-back, told their peers, and wrote their entries in the store anew, each of which is a call that is paid for. Ruled out: a check at each of these places; none of them is reached if nothing is suspected or adopted. Change: suspicion and the peers' word end at the switch; whether a service is held needs no check of its own then. A comment on chance figures belonged to an earlier threshold. No request is placed otherwise. TestNothingIsSuspectedIfHoldingBackIsOff failed first.

--- a/internal/kernel/admission/concurrency.go
+++ b/internal/kernel/admission/concurrency.go
@@ -15,8 +15,8 @@
 	// service is suspected, between those two.
 	suspectShare = 0.6
 	// suspectAnswers is how many answers must have been seen for it. One in ten comes
-	// to three of eight by chance once in 25 times; what follows then is a few seconds
-	// in which gates measure and nobody is held back.
+	// to five of eight by chance once in 2,000 times; what follows then is a few
+	// seconds in which gates measure.
 	suspectAnswers = 8
 	// suspectMore is by how much the share of slow answers must be larger for full
 	// servers than for others. Objects that servers have forgotten make answers slow
--- a/internal/kernel/steering/hold.go
+++ b/internal/kernel/steering/hold.go
@@ -47,7 +47,7 @@
 
 // held reports whether requests of a service are held back.
 func (k *Kernel) held(now time.Time, g *service) bool {
-	return now.Before(g.holding.until) && k.on(MechanismHold)
+	return now.Before(g.holding.until)
 }
 
 // Holding lists what this proxy knows of services whose servers slow down when full,
@@ -71,7 +71,7 @@
 
 // SetHolding takes in what a peer knows.
 func (k *Kernel) SetHolding(now time.Time, list []Held) {
-	if len(list) == 0 {
+	if len(list) == 0 || !k.on(MechanismHold) {
 		return
 	}
 	k.record(Call{Do: callHolding, At: now, Holding: list})
@@ -134,6 +134,9 @@
 // time is the strongest sign, of first runs too: where servers slow down there are
 // few others.
 func (k *Kernel) suspect(now time.Time, f *Flight, s *server, g *service, a Attempt, took time.Duration) {
+	if !k.on(MechanismHold) {
+		return
+	}
 	alone := g.workOn(f.Route).expect(f.warm, f.Route.Target)
 	// A server that has answered nothing since is silent, not slow.
 	late := a.Result == Late && s.answeredAt.After(f.sentAt)
--- a/internal/kernel/steering/hold_test.go
+++ b/internal/kernel/steering/hold_test.go
@@ -230,3 +230,32 @@
 		t.Errorf("a server of 30 slots is limited to %+v", got)
 	}
 }
+
+// Operators have switched holding back off. A proxy that went on suspecting servers
+// told its log and its peers that it held requests back, and wrote its entry in the
+// store anew, though nobody asked for a place.
+func TestNothingIsSuspectedIfHoldingBackIsOff(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		now := time.Unix(1_000_000, 0)
+		told := 0
+		c := Config{Name: "proxy", Domain: "north-a", Region: "north", RegionOf: regionOf, Observe: func(e Event) {
+			if e.Kind == EventHolding {
+				told++
+			}
+		}}
+		if off {
+			c.Off = []Mechanism{MechanismHold}
+		}
+		k := New(c)
+		k.SetHolding(now, []Held{{Service: "service", Limit: admission.Limit{Slots: 3, Most: 2, Evidence: 100}}})
+		g := k.service("suspected")
+		f := &Flight{Route: &routing.Route{Name: "route", Sticky: true, Target: 100 * time.Millisecond}, Service: "suspected", warm: true}
+		for n := range 40 {
+			s := &server{id: fmt.Sprint(n % 4), Server: routing.Server{Slots: 3}, domain: &distance{}}
+			k.suspect(now, f, s, g, Attempt{Result: Answered, Loaded: true, Running: 3}, time.Second)
+		}
+		if got := told > 0 || len(k.Holding(now)) > 0; got == off {
+			t.Errorf("holding back off %t: told of %d services, tells peers %v", off, told, k.Holding(now))
+		}
+	}
+}
