Tests of the log share one logger, set up before any goroutine

The test replaced the process's logger while a proxy of an earlier test, which was still ending, read it to say that the store was lost (feed.failed). Ruled out: the product; it sets its logger up once, before it starts anything. Change: TestMain sets the logger up; a test keeps what is written while it runs. All assertions stand.

--- a/internal/proxy/forward/journal_test.go
+++ b/internal/proxy/forward/journal_test.go
@@ -4,12 +4,11 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"os"
 	"sync"
 	"testing"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/logs"
@@ -25,37 +24,58 @@
 		Counts  map[string]int `json:"counts"`
 	}
 
-	// lockedBuffer takes the log, in which goroutines of other tests that are
-	// still ending may write too.
-	lockedBuffer struct {
+	// testLog takes the log of all tests: the logger is the process's, and one that
+	// was replaced by a test would be read by goroutines of others that are still
+	// ending. They may write while a test reads what it has caused.
+	testLog struct {
 		mu   sync.Mutex
-		data bytes.Buffer
+		kept *bytes.Buffer
 	}
 )
 
+var (
+	processLog testLog
+)
+
+// TestMain sets the logger up before any goroutine uses it.
+func TestMain(m *testing.M) {
+	logs.Setup(&processLog, 0)
+	os.Exit(m.Run())
+}
+
 // Write implements io.Writer.
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.data.Write(p)
+func (l *testLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.kept == nil {
+		return os.Stderr.Write(p)
+	}
+	return l.kept.Write(p)
 }
 
-func (b *lockedBuffer) bytes() []byte {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return bytes.Clone(b.data.Bytes())
+// keep keeps what is written from now on, or no longer, and returns what was kept.
+func (l *testLog) keep(on bool) []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	kept := l.kept
+	l.kept = nil
+	if on {
+		l.kept = &bytes.Buffer{}
+	}
+	if kept == nil {
+		return nil
+	}
+	return kept.Bytes()
 }
 
 // journalLines has a journal take in events and reads what it wrote.
 func journalLines(t *testing.T, play func(j *journal, clock *time.Time)) []logged {
 	t.Helper()
-	var out lockedBuffer
-	logs.Setup(&out, 0)
-	t.Cleanup(klog.ClearLogger)
+	processLog.keep(true)
 	clock := time.Unix(1_000_000, 0)
 	play(newJournal("vm-1", func() time.Time { return clock }, newMeters()), &clock)
 	var list []logged
-	for decoder := json.NewDecoder(bytes.NewReader(out.bytes())); decoder.More(); {
+	for decoder := json.NewDecoder(bytes.NewReader(processLog.keep(false))); decoder.More(); {
 		var l logged
 		if err := decoder.Decode(&l); err != nil {
 			t.Fatal(err)
