Objects that are asked for often have replicas in their home's region

Cause: an object has one home, whatever it is asked for. Where few objects make up much of the load their homes turn requests away while hundreds of servers idle. Change: each proxy counts how often it is asked for an object, takes the others of its region to see as much, less one standard deviation, and draws among as many of the nearest servers of the home's class as that takes at 0.6 of their slots. The replicas stand in the home's region, so regions keep their parts. Mechanism replicas (--off). The emulator gains unlike objects, servers replaced one after the other, any number of slow servers, and the part of a region's requests that changes region in two seconds.

--- a/internal/fake/warmnet/load.go
+++ b/internal/fake/warmnet/load.go
@@ -27,6 +27,9 @@
 		// remembers.
 		Objects  int `json:"objects"`
 		Remember int `json:"remember"`
+		// Skew is by how much an object is asked for more often than the next ones:
+		// the n-th as often as n to the power of -Skew; zero for all alike.
+		Skew float64 `json:"skew"`
 		// Work on a server that does not know the object, and the share of it
 		// that is left on one that does.
 		Work      operator.Duration `json:"work"`
@@ -54,11 +57,12 @@
 		// Spread is the standard deviation of the logarithm of the work; zero for
 		// work that varies evenly by a little.
 		Spread float64 `json:"spread"`
-		// SlowBy is how many times as long one server of each region takes
-		// between the two moments.
-		SlowBy   float64           `json:"slow-by"`
-		SlowFrom operator.Duration `json:"slow-from"`
-		SlowTo   operator.Duration `json:"slow-to"`
+		// SlowBy is how many times as long some servers of each region take between
+		// the two moments: the first SlowServers, one if that is zero.
+		SlowBy      float64           `json:"slow-by"`
+		SlowServers int               `json:"slow-servers"`
+		SlowFrom    operator.Duration `json:"slow-from"`
+		SlowTo      operator.Duration `json:"slow-to"`
 		// Knee is the part of its slots beyond which a server slows down: work that
 		// begins with more running takes KneeTimes as long. Zero for no knee.
 		Knee      float64 `json:"knee"`
@@ -76,6 +80,8 @@
 		Off []steering.Mechanism `json:"off"`
 		// Leave is when one server of each region leaves; zero for never.
 		Leave operator.Duration `json:"leave"`
+		// Release replaces servers one after the other.
+		Release *Release `json:"release"`
 		// Away servers of a region refuse connections for a while and have forgotten
 		// all objects when they are back.
 		Away *Episode `json:"away"`
@@ -98,6 +104,15 @@
 		To    operator.Duration `json:"to"`
 	}
 
+	// Release is the replacement of the first servers of each region by new ones, which
+	// know no object.
+	Release struct {
+		Servers int               `json:"servers"`
+		From    operator.Duration `json:"from"`
+		// Gap is the time from one to the next.
+		Gap operator.Duration `json:"gap"`
+	}
+
 	// Region has callers and servers.
 	Region struct {
 		Name      string  `json:"name"`
@@ -112,7 +127,10 @@
 		First int
 		// ByRegion is the share answered within the target.
 		ByRegion map[string]float64
-		Times    []time.Duration
+		// Shifted is the largest part of a region's requests that were sent to another
+		// region than those of the window before.
+		Shifted float64
+		Times   []time.Duration
 	}
 )
 
--- a/internal/fake/warmnet/losses.go
+++ b/internal/fake/warmnet/losses.go
@@ -1,6 +1,7 @@
 package warmnet
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -65,8 +66,30 @@
 // leave takes the first server of each region away.
 func (w *world) leave() {
 	for _, r := range w.load.Regions {
-		s := w.byID[r.Name+"-0"]
-		s.gone = true
-		w.each(func(k *steering.Kernel) { k.RemoveServer(s.id) })
+		w.remove(w.byID[r.Name+"-0"])
 	}
 }
+
+func (w *world) remove(s *server) {
+	s.gone = true
+	w.each(func(k *steering.Kernel) { k.RemoveServer(s.id) })
+}
+
+// replace replaces the n-th server of each region, and then the next.
+func (w *world) replace(n int) {
+	if n >= w.load.Release.Servers {
+		return
+	}
+	for _, r := range w.load.Regions {
+		old := w.byID[fmt.Sprintf("%s-%d", r.Name, n)]
+		if old == nil {
+			continue
+		}
+		w.remove(old)
+		s := &server{id: old.id + "-new", region: r.Name, number: old.number, slow: old.slow}
+		w.servers = append(w.servers, s)
+		w.byID[s.id] = s
+		w.each(func(k *steering.Kernel) { k.SetServer(w.clock(), w.registration(s)) })
+	}
+	w.after(w.load.Release.Gap.Std(), func() { w.replace(n + 1) })
+}
--- a/internal/fake/warmnet/play.go
+++ b/internal/fake/warmnet/play.go
@@ -53,14 +53,20 @@
 		// holds passes what proxies tell each other of gates.
 		holds  holds
 		record func(steering.Call)
+		// upTo sums how often the objects up to each one are asked for, if they
+		// differ.
+		upTo   []float64
+		shares shares
 	}
 
 	server struct {
 		id, region string
-		running    int
-		waiting    []*job
-		recent     []string
-		gone       bool
+		// number counts the servers of a region.
+		number  int
+		running int
+		waiting []*job
+		recent  []string
+		gone    bool
 		// slow is the time that it takes, as a part of the load's work.
 		slow float64
 	}
@@ -103,6 +109,7 @@
 		record: record,
 		load:   l, random: rand.New(rand.NewPCG(seed, 1)), byID: make(map[string]*server),
 		proxies: make(map[string][]*steering.Kernel), inRange: make(map[string]int), asked: make(map[string]int),
+		shares: make(shares),
 		oracle: placer == AllSeeing,
 	}
 	if w.oracle {
@@ -115,6 +122,9 @@
 	if l.Leave > 0 {
 		w.after(l.Leave.Std(), w.leave)
 	}
+	if l.Release != nil {
+		w.after(l.Release.From.Std(), func() { w.replace(0) })
+	}
 	if len(l.Stranded) > 0 {
 		w.after(l.StrandAt.Std(), w.strand)
 	}
@@ -130,6 +140,7 @@
 	for region, n := range w.asked {
 		w.out.ByRegion[region] = float64(w.inRange[region]) / float64(max(1, n))
 	}
+	w.out.Shifted = w.shares.shifted()
 	slices.Sort(w.out.Times)
 	return w.out
 }
@@ -146,7 +157,7 @@
 	for _, r := range w.load.Regions {
 		regionOf[r.Name+"-a"] = r.Name
 		for i := range r.Servers {
-			s := &server{id: fmt.Sprintf("%s-%d", r.Name, i), region: r.Name, slow: 1}
+			s := &server{id: fmt.Sprintf("%s-%d", r.Name, i), region: r.Name, number: i, slow: 1}
 			if n := len(w.load.Speeds); n > 0 {
 				s.slow = w.load.Speeds[len(w.servers)%n]
 			}
@@ -166,7 +177,7 @@
 		}
 		k := steering.New(steering.Config{
 			Record: record,
-			Name:   p.Name, Domain: p.Domain, Off: w.load.Off, Region: p.Region, RegionOf: regionOf, Placer: placer, Seed: [32]byte{byte(i), byte(seed)},
+			Name:   p.Name, Domain: p.Domain, Off: w.load.Off, Region: p.Region, RegionOf: regionOf, Placer: placer, Seed: [32]byte{byte(i), byte(seed), byte(i >> 8)},
 			Bounds: steering.Bounds{
 				Retry: steering.RetryBudget{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}, ColdFactor: 1.5, ColdSlack: 5,
 			},
@@ -185,11 +196,15 @@
 	bounds := &routing.Service{Name: service, Connections: w.load.Connections}
 	k.SetTable(routing.NewTable(1, []*routing.Route{route}, []*routing.Service{bounds}, routing.Limits{}))
 	for _, s := range w.servers {
-		k.SetServer(w.clock(), routing.Server{ID: s.id, Service: service, Domain: s.region + "-a", Slots: w.load.Slots})
+		k.SetServer(w.clock(), w.registration(s))
 		k.Measured(s.region+"-a", w.roundTrip(region, s.region))
 	}
 }
 
+func (w *world) registration(s *server) routing.Server {
+	return routing.Server{ID: s.id, Service: service, Domain: s.region + "-a", Slots: w.load.Slots}
+}
+
 func (w *world) roundTrip(a, b string) time.Duration {
 	if a == b {
 		return time.Millisecond
@@ -238,11 +253,27 @@
 	w.asked[region]++
 	object := ""
 	if !w.load.Anonymous {
-		object = strconv.FormatInt(int64(i*w.load.Objects+w.random.IntN(w.load.Objects)), 16)
+		object = strconv.FormatInt(int64(i*w.load.Objects+w.draw()), 16)
 	}
 	w.begin(&job{region: region, began: w.now, object: object, returns: w.load.Returns})
 }
 
+// draw draws an object among those of one region.
+func (w *world) draw() int {
+	if w.load.Skew == 0 {
+		return w.random.IntN(w.load.Objects)
+	}
+	if len(w.upTo) == 0 {
+		sum := 0.0
+		for n := range w.load.Objects {
+			sum += math.Pow(float64(n+1), -w.load.Skew)
+			w.upTo = append(w.upTo, sum)
+		}
+	}
+	i, _ := slices.BinarySearch(w.upTo, w.random.Float64()*w.upTo[len(w.upTo)-1])
+	return i
+}
+
 // begin brings a caller to one of its region's proxies, or to any if it has none.
 func (w *world) begin(j *job) {
 	j.kernel, j.entry = w.entry(j.region)
@@ -272,6 +303,7 @@
 			s = w.best(j)
 		}
 		j.server = s
+		w.shares.sent(w.now, j.region, s.region)
 		w.after(w.roundTrip(j.entry, s.region)/2, func() { w.arrive(j) })
 	case d.Answer && j.entry != j.region:
 		w.after(w.roundTrip(j.region, j.entry)/2, func() { w.answered(j) })
@@ -368,7 +400,7 @@
 
 // slowness is how many times as long a server takes now.
 func (w *world) slowness(s *server) float64 {
-	if s.id == s.region+"-0" && w.now >= w.load.SlowFrom.Std() && w.now < w.load.SlowTo.Std() {
+	if s.number < max(1, w.load.SlowServers) && w.now >= w.load.SlowFrom.Std() && w.now < w.load.SlowTo.Std() {
 		return s.slow * w.load.SlowBy
 	}
 	return s.slow
--- a/internal/fake/warmnet/warmnet_test.go
+++ b/internal/fake/warmnet/warmnet_test.go
@@ -164,6 +164,39 @@
 	}
 }
 
+// Few objects make up much of what is asked for. All requests for one of them went to
+// its home, which turned them away or let them wait while a hundred servers idled:
+// 0.74 were answered within the target. Regions keep their parts all the while.
+func TestObjectsThatAreAskedForOftenAreSpread(t *testing.T) {
+	l := load(t, "hot")
+	share, worst, _ := mean(l, steering.DefaultPlacer)
+	if share < 0.91 || worst < 0.88 {
+		t.Errorf("%.3f within the target, %.3f in the worst region; want 0.91 and 0.88 at least", share, worst)
+	}
+	l.Off = []steering.Mechanism{steering.MechanismReplicas}
+	if without, _, _ := mean(l, steering.DefaultPlacer); share < 1.15*without {
+		t.Errorf("%.3f within the target, want 1.15 times the %.3f of one home each", share, without)
+	}
+}
+
+// All servers of a service take three times as long for some seconds, callers come in
+// waves or a burst, servers are replaced one after the other, or few objects make up
+// most of the load. Operators allow 0.15 of a region's requests to change the region
+// in which they run from two seconds to the next, and count on what is cold by that.
+func TestRegionsKeepTheirPartsUnderLoad(t *testing.T) {
+	for _, name := range []string{"slow-service", "hot", "release", "waves", "surge"} {
+		for seed := range uint64(2) {
+			l := load(t, name)
+			// Holding back is not in use where deployed: it denies more of what comes from
+			// far, and moves up to 0.19 where a whole service is slow.
+			l.Off = []steering.Mechanism{steering.MechanismHold}
+			if o := Play(l, steering.DefaultPlacer, seed+1); o.Shifted > 0.15 {
+				t.Errorf("%s, seed %d: %.2f of a region's requests changed the region within two seconds, want 0.15 at most", name, seed+1, o.Shifted)
+			}
+		}
+	}
+}
+
 // Each proxy may hold three connections to a server. Where it sent what found none
 // free to servers that did not know the object, these had three times the work, all
 // proxies ran short, and 239 requests ran cold instead of 135.
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -72,7 +72,7 @@
 // all that may take it.
 func (k *Kernel) choose(now time.Time, f *Flight, g *service) (*server, pick) {
 	best := pick{reason: ReasonNoServer}
-	homes := k.failover(now, f, g, k.homes(f, g))
+	homes := k.failover(now, f, g, k.spreadHot(f, g, k.homes(f, g)))
 	if f.Object == "" && f.region == "" {
 		f.region = k.drawRegion(f, g)
 	}
--- a/internal/kernel/steering/mechanism.go
+++ b/internal/kernel/steering/mechanism.go
@@ -31,6 +31,8 @@
 	MechanismUnseen Mechanism = "unseen-requests"
 	// MechanismRepeats sends a request again to another server.
 	MechanismRepeats Mechanism = "repeats"
+	// MechanismReplicas spreads objects that are asked for often over several servers.
+	MechanismReplicas Mechanism = "replicas"
 	// MechanismHold holds requests back before servers that slow down when full.
 	MechanismHold Mechanism = "hold-back"
 )
@@ -38,7 +40,7 @@
 var (
 	mechanisms = []Mechanism{
 		MechanismHomes, MechanismRooms, MechanismFailover, MechanismStranded, MechanismShed, MechanismInfer,
-		MechanismOutliers, MechanismSpeed, MechanismShareConnections, MechanismUnseen, MechanismRepeats, MechanismHold,
+		MechanismOutliers, MechanismSpeed, MechanismShareConnections, MechanismUnseen, MechanismRepeats, MechanismReplicas, MechanismHold,
 	}
 )
 
--- /dev/null
+++ b/internal/kernel/steering/replicas.go
@@ -0,0 +1,51 @@
+package steering
+
+import (
+	"slices"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
+)
+
+// spreadHot names the servers for an object that is asked for more often than its home
+// can answer: one of its replicas first, drawn for each request, then its homes. The
+// replicas stand in the home's region, so that the regions keep their parts of the
+// requests. Proxies may differ in how many there are: the first ones are the same for
+// all.
+func (k *Kernel) spreadHot(f *Flight, g *service, homes []string) []string {
+	if len(homes) == 0 || !k.on(MechanismReplicas) {
+		return homes
+	}
+	home := g.members[homes[0]]
+	if home == nil {
+		return homes
+	}
+	n := k.replicasNeeded(f, g, home.Slots)
+	if n < 2 {
+		return homes
+	}
+	i := k.random.IntN(n)
+	if i == 0 {
+		return homes
+	}
+	// The nearest of the home's class are the same at all proxies; the home itself is
+	// mostly one of them.
+	nearest := slices.DeleteFunc(g.ranking.Nearest(home.class(), f.Object), func(id string) bool { return id == home.id })
+	if i > len(nearest) {
+		return homes
+	}
+	chosen := nearest[i-1]
+	list := append(make([]string, 0, len(homes)+1), chosen)
+	for _, id := range homes {
+		if id != chosen {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// replicasNeeded is how many servers the object of a request needs, its home
+// included. This proxy takes the others of its region to see as much as it does.
+func (k *Kernel) replicasNeeded(f *Flight, g *service, slots int) int {
+	rate := g.demand.Least(f.began, f.Object) * float64(max(1, k.neighbours))
+	return placing.Replicas(rate, g.workOn(f.Route).typical(f.Route), slots)
+}
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -230,6 +230,9 @@
 		f.Object = ""
 	}
 	f.Service = k.splitter.Next(f.Route)
+	if f.Object != "" {
+		k.service(f.Service).demand.Heard(now, f.Object)
+	}
 	return k.send(now, f)
 }
 
