A fleet that starts asks the store less: seeds follow it, first readings are stale

Cause: while no proxy's entry was known each of 295 took itself for the first of its region and followed the store, which answered it at each entry of the others; and whoever got no copy from a seed in 1.2 s read everything at full price. A proxy that had read everything passed it on whole to all peers that it knew. Change: while nobody is known only seeds follow, until a copy is old; who does not follow reads a state that may be seconds old, at a tenth of a call, and counts it as a second old; a first reading is not passed on.

--- a/internal/proxy/forward/counted.go
+++ b/internal/proxy/forward/counted.go
@@ -8,9 +8,13 @@
 // counted tells of each call to a store and whether it failed.
 func counted(s Store, called func(operation string, err error)) Store {
 	return Store{
-		Range: func(ctx context.Context, prefix string) ([]Item, uint64, error) {
-			items, revision, err := s.Range(ctx, prefix)
-			called("range", err)
+		Range: func(ctx context.Context, prefix string, stale bool) ([]Item, uint64, error) {
+			items, revision, err := s.Range(ctx, prefix, stale)
+			operation := "range"
+			if stale {
+				operation = "stale-range"
+			}
+			called(operation, err)
 			return items, revision, err
 		},
 		Watch: func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Item, error) {
--- a/internal/proxy/forward/fleet_test.go
+++ b/internal/proxy/forward/fleet_test.go
@@ -137,7 +137,7 @@
 		return f()
 	}
 	return Store{
-		Range: func(context.Context, string) (items []Item, revision uint64, err error) {
+		Range: func(context.Context, string, bool) (items []Item, revision uint64, err error) {
 			err = guard(func() error {
 				for _, i := range s.items {
 					items = append(items, i)
--- a/internal/proxy/forward/follow.go
+++ b/internal/proxy/forward/follow.go
@@ -28,6 +28,10 @@
 	// proxy would be most of the calls then. A proxy that starts later reads at
 	// once, for callers already come to it and hear "not now" until it knows.
 	seedPatience = 1200 * time.Millisecond
+	// staleAge is what a stale reading counts for in the age of a copy. It may be older
+	// by seconds; peers tell the rest in the next two exchanges, and if they don't, this
+	// proxy follows the store a second later.
+	staleAge = time.Second
 	// followCheck is how often a proxy that is no relay looks whether it
 	// must ask the store itself.
 	followCheck = 200 * time.Millisecond
@@ -100,7 +104,7 @@
 	items, err := f.store.Watch(ctx, "", before, f.wait())
 	var refused *StoreError
 	if errors.As(err, &refused) && refused.Outcome == StoreForgot {
-		return f.readAll(ctx)
+		return f.readAll(ctx, false)
 	}
 	if err != nil {
 		return errors.Wrap(err, "watch")
@@ -147,19 +151,28 @@
 		case <-ctx.Done():
 		}
 	}()
-	if err := f.readAll(ctx); err != nil && f.feed.revision() == 0 {
+	if err := f.readAll(ctx, f.feed.rank() >= replica.Relays); err != nil && f.feed.revision() == 0 {
 		return err
 	}
 	return nil
 }
 
-func (f *follower) readAll(ctx context.Context) error {
+// readAll reads everything. Only who follows the store needs it as it is now: the
+// others hear the rest from their peers, and in a fleet of hundreds that starts their
+// readings would be most of the calls.
+func (f *follower) readAll(ctx context.Context, stale bool) error {
 	before := f.feed.revision()
-	items, revision, err := f.store.Range(ctx, "")
+	items, revision, err := f.store.Range(ctx, "", stale)
 	if err != nil {
 		return errors.Wrap(err, "read all")
 	}
-	if f.feed.applyOwn(replica.Delta{Revision: revision, Whole: true, Entries: entriesOf(items)}) {
+	d := replica.Delta{Revision: revision, Whole: true, Entries: entriesOf(items)}
+	if stale {
+		d.Age = staleAge
+	}
+	if f.feed.applyOwn(d) && before > 0 {
+		// Nothing is news to others in a first reading: told all that came after
+		// nothing, each would be sent everything.
 		f.advanced(before)
 	}
 	return nil
--- a/internal/proxy/forward/gossip_test.go
+++ b/internal/proxy/forward/gossip_test.go
@@ -90,7 +90,7 @@
 	d := f.idle()
 	given := make(chan struct{})
 	w := &follower{feed: d.feed, advanced: func(uint64) {}, store: Store{
-		Range: func(ctx context.Context, _ string) ([]Item, uint64, error) {
+		Range: func(ctx context.Context, _ string, _ bool) ([]Item, uint64, error) {
 			close(given)
 			<-ctx.Done()
 			return nil, 0, ctx.Err()
--- a/internal/proxy/forward/members.go
+++ b/internal/proxy/forward/members.go
@@ -158,15 +158,21 @@
 	return m.Peers, known
 }
 
-// rank is this proxy's place among those of its region.
+// rank is this proxy's place among those of its region. While none is known, as when
+// a whole fleet starts, the seeds follow the store and tell the others; hundreds that
+// each took themselves for the first made a call for each of the others' entries.
 func (f *feed) rank() int {
+	settings := f.daemon.settings
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []replica.Candidate
 	for _, m := range f.members {
-		if m.Region == f.daemon.settings.Region && !m.Leaving {
+		if m.Region == settings.Region && !m.Leaving {
 			list = append(list, replica.Candidate{Name: m.Name, LinkMbps: m.LinkMbps})
 		}
 	}
-	return replica.Rank(f.daemon.settings.Name, list)
+	if len(list) == 0 && len(settings.Seeds) > 0 && !slices.Contains(settings.Seeds, settings.Listen.Peers) {
+		return replica.Relays
+	}
+	return replica.Rank(settings.Name, list)
 }
--- a/internal/proxy/forward/settings.go
+++ b/internal/proxy/forward/settings.go
@@ -105,7 +105,9 @@
 
 	// Store is the platform's metadata store.
 	Store struct {
-		Range func(ctx context.Context, prefix string) ([]Item, uint64, error)
+		// Range reads all items under a prefix and the revision from which a watch misses
+		// nothing. What a stale reading tells may be seconds old; it costs a tenth.
+		Range func(ctx context.Context, prefix string, stale bool) ([]Item, uint64, error)
 		Watch func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Item, error)
 		Grant func(ctx context.Context, span time.Duration) (uint64, error)
 		Renew func(ctx context.Context, lease uint64) error
