A relay confirms its copy to a large region; proxies that start together are listed together

Three regions' relays need some 73 watches; the rest were proxies that took their copies for old: that nothing has changed spreads by exchanges alone, three seconds in a region of a hundred, and they ask after 1.9 to 2.7. Ruled out: first readings (3 in all, so the stale ones are for restarts only); each proxy taking itself for a relay at the start. Change: the first relay tells 12 peers of a region larger than 32 that its copy is right; arrivals within a tick after a list are listed with the next tick, removals at once. Tests: TestRelayConfirmsItsCopyInALargeRegion, TestProxiesThatStartTogetherAreListedTogether.

--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -171,6 +171,7 @@
 	}
 	go func() { failed <- peerdrpc.ServeSync(ctx, peers, d.peerHandlers(ctx)) }()
 	d.follower.advanced = func(before uint64) { d.gossip.spread(ctx, before) }
+	d.follower.confirmed = func() { d.gossip.confirm(ctx) }
 	go d.follower.run(ctx)
 	go d.gossip.run(ctx)
 	go d.keeper.run(ctx)
@@ -211,6 +212,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			d.feed.listLate()
 			var grants []steering.Reply
 			d.do(func(k *steering.Kernel, now time.Time) {
 				k.Tick(now)
--- a/internal/proxy/forward/feed.go
+++ b/internal/proxy/forward/feed.go
@@ -34,6 +34,10 @@
 		// allowance bounds the whole copies given to peers.
 		allowance replica.Allowance
 		members   map[string]member
+		// listedAt is when the kernel was last told who is alive, unlisted whether it
+		// has not heard of a change since.
+		listedAt time.Time
+		unlisted bool
 		// nearAt is when a peer of the own region last had a copy fresh enough
 		// that nobody else need ask the store; alone is set while this proxy
 		// asks because none has.
--- a/internal/proxy/forward/fleet_test.go
+++ b/internal/proxy/forward/fleet_test.go
@@ -408,7 +408,7 @@
 	for first, want := range map[bool]bool{true: true, false: false} {
 		idle := f.idle()
 		idle.settings.Seeds, idle.settings.FirstStart = []netip.AddrPort{freePort(t)}, first
-		w := &follower{feed: idle.feed, store: f.links[0].seams()}
+		w := &follower{feed: idle.feed, confirmed: func() {}, store: f.links[0].seams()}
 		ctx, cancel := context.WithCancel(context.Background())
 		returned := make(chan struct{})
 		go func() { w.awaitSeed(ctx); close(returned) }()
--- a/internal/proxy/forward/follow.go
+++ b/internal/proxy/forward/follow.go
@@ -50,8 +50,10 @@
 	follower struct {
 		feed  *feed
 		store Store
-		// advanced is called when the store told something new.
-		advanced func(before uint64)
+		// advanced is called when the store told something new, confirmed when it told
+		// that nothing has changed.
+		advanced  func(before uint64)
+		confirmed func()
 	}
 )
 
@@ -115,6 +117,10 @@
 		// the rest of this region may not have heard.
 		f.advanced(before)
 		sleep.For(ctx, gather)
+		return nil
+	}
+	if f.feed.rank() == 0 {
+		f.confirmed()
 	}
 	return nil
 }
--- a/internal/proxy/forward/gossip.go
+++ b/internal/proxy/forward/gossip.go
@@ -30,6 +30,10 @@
 	// larger than that: four from each of 32 reach a hundred with little to
 	// spare, and the exchanges make up for the rest.
 	passesMost = 4
+	// confirmsMost is how many peers the first relay of a large region tells that nothing
+	// has changed. By exchanges alone that took three seconds in a region of a hundred,
+	// so that dozens took their copies for old and asked the store themselves.
+	confirmsMost = 12
 	// othersMost is how many peers a proxy names that may not give everything.
 	othersMost = 4
 	// farOneIn is how many exchanges go to another region: one in so many.
@@ -188,6 +192,17 @@
 	}
 }
 
+// confirm tells some peers of a large region that the copy is the store's state.
+func (g *gossip) confirm(ctx context.Context) {
+	near, _ := g.peers()
+	if len(near) <= pushesMost {
+		return
+	}
+	for _, to := range some(near, confirmsMost) {
+		go g.push(ctx, to, g.feed.revision())
+	}
+}
+
 // pass sends a peer's news on. A relay that hears of a change from another region
 // before its own watch answers tells its region, which nobody else might; and
 // where a region is too large for its relays to reach all, each tells a few.
--- a/internal/proxy/forward/gossip_test.go
+++ b/internal/proxy/forward/gossip_test.go
@@ -89,7 +89,7 @@
 	f := newFleet(t, 1)
 	d := f.idle()
 	given := make(chan struct{})
-	w := &follower{feed: d.feed, advanced: func(uint64) {}, store: Store{
+	w := &follower{feed: d.feed, advanced: func(uint64) {}, confirmed: func() {}, store: Store{
 		Range: func(ctx context.Context, _ string, _ bool) ([]Item, uint64, error) {
 			close(given)
 			<-ctx.Done()
@@ -141,6 +141,73 @@
 	}
 }
 
+// Nothing changes for a while in a region of a hundred proxies. The relay's word that its
+// copy is still right took three seconds to all of them by exchanges alone; the others
+// took their copies for old meanwhile and asked the store, forty calls a second.
+func TestRelayConfirmsItsCopyInALargeRegion(t *testing.T) {
+	f := newFleet(t, 1)
+	for _, c := range []struct {
+		peers int
+		want  int32
+	}{{pushesMost, 0}, {pushesMost + 8, confirmsMost}} {
+		d := f.idle()
+		var sent atomic.Int32
+		g := &gossip{feed: d.feed, send: func(_ context.Context, _ netip.AddrPort, m peerdrpc.SyncMessage) (peerdrpc.SyncMessage, error) {
+			if m.Revision != 7 || len(m.Entries) > 0 || !replica.Fresh(m.Age) {
+				t.Errorf("got %+v, want revision 7, fresh, without entries", m.Delta)
+			}
+			sent.Add(1)
+			return peerdrpc.SyncMessage{}, nil
+		}}
+		for i := range c.peers {
+			name := fmt.Sprintf("peer-%d", i)
+			d.feed.members[name] = member{Name: name, Region: "north", Peers: freePort(t)}
+		}
+		d.feed.members["proxy-a"] = member{Name: "proxy-a", Region: "north", LinkMbps: 200}
+		d.feed.apply(replica.Delta{Revision: 7, Whole: true})
+		w := &follower{feed: d.feed, confirmed: func() { g.confirm(context.Background()) }, store: Store{
+			Watch: func(context.Context, string, uint64, time.Duration) ([]Item, error) { return nil, nil },
+		}}
+		if err := w.step(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		f.eventually(fmt.Sprintf("%d of %d peers are told", c.want, c.peers), func() bool { return sent.Load() == c.want })
+	}
+}
+
+// Hundreds of proxies start and each hears of the others in a message for each. Listing
+// all of them anew for each message was most of what a start took. The first is known at
+// once, the last with the next tick.
+func TestProxiesThatStartTogetherAreListedTogether(t *testing.T) {
+	f := newFleet(t, 1)
+	d := f.idle()
+	named := func() (n int) {
+		d.do(func(k *steering.Kernel, _ time.Time) { n = len(k.Lookup("host", "north", "a")) })
+		return n
+	}
+	const others = 40
+	for i := range others {
+		name := fmt.Sprintf("peer-%d", i)
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
+		entry, err := json.Marshal(member{Name: name, Domain: "a", Region: "north", Callers: address, Peers: address})
+		if err != nil {
+			t.Fatal(err)
+		}
+		revision := uint64(i + 1)
+		d.feed.apply(replica.Delta{Base: revision - 1, Revision: revision, Whole: i == 0, Entries: []replica.Entry{{Key: memberPrefix + name, Value: entry, Revision: revision}}})
+		if i == 0 && named() != 2 {
+			t.Errorf("%d proxies are named after the first message, want it and this one", named())
+		}
+	}
+	if got := named(); got > others/2 {
+		t.Errorf("%d proxies are named before the next tick, want most of them put off", got)
+	}
+	d.feed.listLate()
+	if got, want := named(), others+1; got != want {
+		t.Errorf("%d proxies are named after the next tick, want %d", got, want)
+	}
+}
+
 // knows reports whether a daemon's kernel still holds the server of withServer.
 func knows(d *Daemon) (held bool) {
 	d.do(func(k *steering.Kernel, _ time.Time) { held = slices.Contains(k.Servers(), "s1") })
@@ -189,7 +256,7 @@
 	d := f.withServer()
 	d.feed.failed(errCut, d.now())
 	items := []Item{{Key: "servers/s1", Revision: 2, Removed: true}}
-	w := &follower{feed: d.feed, advanced: func(uint64) {}, store: Store{
+	w := &follower{feed: d.feed, advanced: func(uint64) {}, confirmed: func() {}, store: Store{
 		Watch: func(context.Context, string, uint64, time.Duration) ([]Item, error) { return items, nil },
 	}}
 	if err := w.step(context.Background()); err != nil {
@@ -227,7 +294,7 @@
 	d := f.withServer()
 	items := []Item{{Key: "servers/s1", Revision: 2, Removed: true}}
 	spread := 0
-	w := &follower{feed: d.feed, advanced: func(before uint64) {
+	w := &follower{feed: d.feed, confirmed: func() {}, advanced: func(before uint64) {
 		spread++
 		if before != 1 {
 			t.Errorf("spreads what is newer than revision %d, want 1", before)
@@ -257,7 +324,7 @@
 	d.feed.members["far"] = member{Name: "far", Region: "south"}
 	d.feed.members[d.settings.Name] = member{Name: d.settings.Name, Region: "north"}
 	var asked atomic.Int32
-	w := &follower{feed: d.feed, advanced: func(uint64) {}, store: Store{
+	w := &follower{feed: d.feed, advanced: func(uint64) {}, confirmed: func() {}, store: Store{
 		Watch: func(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]Item, error) {
 			asked.Add(1)
 			sleep.For(ctx, 20*time.Millisecond)
--- a/internal/proxy/forward/keeper_test.go
+++ b/internal/proxy/forward/keeper_test.go
@@ -95,7 +95,7 @@
 func TestOthersThanRelaysAskSeldomInAnOutage(t *testing.T) {
 	f := newFleet(t, 1)
 	d := f.idle()
-	w := &follower{feed: d.feed}
+	w := &follower{feed: d.feed, confirmed: func() {}}
 	if got := w.retryMost(); got != retryMost {
 		t.Errorf("a relay waits %s at most, want %s", got, retryMost)
 	}
--- a/internal/proxy/forward/members.go
+++ b/internal/proxy/forward/members.go
@@ -45,14 +45,27 @@
 // servers: a proxy that knew a cold server and no other proxy would send it all
 // that it bears.
 func (f *feed) tellProxies(changed []replica.Entry) {
-	heard := false
+	gone := false
 	for _, e := range changed {
 		if name, ok := strings.CutPrefix(e.Key, memberPrefix); ok {
 			f.hearMember(name, e)
-			heard = true
+			f.unlisted = true
+			gone = gone || e.Removed
 		}
 	}
-	if heard {
+	// When hundreds start, each hears of the others in hundreds of messages, and a list
+	// for each was most of what starting took. So arrivals just after a list wait for the
+	// next tick; one that is gone must not be named to callers until then.
+	if f.unlisted && (gone || f.daemon.now().Sub(f.listedAt) >= tickEvery) {
+		f.listProxies()
+	}
+}
+
+// listLate brings a list to the kernel that has been put off.
+func (f *feed) listLate() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.unlisted {
 		f.listProxies()
 	}
 }
@@ -109,6 +122,7 @@
 
 // listProxies brings the list of live proxies to the kernel.
 func (f *feed) listProxies() {
+	f.listedAt, f.unlisted = f.daemon.now(), false
 	list := make([]steering.Proxy, 0, len(f.members))
 	for _, m := range f.members {
 		list = append(list, steering.Proxy{Name: m.Name, Domain: m.Domain, Region: m.Region, Address: m.Callers, Leaving: m.Leaving})
