A replica that is out is passed over for its object's home; large files split

Cause, from reading: a request drawn for a replica that is out was taken for one whose home is lost, and could fail over to another region though its home was sound. No behaviour but that changes.

--- a/internal/fake/warmnet/play.go
+++ b/internal/fake/warmnet/play.go
@@ -27,14 +27,6 @@
 )
 
 type (
-	event struct {
-		at    time.Duration
-		order int
-		do    func()
-	}
-
-	events []event
-
 	world struct {
 		load    Load
 		random  *rand.Rand
@@ -59,18 +51,6 @@
 		shares shares
 	}
 
-	server struct {
-		id, region string
-		// number counts the servers of a region.
-		number  int
-		running int
-		waiting []*job
-		recent  []string
-		gone    bool
-		// slow is the time that it takes, as a part of the load's work.
-		slow float64
-	}
-
 	job struct {
 		kernel *steering.Kernel
 		flight *steering.Flight
@@ -84,22 +64,6 @@
 	}
 )
 
-func (e events) Len() int      { return len(e) }
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
-}
-
-// Push implements heap.Interface.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop implements heap.Interface.
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // Play plays a load with a placer. Equal arguments give equal outcomes.
 func Play(l Load, placer string, seed uint64) Outcome { return play(l, placer, seed, nil) }
 
@@ -145,11 +109,6 @@
 	return w.out
 }
 
-func (w *world) after(d time.Duration, do func()) {
-	w.order++
-	heap.Push(&w.queue, event{at: w.now + d, order: w.order, do: do})
-}
-
 func (w *world) clock() time.Time { return time.Unix(1_000_000, 0).Add(w.now) }
 
 func (w *world) build(placer string, seed uint64) {
@@ -432,18 +391,3 @@
 		w.follow(j, j.kernel.Ended(w.clock(), j.flight, attempt))
 	})
 }
-
-func (s *server) knows(object string) bool { return object != "" && slices.Contains(s.recent, object) }
-
-func (s *server) remember(object string, most int) {
-	if object == "" {
-		return
-	}
-	if i := slices.Index(s.recent, object); i >= 0 {
-		s.recent = slices.Delete(s.recent, i, i+1)
-	}
-	s.recent = append(s.recent, object)
-	if len(s.recent) > most {
-		s.recent = s.recent[1:]
-	}
-}
--- /dev/null
+++ b/internal/fake/warmnet/server.go
@@ -0,0 +1,34 @@
+package warmnet
+
+import (
+	"slices"
+)
+
+type (
+	server struct {
+		id, region string
+		// number counts the servers of a region.
+		number  int
+		running int
+		waiting []*job
+		recent  []string
+		gone    bool
+		// slow is the time that it takes, as a part of the load's work.
+		slow float64
+	}
+)
+
+func (s *server) knows(object string) bool { return object != "" && slices.Contains(s.recent, object) }
+
+func (s *server) remember(object string, most int) {
+	if object == "" {
+		return
+	}
+	if i := slices.Index(s.recent, object); i >= 0 {
+		s.recent = slices.Delete(s.recent, i, i+1)
+	}
+	s.recent = append(s.recent, object)
+	if len(s.recent) > most {
+		s.recent = s.recent[1:]
+	}
+}
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -26,7 +26,7 @@
 	// 0.86 and 0.56 without it.
 	unseenWait = 0.5
 	// busyFor is for how many times a route's target a server without an answer may
-	// be busy. A first run takes up to 1.5 targets on the users' sheets.
+	// be busy. Work that the target allows for takes longer on a first run.
 	busyFor = 2
 	// plainShare takes the place of placing.RoomShare for requests without an
 	// object: nothing runs cold in another region, so each gets what its slots are.
@@ -35,8 +35,8 @@
 	// drawn for it: more than any wait, so that it goes there only if no server of
 	// its own region may take it.
 	otherRegion = time.Hour
-	// coldWork is how many times as long work takes on a server that has just
-	// started, as the users' sheets give it.
+	// coldWork is how many times as long work is taken to last on a server that has
+	// just started. Servers don't tell; too much only spares those that warm up.
 	coldWork = 2
 	// memory is how long an answer's object is taken to be remembered.
 	memory = 10 * time.Second
@@ -72,7 +72,7 @@
 // all that may take it.
 func (k *Kernel) choose(now time.Time, f *Flight, g *service) (*server, pick) {
 	best := pick{reason: ReasonNoServer}
-	homes := k.failover(now, f, g, k.spreadHot(f, g, k.homes(f, g)))
+	homes := k.failover(now, f, g, k.atReplica(f, g, k.homes(f, g)))
 	if f.Object == "" && f.region == "" {
 		f.region = k.drawRegion(f, g)
 	}
--- a/internal/kernel/steering/replicas.go
+++ b/internal/kernel/steering/replicas.go
@@ -6,12 +6,12 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
 )
 
-// spreadHot names the servers for an object that is asked for more often than its home
+// atReplica names the servers for an object that is asked for more often than its home
 // can answer: one of its replicas first, drawn for each request, then its homes. The
 // replicas stand in the home's region, so that the regions keep their parts of the
 // requests. Proxies may differ in how many there are: the first ones are the same for
 // all.
-func (k *Kernel) spreadHot(f *Flight, g *service, homes []string) []string {
+func (k *Kernel) atReplica(f *Flight, g *service, homes []string) []string {
 	if len(homes) == 0 || !k.on(MechanismReplicas) {
 		return homes
 	}
@@ -34,6 +34,10 @@
 		return homes
 	}
 	chosen := nearest[i-1]
+	if g.members[chosen].outs > 0 {
+		// Its home is sound: the request must not be taken for one whose home is lost.
+		return homes
+	}
 	list := append(make([]string, 0, len(homes)+1), chosen)
 	for _, id := range homes {
 		if id != chosen {
--- a/internal/kernel/steering/replicas_test.go
+++ b/internal/kernel/steering/replicas_test.go
@@ -75,6 +75,14 @@
 	if rare := sendsTo(one, now.Add(time.Minute), "2", 20); len(rare) != 1 {
 		t.Errorf("an object asked for twice a second goes to %d servers, want its home alone", len(rare))
 	}
+	for id := range two.servers {
+		if home := two.homes(&Flight{Request: Request{Object: "1"}, Route: two.table.Routes["route"]}, two.group("service"))[0]; id != home {
+			two.servers[id].hasFailed(now.Add(10*time.Second), true)
+		}
+	}
+	if c := sendsTo(two, now.Add(10*time.Second), "1", 10); len(c) != 1 {
+		t.Errorf("with all replicas out the requests go to %d servers, want the sound home alone", len(c))
+	}
 	if off := sendsTo(hotKernel(now, "one", MechanismReplicas), now, "1", 133); len(off) != 1 {
 		t.Errorf("switched off, the requests go to %d servers, want the home alone", len(off))
 	}
