--- a/internal/kernel/steering/failover_test.go
+++ b/internal/kernel/steering/failover_test.go
@@ -13,11 +13,7 @@
 func threeRegions(now time.Time, target time.Duration, regions ...string) *Kernel {
 	domains := map[string]string{"north-a": "north", "south-a": "south", "west-a": "west"}
 	k := New(Config{Name: "proxy-north", Domain: "north-a", Region: "north", RegionOf: domains})
-	route := &routing.Route{
-		Name: "route", Host: "host", Prefix: "/", Idempotent: true, Sticky: true, Attempts: 2, Timeout: time.Second, Target: target, Regions: regions,
-		Parts: []routing.Part{{Service: "service", Weight: 1}},
-	}
-	k.SetTable(routing.NewTable(1, []*routing.Route{route}, nil, routing.Limits{}))
+	k.SetTable(stickyTable(target, regions...))
 	for domain := range domains {
 		k.Measured(domain, 50*time.Millisecond)
 		for i := range 4 {
@@ -27,6 +23,15 @@
 	return k
 }
 
+// stickyTable has one sticky route to one service, which may be bound to some regions.
+func stickyTable(target time.Duration, regions ...string) *routing.Table {
+	route := &routing.Route{
+		Name: "route", Host: "host", Prefix: "/", Idempotent: true, Sticky: true, Attempts: 2, Timeout: time.Second, Target: target, Regions: regions,
+		Parts: []routing.Part{{Service: "service", Weight: 1}},
+	}
+	return routing.NewTable(1, []*routing.Route{route}, nil, routing.Limits{})
+}
+
 // lose finds some servers of the north to be out, as failed connections do.
 func lose(k *Kernel, now time.Time, ids ...string) {
 	for _, id := range ids {
--- a/internal/kernel/steering/replicas_test.go
+++ b/internal/kernel/steering/replicas_test.go
@@ -18,11 +18,7 @@
 		proxies = append(proxies, Proxy{Name: n, Domain: "north-a", Region: "north"})
 	}
 	k.SetProxies(now, proxies)
-	route := &routing.Route{
-		Name: "route", Host: "host", Prefix: "/", Idempotent: true, Sticky: true, Attempts: 2, Timeout: time.Second, Target: time.Second,
-		Parts: []routing.Part{{Service: "service", Weight: 1}},
-	}
-	k.SetTable(routing.NewTable(1, []*routing.Route{route}, nil, routing.Limits{}))
+	k.SetTable(stickyTable(time.Second))
 	for domain := range domains {
 		k.Measured(domain, 10*time.Millisecond)
 		for i := range 8 {
