Sight: log lines name the work of a request

Two requests for one object may differ in path, client account or body; no line told which are the same, so nobody could say whether a request that was there at nine ends of servers had ever been answered. request-ended, request-sent and attempt-ended lines and the operators' events now name the work: a digest of method, host, path, query, account and body.

--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -17,10 +17,13 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/bodies"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
 const (
+	// accountHeader carries the key of the client account.
+	accountHeader = "Authorization"
 	headerTimeout = 10 * time.Second
 	// idleTimeout is longer than callers keep idle connections, so that they
 	// and not this side close: a request then never crosses a close.
@@ -110,6 +113,7 @@
 	if c, err := r.Cookie(s.Headers.ObjectCookie); err == nil {
 		request.Object = c.Value
 	}
+	request.Work = quarantine.WorkOf(r.Method, request.Host, r.RequestURI, r.Header.Get(accountHeader), body.Bytes)
 	if left, ok := parseLeft(r.Header.Get(s.Headers.Deadline)); ok {
 		request.Deadline = began.Add(left)
 	}
--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -82,8 +82,11 @@
 		Service       string    `json:"service,omitempty"`
 		Server        string    `json:"server,omitempty"`
 		Object        string    `json:"object,omitempty"`
-		Domain        string    `json:"failure-domain,omitempty"`
-		Region        string    `json:"region,omitempty"`
+		// Work names what the request asks a server to do; requests with the same one
+		// have the same path, client account and body.
+		Work   string `json:"work,omitempty"`
+		Domain string `json:"failure-domain,omitempty"`
+		Region string `json:"region,omitempty"`
 		// Elsewhere tells of a region without proxies that its callers count
 		// with other regions.
 		Elsewhere bool    `json:"elsewhere,omitempty"`
@@ -114,7 +117,7 @@
 func EventOf(vm string, e steering.Event) Event {
 	out := Event{
 		At: e.At, VM: vm, Kind: string(e.Kind), Request: e.Request, Route: e.Route, Configuration: e.Version,
-		Service: e.Service, Server: e.Server, Object: e.Object, Domain: e.Domain, Region: e.Region, Elsewhere: e.Elsewhere, Attempt: e.Attempt,
+		Service: e.Service, Server: e.Server, Object: e.Object, Work: e.Work.String(), Domain: e.Domain, Region: e.Region, Elsewhere: e.Elsewhere, Attempt: e.Attempt,
 		Reason: string(e.Reason), Load: e.Load, Warm: e.Warm, Draining: e.Draining,
 		Expected: span(e.Expected), Took: span(e.Took), ComeBack: span(e.ComeBack), Pressure: e.Pressure,
 		Wait: span(e.Wait), State: string(e.State), Cause: string(e.Cause), Target: span(e.Target),
--- /dev/null
+++ b/internal/kernel/quarantine/work.go
@@ -0,0 +1,60 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// workBytes are those of a digest that name a work: enough that nobody can make a
+	// request that passes for another's.
+	workBytes = 16
+)
+
+type (
+	// Work names what a server does for a request: two requests with the same method,
+	// host, path, query, client account and body are the same work, whoever sends them
+	// and however often.
+	Work [workBytes]byte
+)
+
+// WorkOf names the work of a request. target is the path with the query.
+func WorkOf(method, host, target, account string, body []byte) Work {
+	digest := sha256.New()
+	for _, field := range []string{method, host, target, account} {
+		// The length before each field keeps two fields from passing for one.
+		_, _ = digest.Write(binary.AppendUvarint(nil, uint64(len(field))))
+		_, _ = digest.Write([]byte(field))
+	}
+	_, _ = digest.Write(body)
+	return Work(digest.Sum(nil)[:workBytes])
+}
+
+// String is the name as operators see it, in hexadecimal digits.
+func (w Work) String() string {
+	if w == (Work{}) {
+		return ""
+	}
+	return hex.EncodeToString(w[:])
+}
+
+// MarshalText writes the name.
+func (w Work) MarshalText() ([]byte, error) { return []byte(w.String()), nil }
+
+// UnmarshalText reads a name.
+func (w *Work) UnmarshalText(text []byte) error {
+	*w = Work{}
+	if len(text) == 0 {
+		return nil
+	}
+	if hex.DecodedLen(len(text)) != workBytes {
+		return errors.Errorf("work %q: must have %d hexadecimal digits", text, 2*workBytes)
+	}
+	if _, err := hex.Decode(w[:], text); err != nil {
+		return errors.Wrapf(err, "work %q", text)
+	}
+	return nil
+}
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 )
 
 const (
@@ -48,8 +50,10 @@
 		Service string
 		Server  string
 		Object  string
-		Domain  string
-		Region  string
+		// Work names what a request asks a server to do.
+		Work   quarantine.Work
+		Domain string
+		Region string
 		// Address is where a server that has started again was before.
 		Address netip.AddrPort
 		// Elsewhere is set if the region's callers count with other regions.
--- a/internal/kernel/steering/flight.go
+++ b/internal/kernel/steering/flight.go
@@ -197,7 +197,7 @@
 // finish tells of a request's end together with the decisions before it.
 func (k *Kernel) finish(now time.Time, f *Flight, d Decision) Decision {
 	e := Event{
-		At: now, Kind: EventFinished, Request: f.ID, Service: f.Service, Object: f.Object, Version: k.Version(),
+		At: now, Kind: EventFinished, Request: f.ID, Service: f.Service, Object: f.Object, Work: f.Work, Version: k.Version(),
 		Outcome: d.Outcome(), Reason: d.Reason, Took: now.Sub(f.began), Attempt: (len(f.steps) + 1) / 2,
 		ComeBack: d.ComeBack, Pressure: f.pressure, Steps: f.steps,
 	}
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
 
@@ -89,6 +90,8 @@
 		Host   string
 		Path   string
 		Object string
+		// Work names what a server would run.
+		Work quarantine.Work
 		// Deadline is when the caller stops waiting; zero if it did not say.
 		Deadline time.Time
 	}
--- a/internal/proxy/forward/journal.go
+++ b/internal/proxy/forward/journal.go
@@ -80,13 +80,13 @@
 	}
 	if wanted == allLines {
 		for _, s := range e.Steps {
-			s.Request, s.Route, s.Service, s.Object, s.Version = e.Request, e.Route, e.Service, e.Object, e.Version
+			s.Request, s.Route, s.Service, s.Object, s.Work, s.Version = e.Request, e.Route, e.Service, e.Object, e.Work, e.Version
 			j.keep(s)
 			j.writeStep(s, e.At.Sub(s.At))
 		}
 	}
 	j.keep(e)
-	klog.InfoS(string(e.Kind), "request", e.Request, "route", e.Route, "configuration", e.Version,
+	klog.InfoS(string(e.Kind), "request", e.Request, "route", e.Route, "work", e.Work.String(), "configuration", e.Version,
 		"outcome", e.Outcome.String(), "reason", string(e.Reason), "took", e.Took.String(), "attempts", e.Attempt, "tried", tried(e.Steps),
 		"come-back", e.ComeBack.String(), "pressure", e.Pressure, "target", e.Target.String(), "cause", string(e.Cause), "server-state", string(e.State))
 }
@@ -106,11 +106,11 @@
 func (j *journal) writeStep(s steering.Event, ago time.Duration) {
 	if s.Kind == steering.EventSent {
 		klog.InfoS(string(s.Kind), "request", s.Request, "route", s.Route, "configuration", s.Version, "service", s.Service,
-			"server", s.Server, "failure-domain", s.Domain, "object", s.Object, "home-rank", s.Home, "warm", s.Warm, "attempt", s.Attempt,
+			"server", s.Server, "failure-domain", s.Domain, "object", s.Object, "work", s.Work.String(), "home-rank", s.Home, "warm", s.Warm, "attempt", s.Attempt,
 			"expected", s.Expected.String(), "load", s.Load, "wait", s.Wait.String(), "server-state", string(s.State), "load-age", age(s.LoadAge), "ago", ago.String())
 		return
 	}
-	klog.InfoS(string(s.Kind), "request", s.Request, "server", s.Server, "attempt", s.Attempt, "result", s.Result.String(),
+	klog.InfoS(string(s.Kind), "request", s.Request, "work", s.Work.String(), "server", s.Server, "attempt", s.Attempt, "result", s.Result.String(),
 		"expected", s.Expected.String(), "took", s.Took.String(), "server-load", s.Load, "ago", ago.String(), "error", text(s.Err))
 }
 
