--- a/internal/kernel/quarantine/ledger.go
+++ b/internal/kernel/quarantine/ledger.go
@@ -11,8 +11,8 @@
 	// endsToSuspect is from how many ends on a work runs once at a time at each proxy
 	// and is not sent again: what it ends then is found out before the next run.
 	endsToSuspect = 2
-	// endsToCondemn is the operators' bound on the servers that one work may end.
-	endsToCondemn = 3
+	// EndsToCondemn is the operators' bound on the servers that one work may end.
+	EndsToCondemn = 3
 	// endsMost bounds the ends that are kept for each work.
 	endsMost = 8
 	// worksMost bounds the works that are kept; a failure domain that is lost makes
@@ -75,6 +75,8 @@
 	// for use by several goroutines at once. Its moments are of the caller's steady
 	// clock.
 	Ledger struct {
+		// Condemn is from how many ends on a work is refused.
+		Condemn int
 		// Observe is told of changes.
 		Observe func(Notice)
 
@@ -111,6 +113,7 @@
 // NewLedger makes a ledger that knows nothing.
 func NewLedger() *Ledger {
 	return &Ledger{
+		Condemn: EndsToCondemn,
 		Observe: func(Notice) {},
 		works:   make(map[Work]*record), breaks: make(breaks), runs: newRuns(),
 	}
@@ -137,8 +140,8 @@
 	if n < endsToSuspect {
 		return Clear, 0
 	}
-	if n >= endsToCondemn {
-		if left := r.term(n).Add(time.Duration(rank) * trialStep).Sub(now); left > 0 {
+	if n >= l.Condemn {
+		if left := l.term(r, n).Add(time.Duration(rank) * trialStep).Sub(now); left > 0 {
 			return Condemned, left
 		}
 	}
@@ -149,8 +152,8 @@
 }
 
 // term is until when a work with a number of ends is refused.
-func (r *record) term(n int) time.Time {
-	return r.last().Add(firstTerm << (n - endsToCondemn))
+func (l *Ledger) term(r *record, n int) time.Time {
+	return r.last().Add(firstTerm << (n - l.Condemn))
 }
 
 func (r *record) last() (last time.Time) {
@@ -326,7 +329,7 @@
 func (l *Ledger) hasChanged(now time.Time, w Work, r *record) {
 	r.changed = now
 	i := slices.Index(l.condemned, w)
-	switch enough := r.open() >= endsToCondemn; {
+	switch enough := r.open() >= l.Condemn; {
 	case enough && i < 0:
 		l.condemned = append(l.condemned, w)
 	case !enough && i >= 0:
@@ -340,7 +343,7 @@
 	r := l.works[w]
 	n := l.weight(w, r)
 	switch {
-	case n >= endsToCondemn && !r.told:
+	case n >= l.Condemn && !r.told:
 		r.told = true
 		l.Observe(Notice{Change: ChangeCondemned, Work: w, Ends: n})
 	case n == endsToSuspect:
@@ -374,8 +377,8 @@
 	l.breaks.expire(now)
 	for w, r := range l.works {
 		last := r.changed
-		if n := r.open(); n >= endsToCondemn {
-			last = r.term(n)
+		if n := r.open(); n >= l.Condemn {
+			last = l.term(r, n)
 		}
 		if now.Sub(last) > keepFor {
 			l.drop(w)
--- a/internal/kernel/quarantine/report.go
+++ b/internal/kernel/quarantine/report.go
@@ -39,7 +39,7 @@
 		switch {
 		case now.Sub(r.changed) < newsFor:
 			news = append(news, w)
-		case all && r.open() > 0 || r.open() >= endsToCondemn:
+		case all && r.open() > 0 || r.open() >= l.Condemn:
 			standing = append(standing, w)
 		}
 	}
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -33,6 +33,9 @@
 		Seed   [32]byte
 		// Placer names a registered placer; empty for the default.
 		Placer string
+		// EndsToCondemn is from how many ends of servers on work is refused; zero for as
+		// many as the operators have agreed on.
+		EndsToCondemn int
 		// Off lists the mechanisms that are not used.
 		Off []Mechanism
 		// Observe sees each decision; nil for none.
@@ -147,6 +150,9 @@
 		quarantine: quarantine.NewLedger(),
 	}
 	k.quarantine.Observe = k.observeWork
+	if c.EndsToCondemn > 0 {
+		k.quarantine.Condemn = c.EndsToCondemn
+	}
 	for _, m := range c.Off {
 		k.off[m] = true
 	}
--- a/internal/kernel/steering/quarantine.go
+++ b/internal/kernel/steering/quarantine.go
@@ -15,6 +15,16 @@
 	awayMost = time.Minute
 )
 
+type (
+	// Condemnation is work that is refused.
+	Condemnation struct {
+		quarantine.Report
+		// Rank is this proxy's place among those that see to it: the first ones keep it
+		// in the platform's store, and try it again first.
+		Rank int
+	}
+)
+
 // rule says whether the request's work may run now; a reason is given if not. Work that
 // has been there at the ends of servers runs once at a time, and not again by ourselves:
 // each run may cost one more server and all that it has.
@@ -126,6 +136,15 @@
 	return k.quarantine.Reports(now, all)
 }
 
+// Condemned lists the work that is refused.
+func (k *Kernel) Condemned(now time.Time) []Condemnation {
+	var list []Condemnation
+	for _, r := range k.quarantine.Condemnations(now) {
+		list = append(list, Condemnation{Report: r, Rank: k.trialRank(r.Work)})
+	}
+	return list
+}
+
 // HearSuspicions takes in what a peer knows.
 func (k *Kernel) HearSuspicions(now time.Time, list []quarantine.Report) {
 	if len(list) == 0 {
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -58,6 +58,7 @@
 		keeper    *keeper
 		peers     *peerdrpc.Client
 		places    *places
+		verdicts  *verdicts
 
 		stopping chan struct{}
 		// stirred asks for suspicions to be followed soon.
@@ -82,6 +83,7 @@
 	d.operators = (&steeringhttp.Server{Status: d.status, Events: d.journal.events, Metrics: d.meters.set}).HTTP()
 	seams.Store = counted(seams.Store, d.meters.storeCall)
 	d.feed = newFeed(d)
+	d.verdicts = newVerdicts(d, seams.Store)
 	d.peers = peerdrpc.NewClient(func() *tls.Config { return nil })
 	d.peers.Sent, d.peers.Received = d.meters.sent.Add, d.meters.received.Add
 	d.meters.watch(d, seams.Dropped)
@@ -186,6 +188,7 @@
 	go d.followSettings(ctx, told)
 	go d.tick(ctx)
 	go d.watchSuspicions(ctx)
+	go d.verdicts.run(ctx)
 	go d.measure(ctx)
 	if len(d.settings.Off) > 0 {
 		klog.InfoS("mechanisms switched off", "mechanisms", d.settings.Off)
--- a/internal/proxy/forward/feed.go
+++ b/internal/proxy/forward/feed.go
@@ -21,7 +21,8 @@
 	// store's return.
 	absentFor = 2200 * time.Millisecond
 
-	memberPrefix = "gypsumquay/proxies/"
+	memberPrefix    = "gypsumquay/proxies/"
+	condemnedPrefix = "gypsumquay/condemned/"
 )
 
 type (
@@ -92,6 +93,10 @@
 		f.daemon.do(func(k *steering.Kernel, now time.Time) { k.SetEvacuated(now, domain, !e.Removed) })
 		return
 	}
+	if name, ok := strings.CutPrefix(e.Key, condemnedPrefix); ok {
+		f.daemon.verdicts.hear(name, e)
+		return
+	}
 	if id, ok := strings.CutPrefix(e.Key, n.Servers); ok {
 		f.tellServer(id, e)
 	}
--- a/internal/proxy/forward/fleet_test.go
+++ b/internal/proxy/forward/fleet_test.go
@@ -103,6 +103,18 @@
 	s.changed = make(chan struct{})
 }
 
+// count counts the keys with a prefix.
+func (s *memoryStore) count(prefix string) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
 // forget drops the history, as a store does that compacts.
 func (s *memoryStore) forget() {
 	s.mu.Lock()
--- a/internal/proxy/forward/frail_test.go
+++ b/internal/proxy/forward/frail_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/sleep"
 )
 
@@ -152,3 +153,38 @@
 		t.Errorf("%d sound requests beside it were not served after that, want none", unserved)
 	}
 }
+
+// A request was condemned, and then all proxies lost power, twice. Each time those that
+// came back knew nothing of it, and it ended three servers more before it was refused
+// again: the count of the ends was in memory only.
+func TestCondemnedWorkIsKnownAfterAllProxiesAreLost(t *testing.T) {
+	f := newFleet(t, 2)
+	f.store.remove("servers/s1")
+	servers := newFrailServers(f, 6)
+	condemned := func(proxy int) bool {
+		f.ask(proxy, deadlyPath)
+		list := 0
+		f.daemons[proxy].do(func(k *steering.Kernel, now time.Time) { list = len(k.Condemned(now)) })
+		return list > 0
+	}
+	f.eventually("the request is condemned", func() bool { return condemned(0) && condemned(1) })
+	f.eventually("that is stored", func() bool { return f.store.count(condemnedPrefix) > 0 })
+	before, first := len(servers.ended()), 0
+	for range 2 {
+		for i := first; i < len(f.daemons); i++ {
+			f.stops[i]()
+			f.endConnections(i)
+		}
+		first = len(f.daemons)
+		f.start(first, nil)
+		f.start(first+1, nil)
+		f.eventually("sound requests are served", func() bool { return f.ask(first, "/b/sound") == http.StatusOK })
+		for i := range 40 {
+			f.ask(first+i%2, deadlyPath)
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	if after := len(servers.ended()) - before; after > runsAfter {
+		t.Errorf("the request ended %d servers after it was condemned, want %d at most", after, runsAfter)
+	}
+}
--- /dev/null
+++ b/internal/proxy/forward/verdicts.go
@@ -0,0 +1,242 @@
+package forward
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+	"github.com/gypsumquay/gypsumquay/internal/proxy/sleep"
+)
+
+const (
+	// verdictEvery is how often condemned work is compared with what is stored, and the
+	// time that each proxy gives those before it to store it.
+	verdictEvery = time.Second
+	// verdictSpan is the lease of a stored verdict; the longest that the store gives.
+	verdictSpan = 10 * time.Minute
+	// verdictRenew leaves a renewal to fail before the lease ends.
+	verdictRenew = 4 * time.Minute
+	// verdictPause is the time between two tries while the store does not answer.
+	verdictPause = 5 * time.Second
+	// verdictsMost bounds the verdicts that are stored.
+	verdictsMost = 64
+)
+
+type (
+	// verdicts keep condemned work in the platform's store. All proxies may lose power
+	// at once, and those that come back would let the work end servers until they have
+	// found it out again. A verdict is rare: two calls each, made by one proxy.
+	verdicts struct {
+		daemon *Daemon
+		store  Store
+
+		mu sync.Mutex
+		// stored are the verdicts that are in the store, as far as is known.
+		stored map[quarantine.Work]bool
+		// own are those that this proxy has stored.
+		own map[quarantine.Work]ownVerdict
+		// since is when this proxy first found work condemned that is not stored.
+		since map[quarantine.Work]time.Time
+	}
+
+	ownVerdict struct {
+		lease   uint64
+		renewed time.Time
+	}
+
+	// verdict is the text of a stored verdict.
+	verdict struct {
+		Work quarantine.Work `json:"work"`
+		Ends []verdictEnd    `json:"ends"`
+	}
+
+	verdictEnd struct {
+		Server quarantine.Server `json:"server"`
+		// AgeMilli is how long ago it was when the verdict was stored, in milliseconds.
+		AgeMilli int64 `json:"age-milli"`
+	}
+)
+
+func newVerdicts(d *Daemon, s Store) *verdicts {
+	return &verdicts{
+		daemon: d, store: s, stored: make(map[quarantine.Work]bool),
+		own: make(map[quarantine.Work]ownVerdict), since: make(map[quarantine.Work]time.Time),
+	}
+}
+
+// hear takes in a stored verdict, or its end. An end clears nothing: a lease may have
+// run out.
+func (v *verdicts) hear(name string, e replica.Entry) {
+	var work quarantine.Work
+	if err := work.UnmarshalText([]byte(name)); err != nil {
+		v.daemon.feed.refused("verdict", name, err)
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if e.Removed {
+		delete(v.stored, work)
+		return
+	}
+	report, err := decodeVerdict(work, e.Value)
+	if err != nil {
+		v.daemon.feed.refused("verdict", name, err)
+		return
+	}
+	v.stored[work] = true
+	v.daemon.do(func(k *steering.Kernel, now time.Time) { k.HearSuspicions(now, []quarantine.Report{report}) })
+}
+
+func decodeVerdict(work quarantine.Work, data []byte) (quarantine.Report, error) {
+	r := quarantine.Report{Work: work}
+	if err := operator.CheckSyntax(data); err != nil {
+		return r, err
+	}
+	var stored verdict
+	if err := json.Unmarshal(data, &stored); err != nil {
+		return r, errors.Wrap(err, "verdict")
+	}
+	if stored.Work != work {
+		return r, &operator.FieldError{Field: "work", Want: strconv.Quote(work.String()) + ", as in the key", Got: strconv.Quote(stored.Work.String())}
+	}
+	for _, e := range stored.Ends {
+		if e.AgeMilli < 0 {
+			return r, &operator.FieldError{Field: "age-milli", Want: "0 or more", Got: strconv.FormatInt(e.AgeMilli, 10)}
+		}
+		r.Ends = append(r.Ends, quarantine.End{Server: e.Server, Age: time.Duration(e.AgeMilli) * time.Millisecond})
+	}
+	return r, nil
+}
+
+func (v *verdicts) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep.For(ctx, verdictEvery)
+		var list []steering.Condemnation
+		v.daemon.do(func(k *steering.Kernel, now time.Time) { list = k.Condemned(now) })
+		if err := v.keep(ctx, list[:min(len(list), verdictsMost)]); err != nil {
+			klog.InfoS("verdicts not stored yet", "condemned", len(list), "error", err.Error())
+			sleep.For(ctx, verdictPause)
+		}
+	}
+}
+
+// keep stores what is not stored, renews what this proxy has stored, and takes back what
+// is no longer condemned.
+func (v *verdicts) keep(ctx context.Context, list []steering.Condemnation) error {
+	condemned := make(map[quarantine.Work]bool, len(list))
+	for _, c := range list {
+		condemned[c.Work] = true
+		if !v.due(c) {
+			continue
+		}
+		if err := v.put(ctx, c.Report); err != nil {
+			return err
+		}
+	}
+	v.forgetSince(condemned)
+	for work, own := range v.ownVerdicts() {
+		if err := v.follow(ctx, work, own, condemned[work]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// due reports whether this proxy should store a verdict now: the first in rank at once,
+// each other if those before it have not.
+func (v *verdicts) due(c steering.Condemnation) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.stored[c.Work] {
+		delete(v.since, c.Work)
+		return false
+	}
+	now := v.daemon.now()
+	since, known := v.since[c.Work]
+	if !known {
+		v.since[c.Work], since = now, now
+	}
+	return now.Sub(since) >= time.Duration(c.Rank)*verdictEvery
+}
+
+func (v *verdicts) forgetSince(condemned map[quarantine.Work]bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for work := range v.since {
+		if !condemned[work] {
+			delete(v.since, work)
+		}
+	}
+}
+
+func (v *verdicts) put(ctx context.Context, r quarantine.Report) error {
+	stored := verdict{Work: r.Work}
+	for _, e := range r.Ends {
+		if !e.Cleared {
+			stored.Ends = append(stored.Ends, verdictEnd{Server: e.Server, AgeMilli: e.Age.Milliseconds()})
+		}
+	}
+	data, err := json.Marshal(stored)
+	if err != nil {
+		return errors.Wrap(err, "verdict")
+	}
+	lease, err := v.store.Grant(ctx, verdictSpan)
+	if err != nil {
+		return err
+	}
+	if err := v.store.Put(ctx, condemnedPrefix+r.Work.String(), data, lease); err != nil {
+		return err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.stored[r.Work] = true
+	v.own[r.Work] = ownVerdict{lease: lease, renewed: v.daemon.now()}
+	return nil
+}
+
+func (v *verdicts) ownVerdicts() map[quarantine.Work]ownVerdict {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	list := make(map[quarantine.Work]ownVerdict, len(v.own))
+	for work, own := range v.own {
+		list[work] = own
+	}
+	return list
+}
+
+// follow renews or ends an own verdict's lease. One that the store no longer knows is
+// stored again by whoever is first to miss it.
+func (v *verdicts) follow(ctx context.Context, work quarantine.Work, own ownVerdict, condemned bool) error {
+	now := v.daemon.now()
+	var err error
+	switch {
+	case !condemned:
+		err = v.store.End(ctx, own.lease)
+	case now.Sub(own.renewed) < verdictRenew:
+		return nil
+	default:
+		err = v.store.Renew(ctx, own.lease)
+	}
+	var refused *StoreError
+	gone := errors.As(err, &refused) && refused.Outcome == StoreAbsent
+	if err != nil && !gone {
+		return err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !condemned || gone {
+		delete(v.own, work)
+		return nil
+	}
+	v.own[work] = ownVerdict{lease: own.lease, renewed: now}
+	return nil
+}
