The emulator ends servers: by themselves, and under work that ends them

Load files say how often and when; proxies find ends out and tell each other as the daemon does. 'gypsumquay-bench ends' plays both errors against the ends that condemn work, as a table and as charts.

--- a/cmd/gypsumquay-bench/main.go
+++ b/cmd/gypsumquay-bench/main.go
@@ -1,5 +1,5 @@
 // Command gypsumquay-bench measures the decisions on kernels in virtual time:
-// benchmarks against baselines, slopes for the capacity page, and soak runs.
+// benchmarks against baselines, what servers that end cost, slopes for the capacity page, and soak runs.
 package main
 
 import (
@@ -16,6 +16,7 @@
 		Slopes     *slopesArguments     `arg:"subcommand:slopes" help:"costs against size, for the capacity page"`
 		Experiment *experimentArguments `arg:"subcommand:experiment" help:"placers against loads with warm servers, as a table"`
 		Ablate     *ablateArguments     `arg:"subcommand:ablate" help:"each mechanism switched off in turn, against loads, as a table"`
+		Ends       *endsArguments       `arg:"subcommand:ends" help:"servers lost and sound work refused against the ends that condemn work"`
 		Soak       *soakArguments       `arg:"subcommand:soak" help:"randomised faults with fresh seeds until the time is over"`
 	}
 )
@@ -33,6 +34,8 @@
 		err = a.Bench.run()
 	case a.Soak != nil:
 		err = a.Soak.run()
+	case a.Ends != nil:
+		err = a.Ends.run()
 	case a.Ablate != nil:
 		err = a.Ablate.run()
 	case a.Experiment != nil:
--- a/internal/fake/warmnet/holds.go
+++ b/internal/fake/warmnet/holds.go
@@ -11,6 +11,8 @@
 const (
 	// gossipEvery is how often proxies tell each other which services they hold back.
 	gossipEvery = 500 * time.Millisecond
+	// farOneIn is how many exchanges go to any region: one in so many.
+	farOneIn = 4
 )
 
 type (
@@ -85,6 +87,9 @@
 		return
 	}
 	w.holds.gossip = w.now + gossipEvery
+	if w.load.hasEnds() {
+		w.tellSuspicions()
+	}
 	var all []steering.Held
 	w.each(func(k *steering.Kernel) { all = append(all, k.Holding(w.clock())...) })
 	w.each(func(k *steering.Kernel) { k.SetHolding(w.clock(), all) })
--- a/internal/fake/warmnet/load.go
+++ b/internal/fake/warmnet/load.go
@@ -91,6 +91,14 @@
 		// callers ask proxies of the other regions from then on.
 		Stranded []string          `json:"stranded"`
 		StrandAt operator.Duration `json:"strand-at"`
+		// Deadly work ends servers, Storm has them end by themselves; Back is after how
+		// long others take their places, cold and with new ids.
+		Deadly *Deadly           `json:"deadly"`
+		Storm  *Storm            `json:"storm"`
+		Back   operator.Duration `json:"back"`
+		// EndsToCondemn is from how many ends on proxies refuse work; zero for as many
+		// as they do without being told.
+		EndsToCondemn int `json:"ends-to-condemn"`
 	}
 
 	// Episode is a time in which something is otherwise in one region.
@@ -130,6 +138,7 @@
 		// Shifted is the largest part of a region's requests that were sent to another
 		// region than those of the window before.
 		Shifted float64
+		Ends    Ends
 		Times   []time.Duration
 	}
 )
--- a/internal/fake/warmnet/play.go
+++ b/internal/fake/warmnet/play.go
@@ -49,6 +49,7 @@
 		// differ.
 		upTo   []float64
 		shares shares
+		ends   ends
 	}
 
 	job struct {
@@ -61,6 +62,8 @@
 		server  *server
 		object  string
 		returns int
+		// deadly work ends its server.
+		deadly bool
 	}
 )
 
@@ -92,7 +95,10 @@
 	if len(l.Stranded) > 0 {
 		w.after(l.StrandAt.Std(), w.strand)
 	}
-	if len(l.Stranded) > 0 || l.Knee > 0 {
+	if l.hasEnds() {
+		w.playEnds()
+	}
+	if len(l.Stranded) > 0 || l.Knee > 0 || l.hasEnds() {
 		w.after(tickEvery, w.tick)
 	}
 	for len(w.queue) > 0 {
@@ -136,7 +142,7 @@
 		}
 		k := steering.New(steering.Config{
 			Record: record,
-			Name:   p.Name, Domain: p.Domain, Off: w.load.Off, Region: p.Region, RegionOf: regionOf, Placer: placer, Seed: [32]byte{byte(i), byte(seed), byte(i >> 8)},
+			Name:   p.Name, Domain: p.Domain, Off: w.load.Off, EndsToCondemn: w.load.EndsToCondemn, Region: p.Region, RegionOf: regionOf, Placer: placer, Seed: [32]byte{byte(i), byte(seed), byte(i >> 8)},
 			Bounds: steering.Bounds{
 				Retry: steering.RetryBudget{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}, ColdFactor: 1.5, ColdSlack: 5,
 			},
@@ -244,7 +250,7 @@
 }
 
 func (w *world) receive(j *job) {
-	flight, decision := j.kernel.Begin(w.clock(), steering.Request{ID: strconv.Itoa(w.out.Asked), Host: host, Path: "/", Object: j.object})
+	flight, decision := j.kernel.Begin(w.clock(), steering.Request{ID: strconv.Itoa(w.out.Asked), Host: host, Path: "/", Object: j.object, Work: workOf(j.object)})
 	j.flight = flight
 	w.follow(j, decision)
 }
@@ -253,6 +259,8 @@
 	if d.Release != nil {
 		w.release(j.entry, *d.Release)
 	}
+	w.endsRefused(j, d)
+	w.stir(j.kernel)
 	switch {
 	case d.Ask != nil && !w.oracle:
 		w.askFor(j, *d.Ask)
@@ -268,6 +276,7 @@
 		w.after(w.roundTrip(j.region, j.entry)/2, func() { w.answered(j) })
 	case d.Answer:
 		w.answered(j)
+	case j.deadly:
 	case d.NotRun && j.returns > 0:
 		j.returns--
 		w.after(d.ComeBack, func() { w.begin(j) })
@@ -320,6 +329,8 @@
 	case w.away(s):
 		s.recent = nil
 		w.end(j, steering.Unreachable)
+	case s.ended:
+		w.endWith(j, steering.Attempt{Result: steering.Unreachable, Refusing: true})
 	case s.gone || refuses || s.running >= w.load.Slots && len(s.waiting) >= w.load.Queue:
 		w.end(j, steering.Refused)
 	case s.running < w.load.Slots:
@@ -332,6 +343,11 @@
 func (w *world) run(j *job) {
 	s := j.server
 	s.running++
+	s.now = append(s.now, j)
+	if j.deadly {
+		w.after(w.load.Deadly.After.Std(), func() { w.deadlyRan(j, s) })
+		return
+	}
 	work := float64(w.load.Work.Std()) * w.slowness(s) * w.vary()
 	if w.load.Knee > 0 && float64(s.running) > w.load.Knee*float64(w.load.Slots) {
 		work *= w.load.KneeTimes
@@ -343,7 +359,11 @@
 	}
 	s.remember(j.flight.Object, w.load.Remember)
 	w.after(time.Duration(work), func() {
+		if s.ended {
+			return
+		}
 		s.running--
+		s.now = slices.DeleteFunc(s.now, func(other *job) bool { return other == j })
 		w.end(j, steering.Answered)
 		for len(s.waiting) > 0 && s.running < w.load.Slots {
 			next := s.waiting[0]
@@ -376,13 +396,18 @@
 // end brings the result back to the proxy.
 func (w *world) end(j *job, result steering.Result) {
 	attempt := steering.Attempt{Result: result}
-	if !w.load.Mute {
+	if !w.load.Mute && result != steering.Broken {
 		attempt.Loaded, attempt.Running, attempt.Waiting = true, j.server.running, len(j.server.waiting)
 		if result == steering.Answered {
 			// A server that answers counts the request that it answers.
 			attempt.Running++
 		}
 	}
+	w.endWith(j, attempt)
+}
+
+// endWith brings an attempt's end back to the proxy.
+func (w *world) endWith(j *job, attempt steering.Attempt) {
 	w.after(w.roundTrip(j.entry, j.server.region)/2, func() {
 		if attempt.Result == steering.Answered && w.clock().After(j.flight.Until) {
 			// The proxy has gone before the server's word arrives.
--- a/internal/fake/warmnet/server.go
+++ b/internal/fake/warmnet/server.go
@@ -11,8 +11,13 @@
 		number  int
 		running int
 		waiting []*job
-		recent  []string
-		gone    bool
+		// now are the jobs that it runs.
+		now    []*job
+		recent []string
+		gone   bool
+		// ended servers refuse connections; starts counts those that took this one's place.
+		ended  bool
+		starts int
 		// slow is the time that it takes, as a part of the load's work.
 		slow float64
 	}
