What is asked for most is not condemned in a deadly request's place

Found by the soak, which now has callers of requests that end servers: all six servers ended within 0.4 s, what all callers ask for was there at each end and at one more, nothing was left that it could run well on, and it had more ends than the deadly request. It was condemned, explained the other's ends, and the deadly one ran again and ended five servers more.

Proxies now tell each other whether a work is known to have run well before. One that never did is likelier to have ended a server, unless the other has over twice its ends: a release may make a request deadly that was none. Works are announced at the next tick, when the ends of others are known too.

--- a/internal/adapter/peerdrpc/suspicion.go
+++ b/internal/adapter/peerdrpc/suspicion.go
@@ -12,7 +12,7 @@
 func suspicionsOut(list []quarantine.Report) []*peerpb.Suspicion {
 	out := make([]*peerpb.Suspicion, 0, len(list))
 	for _, r := range list {
-		s := &peerpb.Suspicion{Work: r.Work[:]}
+		s := &peerpb.Suspicion{Work: r.Work[:], RanWell: r.RanWell}
 		for _, e := range r.Ends {
 			s.Ends = append(s.Ends, &peerpb.ServerEnd{Server: uint64(e.Server), AgeMilli: e.Age.Milliseconds(), Cleared: e.Cleared})
 		}
@@ -29,6 +29,7 @@
 			return nil, errors.Errorf("suspicions: work: must have %d bytes, got %d", len(r.Work), len(s.GetWork()))
 		}
 		copy(r.Work[:], s.GetWork())
+		r.RanWell = s.GetRanWell()
 		for _, e := range s.GetEnds() {
 			r.Ends = append(r.Ends, quarantine.End{
 				Server: quarantine.Server(e.GetServer()), Age: max(0, time.Duration(e.GetAgeMilli())*time.Millisecond), Cleared: e.GetCleared(),
--- a/internal/kernel/quarantine/ledger.go
+++ b/internal/kernel/quarantine/ledger.go
@@ -13,6 +13,10 @@
 	endsToSuspect = 2
 	// EndsToCondemn is the operators' bound on the servers that one work may end.
 	EndsToCondemn = 3
+	// likelierTimes is how many times the ends of a work that never ran well one that
+	// did may have and still be explained by it. Beyond, it ends servers whatever it did
+	// before: a new version of the servers may have made it so.
+	likelierTimes = 2
 	// endsMost bounds the ends that are kept for each work.
 	endsMost = 8
 	// worksMost bounds the works that are kept; a failure domain that is lost makes
@@ -83,8 +87,8 @@
 		works  map[Work]*record
 		breaks breaks
 		runs   runs
-		// condemned are the works with enough ends, explained or not.
-		condemned []Work
+		// suspects are the works with enough ends to be suspected, explained or not.
+		suspects []Work
 		// urgent is set by news that other proxies should hear at once.
 		urgent bool
 		// doubtful is set by breaks at servers that have not been dialled since.
@@ -97,8 +101,10 @@
 		ends []end
 		// changed is when an end was added or cleared, here.
 		changed time.Time
-		// told is set once the work was reported as condemned.
-		told bool
+		// ranWell is set if the work is known to have run well, before or after.
+		ranWell bool
+		// told is what was last told of the work: how many ends count.
+		told int
 	}
 
 	// end is a server's end with the work there.
@@ -175,32 +181,43 @@
 	return n
 }
 
-// weight counts the ends that speak against a work: those since it last ran well at
-// which nothing worse was there. A work that ends servers takes dozens of sound
-// requests with it each time, and the most asked-for of them are there again and again;
-// once the work is known its ends no longer count against them.
+// weight counts the ends that speak against a work: those since it last ran well that
+// no likelier work explains. A work that ends servers takes dozens of sound requests with
+// it each time, and the most asked-for of them are there again and again.
 func (l *Ledger) weight(w Work, r *record) int {
 	all := r.open()
-	if all < endsToSuspect || len(l.condemned) == 0 {
+	if all < endsToSuspect {
 		return all
 	}
 	n := 0
 	for _, e := range r.ends {
-		if !e.cleared && !l.explained(w, e.server, all) {
+		if !e.cleared && !l.explained(w, r, e.server) {
 			n++
 		}
 	}
 	return n
 }
 
-// explained reports whether a condemned work with more ends was there at an end.
-func (l *Ledger) explained(w Work, s Server, ends int) bool {
-	return slices.ContainsFunc(l.condemned, func(other Work) bool {
-		r := l.works[other]
-		return other != w && r.open() > ends && r.has(s)
+// explained reports whether a likelier work was there at an end.
+func (l *Ledger) explained(w Work, r *record, s Server) bool {
+	return slices.ContainsFunc(l.suspects, func(o Work) bool {
+		other := l.works[o]
+		return o != w && l.likelier(other, r) && other.has(s)
 	})
 }
 
+// likelier reports whether a suspected work has rather ended servers than another one.
+// One that has never run well comes before one that has: where all servers end within a
+// moment, what is asked for most was there at each end, and nothing runs well after it.
+// Else the one with more ends comes first, if it is condemned.
+func (l *Ledger) likelier(a, than *record) bool {
+	n, other := a.open(), than.open()
+	if a.ranWell != than.ranWell {
+		return than.ranWell && n*likelierTimes >= other
+	}
+	return n >= l.Condemn && n > other
+}
+
 // has reports whether an end counts against the work.
 func (r *record) has(s Server) bool {
 	return slices.ContainsFunc(r.ends, func(e end) bool { return e.server == s && !e.cleared })
@@ -226,6 +243,7 @@
 	if r == nil || r.open() == 0 {
 		return
 	}
+	r.ranWell, r.told = true, 0
 	suspected := r.open() >= endsToSuspect
 	for i := range r.ends {
 		r.ends[i].cleared = true
@@ -278,7 +296,6 @@
 		}
 		if l.add(now, w, end{server: s, at: b.at}) {
 			l.urgent = true
-			l.judge(w)
 		}
 	}
 }
@@ -289,7 +306,7 @@
 	r := l.works[w]
 	if r == nil {
 		l.makeRoom()
-		r = &record{}
+		r = &record{ranWell: l.runs.known(w)}
 		l.works[w] = r
 	}
 	i := slices.IndexFunc(r.ends, func(known end) bool { return known.server == e.server })
@@ -328,26 +345,28 @@
 
 func (l *Ledger) hasChanged(now time.Time, w Work, r *record) {
 	r.changed = now
-	i := slices.Index(l.condemned, w)
-	switch enough := r.open() >= l.Condemn; {
+	i := slices.Index(l.suspects, w)
+	switch enough := r.open() >= endsToSuspect; {
 	case enough && i < 0:
-		l.condemned = append(l.condemned, w)
+		l.suspects = append(l.suspects, w)
 	case !enough && i >= 0:
-		l.condemned = slices.Delete(l.condemned, i, i+1)
-		r.told = false
+		l.suspects = slices.Delete(l.suspects, i, i+1)
 	}
 }
 
-// judge tells of a work that has just been suspected or condemned.
-func (l *Ledger) judge(w Work) {
-	r := l.works[w]
-	n := l.weight(w, r)
-	switch {
-	case n >= l.Condemn && !r.told:
-		r.told = true
-		l.Observe(Notice{Change: ChangeCondemned, Work: w, Ends: n})
-	case n == endsToSuspect:
-		l.Observe(Notice{Change: ChangeSuspected, Work: w, Ends: n})
+// announce tells of works that are suspected or condemned since it last did. It comes
+// some time after the ends, when those of other works at the same servers are known too.
+func (l *Ledger) announce() {
+	for _, w := range l.suspects {
+		r := l.works[w]
+		n := l.weight(w, r)
+		switch {
+		case n >= l.Condemn && r.told < l.Condemn:
+			l.Observe(Notice{Change: ChangeCondemned, Work: w, Ends: n})
+		case n == endsToSuspect && r.told < n:
+			l.Observe(Notice{Change: ChangeSuspected, Work: w, Ends: n})
+		}
+		r.told = n
 	}
 }
 
@@ -369,12 +388,13 @@
 
 func (l *Ledger) drop(w Work) {
 	delete(l.works, w)
-	l.condemned = slices.DeleteFunc(l.condemned, func(c Work) bool { return c == w })
+	l.suspects = slices.DeleteFunc(l.suspects, func(c Work) bool { return c == w })
 }
 
 // Tick drops what no longer counts.
 func (l *Ledger) Tick(now time.Time) {
 	l.breaks.expire(now)
+	l.announce()
 	for w, r := range l.works {
 		last := r.changed
 		if n := r.open(); n >= l.Condemn {
--- a/internal/kernel/quarantine/report.go
+++ b/internal/kernel/quarantine/report.go
@@ -20,6 +20,8 @@
 	Report struct {
 		Work Work  `json:"work"`
 		Ends []End `json:"ends"`
+		// RanWell is set if any proxy has seen the work run well.
+		RanWell bool `json:"ran-well,omitempty"`
 	}
 
 	// End is a server's end with the work there. Its age is told, since clocks differ.
@@ -65,7 +67,7 @@
 }
 
 func (l *Ledger) report(now time.Time, w Work) Report {
-	r := Report{Work: w}
+	r := Report{Work: w, RanWell: l.works[w].ranWell}
 	for _, e := range l.works[w].ends {
 		r.Ends = append(r.Ends, End{Server: e.server, Age: now.Sub(e.at), Cleared: e.cleared})
 	}
@@ -85,14 +87,14 @@
 		if own == nil {
 			continue
 		}
-		if l.lags(own, r) {
+		if l.lags(own, r) || own.ranWell && !r.RanWell {
 			// The peer has not heard that the work has run well.
 			own.changed = now
 		}
-		if changed {
-			news = true
-			l.judge(r.Work)
+		if r.RanWell && !own.ranWell {
+			own.ranWell, own.changed, changed = true, now, true
 		}
+		news = news || changed
 	}
 	l.urgent = l.urgent || news
 	return news
@@ -118,7 +120,7 @@
 // Condemnations lists the works that are refused, for operators.
 func (l *Ledger) Condemnations(now time.Time) []Report {
 	var list []Report
-	for _, w := range l.condemned {
+	for _, w := range l.suspects {
 		if ruling, _ := l.Rule(now, w, 0); ruling == Condemned {
 			list = append(list, l.report(now, w))
 		}
--- a/internal/kernel/quarantine/runs.go
+++ b/internal/kernel/quarantine/runs.go
@@ -38,4 +38,10 @@
 	r.last[w] = now
 }
 
+// known reports whether a work has run well at any moment that is remembered.
+func (r *runs) known(w Work) bool {
+	_, known := r.last[w]
+	return known
+}
+
 func (r *runs) wellSince(w Work, at time.Time) bool { return r.last[w].After(at) }
--- a/internal/proxy/forward/verdicts.go
+++ b/internal/proxy/forward/verdicts.go
@@ -57,6 +57,8 @@
 	verdict struct {
 		Work quarantine.Work `json:"work"`
 		Ends []verdictEnd    `json:"ends"`
+		// RanWell is set if the work had run well before.
+		RanWell bool `json:"ran-well,omitempty"`
 	}
 
 	verdictEnd struct {
@@ -108,6 +110,7 @@
 	if stored.Work != work {
 		return r, &operator.FieldError{Field: "work", Want: strconv.Quote(work.String()) + ", as in the key", Got: strconv.Quote(stored.Work.String())}
 	}
+	r.RanWell = stored.RanWell
 	for _, e := range stored.Ends {
 		if e.AgeMilli < 0 {
 			return r, &operator.FieldError{Field: "age-milli", Want: "0 or more", Got: strconv.FormatInt(e.AgeMilli, 10)}
@@ -179,7 +182,7 @@
 }
 
 func (v *verdicts) put(ctx context.Context, r quarantine.Report) error {
-	stored := verdict{Work: r.Work}
+	stored := verdict{Work: r.Work, RanWell: r.RanWell}
 	for _, e := range r.Ends {
 		if !e.Cleared {
 			stored.Ends = append(stored.Ends, verdictEnd{Server: e.Server, AgeMilli: e.Age.Milliseconds()})
