The product's own interface keeps requests that end servers from them too

The same cause: its kernel held what broke against the backend servers, and sent an idempotent request on to the next. Servers have one name for good there, so an end is named by the server and the time, in steps of eight seconds.

--- a/internal/adapter/backendhttp/client.go
+++ b/internal/adapter/backendhttp/client.go
@@ -60,8 +60,10 @@
 		Result backend.Result
 		Answer *caller.Answer
 		Report *backend.Report
-		Rest   io.ReadCloser
-		Err    error
+		// Refusing is set if nothing listens at the server's address.
+		Refusing bool
+		Rest     io.ReadCloser
+		Err      error
 	}
 
 	rest struct {
@@ -101,7 +103,7 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return Response{Result: failure(ctx, connected.Load()), Err: err}
+		return Response{Result: failure(ctx, connected.Load()), Refusing: serverhttp.Refusing(err), Err: err}
 	}
 	return c.receive(ctx, response)
 }
@@ -184,18 +186,18 @@
 }
 
 // Probe asks a server for its health.
-func (c *Client) Probe(ctx context.Context, address netip.AddrPort) (bool, *backend.Report) {
+func (c *Client) Probe(ctx context.Context, address netip.AddrPort) backend.Health {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+probePath, nil)
 	if err != nil {
-		return false, nil
+		return backend.Health{}
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return false, nil
+		return backend.Health{Refusing: serverhttp.Refusing(err)}
 	}
 	defer func() { _ = response.Body.Close() }()
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxHeaderBytes))
-	return response.StatusCode < http.StatusInternalServerError, c.report(response.Header)
+	return backend.Health{OK: response.StatusCode < http.StatusInternalServerError, Report: c.report(response.Header)}
 }
--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -20,10 +20,13 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 )
 
 const (
-	servicePrefix  = "/services/"
+	servicePrefix = "/services/"
+	// accountHeader carries the key of the client account.
+	accountHeader  = "Authorization"
 	headerTimeout  = 5 * time.Second
 	readTimeout    = 30 * time.Second
 	writeTimeout   = 90 * time.Second
@@ -206,6 +209,7 @@
 			Method:  r.Method,
 			Path:    pathWithin(r, service),
 			Client:  clientOf(r),
+			Work:    WorkOf(service, r.Method, pathWithin(r, service), r.Header, body.Bytes),
 			Token:   r.Header.Get(caller.HeaderToken),
 		},
 		Header: r.Header,
@@ -310,3 +314,9 @@
 	address, _ := netip.ParseAddr(host)
 	return address.Unmap()
 }
+
+// WorkOf names what a request asks a service to do. Its token is no part of it: a caller
+// that comes again may have a new one.
+func WorkOf(service, method, path string, h http.Header, body []byte) quarantine.Work {
+	return quarantine.WorkOf(method, service, path, h.Get(accountHeader), body)
+}
--- a/internal/adapter/peerdrpc/client.go
+++ b/internal/adapter/peerdrpc/client.go
@@ -107,7 +107,7 @@
 	if err != nil {
 		return peer.Exchange{}, errors.Wrap(err, "exchange")
 	}
-	return exchangeIn(out), nil
+	return exchangeIn(out)
 }
 
 // Borrow asks a peer for quota.
--- a/internal/adapter/peerdrpc/convert.go
+++ b/internal/adapter/peerdrpc/convert.go
@@ -85,10 +85,11 @@
 		}
 		out.Rows = append(out.Rows, one)
 	}
+	out.Suspicions = suspicionsOut(e.Suspicions)
 	return out
 }
 
-func exchangeIn(e *peerpb.ExchangeMessage) peer.Exchange {
+func exchangeIn(e *peerpb.ExchangeMessage) (peer.Exchange, error) {
 	v := e.GetVersions()
 	in := peer.Exchange{
 		From:  e.GetFrom(),
@@ -115,7 +116,9 @@
 		}
 		in.Rows = append(in.Rows, one)
 	}
-	return in
+	var err error
+	in.Suspicions, err = suspicionsIn(e.GetSuspicions())
+	return in, err
 }
 
 func headerOut(h http.Header) []*peerpb.HeaderField {
--- a/internal/adapter/peerdrpc/server.go
+++ b/internal/adapter/peerdrpc/server.go
@@ -79,7 +79,11 @@
 
 // Exchange implements the generated interface.
 func (s *service) Exchange(_ context.Context, in *peerpb.ExchangeMessage) (*peerpb.ExchangeMessage, error) {
-	return exchangeOut(s.handlers.Exchange(exchangeIn(in))), nil
+	e, err := exchangeIn(in)
+	if err != nil {
+		return nil, err
+	}
+	return exchangeOut(s.handlers.Exchange(e)), nil
 }
 
 // Borrow implements the generated interface.
--- a/internal/fake/simnet/callers.go
+++ b/internal/fake/simnet/callers.go
@@ -9,9 +9,18 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 )
 
 const (
+	// itemsAsked is how many different items callers ask each service for.
+	itemsAsked = 50
+	// deadlyPath ends the server that runs it, deadlyAfter after it has begun, and
+	// deadlyBack later the server is back.
+	deadlyPath  = "/deadly"
+	deadlyAfter = 20 * time.Millisecond
+	deadlyBack  = 2 * time.Second
+
 	groupsPerRegion = 32
 	callerTimeout   = 4 * time.Second
 	repeatPause     = 250 * time.Millisecond
@@ -114,13 +123,24 @@
 
 func (g *group) browse(service string) {
 	began := g.callers.sim.now
-	r := core.Request{Service: service, Method: "GET", Path: "/item", Client: g.address}
 	key := fmt.Sprint("get-", g.callers.sim.serial)
+	item := quarantine.WorkOf("GET", service, fmt.Sprint("/item/", g.callers.sim.serial%itemsAsked), "", nil)
+	r := core.Request{Service: service, Method: "GET", Path: "/item", Client: g.address, Work: item}
 	g.send(r, key, func(result caller.Result, _ string, ok bool) {
 		g.callers.note(g, began, result, ok, key)
 	})
 }
 
+// askDeadly asks a service for what ends the server that runs it.
+func (c *Callers) askDeadly(service string) {
+	list := c.groups[c.sim.random.IntN(len(c.groups))]
+	r := core.Request{
+		Service: service, Method: "GET", Path: deadlyPath, Client: list[c.sim.random.IntN(len(list))].address,
+		Work: quarantine.WorkOf("GET", service, deadlyPath, "", nil),
+	}
+	list[c.sim.random.IntN(len(list))].send(r, deadlyPath, func(caller.Result, string, bool) {})
+}
+
 // try sends the booking with its token. It repeats until the outcome is final,
 // with the same token, or a fresh one once that can never run.
 func (b *booking) try() {
--- a/internal/fake/simnet/checks.go
+++ b/internal/fake/simnet/checks.go
@@ -44,6 +44,8 @@
 		sheds   int
 		late    int
 		stopped int
+		// deadlyEnds are the moments at which deadly requests have ended servers.
+		deadlyEnds []time.Time
 		// Headroom is the largest share of a region's capacity ever used.
 		Used float64
 		// InForce is the time from each roll-out until all proxies used it.
@@ -60,6 +62,17 @@
 	}
 )
 
+// DeadlyEnds counts the servers that deadly requests have ended, and those after the
+// third end and a bound for the news of it.
+func (c *Checks) DeadlyEnds(known int, bound time.Duration) (all, after int) {
+	for _, at := range c.deadlyEnds {
+		if len(c.deadlyEnds) >= known && at.After(c.deadlyEnds[known-1].Add(bound)) {
+			after++
+		}
+	}
+	return len(c.deadlyEnds), after
+}
+
 func newChecks(s *Sim) *Checks {
 	return &Checks{
 		sim:        s,
--- a/internal/fake/simnet/message.go
+++ b/internal/fake/simnet/message.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backend"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 )
@@ -76,13 +77,13 @@
 	w := p.sim.workers[a.Server]
 	d, ok := p.sim.delay(p.place, w.place)
 	if !ok {
-		p.after(callTimeout, func() { p.kernel.ProbeEnded(p.now(), a.Server, false, nil) })
+		p.after(callTimeout, func() { p.kernel.ProbeEnded(p.now(), a.Server, backend.Health{}) })
 		return
 	}
 	p.sim.After(d, func() {
 		up := !w.down
 		report := w.load()
-		p.after(d, func() { p.kernel.ProbeEnded(p.now(), a.Server, up, report) })
+		p.after(d, func() { p.kernel.ProbeEnded(p.now(), a.Server, backend.Health{OK: up, Refusing: !up, Report: report}) })
 	})
 }
 
--- a/internal/fake/simnet/scenario.go
+++ b/internal/fake/simnet/scenario.go
@@ -27,6 +27,7 @@
 		"cut-regions":        cutRegions,
 		"lose-region":        loseRegion,
 		"kill-server":        killServer,
+		"deadly-request":     deadlyRequest,
 		"shed-server":        shedServer,
 		"leave-server":       func(s *Sim, f Fault) { s.workers[f.Target].leaves = true },
 		"platform-outage":    platformOutage,
@@ -85,6 +86,10 @@
 		// LastWork bounds the time from the first fault to the last new work
 		// of the backend server that it names.
 		LastWork operator.Duration `json:"last-work,omitempty"`
+		// EndsAfter is the most servers that a deadly request ends after all proxies must
+		// know of it, EndsAtAll in all; checked if EndsAtAll is given.
+		EndsAfter int `json:"ends-after,omitempty"`
+		EndsAtAll int `json:"ends-at-all,omitempty"`
 		// Late is the least number of dispatches refused after their deadline.
 		Late int `json:"late,omitempty"`
 	}
@@ -193,6 +198,22 @@
 	s.lasting(f, func() { s.workers[f.Target].setDown(false) })
 }
 
+// deadlyRequest has callers of all regions ask a service for what ends its servers,
+// Amount times in ten seconds.
+func deadlyRequest(s *Sim, f Fault) {
+	until := s.now.Add(f.For.Std())
+	gap := 10 * time.Second / time.Duration(max(1, f.Amount))
+	var next func()
+	next = func() {
+		if s.now.After(until) {
+			return
+		}
+		s.callers.askDeadly(f.Target)
+		s.After(gap, next)
+	}
+	next()
+}
+
 func shedServer(s *Sim, f Fault) {
 	s.workers[f.Target].shed = true
 	s.lasting(f, func() { s.workers[f.Target].shed = false })
--- a/internal/fake/simnet/serve.go
+++ b/internal/fake/simnet/serve.go
@@ -64,7 +64,7 @@
 				answer = &caller.Answer{Status: 200, Body: []byte(r.key)}
 			}
 			p.step(r, p.kernel.End(p.now(), core.AttemptEnd{
-				Attempt: d.Attempt, Result: result, Answer: answer, Report: report,
+				Attempt: d.Attempt, Result: result, Answer: answer, Report: report, Refusing: result == backend.Unreachable && w.down,
 			}))
 		})
 	}
--- a/internal/fake/simnet/sim_test.go
+++ b/internal/fake/simnet/sim_test.go
@@ -5,10 +5,18 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
 )
 
+const (
+	// endsToKnow is how many servers a request may end before it must be known, newsBound
+	// the bound for news.
+	endsToKnow = 3
+	newsBound  = 4 * time.Second
+)
+
 func baseConfig(t *testing.T, deployment int) Config {
 	t.Helper()
 	d := Deployments()[deployment]
@@ -113,6 +121,13 @@
 	if got := s.checks.Late(); got < want.Late {
 		t.Errorf("got %d late dispatches refused, want at least %d", got, want.Late)
 	}
+	if want.EndsAtAll > 0 {
+		all, after := c.sim.checks.DeadlyEnds(endsToKnow, newsBound)
+		t.Logf("deadly requests ended %d servers, %d after the bound for news", all, after)
+		if all > want.EndsAtAll || all < endsToKnow || after > want.EndsAfter {
+			t.Errorf("deadly requests ended %d servers and %d after the bound for news, want %d to %d and %d at most", all, after, endsToKnow, want.EndsAtAll, want.EndsAfter)
+		}
+	}
 	if want.InForce > 0 {
 		if n := len(s.checks.InForce); n != int(s.current.Version) {
 			t.Errorf("got %d bundles in force everywhere, want %d", n, s.current.Version)
--- a/internal/fake/simnet/worker.go
+++ b/internal/fake/simnet/worker.go
@@ -87,6 +87,10 @@
 	w.busy++
 	w.sim.checks.ran(j.dispatch, w)
 	life := w.life
+	if j.key == deadlyPath {
+		w.sim.After(deadlyAfter, func() { w.endBy(j, life) })
+		return
+	}
 	w.sim.After(w.serviceTime(), func() {
 		if w.life != life {
 			j.reply(backend.Broken, nil)
@@ -98,6 +102,17 @@
 	})
 }
 
+// endBy ends the server under a deadly request, and has it back some time later.
+func (w *Worker) endBy(j *job, life int) {
+	j.reply(backend.Broken, nil)
+	if w.life != life {
+		return
+	}
+	w.sim.checks.deadlyEnds = append(w.sim.checks.deadlyEnds, w.sim.now)
+	w.setDown(true)
+	w.sim.After(deadlyBack, func() { w.setDown(false) })
+}
+
 func (w *Worker) next() {
 	if len(w.queue) == 0 || w.busy >= w.config.Slots || w.down {
 		return
--- a/internal/kernel/backend/server.go
+++ b/internal/kernel/backend/server.go
@@ -44,6 +44,14 @@
 	// Result is how one attempt ended.
 	Result uint8
 
+	// Health is what a probe found.
+	Health struct {
+		OK bool
+		// Refusing is set if nothing listens there.
+		Refusing bool
+		Report   *Report
+	}
+
 	// Report is a server's own word on its load. It lags and may be wrong, so
 	// it only ever weighs a choice and never permits a request.
 	Report struct {
--- a/internal/kernel/caller/outcome.go
+++ b/internal/kernel/caller/outcome.go
@@ -55,6 +55,11 @@
 	ReasonShed Reason = "backend-shed"
 	// ReasonBroken means that the exchange with the backend server broke.
 	ReasonBroken Reason = "backend-broken"
+	// ReasonMayEndServers means that the request's work may have ended backend servers
+	// and runs once at a time, and not again.
+	ReasonMayEndServers Reason = "may-end-servers"
+	// ReasonEndsServers means that the request's work has ended backend servers.
+	ReasonEndsServers Reason = "ends-servers"
 	// ReasonBusy means that this proxy holds as many requests as it may.
 	ReasonBusy Reason = "proxy-busy"
 	// ReasonStopping means that this proxy takes no new requests.
--- a/internal/kernel/core/action.go
+++ b/internal/kernel/core/action.go
@@ -8,6 +8,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 )
 
 const (
@@ -32,10 +33,12 @@
 
 	// Request is what a decision needs to know of a caller's request.
 	Request struct {
-		Service  string
-		Method   string
-		Path     string
-		Client   netip.Addr
+		Service string
+		Method  string
+		Path    string
+		Client  netip.Addr
+		// Work names what a server would run.
+		Work     quarantine.Work
 		Token    string
 		Deadline time.Time
 		// Forwarded requests came from a peer and are not forwarded again,
@@ -67,6 +70,8 @@
 		// Final means that no other attempt may follow: the caller has got
 		// bytes of this answer, or has gone.
 		Final bool
+		// Refusing is set if nothing listens at the server's address.
+		Refusing bool
 	}
 
 	// Action is something for the driver to do; its outcome comes back
--- a/internal/kernel/core/gossip.go
+++ b/internal/kernel/core/gossip.go
@@ -101,6 +101,8 @@
 		Stamp:    k.clock.Now(now),
 		Versions: k.versions(),
 		Members:  k.members.Newest(newestMembers, now.Add(-newsLife)),
+
+		Suspicions: k.quarantine.Reports(now, false),
 	}
 }
 
@@ -128,6 +130,7 @@
 	}
 	if asker, _ := k.members.Get(m.From); asker.State == peer.Joining && k.members.Self().State == peer.Live {
 		reply.Rows = k.rows()
+		reply.Suspicions = k.quarantine.Reports(now, true)
 	}
 	if reply.Versions.Bundle > m.Versions.Bundle {
 		reply.Bundle = k.envelope
@@ -191,6 +194,7 @@
 
 func (k *Kernel) learn(now time.Time, m peer.Exchange) {
 	k.clock.Hear(m.Stamp)
+	k.quarantine.Hear(now, m.Suspicions)
 	news := false
 	for _, member := range m.Members {
 		if k.members.Hear(member, now) {
--- a/internal/kernel/core/kernel.go
+++ b/internal/kernel/core/kernel.go
@@ -10,6 +10,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/region"
 )
 
@@ -121,6 +122,10 @@
 		rowsKnown    bool
 		lastSeed     time.Time
 		borrowing    map[peer.Resource]time.Time
+		// quarantine knows the work that ends servers; starts names the present starts
+		// of servers at which exchanges broke.
+		quarantine *quarantine.Ledger
+		starts     map[string]quarantine.Server
 	}
 
 	service struct {
@@ -158,7 +163,7 @@
 		c.MaxInFlight = DefaultMaxInFlight
 	}
 	c.Self.State = peer.Joining
-	return &Kernel{
+	k := &Kernel{
 		config:    c,
 		random:    rand.New(rand.NewChaCha8(c.Seed)),
 		events:    NewRing[Event](eventRing),
@@ -168,7 +173,12 @@
 		lastTick:  now,
 		urgent:    make(map[string]bool),
 		borrowing: make(map[peer.Resource]time.Time),
+
+		quarantine: quarantine.NewLedger(),
+		starts:     make(map[string]quarantine.Server),
 	}
+	k.quarantine.Observe = k.observeWork
+	return k
 }
 
 // Tick does what is due and returns the actions for the driver.
@@ -189,6 +199,8 @@
 		}
 		actions = k.borrow(now, actions)
 		actions = k.probe(now, actions)
+		actions = k.probeDoubted(actions)
+		k.followSuspicions(now)
 	}
 	actions = k.exchange(now, actions)
 	actions = k.store(now, actions)
--- /dev/null
+++ b/internal/kernel/core/quarantine.go
@@ -0,0 +1,130 @@
+package core
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backend"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
+)
+
+const (
+	// startSpan tells the starts of a server apart, which has one name for good: ends of
+	// one name within it count once, since all proxies must name an end alike.
+	startSpan = 8 * time.Second
+	// awayMost bounds the time that a caller of refused work is told to stay away.
+	awayMost = time.Minute
+	// breaksMost is after how many broken exchanges a request is not sent again.
+	breaksMost = 2
+)
+
+// mayRun says whether a request's work may run now; a reason and a time to come back are
+// given if not.
+func (k *Kernel) mayRun(now time.Time, f *flight) (caller.Reason, time.Duration) {
+	if f.work.None() {
+		return caller.ReasonNone, 0
+	}
+	ruling, left := k.quarantine.Rule(now, f.work, k.trialRank(f.work))
+	switch {
+	case ruling == quarantine.Condemned:
+		return caller.ReasonEndsServers, min(left, awayMost)
+	case ruling == quarantine.Busy, ruling == quarantine.Suspected && f.breaks > 0, f.breaks >= breaksMost:
+		return caller.ReasonMayEndServers, time.Second
+	}
+	return caller.ReasonNone, 0
+}
+
+// trialRank is this proxy's place in the order in which proxies try refused work again.
+func (k *Kernel) trialRank(w quarantine.Work) int {
+	members := k.members.All()
+	before := 0
+	for _, m := range members {
+		if m.Name < k.config.Self.Name {
+			before++
+		}
+	}
+	return (before + int(w[0])) % max(1, len(members))
+}
+
+// learnEnd takes in what an attempt tells of whether its server has ended.
+func (k *Kernel) learnEnd(now time.Time, f *flight, e AttemptEnd) {
+	q := k.quarantine
+	q.Stopped(f.work)
+	switch e.Result {
+	case backend.Answered:
+		q.Answered(k.starts[f.server.Name], f.sent)
+		q.RanWell(now, f.work)
+	case backend.Refused:
+		q.Answered(k.starts[f.server.Name], f.sent)
+	case backend.Broken:
+		f.breaks++
+		if !f.server.Leaving(now) {
+			// A server that leaves as planned may cut what it still has.
+			q.Broke(now, f.work, k.startOf(now, f.server.Name))
+		}
+	case backend.Unreachable:
+		if e.Refusing {
+			k.serverEnded(now, f.server.Name)
+		}
+	}
+}
+
+// startOf names the present start of a server, as all proxies do that see it end now.
+func (k *Kernel) startOf(now time.Time, server string) quarantine.Server {
+	s, known := k.starts[server]
+	if !known {
+		s = quarantine.ServerOf(server, k.clock.Now(now).Time().Truncate(startSpan))
+		k.starts[server] = s
+	}
+	return s
+}
+
+// serverEnded notes that nothing listens where a server was.
+func (k *Kernel) serverEnded(now time.Time, server string) {
+	if s, known := k.starts[server]; known {
+		k.quarantine.HasEnded(now, s)
+		delete(k.starts, server)
+	}
+}
+
+// probeDoubted asks servers at which exchanges broke whether they are still there.
+func (k *Kernel) probeDoubted(actions []Action) []Action {
+	wanted := make(map[quarantine.Server]bool)
+	for _, s := range k.quarantine.Doubtful() {
+		wanted[s] = true
+	}
+	if len(wanted) == 0 {
+		return actions
+	}
+	for _, r := range k.regions {
+		for _, s := range r.servers {
+			if wanted[k.starts[s.Name]] {
+				actions = append(actions, SendProbe{Server: s.Name, Address: s.Address})
+			}
+		}
+	}
+	return actions
+}
+
+// followSuspicions spreads what other proxies should hear at once.
+func (k *Kernel) followSuspicions(now time.Time) {
+	k.quarantine.Tick(now)
+	for name, s := range k.starts {
+		if !k.quarantine.Awaits(s) {
+			delete(k.starts, name)
+		}
+	}
+	if k.quarantine.Urgent() {
+		k.spreadNews(now)
+	}
+}
+
+// observeWork tells of what has become of a work.
+func (k *Kernel) observeWork(n quarantine.Notice) {
+	detail := n.Work.String()
+	if n.Change == quarantine.ChangeEnded {
+		detail = strconv.Itoa(len(n.Works)) + " works there"
+	}
+	k.log(k.lastTick, Event{Kind: Kind(n.Change), Detail: detail})
+}
--- a/internal/kernel/core/request.go
+++ b/internal/kernel/core/request.go
@@ -8,6 +8,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 )
 
 const (
@@ -32,9 +33,12 @@
 		idempotent bool
 		token      *caller.Token
 		attempts   int
-		began      time.Time
-		sent       time.Time
-		deadline   time.Time
+		work       quarantine.Work
+		// breaks counts the exchanges that broke.
+		breaks   int
+		began    time.Time
+		sent     time.Time
+		deadline time.Time
 	}
 )
 
@@ -54,7 +58,7 @@
 	if !now.Before(deadline) {
 		return k.refuse(now, r, caller.ReasonDeadline, 0)
 	}
-	f := flight{service: s, began: now, deadline: deadline, home: k.home(r.Client)}
+	f := flight{service: s, work: r.Work, began: now, deadline: deadline, home: k.home(r.Client)}
 	f.idempotent = s.IsIdempotent(r.Method, r.Path)
 	if !f.idempotent {
 		if d, settled := k.claim(now, r, &f); settled {
@@ -155,6 +159,9 @@
 // the link's, and a server. Whatever turns it away leaves no trace in the
 // counts. avoid is the server of the attempt before.
 func (k *Kernel) dispatch(now time.Time, f flight, avoid *backend.Server) Decision {
+	if reason, after := k.mayRun(now, &f); reason != caller.ReasonNone {
+		return k.turnAway(now, f, reason, after)
+	}
 	if k.inFlight >= k.config.MaxInFlight {
 		return k.turnAway(now, f, caller.ReasonBusy, time.Second)
 	}
@@ -217,6 +224,7 @@
 		f.id = k.config.Self.Name + "-" + strconv.FormatUint(k.serial, 36)
 	}
 	server.Start()
+	k.quarantine.Started(f.work)
 	k.inFlight++
 	kind := EventAdmitted
 	if f.attempts > 1 {
@@ -249,6 +257,7 @@
 	f := *entry
 	k.flights.Free(e.Attempt.flight)
 	k.inFlight--
+	k.learnEnd(now, &f, e)
 	wasOut := f.server.Out()
 	if e.Report != nil {
 		f.server.Learn(*e.Report, now)
--- a/internal/kernel/core/route.go
+++ b/internal/kernel/core/route.go
@@ -169,16 +169,19 @@
 }
 
 // ProbeEnded takes in a probe's result.
-func (k *Kernel) ProbeEnded(now time.Time, name string, ok bool, report *backend.Report) {
+func (k *Kernel) ProbeEnded(now time.Time, name string, h backend.Health) {
+	if h.Refusing {
+		k.serverEnded(now, name)
+	}
 	for _, r := range k.regions {
 		for _, s := range r.servers {
 			if s.Name != name {
 				continue
 			}
-			if report != nil {
-				s.Learn(*report, now)
+			if h.Report != nil {
+				s.Learn(*h.Report, now)
 			}
-			s.Probed(ok, now)
+			s.Probed(h.OK, now)
 		}
 	}
 }
--- a/internal/kernel/peer/message.go
+++ b/internal/kernel/peer/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 )
 
 type (
@@ -32,6 +33,8 @@
 		// Rows tell a newcomer how the sender spreads traffic now, by home
 		// region, in thousandths in the order of the sender's bundle.
 		Rows [][]int
+		// Suspicions are works that were there at the ends of backend servers.
+		Suspicions []quarantine.Report
 	}
 
 	// BorrowRequest asks for quota of one resource. With a loan's number it
--- a/internal/kernel/quarantine/breaks.go
+++ b/internal/kernel/quarantine/breaks.go
@@ -58,6 +58,10 @@
 	}
 }
 
+// Awaits reports whether exchanges broke at a server of which it is not known yet whether
+// it has ended.
+func (l *Ledger) Awaits(s Server) bool { return l.breaks[s] != nil }
+
 // Doubtful lists the servers that should be dialled: exchanges broke there, and nothing
 // was heard of them since.
 func (l *Ledger) Doubtful() []Server {
--- a/internal/proxy/daemon/daemon.go
+++ b/internal/proxy/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/adapter/kvhttp"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/operatorhttp"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/peerdrpc"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backend"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/errs"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
@@ -70,7 +71,7 @@
 	d.driver = driver.New(config, driver.Seams{
 		Exchange: d.peers.Exchange,
 		Borrow:   d.peers.Borrow,
-		Probe: func(ctx context.Context, a netip.AddrPort) (bool, *backendReport) {
+		Probe: func(ctx context.Context, a netip.AddrPort) backend.Health {
 			return backends.Probe(ctx, a)
 		},
 		Store: d.storeAssignment,
--- a/internal/proxy/daemon/meters.go
+++ b/internal/proxy/daemon/meters.go
@@ -6,14 +6,12 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/gypsumquay/gypsumquay/internal/kernel/backend"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/driver"
 )
 
 type (
-	backendReport = backend.Report
 
 	// meters holds the process's metrics. Names follow the Prometheus habit:
 	// base units, and _total for counters.
--- a/internal/proxy/driver/driver.go
+++ b/internal/proxy/driver/driver.go
@@ -21,7 +21,7 @@
 	Seams struct {
 		Exchange func(context.Context, peer.Member, peer.Exchange) (peer.Exchange, error)
 		Borrow   func(context.Context, peer.Member, peer.BorrowRequest) (peer.BorrowReply, error)
-		Probe    func(context.Context, netip.AddrPort) (bool, *backend.Report)
+		Probe    func(context.Context, netip.AddrPort) backend.Health
 		Store    func(context.Context, core.StoreAssignment)
 	}
 
@@ -115,8 +115,8 @@
 		}
 		d.Do(func(k *core.Kernel, now time.Time) { k.BorrowAnswered(now, a, answer) })
 	case core.SendProbe:
-		ok, report := d.seams.Probe(ctx, a.Address)
-		d.Do(func(k *core.Kernel, now time.Time) { k.ProbeEnded(now, a.Server, ok, report) })
+		health := d.seams.Probe(ctx, a.Address)
+		d.Do(func(k *core.Kernel, now time.Time) { k.ProbeEnded(now, a.Server, health) })
 	case core.StoreAssignment:
 		d.seams.Store(ctx, a)
 	}
--- a/internal/proxy/runner/runner.go
+++ b/internal/proxy/runner/runner.go
@@ -136,6 +136,8 @@
 			Answer:  a.response.Answer,
 			Report:  a.response.Report,
 			Final:   final,
+
+			Refusing: a.response.Refusing,
 		})
 	})
 	return next
@@ -200,6 +202,7 @@
 		Request: core.Request{
 			Service: f.Service, Method: f.Method, Path: f.Path, Client: client,
 			Token: f.Token, Deadline: f.Deadline, Forwarded: true,
+			Work: callerhttp.WorkOf(f.Service, f.Method, f.Path, f.Header, f.Body),
 		},
 		Header: f.Header,
 		Body:   f.Body,
