More ends than are kept come to rest; operators see what is refused

Ends beyond the eight that are kept for a work were dropped and brought back by peers that still had them, each time as news for all: now one older than all kept is not taken in. A region that is lost brings thousands of works; room is made for 128 at once, not for each by a look at all. The status lists condemned work, and a gauge counts it.

--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -33,10 +33,12 @@
 		Off []steering.Mechanism `json:"mechanisms-off,omitempty"`
 		// Holding lists services whose servers slow down when full.
 		Holding []steering.Held `json:"holding-back,omitempty"`
-		Proxies []Proxy         `json:"proxies"`
-		Servers []BackendServer `json:"backend-servers"`
-		Routes  []Route         `json:"routes"`
-		At      time.Time       `json:"at"`
+		// Condemned is work that is refused because servers ended with it.
+		Condemned []CondemnedWork `json:"condemned-work,omitempty"`
+		Proxies   []Proxy         `json:"proxies"`
+		Servers   []BackendServer `json:"backend-servers"`
+		Routes    []Route         `json:"routes"`
+		At        time.Time       `json:"at"`
 	}
 
 	// Proxy is a proxy that the asked one knows.
@@ -71,6 +73,14 @@
 		Timeout    string   `json:"timeout"`
 	}
 
+	// CondemnedWork is refused because servers ended with it.
+	CondemnedWork struct {
+		Work string `json:"work"`
+		// Ends counts the servers, For is how much longer it is refused.
+		Ends int    `json:"ends"`
+		For  string `json:"for"`
+	}
+
 	// Event is one decision of one proxy.
 	Event struct {
 		At            time.Time `json:"at"`
--- a/internal/client/command/steering.go
+++ b/internal/client/command/steering.go
@@ -169,6 +169,9 @@
 		for _, h := range v.Holding {
 			fmt.Fprintf(&text, "%24s holding back: %s, %d of %d slots (%d answers)\n", "", h.Service, h.Most, h.Slots, h.Evidence)
 		}
+		for _, c := range v.Condemned {
+			fmt.Fprintf(&text, "%24s refused for %s: work %s, at whose runs %d servers ended\n", "", c.For, c.Work, c.Ends)
+		}
 		if len(v.Stranded) > 0 {
 			fmt.Fprintf(&text, "%24s without proxies: %s\n", "", strings.Join(v.Stranded, ", "))
 		}
--- /dev/null
+++ b/internal/kernel/quarantine/bounds_test.go
@@ -0,0 +1,82 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Two groups of proxies are cut off from each other, and a request ends more servers than
+// are kept for a work. When they meet, each brings ends that the other has dropped. They
+// must come to rest: news that never end would fill the links.
+func TestMoreEndsThanAreKeptComeToRest(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	work := WorkOf("GET", "host", "/deadly", "", nil)
+	a, b := NewLedger(), NewLedger()
+	for i := range 2 * endsMost {
+		l := []*Ledger{a, b}[i%2]
+		at := now.Add(time.Duration(i) * time.Second)
+		s := ServerOf(fmt.Sprint("s", i), time.Time{})
+		l.Broke(at, work, s)
+		l.HasEnded(at, s)
+	}
+	now = now.Add(2 * endsMost * time.Second)
+	const rounds = 4
+	for i := range rounds + 1 {
+		news := b.Hear(now, a.Reports(now, false))
+		news = a.Hear(now, b.Reports(now, false)) || news
+		if i == rounds && news {
+			t.Errorf("round %d: got news still, want none", i)
+		}
+	}
+	if ruling, _ := a.Rule(now, work, 0); ruling != Condemned {
+		t.Errorf("got ruling %d, want it condemned", ruling)
+	}
+}
+
+// A region is lost with thousands of requests, each of which was there at one end. The
+// one that had ended two servers before must not be forgotten for them.
+func TestFloodOfWorksKeepsTheSuspects(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	l := NewLedger()
+	deadly := WorkOf("GET", "host", "/deadly", "", nil)
+	for _, id := range []string{"s1", "s2"} {
+		l.Broke(now, deadly, ServerOf(id, time.Time{}))
+		l.HasEnded(now, ServerOf(id, time.Time{}))
+	}
+	for i := range 10 * worksMost {
+		s := ServerOf(fmt.Sprint("flood-", i/10), time.Time{})
+		l.Broke(now, WorkOf("GET", "host", fmt.Sprint("/", i), "", nil), s)
+		l.HasEnded(now, s)
+	}
+	if n := len(l.works); n > worksMost {
+		t.Errorf("got %d works, want %d at most", n, worksMost)
+	}
+	if got := len(l.Reports(now, true)); got > reportsMost {
+		t.Errorf("got %d reports in a message, want %d at most", got, reportsMost)
+	}
+	if ruling, _ := l.Rule(now, deadly, 0); ruling != Suspected {
+		t.Errorf("got ruling %d, want it suspected still", ruling)
+	}
+}
+
+// BenchmarkRequest is what a request that nothing is held against costs, while a hundred
+// others are suspected.
+func BenchmarkRequest(b *testing.B) {
+	now := time.Unix(1_000_000, 0)
+	l := NewLedger()
+	for i := range 100 {
+		for _, id := range []string{"s1", "s2"} {
+			s := ServerOf(fmt.Sprint(id, i/10), time.Time{})
+			l.Broke(now, WorkOf("GET", "host", fmt.Sprint("/suspect/", i), "", nil), s)
+			l.HasEnded(now, s)
+		}
+	}
+	for i := 0; b.Loop(); i++ {
+		w := WorkOf("GET", "host", "/sound/17?day=2", "key", nil)
+		l.Rule(now, w, 0)
+		l.Started(w)
+		l.Stopped(w)
+		l.RanWell(now, w)
+	}
+}
--- a/internal/kernel/quarantine/ledger.go
+++ b/internal/kernel/quarantine/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -21,7 +22,8 @@
 	endsMost = 8
 	// worksMost bounds the works that are kept; a failure domain that is lost makes
 	// thousands, nearly all with one end.
-	worksMost = 512
+	worksMost    = 512
+	worksDropped = worksMost / 4
 	// firstTerm is how long a condemned work is refused before one trial. Each end more
 	// doubles it: callers of a work that goes on ending servers may come for hours.
 	firstTerm = 10 * time.Minute
@@ -312,8 +314,9 @@
 	i := slices.IndexFunc(r.ends, func(known end) bool { return known.server == e.server })
 	switch {
 	case i < 0:
-		r.ends = append(r.ends, e)
-		r.trim()
+		if !r.put(e) {
+			return false
+		}
 	case e.cleared && !r.ends[i].cleared:
 		r.ends[i].cleared = true
 	default:
@@ -326,21 +329,22 @@
 	return true
 }
 
-// trim drops an end beyond those that are kept: a cleared one, else the oldest.
-func (r *record) trim() {
+// put adds an end and reports whether it is kept. Beyond those that are kept the oldest
+// goes, and one that is older than all is not taken in: peers that still have it would
+// else bring it back for ever.
+func (r *record) put(e end) bool {
+	r.ends = append(r.ends, e)
 	if len(r.ends) <= endsMost {
-		return
+		return true
 	}
-	slices.SortStableFunc(r.ends, func(a, b end) int {
-		if a.cleared != b.cleared {
-			if a.cleared {
-				return -1
-			}
-			return 1
+	oldest := 0
+	for i := range r.ends {
+		if r.ends[i].at.Before(r.ends[oldest].at) {
+			oldest = i
 		}
-		return a.at.Compare(b.at)
-	})
-	r.ends = r.ends[1:]
+	}
+	r.ends = slices.Delete(r.ends, oldest, oldest+1)
+	return oldest != endsMost
 }
 
 func (l *Ledger) hasChanged(now time.Time, w Work, r *record) {
@@ -370,20 +374,18 @@
 	}
 }
 
-// makeRoom drops the work that matters least if there are too many: one with the fewest
-// ends, of those the one that changed first.
+// makeRoom drops some of the works that matter least if there are too many: those with
+// the fewest ends, of them those that changed first. Several go at once: a region that is
+// lost brings thousands within a second.
 func (l *Ledger) makeRoom() {
 	if len(l.works) < worksMost {
 		return
 	}
-	var least Work
-	var r *record
-	for w, other := range l.works {
-		if r == nil || other.open() < r.open() || other.open() == r.open() && other.changed.Before(r.changed) {
-			least, r = w, other
-		}
+	list := slices.Collect(maps.Keys(l.works))
+	l.weightiestFirst(list)
+	for _, w := range list[worksMost-worksDropped:] {
+		l.drop(w)
 	}
-	l.drop(least)
 }
 
 func (l *Ledger) drop(w Work) {
--- a/internal/kernel/quarantine/report.go
+++ b/internal/kernel/quarantine/report.go
@@ -32,6 +32,16 @@
 	}
 )
 
+// Open counts the ends since the work last ran well.
+func (r Report) Open() (n int) {
+	for _, e := range r.Ends {
+		if !e.Cleared {
+			n++
+		}
+	}
+	return n
+}
+
 // Reports lists what peers should hear: what has changed of late, and of the rest what
 // is condemned, in case they have missed it. all adds the other works with ends, for a
 // proxy that knows nothing yet.
--- a/internal/kernel/steering/quarantine.go
+++ b/internal/kernel/steering/quarantine.go
@@ -22,6 +22,8 @@
 		// Rank is this proxy's place among those that see to it: the first ones keep it
 		// in the platform's store, and try it again first.
 		Rank int
+		// For is how much longer it is refused here.
+		For time.Duration
 	}
 )
 
@@ -140,7 +142,9 @@
 func (k *Kernel) Condemned(now time.Time) []Condemnation {
 	var list []Condemnation
 	for _, r := range k.quarantine.Condemnations(now) {
-		list = append(list, Condemnation{Report: r, Rank: k.trialRank(r.Work)})
+		rank := k.trialRank(r.Work)
+		_, left := k.quarantine.Rule(now, r.Work, rank)
+		list = append(list, Condemnation{Report: r, Rank: rank, For: left})
 	}
 	return list
 }
--- a/internal/kernel/steering/quarantine_test.go
+++ b/internal/kernel/steering/quarantine_test.go
@@ -51,8 +51,9 @@
 func TestRequestThatBrokeTwiceIsNotSentAgain(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	k := quarantineKernel(now, true)
-	f, d := beginDeadly(k, now)
-	if d = k.Ended(now, f, Attempt{Result: Broken}); d.Server == nil {
+	f, _ := beginDeadly(k, now)
+	d := k.Ended(now, f, Attempt{Result: Broken})
+	if d.Server == nil {
 		t.Fatalf("after one break: %+v, want it sent again", d)
 	}
 	if d = k.Ended(now, f, Attempt{Result: Broken}); d.Server != nil || d.NotRun {
--- a/internal/kernel/steering/status.go
+++ b/internal/kernel/steering/status.go
@@ -21,6 +21,8 @@
 		// held back, with what was learned of them.
 		Off     []Mechanism
 		Holding []Held
+		// Condemned is work that is refused because servers ended with it.
+		Condemned []Condemnation
 	}
 
 	// ServerStatus is one backend server as one proxy sees it.
@@ -47,7 +49,7 @@
 
 // Status describes the kernel at one moment.
 func (k *Kernel) Status(now time.Time) Status {
-	s := Status{Version: k.Version(), Proxies: slices.Clone(k.proxies), Evacuated: k.Evacuated(), Stranded: k.strandedRegions(), Off: k.config.Off, Holding: k.Holding(now)}
+	s := Status{Version: k.Version(), Proxies: slices.Clone(k.proxies), Evacuated: k.Evacuated(), Stranded: k.strandedRegions(), Off: k.config.Off, Holding: k.Holding(now), Condemned: k.Condemned(now)}
 	for _, b := range k.servers {
 		s.InFlight += b.inFlight
 		s.Servers = append(s.Servers, ServerStatus{
--- a/internal/proxy/forward/face.go
+++ b/internal/proxy/forward/face.go
@@ -78,6 +78,9 @@
 			Slots: b.Slots, Load: b.Load, Speed: b.Speed, Failed: b.Failed,
 		})
 	}
+	for _, c := range view.Condemned {
+		s.Condemned = append(s.Condemned, steeringhttp.CondemnedWork{Work: c.Work.String(), Ends: c.Open(), For: c.For.Round(time.Second).String()})
+	}
 	if table == nil {
 		return s
 	}
--- a/internal/proxy/forward/meters.go
+++ b/internal/proxy/forward/meters.go
@@ -113,6 +113,7 @@
 	m.set.NewGauge("gypsumquay_live_proxies", status(func(s steering.Status) float64 { return float64(len(s.Proxies)) }))
 	m.set.NewGauge("gypsumquay_backend_servers", status(func(s steering.Status) float64 { return float64(len(s.Servers)) }))
 	m.set.NewGauge("gypsumquay_regions_without_proxies", status(func(s steering.Status) float64 { return float64(len(s.Stranded)) }))
+	m.set.NewGauge("gypsumquay_condemned_works", status(func(s steering.Status) float64 { return float64(len(s.Condemned)) }))
 	m.set.NewGauge("gypsumquay_store_copy_age_seconds", func() float64 { return d.feed.age().Seconds() })
 	m.set.NewGauge("gypsumquay_log_lines_dropped", func() float64 { return float64(dropped()) })
 }
