Alerts of work that ends servers keep within 16 KB a second

In a fleet of 22 regions a proxy with news told one proxy of each region up to twenty times a second, 3 KB each: over a megabyte a second while a region is lost. It now tells four of its own and one each of three others, pauses for as long as that takes at 16 KB a second, and tells 32 works at a time.

--- a/internal/kernel/quarantine/report.go
+++ b/internal/kernel/quarantine/report.go
@@ -9,8 +9,8 @@
 const (
 	// newsFor is for how long a change is told to every peer that this proxy speaks to.
 	newsFor = 3 * time.Second
-	// reportsMost bounds the works in one message, 4 KB at the most.
-	reportsMost = 64
+	// reportsMost bounds the works in one message, 2 KB mostly.
+	reportsMost = 32
 	// standingMost bounds those of them that have not changed of late.
 	standingMost = 16
 )
--- a/internal/proxy/forward/gossip.go
+++ b/internal/proxy/forward/gossip.go
@@ -30,6 +30,8 @@
 	// larger than that: four from each of 32 reach a hundred with little to
 	// spare, and the exchanges make up for the rest.
 	passesMost = 4
+	// alertsFar is how many other regions are alerted at once.
+	alertsFar = 3
 	// confirmsMost is how many peers the first relay of a large region tells that nothing
 	// has changed. By exchanges alone that took three seconds in a region of a hundred,
 	// so that dozens took their copies for old and asked the store themselves.
@@ -207,17 +209,21 @@
 	}
 }
 
-// alert tells a few peers of the region and one of each other region of work that ends
-// servers. Whoever hears news alerts others in turn, so that all know within a second.
-func (g *gossip) alert(ctx context.Context) {
+// alert tells a few peers of the region, and one of a few other regions, of work that ends
+// servers. Whoever hears news alerts others in turn: four and three from each reach 1,300
+// within four rounds. It tells how many were alerted.
+func (g *gossip) alert(ctx context.Context) int {
 	near, far := g.peers()
 	list := some(near, passesMost)
+	var others []netip.AddrPort
 	for _, region := range far {
-		list = append(list, region[rand.N(len(region))])
+		others = append(others, region[rand.N(len(region))])
 	}
+	list = append(list, some(others, alertsFar)...)
 	for _, to := range list {
 		go g.push(ctx, to, g.feed.revision())
 	}
+	return len(list)
 }
 
 // pass sends a peer's news on. A relay that hears of a change from another region
--- a/internal/proxy/forward/suspicions.go
+++ b/internal/proxy/forward/suspicions.go
@@ -15,8 +15,13 @@
 
 const (
 	// collectFor is how long what breaks is collected before servers are dialled and
-	// peers told. It bounds both to 20 a second.
+	// peers told.
 	collectFor = 50 * time.Millisecond
+	// alertBytes is how many bytes a second alerts may take: a region that is lost has
+	// news without end.
+	alertBytes = 16 << 10
+	// reportBytes is what a work takes in a message, with one end or two.
+	reportBytes = 48
 )
 
 // suspicions are what a peer should hear of work that ends servers.
@@ -34,7 +39,8 @@
 			return
 		case <-d.stirred:
 			sleep.For(ctx, collectFor)
-			d.followSuspicions(ctx)
+			bytes := d.followSuspicions(ctx)
+			sleep.For(ctx, time.Duration(bytes)*time.Second/alertBytes)
 		}
 	}
 }
@@ -42,17 +48,21 @@
 // followSuspicions finds out which servers have ended with requests, and tells others
 // what follows. Exchanges that break look alike whether the server has ended or only a
 // connection, and its registration runs out seconds later; where nothing listens any
-// more is known after a round trip.
-func (d *Daemon) followSuspicions(ctx context.Context) {
+// more is known after a round trip. It tells how many bytes the alerts take.
+func (d *Daemon) followSuspicions(ctx context.Context) (bytes int) {
 	var doubted []routing.Server
-	urgent := false
-	d.do(func(k *steering.Kernel, _ time.Time) { doubted, urgent = k.Doubted(), k.SuspicionsUrgent() })
+	urgent, reports := false, 0
+	d.do(func(k *steering.Kernel, now time.Time) {
+		doubted, urgent = k.Doubted(), k.SuspicionsUrgent()
+		reports = len(k.Suspicions(now, false))
+	})
 	for _, s := range doubted {
 		go d.dialDoubted(ctx, s)
 	}
-	if urgent {
-		d.gossip.alert(ctx)
+	if !urgent {
+		return 0
 	}
+	return d.gossip.alert(ctx) * reports * reportBytes
 }
 
 func (d *Daemon) dialDoubted(ctx context.Context, s routing.Server) {
