--- a/internal/kernel/steering/mechanism.go
+++ b/internal/kernel/steering/mechanism.go
@@ -50,7 +50,8 @@
 type (
 	// Mechanism names a part of the decisions that can be switched off: by operators
 	// on a bad night, and to measure what it is worth. What keeps a promise (cold
-	// servers' rate, budgets, drains, regions) is none of them.
+	// servers' rate, budgets, drains, regions) is none of them, but the quarantine: where
+	// it refuses a sound request, a good run at one proxy without it frees it.
 	Mechanism string
 )
 
