A false verdict ends within seconds

It was there at three ends with a deadly request, the proxies had just lost power and no longer knew that it ran well, and as all of them refused it nothing could show that it was sound. Suspected work may go to cold servers, within their rate: after an end of all there are no others.

--- a/internal/kernel/quarantine/ledger.go
+++ b/internal/kernel/quarantine/ledger.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"hash/fnv"
 	"maps"
 	"slices"
@@ -18,20 +19,18 @@
 	// did may have and still be explained by it. Beyond, it ends servers whatever it did
 	// before: a new version of the servers may have made it so.
 	likelierTimes = 2
-	// endsMost bounds the ends that are kept for each work.
-	endsMost = 8
+	// endsMost bounds the ends that are kept for each work, endsFirst of them the first.
+	endsMost  = 8
+	endsFirst = EndsToCondemn
 	// worksMost bounds the works that are kept; a failure domain that is lost makes
 	// thousands, nearly all with one end.
 	worksMost    = 512
 	worksDropped = worksMost / 4
-	// firstTerm is how long a condemned work is refused before one trial. Each end more
-	// doubles it: callers of a work that goes on ending servers may come for hours.
-	firstTerm = 10 * time.Minute
+	// newsWithin is how long news of an end may be under way. Ends later than that after a
+	// work was condemned are those of trials.
+	newsWithin = 4 * time.Second
 	// keepFor is how long ends count that nothing was added to.
 	keepFor = time.Hour
-	// trialStep is the time between the trials of two proxies: until all have heard
-	// what became of the one before.
-	trialStep = 5 * time.Second
 )
 
 const (
@@ -56,10 +55,25 @@
 	ChangeCleared Change = "work-cleared"
 )
 
+var (
+	// terms come one after the other, each after a trial that has ended a server. Sound
+	// work that was condemned in a storm of ends runs again within seconds, or all who ask
+	// for what is asked for most would be refused by all proxies, and nothing could clear
+	// it. Work that ends servers gets three trials within a day, as many as the operators
+	// allow.
+	terms = []term{{2 * time.Second, 4 * time.Second}, {5 * time.Minute, 15 * time.Second}, {time.Hour, time.Minute}, {24 * time.Hour, time.Minute}}
+)
+
 type (
 	// Ruling is what may be done with a work.
 	Ruling uint8
 
+	// term is how long a condemned work is refused before a trial at one proxy, and the
+	// time from there to the next proxy's: until most have heard what became of it.
+	term struct {
+		refused, step time.Duration
+	}
+
 	// Change names what has become of a work.
 	Change string
 
@@ -149,7 +163,8 @@
 		return Clear, 0
 	}
 	if n >= l.Condemn {
-		if left := l.term(r, n).Add(time.Duration(rank) * trialStep).Sub(now); left > 0 {
+		last, t := r.term(l.Condemn)
+		if left := last.Add(t.refused + time.Duration(rank)*t.step).Sub(now); left > 0 {
 			return Condemned, left
 		}
 	}
@@ -159,18 +174,30 @@
 	return Suspected, 0
 }
 
-// term is until when a work with a number of ends is refused.
-func (l *Ledger) term(r *record, n int) time.Time {
-	return r.last().Add(firstTerm << (n - l.Condemn))
+// term is the present term of a condemned work, from its last end on. It follows from the
+// ends alone, so that all proxies that know the same ends reckon with the same.
+func (r *record) term(condemn int) (last time.Time, t term) {
+	at := r.moments()
+	condemned := at[min(condemn, len(at))-1]
+	trials := 0
+	for _, moment := range at {
+		if moment.Sub(condemned) > newsWithin {
+			trials++
+		}
+	}
+	return at[len(at)-1], terms[min(trials, len(terms)-1)]
 }
 
-func (r *record) last() (last time.Time) {
+// moments are those of the ends that count, in order.
+func (r *record) moments() []time.Time {
+	var list []time.Time
 	for _, e := range r.ends {
-		if !e.cleared && e.at.After(last) {
-			last = e.at
+		if !e.cleared {
+			list = append(list, e.at)
 		}
 	}
-	return last
+	slices.SortFunc(list, time.Time.Compare)
+	return list
 }
 
 // open counts the ends since the work last ran well.
@@ -330,21 +357,17 @@
 }
 
 // put adds an end and reports whether it is kept. Beyond those that are kept the oldest
-// goes, and one that is older than all is not taken in: peers that still have it would
-// else bring it back for ever.
+// after the first goes, by which the work was condemned. If that is the one added, nothing
+// has changed: peers that still have it would else bring it back for ever.
 func (r *record) put(e end) bool {
 	r.ends = append(r.ends, e)
 	if len(r.ends) <= endsMost {
 		return true
 	}
-	oldest := 0
-	for i := range r.ends {
-		if r.ends[i].at.Before(r.ends[oldest].at) {
-			oldest = i
-		}
-	}
-	r.ends = slices.Delete(r.ends, oldest, oldest+1)
-	return oldest != endsMost
+	slices.SortFunc(r.ends, func(a, b end) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.server, b.server)) })
+	dropped := r.ends[endsFirst]
+	r.ends = slices.Delete(r.ends, endsFirst, endsFirst+1)
+	return dropped.server != e.server
 }
 
 func (l *Ledger) hasChanged(now time.Time, w Work, r *record) {
@@ -399,8 +422,9 @@
 	l.announce()
 	for w, r := range l.works {
 		last := r.changed
-		if n := r.open(); n >= l.Condemn {
-			last = l.term(r, n)
+		if r.open() >= l.Condemn {
+			end, t := r.term(l.Condemn)
+			last = end.Add(t.refused)
 		}
 		if now.Sub(last) > keepFor {
 			l.drop(w)
--- a/internal/kernel/quarantine/report.go
+++ b/internal/kernel/quarantine/report.go
@@ -127,11 +127,11 @@
 	return urgent
 }
 
-// Condemnations lists the works that are refused, for operators.
+// Condemnations lists the works that are condemned, also while they are tried.
 func (l *Ledger) Condemnations(now time.Time) []Report {
 	var list []Report
 	for _, w := range l.suspects {
-		if ruling, _ := l.Rule(now, w, 0); ruling == Condemned {
+		if l.weight(w, l.works[w]) >= l.Condemn {
 			list = append(list, l.report(now, w))
 		}
 	}
--- a/internal/kernel/steering/quarantine.go
+++ b/internal/kernel/steering/quarantine.go
@@ -64,16 +64,27 @@
 	f.work = g.workOn(f.Route)
 	least := 0.0
 	for _, s := range g.servers {
-		if !f.mayTry(now, s) || s.isCold(now) {
+		if !f.mayTry(now, s) {
 			continue
 		}
 		load := s.load(now) + float64(s.domain.roundTrip)/float64(max(f.Route.Target, time.Millisecond))
+		if s.isCold(now) {
+			if !k.coldRoom(now, g, s) {
+				continue
+			}
+			// After the servers of a service have ended all are cold, and work that
+			// is sound must be able to show it.
+			load += float64(s.Slots)
+		}
 		if best.server != nil && load >= least {
 			continue
 		}
 		least = load
 		best = k.reckon(now, f, s, nil)
 	}
+	if best.server != nil && best.server.isCold(now) {
+		best.server.cold.Take(now)
+	}
 	return best.server, best
 }
 
