--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -215,6 +215,7 @@
 	default:
 		a.Result = steering.Answered
 	}
+	a.Rejected = answer.Status >= http.StatusBadRequest
 	answer.Header.Del(c.headers.Load)
 	return a
 }
--- a/internal/kernel/core/quarantine.go
+++ b/internal/kernel/core/quarantine.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"net/http"
 	"strconv"
 	"time"
 
@@ -52,11 +53,13 @@
 	q := k.quarantine
 	q.Stopped(f.work)
 	switch e.Result {
-	case backend.Answered:
-		q.Answered(k.starts[f.server.Name], f.sent)
-		q.RanWell(now, f.work)
-	case backend.Refused:
+	case backend.Answered, backend.Refused:
 		q.Answered(k.starts[f.server.Name], f.sent)
+		if e.Answer != nil && e.Answer.Status < http.StatusBadRequest {
+			// A server that fails or rejects a request may not have come to what
+			// ends it.
+			q.RanWell(now, f.work)
+		}
 	case backend.Broken:
 		f.breaks++
 		if !f.server.Leaving(now) {
--- a/internal/kernel/quarantine/ledger.go
+++ b/internal/kernel/quarantine/ledger.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"hash/fnv"
 	"maps"
 	"slices"
@@ -15,20 +14,10 @@
 	endsToSuspect = 2
 	// EndsToCondemn is the operators' bound on the servers that one work may end.
 	EndsToCondemn = 3
-	// likelierTimes is how many times the ends of a work that never ran well one that
-	// did may have and still be explained by it. Beyond, it ends servers whatever it did
-	// before: a new version of the servers may have made it so.
-	likelierTimes = 2
-	// endsMost bounds the ends that are kept for each work, endsFirst of them the first.
-	endsMost  = 8
-	endsFirst = EndsToCondemn
 	// worksMost bounds the works that are kept; a failure domain that is lost makes
 	// thousands, nearly all with one end.
 	worksMost    = 512
 	worksDropped = worksMost / 4
-	// newsWithin is how long news of an end may be under way. Ends later than that after a
-	// work was condemned are those of trials.
-	newsWithin = 4 * time.Second
 	// keepFor is how long ends count that nothing was added to.
 	keepFor = time.Hour
 )
@@ -55,25 +44,10 @@
 	ChangeCleared Change = "work-cleared"
 )
 
-var (
-	// terms come one after the other, each after a trial that has ended a server. Sound
-	// work that was condemned in a storm of ends runs again within seconds, or all who ask
-	// for what is asked for most would be refused by all proxies, and nothing could clear
-	// it. Work that ends servers gets three trials within a day, as many as the operators
-	// allow.
-	terms = []term{{2 * time.Second, 4 * time.Second}, {5 * time.Minute, 15 * time.Second}, {time.Hour, time.Minute}, {24 * time.Hour, time.Minute}}
-)
-
 type (
 	// Ruling is what may be done with a work.
 	Ruling uint8
 
-	// term is how long a condemned work is refused before a trial at one proxy, and the
-	// time from there to the next proxy's: until most have heard what became of it.
-	term struct {
-		refused, step time.Duration
-	}
-
 	// Change names what has become of a work.
 	Change string
 
@@ -110,26 +84,6 @@
 		// doubtful is set by breaks at servers that have not been dialled since.
 		doubtful bool
 	}
-
-	// record is what is known of a work. Ends are only added, and Cleared only set,
-	// so that records of different proxies merge to the same in any order.
-	record struct {
-		ends []end
-		// changed is when an end was added or cleared, here.
-		changed time.Time
-		// ranWell is set if the work is known to have run well, before or after.
-		ranWell bool
-		// told is what was last told of the work: how many ends count.
-		told int
-	}
-
-	// end is a server's end with the work there.
-	end struct {
-		server Server
-		at     time.Time
-		// cleared is set once the work has run well after it.
-		cleared bool
-	}
 )
 
 // NewLedger makes a ledger that knows nothing.
@@ -174,84 +128,6 @@
 	return Suspected, 0
 }
 
-// term is the present term of a condemned work, from its last end on. It follows from the
-// ends alone, so that all proxies that know the same ends reckon with the same.
-func (r *record) term(condemn int) (last time.Time, t term) {
-	at := r.moments()
-	condemned := at[min(condemn, len(at))-1]
-	trials := 0
-	for _, moment := range at {
-		if moment.Sub(condemned) > newsWithin {
-			trials++
-		}
-	}
-	return at[len(at)-1], terms[min(trials, len(terms)-1)]
-}
-
-// moments are those of the ends that count, in order.
-func (r *record) moments() []time.Time {
-	var list []time.Time
-	for _, e := range r.ends {
-		if !e.cleared {
-			list = append(list, e.at)
-		}
-	}
-	slices.SortFunc(list, time.Time.Compare)
-	return list
-}
-
-// open counts the ends since the work last ran well.
-func (r *record) open() (n int) {
-	for _, e := range r.ends {
-		if !e.cleared {
-			n++
-		}
-	}
-	return n
-}
-
-// weight counts the ends that speak against a work: those since it last ran well that
-// no likelier work explains. A work that ends servers takes dozens of sound requests with
-// it each time, and the most asked-for of them are there again and again.
-func (l *Ledger) weight(w Work, r *record) int {
-	all := r.open()
-	if all < endsToSuspect {
-		return all
-	}
-	n := 0
-	for _, e := range r.ends {
-		if !e.cleared && !l.explained(w, r, e.server) {
-			n++
-		}
-	}
-	return n
-}
-
-// explained reports whether a likelier work was there at an end.
-func (l *Ledger) explained(w Work, r *record, s Server) bool {
-	return slices.ContainsFunc(l.suspects, func(o Work) bool {
-		other := l.works[o]
-		return o != w && l.likelier(other, r) && other.has(s)
-	})
-}
-
-// likelier reports whether a suspected work has rather ended servers than another one.
-// One that has never run well comes before one that has: where all servers end within a
-// moment, what is asked for most was there at each end, and nothing runs well after it.
-// Else the one with more ends comes first, if it is condemned.
-func (l *Ledger) likelier(a, than *record) bool {
-	n, other := a.open(), than.open()
-	if a.ranWell != than.ranWell {
-		return than.ranWell && n*likelierTimes >= other
-	}
-	return n >= l.Condemn && n > other
-}
-
-// has reports whether an end counts against the work.
-func (r *record) has(s Server) bool {
-	return slices.ContainsFunc(r.ends, func(e end) bool { return e.server == s && !e.cleared })
-}
-
 // Started notes that a work is sent to a server.
 func (l *Ledger) Started(w Work) { l.runs.now[w]++ }
 
@@ -356,20 +232,6 @@
 	return true
 }
 
-// put adds an end and reports whether it is kept. Beyond those that are kept the oldest
-// after the first goes, by which the work was condemned. If that is the one added, nothing
-// has changed: peers that still have it would else bring it back for ever.
-func (r *record) put(e end) bool {
-	r.ends = append(r.ends, e)
-	if len(r.ends) <= endsMost {
-		return true
-	}
-	slices.SortFunc(r.ends, func(a, b end) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.server, b.server)) })
-	dropped := r.ends[endsFirst]
-	r.ends = slices.Delete(r.ends, endsFirst, endsFirst+1)
-	return dropped.server != e.server
-}
-
 func (l *Ledger) hasChanged(now time.Time, w Work, r *record) {
 	r.changed = now
 	i := slices.Index(l.suspects, w)
--- a/internal/kernel/steering/quarantine.go
+++ b/internal/kernel/steering/quarantine.go
@@ -94,11 +94,13 @@
 	q := k.quarantine
 	q.Stopped(f.Work)
 	switch a.Result {
-	case Answered, Failed:
-		q.Answered(s.start, f.sentAt)
-		q.RanWell(now, f.Work)
-	case Refused:
+	case Answered, Failed, Refused:
 		q.Answered(s.start, f.sentAt)
+		if a.Result == Answered && !a.Rejected {
+			// A server that fails or rejects a request may not have come to what
+			// ends it.
+			q.RanWell(now, f.Work)
+		}
 	case Broken:
 		f.breaks++
 		if s.takesRequests() && s.absentUntil.IsZero() {
--- a/internal/kernel/steering/quarantine_test.go
+++ b/internal/kernel/steering/quarantine_test.go
@@ -164,3 +164,31 @@
 		t.Errorf("after three starts anew: %+v, want the work condemned", d)
 	}
 }
+
+// Between two ends a server that fails by chance, or does not like the caller, answers
+// the work with a failure of its own. It has not come to what ends servers, and the ends
+// before must go on counting.
+func TestFailureIsNoGoodRun(t *testing.T) {
+	for name, answer := range map[string]Attempt{
+		"failed":   {Result: Failed, Rejected: true},
+		"rejected": {Result: Answered, Rejected: true},
+		"refused":  {Result: Refused},
+	} {
+		now := time.Unix(1_000_000, 0)
+		k := quarantineKernel(now, false)
+		for range quarantine.EndsToCondemn {
+			f, d := beginDeadly(k, now)
+			if d.Server == nil {
+				t.Fatalf("%s: refused too soon: %+v", name, d)
+			}
+			for d.Server != nil {
+				d = k.Ended(now, f, answer)
+			}
+			now = now.Add(100 * time.Millisecond)
+			runDeadly(t, k, now)
+		}
+		if _, d := beginDeadly(k, now); d.Reason != ReasonEndsServers {
+			t.Errorf("%s: %+v, want the work condemned", name, d)
+		}
+	}
+}
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -180,6 +180,9 @@
 		// Loaded is set if the server told its load.
 		Loaded           bool
 		Running, Waiting int
+		// Rejected is set if the answer tells of a fault of the request: the server may
+		// not have begun to run it.
+		Rejected bool
 		// Refusing is set if nothing listens at the server's address.
 		Refusing bool
 		// Leaving is set if the server said that it leaves.
