Ranks of trials are worked out for condemned work only; limits stand once

On reading the whole change: the product's own interface copied and walked the list of members for each request, 1,300 at the target, to learn its rank in trials that hardly any work has. The ledger now asks for it where work is condemned. Reports were built to be counted even where nothing is told; a peer's message took the kernel's lock for each part. Limits that both kernels share stand in the ledger.

--- a/internal/kernel/core/kernel.go
+++ b/internal/kernel/core/kernel.go
@@ -177,7 +177,7 @@
 		quarantine: quarantine.NewLedger(),
 		starts:     make(map[string]quarantine.Server),
 	}
-	k.quarantine.Observe = k.observeWork
+	k.quarantine.Observe, k.quarantine.Rank = k.observeWork, k.trialRank
 	return k
 }
 
--- a/internal/kernel/core/quarantine.go
+++ b/internal/kernel/core/quarantine.go
@@ -14,10 +14,6 @@
 	// startSpan tells the starts of a server apart, which has one name for good: ends of
 	// one name within it count once, since all proxies must name an end alike.
 	startSpan = 8 * time.Second
-	// awayMost bounds the time that a caller of refused work is told to stay away.
-	awayMost = time.Minute
-	// breaksMost is after how many broken exchanges a request is not sent again.
-	breaksMost = 2
 )
 
 // mayRun says whether a request's work may run now; a reason and a time to come back are
@@ -26,11 +22,11 @@
 	if f.work.None() {
 		return caller.ReasonNone, 0
 	}
-	ruling, left := k.quarantine.Rule(now, f.work, k.trialRank(f.work))
+	ruling, left := k.quarantine.Rule(now, f.work)
 	switch {
 	case ruling == quarantine.Condemned:
-		return caller.ReasonEndsServers, min(left, awayMost)
-	case ruling == quarantine.Busy, ruling == quarantine.Suspected && f.breaks > 0, f.breaks >= breaksMost:
+		return caller.ReasonEndsServers, min(left, quarantine.AwayMost)
+	case ruling == quarantine.Busy, ruling == quarantine.Suspected && f.breaks > 0, f.breaks >= quarantine.BreaksMost:
 		return caller.ReasonMayEndServers, time.Second
 	}
 	return caller.ReasonNone, 0
--- a/internal/kernel/quarantine/bounds_test.go
+++ b/internal/kernel/quarantine/bounds_test.go
@@ -29,7 +29,7 @@
 			t.Errorf("round %d: got news still, want none", i)
 		}
 	}
-	if ruling, _ := a.Rule(now, work, 0); ruling != Condemned {
+	if ruling, _ := a.Rule(now, work); ruling != Condemned {
 		t.Errorf("got ruling %d, want it condemned", ruling)
 	}
 }
@@ -55,7 +55,7 @@
 	if got := len(l.Reports(now, true)); got > reportsMost {
 		t.Errorf("got %d reports in a message, want %d at most", got, reportsMost)
 	}
-	if ruling, _ := l.Rule(now, deadly, 0); ruling != Suspected {
+	if ruling, _ := l.Rule(now, deadly); ruling != Suspected {
 		t.Errorf("got ruling %d, want it suspected still", ruling)
 	}
 }
@@ -74,7 +74,7 @@
 	}
 	for i := 0; b.Loop(); i++ {
 		w := WorkOf("GET", "host", "/sound/17?day=2", "key", nil)
-		l.Rule(now, w, 0)
+		l.Rule(now, w)
 		l.Started(w)
 		l.Stopped(w)
 		l.RanWell(now, w)
--- a/internal/kernel/quarantine/ledger.go
+++ b/internal/kernel/quarantine/ledger.go
@@ -14,6 +14,11 @@
 	endsToSuspect = 2
 	// EndsToCondemn is the operators' bound on the servers that one work may end.
 	EndsToCondemn = 3
+	// BreaksMost is after how many broken exchanges a request is not sent again: whether
+	// those servers have ended is known only some time later.
+	BreaksMost = 2
+	// AwayMost bounds the time that a caller of refused work is told to stay away.
+	AwayMost = time.Minute
 	// worksMost bounds the works that are kept; a failure domain that is lost makes
 	// thousands, nearly all with one end.
 	worksMost    = 512
@@ -71,6 +76,9 @@
 	Ledger struct {
 		// Condemn is from how many ends on a work is refused.
 		Condemn int
+		// Rank is this proxy's place among all in the order of a work's trials. It is
+		// asked for condemned work only.
+		Rank func(Work) int
 		// Observe is told of changes.
 		Observe func(Notice)
 
@@ -90,6 +98,7 @@
 func NewLedger() *Ledger {
 	return &Ledger{
 		Condemn: EndsToCondemn,
+		Rank:    func(Work) int { return 0 },
 		Observe: func(Notice) {},
 		works:   make(map[Work]*record), breaks: make(breaks), runs: newRuns(),
 	}
@@ -105,9 +114,9 @@
 	return Server(hash.Sum64())
 }
 
-// Rule says whether a work may run now. rank is this proxy's place among all in the
-// order of trials. For a condemned work, it tells how long it is refused.
-func (l *Ledger) Rule(now time.Time, w Work, rank int) (Ruling, time.Duration) {
+// Rule says whether a work may run now. For a condemned work, it tells how long it is
+// refused.
+func (l *Ledger) Rule(now time.Time, w Work) (Ruling, time.Duration) {
 	r := l.works[w]
 	if r == nil {
 		return Clear, 0
@@ -118,7 +127,7 @@
 	}
 	if n >= l.Condemn {
 		last, t := r.term(l.Condemn)
-		if left := last.Add(t.refused + time.Duration(rank)*t.step).Sub(now); left > 0 {
+		if left := last.Add(t.refused + time.Duration(l.Rank(w))*t.step).Sub(now); left > 0 {
 			return Condemned, left
 		}
 	}
--- a/internal/kernel/quarantine/report.go
+++ b/internal/kernel/quarantine/report.go
@@ -97,7 +97,7 @@
 		if own == nil {
 			continue
 		}
-		if l.lags(own, r) || own.ranWell && !r.RanWell {
+		if own.lags(r) || own.ranWell && !r.RanWell {
 			// The peer has not heard that the work has run well.
 			own.changed = now
 		}
@@ -110,10 +110,10 @@
 	return news
 }
 
-// lags reports whether an end counts at a peer that is cleared here.
-func (l *Ledger) lags(own *record, told Report) bool {
+// lags reports whether an end counts at the peer that told it and is cleared here.
+func (r *record) lags(told Report) bool {
 	return slices.ContainsFunc(told.Ends, func(e End) bool {
-		return !e.Cleared && slices.ContainsFunc(own.ends, func(k end) bool { return k.server == e.Server && k.cleared })
+		return !e.Cleared && slices.ContainsFunc(r.ends, func(k end) bool { return k.server == e.Server && k.cleared })
 	})
 }
 
--- a/internal/kernel/quarantine/story_test.go
+++ b/internal/kernel/quarantine/story_test.go
@@ -128,7 +128,8 @@
 	case "tell-all":
 		of(s.To).Hear(now, l.Reports(now, true))
 	case "rule":
-		if got, _ := l.Rule(now, w, s.Rank); rulings[got] != s.Want {
+		l.Rank = func(Work) int { return s.Rank }
+		if got, _ := l.Rule(now, w); rulings[got] != s.Want {
 			t.Errorf("step %d: got %s, want %s", i, rulings[got], s.Want)
 		}
 	default:
--- a/internal/kernel/steering/flight.go
+++ b/internal/kernel/steering/flight.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 )
 
 // Begin finds the route of a request and its first step.
@@ -189,7 +191,7 @@
 	if f.mayHaveRun && !f.Route.Idempotent {
 		return false
 	}
-	if !k.on(MechanismRepeats) || f.sends >= f.Route.Attempts || f.dials >= sendsMost || f.breaks >= breaksMost || f.Until.Sub(now) < leastLeft {
+	if !k.on(MechanismRepeats) || f.sends >= f.Route.Attempts || f.dials >= sendsMost || f.breaks >= quarantine.BreaksMost || f.Until.Sub(now) < leastLeft {
 		return false
 	}
 	return k.service(f.Service).repeats.Spend(now, len(k.sharers))
@@ -202,7 +204,7 @@
 		d.ComeBack = k.comeBack(now, f)
 	}
 	if d.NotRun && reason == ReasonEndsServers {
-		// To come again soon is of no use to this caller, and its work must not run.
+		// Its work does not run before its next trial, however soon the caller returns.
 		d.ComeBack = f.away
 	}
 	return k.finish(now, f, d)
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -149,7 +149,7 @@
 
 		quarantine: quarantine.NewLedger(),
 	}
-	k.quarantine.Observe = k.observeWork
+	k.quarantine.Observe, k.quarantine.Rank = k.observeWork, k.trialRank
 	if c.EndsToCondemn > 0 {
 		k.quarantine.Condemn = c.EndsToCondemn
 	}
--- a/internal/kernel/steering/quarantine.go
+++ b/internal/kernel/steering/quarantine.go
@@ -7,14 +7,6 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
 
-const (
-	// breaksMost is after how many broken exchanges of one request it is not sent
-	// again: whether those servers have ended is known only some time later.
-	breaksMost = 2
-	// awayMost bounds the time that a caller of refused work is told to stay away.
-	awayMost = time.Minute
-)
-
 type (
 	// Condemnation is work that is refused.
 	Condemnation struct {
@@ -35,11 +27,11 @@
 	if f.Work.None() || !k.on(MechanismQuarantine) {
 		return ReasonNone
 	}
-	ruling, left := k.quarantine.Rule(now, f.Work, k.trialRank(f.Work))
+	ruling, left := k.quarantine.Rule(now, f.Work)
 	f.suspected = ruling != quarantine.Clear
 	switch {
 	case ruling == quarantine.Condemned:
-		f.away = min(left, awayMost)
+		f.away = min(left, quarantine.AwayMost)
 		return ReasonEndsServers
 	case ruling == quarantine.Busy, ruling == quarantine.Suspected && f.breaks > 0:
 		return ReasonSuspected
@@ -155,9 +147,8 @@
 func (k *Kernel) Condemned(now time.Time) []Condemnation {
 	var list []Condemnation
 	for _, r := range k.quarantine.Condemnations(now) {
-		rank := k.trialRank(r.Work)
-		_, left := k.quarantine.Rule(now, r.Work, rank)
-		list = append(list, Condemnation{Report: r, Rank: rank, For: left})
+		_, left := k.quarantine.Rule(now, r.Work)
+		list = append(list, Condemnation{Report: r, Rank: k.trialRank(r.Work), For: left})
 	}
 	return list
 }
--- a/internal/kernel/steering/quarantine_test.go
+++ b/internal/kernel/steering/quarantine_test.go
@@ -105,8 +105,8 @@
 	now = now.Add(5 * time.Second)
 	runDeadly(t, k, now)
 	_, d = beginDeadly(k, now)
-	if !d.NotRun || d.Reason != ReasonEndsServers || d.ComeBack != awayMost {
-		t.Errorf("condemned after a trial: %+v, want it refused for %s", d, awayMost)
+	if !d.NotRun || d.Reason != ReasonEndsServers || d.ComeBack != quarantine.AwayMost {
+		t.Errorf("condemned after a trial: %+v, want it refused for %s", d, quarantine.AwayMost)
 	}
 	other := Request{ID: "r2", Host: "host", Path: "/a/sound", Object: "o", Work: quarantine.WorkOf("GET", "host", "/a/sound", "", nil), Deadline: now.Add(time.Second)}
 	if _, d := k.Begin(now, other); d.Server == nil {
--- a/internal/proxy/forward/gossip.go
+++ b/internal/proxy/forward/gossip.go
@@ -106,9 +106,11 @@
 // take takes a peer's message in and reports whether the copy advanced.
 func (g *gossip) take(m peerdrpc.SyncMessage) bool {
 	g.feed.hear(m)
-	g.feed.daemon.do(func(k *steering.Kernel, now time.Time) { k.HearSuspicions(now, m.Suspicions) })
-	if len(m.Held) > 0 {
-		g.feed.daemon.do(func(k *steering.Kernel, now time.Time) { k.SetHolding(now, m.Held) })
+	if len(m.Held)+len(m.Suspicions) > 0 {
+		g.feed.daemon.do(func(k *steering.Kernel, now time.Time) {
+			k.SetHolding(now, m.Held)
+			k.HearSuspicions(now, m.Suspicions)
+		})
 	}
 	g.mu.Lock()
 	g.named = m.Others
--- a/internal/proxy/forward/suspicions.go
+++ b/internal/proxy/forward/suspicions.go
@@ -54,7 +54,9 @@
 	urgent, reports := false, 0
 	d.do(func(k *steering.Kernel, now time.Time) {
 		doubted, urgent = k.Doubted(), k.SuspicionsUrgent()
-		reports = len(k.Suspicions(now, false))
+		if urgent {
+			reports = len(k.Suspicions(now, false))
+		}
 	})
 	for _, s := range doubted {
 		go d.dialDoubted(ctx, s)
