Client accounts: API keys, homes, priorities and limits over all proxies

Keys are kept as digests in a table that is built with each configuration; an unknown one gets 401, a missing configuration 503. Regions of route and account meet in one set of bits of the request, which every later decision takes. Requests that waited while their key was taken away are looked at again before they are sent.

Limits are shares that add up to the whole at every moment, whoever can't be heard: each proxy gives its part to the pool of its region for a second at a time, pools grant shares to proxies that see much of an account, answer single requests of the others, and lend to each other. A giver counts longer than a taker, and each share is a token bucket of its own that starts empty.

--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
 
+	"github.com/gypsumquay/gypsumquay/internal/adapter/bearer"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/bodies"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
@@ -24,9 +25,7 @@
 )
 
 const (
-	servicePrefix = "/services/"
-	// accountHeader carries the key of the client account.
-	accountHeader  = "Authorization"
+	servicePrefix  = "/services/"
 	headerTimeout  = 5 * time.Second
 	readTimeout    = 30 * time.Second
 	writeTimeout   = 90 * time.Second
@@ -318,5 +317,5 @@
 // WorkOf names what a request asks a service to do. Its token is no part of it: a caller
 // that comes again may have a new one.
 func WorkOf(service, method, path string, h http.Header, body []byte) quarantine.Work {
-	return quarantine.WorkOf(method, service, path, h.Get(accountHeader), body)
+	return quarantine.WorkOf(method, service, path, h.Get(bearer.Field), body)
 }
--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -15,15 +15,15 @@
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/gypsumquay/gypsumquay/internal/adapter/bearer"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/bodies"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
 const (
-	// accountHeader carries the key of the client account.
-	accountHeader = "Authorization"
 	headerTimeout = 10 * time.Second
 	// idleTimeout is longer than callers keep idle connections, so that they
 	// and not this side close: a request then never crosses a close.
@@ -81,6 +81,9 @@
 		// GiveBack gives one back.
 		Ask      func(context.Context, steering.Ask) (steering.Reply, bool)
 		GiveBack func(steering.Release)
+		// AskPool asks a proxy for one request of an account's limit; it reports false if
+		// there is no answer.
+		AskPool func(ctx context.Context, pool, account string) (ratelimit.Token, bool)
 		// Stopping reports whether callers should go elsewhere.
 		Stopping func() bool
 		// Configured is closed once the first configuration is known.
@@ -109,17 +112,22 @@
 		return
 	}
 	defer body.Release()
-	request := steering.Request{ID: r.Header.Get(s.Headers.Attempt), Host: hostOf(r.Host), Path: r.URL.Path}
+	request := steering.Request{
+		ID: r.Header.Get(s.Headers.Attempt), Host: hostOf(r.Host), Path: r.URL.Path, Credential: bearer.CredentialOf(r.Header),
+	}
 	if c, err := r.Cookie(s.Headers.ObjectCookie); err == nil {
 		request.Object = c.Value
 	}
-	request.Work = quarantine.WorkOf(r.Method, request.Host, r.RequestURI, r.Header.Get(accountHeader), body.Bytes)
+	request.Work = quarantine.WorkOf(r.Method, request.Host, r.RequestURI, r.Header.Get(bearer.Field), body.Bytes)
 	if left, ok := parseLeft(r.Header.Get(s.Headers.Deadline)); ok {
 		request.Deadline = began.Add(left)
 	}
 	var flight *steering.Flight
 	var decision steering.Decision
 	s.Kernel(func(k *steering.Kernel, now time.Time) { flight, decision = k.Begin(now, request) })
+	for decision.Pool != "" {
+		decision = s.token(r.Context(), flight, decision.Pool)
+	}
 	var answer *serverhttp.Answer
 	for decision.Server != nil {
 		if decision.Ask != nil {
@@ -135,6 +143,13 @@
 	answer.Release()
 }
 
+// token asks a pool whether the request is within its account's limit.
+func (s *Server) token(ctx context.Context, f *steering.Flight, pool string) (d steering.Decision) {
+	token, answered := s.AskPool(ctx, pool, f.Account.Name)
+	s.Kernel(func(k *steering.Kernel, now time.Time) { d = k.Token(now, f, token, answered) })
+	return d
+}
+
 // place waits for a place at the server that the request should go to.
 func (s *Server) place(ctx context.Context, f *steering.Flight, a steering.Ask) (d steering.Decision) {
 	reply, answered := s.Ask(ctx, a)
@@ -173,7 +188,12 @@
 }
 
 func (s *Server) attempt(r *http.Request, body []byte, q steering.Request, f *steering.Flight, t *steering.Target) serverhttp.Request {
+	account := ""
+	if f.Account != nil {
+		account = f.Account.Name
+	}
 	return serverhttp.Request{
+		Keyed: f.Keyed, Account: account,
 		Address: t.Address, Instance: t.ID, Method: r.Method, Host: r.Host, Target: r.RequestURI,
 		Header: r.Header, Body: body, Attempt: q.ID, Deadline: f.Until,
 		DialLimit:   min(dialBase+dialRoundTrips*t.RoundTrip, f.Until.Sub(s.Now())),
@@ -218,7 +238,7 @@
 
 // reply gives the caller the final answer.
 func (s *Server) reply(w http.ResponseWriter, r *http.Request, d steering.Decision, answer *serverhttp.Answer) {
-	if s.Stopping() {
+	if s.Stopping() || d.Elsewhere {
 		w.Header().Set("Connection", "close")
 	}
 	if !d.Answer || answer == nil {
@@ -249,8 +269,14 @@
 	switch {
 	case d.Reason == steering.ReasonNoRoute:
 		status = http.StatusNotFound
+	case d.Reason == steering.ReasonNoAccount && d.NotRun:
+		status = http.StatusUnauthorized
+		w.Header().Set("WWW-Authenticate", bearer.Scheme)
 	case d.NotRun:
 		status = http.StatusServiceUnavailable
+		if d.Reason == steering.ReasonRateLimit {
+			status = http.StatusTooManyRequests
+		}
 		w.Header().Set("Retry-After", strconv.FormatFloat(d.ComeBack.Seconds(), 'f', 3, 64))
 	case d.Reason == steering.ReasonLate:
 		status = http.StatusGatewayTimeout
--- /dev/null
+++ b/internal/adapter/peerdrpc/limits.go
@@ -0,0 +1,87 @@
+package peerdrpc
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/gypsumquay/gypsumquay/internal/adapter/peerpb"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
+)
+
+const (
+	// reportTimeout bounds a report to a pool: a round trip to another region and some
+	// time on a slow VM. A pool that takes longer is of no use.
+	reportTimeout = 250 * time.Millisecond
+	// tokenTimeout bounds a question to a pool, for which a caller's request waits.
+	tokenTimeout = 150 * time.Millisecond
+)
+
+// ReportLimits tells a pool what a proxy gives away and wants.
+func (c *Client) ReportLimits(ctx context.Context, to netip.AddrPort, r ratelimit.Report) (ratelimit.Grants, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	out, err := peerpb.NewDRPCReplicaClient(c.pool.Get(ctx, to, c.dial)).ReportLimits(ctx, &peerpb.LimitReport{
+		From: r.From, Part: uint32(r.Part), Pool: r.Pool, ClockMicro: r.Echo.Microseconds(), Applied: r.Applied,
+		Wants: sharesOut(r.Wants), Withdraws: r.Withdraws, Lends: r.Lends,
+	})
+	if err != nil {
+		return ratelimit.Grants{}, errors.Wrap(err, "report to the pool of limits")
+	}
+	return ratelimit.Grants{
+		Pool: out.GetPool(), Clock: micro(out.GetClockMicro()), ID: out.GetId(), Shares: sharesIn(out.GetShares()),
+		For: micro(out.GetForMicro()), Withdrawn: out.GetWithdrawn(),
+	}, nil
+}
+
+// TakeToken asks a pool for one request of an account.
+func (c *Client) TakeToken(ctx context.Context, to netip.AddrPort, account string) (ratelimit.Token, error) {
+	ctx, cancel := context.WithTimeout(ctx, tokenTimeout)
+	defer cancel()
+	out, err := peerpb.NewDRPCReplicaClient(c.pool.Get(ctx, to, c.dial)).TakeToken(ctx, &peerpb.TokenRequest{Account: account})
+	if err != nil {
+		return ratelimit.Token{}, errors.Wrap(err, "ask the pool of limits")
+	}
+	return ratelimit.Token{Granted: out.GetGranted(), Wait: micro(out.GetWaitMicro())}, nil
+}
+
+// ReportLimits implements the generated interface.
+func (s *syncService) ReportLimits(_ context.Context, in *peerpb.LimitReport) (*peerpb.LimitGrants, error) {
+	if in.GetFrom() == "" || in.GetClockMicro() < 0 || in.GetPart() > uint32(ratelimit.Whole) {
+		return nil, errors.New("report of limits: sender, clock or part is wrong")
+	}
+	g := s.handlers.ReportLimits(ratelimit.Report{
+		From: in.GetFrom(), Part: ratelimit.Share(in.GetPart()), Pool: in.GetPool(), Echo: micro(in.GetClockMicro()),
+		Applied: in.GetApplied(), Wants: sharesIn(in.GetWants()), Withdraws: in.GetWithdraws(), Lends: in.GetLends(),
+	})
+	return &peerpb.LimitGrants{
+		Pool: g.Pool, ClockMicro: g.Clock.Microseconds(), Id: g.ID, Shares: sharesOut(g.Shares),
+		ForMicro: g.For.Microseconds(), Withdrawn: g.Withdrawn,
+	}, nil
+}
+
+// TakeToken implements the generated interface.
+func (s *syncService) TakeToken(_ context.Context, in *peerpb.TokenRequest) (*peerpb.TokenReply, error) {
+	t := s.handlers.TakeToken(in.GetAccount())
+	return &peerpb.TokenReply{Granted: t.Granted, WaitMicro: t.Wait.Microseconds()}, nil
+}
+
+func sharesOut(list []ratelimit.Want) []*peerpb.LimitShare {
+	out := make([]*peerpb.LimitShare, 0, len(list))
+	for _, w := range list {
+		out = append(out, &peerpb.LimitShare{Account: w.Account, Share: uint32(w.Share)})
+	}
+	return out
+}
+
+func sharesIn(list []*peerpb.LimitShare) []ratelimit.Want {
+	in := make([]ratelimit.Want, 0, len(list))
+	for _, w := range list {
+		in = append(in, ratelimit.Want{Account: w.GetAccount(), Share: min(ratelimit.Share(w.GetShare()), ratelimit.Whole)})
+	}
+	return in
+}
+
+func micro(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/internal/adapter/peerdrpc/server.go
+++ b/internal/adapter/peerdrpc/server.go
@@ -14,6 +14,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/adapter/peerpb"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/errs"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
@@ -41,6 +42,10 @@
 		Ask     func(steering.Ask) steering.Reply
 		Release func(steering.Release)
 		Grant   func(steering.Reply)
+		// ReportLimits answers proxies whose pool of limits is here, TakeToken those that
+		// ask it for one request of an account.
+		ReportLimits func(ratelimit.Report) ratelimit.Grants
+		TakeToken    func(account string) ratelimit.Token
 		// Now is the clock by which moments are told.
 		Now func() time.Time
 	}
--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -22,6 +22,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/gypsumquay/gypsumquay/internal/adapter/bearer"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/bodies"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/errs"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
@@ -67,6 +68,8 @@
 		NotRun string
 		// Seal marks an answer as the server's own.
 		Seal string
+		// Account names the client account of a request.
+		Account string
 	}
 
 	// Client exchanges requests with servers.
@@ -93,6 +96,10 @@
 		DialLimit time.Duration
 		// Connections bounds the connections to the server; zero for no bound.
 		Connections int
+		// Keyed is set if requests carry keys of client accounts, which servers must not
+		// see; Account is that of the request, empty for none.
+		Keyed   bool
+		Account string
 	}
 
 	// Answer is a server's whole answer. Its body must be released.
@@ -175,6 +182,9 @@
 	left := max(1, r.Deadline.Sub(c.now()).Milliseconds())
 	header.Set(c.headers.Deadline, strconv.FormatInt(left, 10))
 	header.Set(c.headers.Instance, r.Instance)
+	if r.Keyed {
+		c.setAccount(header, r.Account)
+	}
 	m := &http.Request{
 		Method: r.Method, Host: r.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		URL: &url.URL{Scheme: "http", Host: r.Host, Opaque: r.Target},
@@ -194,6 +204,20 @@
 	return m
 }
 
+// setAccount puts the name of the client account in the place of its key. What the caller
+// has sent there, in any spelling, goes.
+func (c *Client) setAccount(header http.Header, account string) {
+	header.Del(bearer.Field)
+	for name := range header {
+		if bearer.Same(name, c.headers.Account) {
+			delete(header, name)
+		}
+	}
+	if account != "" {
+		header.Set(c.headers.Account, account)
+	}
+}
+
 // judge says what an exchange means for the request.
 func (c *Client) judge(r Request, answer *Answer, err error) steering.Attempt {
 	a := steering.Attempt{Err: err}
--- /dev/null
+++ b/internal/kernel/ratelimit/arrivals.go
@@ -0,0 +1,33 @@
+package ratelimit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// arrivalSpan is how long a request counts for the rate of arrivals.
+	arrivalSpan = 2 * time.Second
+)
+
+type (
+	// Arrivals is how many requests come in a second, of late.
+	Arrivals struct {
+		perSecond float64
+		at        time.Time
+	}
+)
+
+// Heard counts one request.
+func (a *Arrivals) Heard(now time.Time) {
+	a.perSecond = a.PerSecond(now) + 1/arrivalSpan.Seconds()
+	a.at = now
+}
+
+// PerSecond is the rate at a moment.
+func (a *Arrivals) PerSecond(now time.Time) float64 {
+	if a.perSecond == 0 {
+		return 0
+	}
+	return a.perSecond * math.Exp(-max(0, now.Sub(a.at).Seconds())/arrivalSpan.Seconds())
+}
--- /dev/null
+++ b/internal/kernel/ratelimit/limit.go
@@ -0,0 +1,119 @@
+// Package ratelimit keeps requests within limits that many proxies share. Each proxy
+// holds a share of every limit, and the shares add up to at most the whole at every
+// moment, whoever can't be heard: a share is handed on for a time, and its giver lowers
+// its own first.
+//
+// A share is a token bucket of its own. What all admit in a window is therefore at most
+// the rate times the window and one burst, however the shares move.
+package ratelimit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// Whole is all of a limit.
+	Whole Share = 1_000_000
+	// allowanceUsed is the part in use of what operators allow beyond a limit. The rest
+	// covers requests that are sent again and views of the fleet that differ.
+	allowanceUsed = 0.5
+	// room is how much more is wanted than what has come of late.
+	room = 1.25
+)
+
+type (
+	// Limit is how many requests may be sent, by all together.
+	Limit struct {
+		// PerSecond is the rate; zero for no limit.
+		PerSecond float64
+		// Burst is how many may come at once on top.
+		Burst float64
+	}
+
+	// Allowance is what operators allow beyond a limit in any window.
+	Allowance struct {
+		// Ratio is a part of what the limit allows in the window, Requests a number on
+		// top.
+		Ratio    float64
+		Requests float64
+	}
+
+	// Share is a part of a limit, in millionths.
+	Share int64
+
+	// Bucket is a token bucket that holds a share of a limit.
+	Bucket struct {
+		tokens float64
+		share  Share
+		at     time.Time
+	}
+)
+
+// None reports whether there is no limit.
+func (l Limit) None() bool { return l.PerSecond <= 0 }
+
+// With is the limit that is kept to: a part of the allowance comes on top, so that what
+// is within the limit need not be refused because shares are uneven.
+func (l Limit) With(a Allowance) Limit {
+	if l.None() {
+		return l
+	}
+	more := 1 + allowanceUsed*a.Ratio
+	return Limit{PerSecond: l.PerSecond * more, Burst: max(1, l.Burst*more+allowanceUsed*a.Requests)}
+}
+
+// Part is the share of each of a number of equal holders.
+func Part(holders int) Share { return Whole / Share(max(1, holders)) }
+
+// rate is a share's part of the rate, burst its part of the burst.
+func (s Share) rate(l Limit) float64  { return float64(s) / float64(Whole) * l.PerSecond }
+func (s Share) burst(l Limit) float64 { return float64(s) / float64(Whole) * l.Burst }
+
+// wanted is the share that lets requests through that arrive at a rate.
+func wanted(perSecond float64, l Limit) Share {
+	if l.None() || perSecond <= 0 {
+		return 0
+	}
+	return Share(min(float64(Whole), math.Ceil(room*perSecond/l.PerSecond*float64(Whole))))
+}
+
+// Fill brings the tokens up to a moment, at which a share is held. A share that has
+// grown brings no tokens: whoever held it before may have used them.
+func (b *Bucket) Fill(now time.Time, l Limit, s Share) {
+	if now.After(b.at) {
+		if !b.at.IsZero() {
+			b.tokens += now.Sub(b.at).Seconds() * min(b.share, s).rate(l)
+		}
+		b.at = now
+	}
+	b.share = s
+	b.tokens = min(b.tokens, s.burst(l))
+}
+
+// Take takes a token, if there is one.
+func (b *Bucket) Take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Charge takes a token though there may be none: later requests wait for it.
+func (b *Bucket) Charge() { b.tokens-- }
+
+// Return gives a token back that was not used.
+func (b *Bucket) Return() { b.tokens++ }
+
+// Full reports whether the bucket holds all that its share allows.
+func (b *Bucket) Full(l Limit) bool { return b.tokens >= b.share.burst(l) }
+
+// Wait is the time until the next token, or most if that is longer.
+func (b *Bucket) Wait(l Limit, most time.Duration) time.Duration {
+	rate := b.share.rate(l)
+	if rate <= 0 || b.share.burst(l) < 1 {
+		return most
+	}
+	return min(most, time.Duration(max(0, 1-b.tokens)/rate*float64(time.Second)))
+}
--- a/internal/kernel/replica/relay.go
+++ b/internal/kernel/replica/relay.go
@@ -32,10 +32,18 @@
 	}
 )
 
-// Rank is a proxy's place among those of its region: the widest links first, for
-// a relay sends each change to dozens, and among equal ones in an order that
-// spreads the relays over the names. A name that is not listed comes last.
-func Rank(name string, region []Candidate) int {
+// Rank is a proxy's place in an order. A name that is not listed comes last.
+func Rank(name string, ordered []Candidate) int {
+	if i := slices.IndexFunc(ordered, func(c Candidate) bool { return c.Name == name }); i >= 0 {
+		return i
+	}
+	return len(ordered)
+}
+
+// Order lists the proxies of a region by what they do for the others: the widest links
+// first, for a relay sends each change to dozens, and among equal ones in an order that
+// spreads the relays over the names.
+func Order(region []Candidate) []Candidate {
 	ordered := slices.Clone(region)
 	slices.SortFunc(ordered, func(a, b Candidate) int {
 		return cmp.Or(
@@ -44,10 +52,7 @@
 			cmp.Compare(a.Name, b.Name),
 		)
 	})
-	if i := slices.IndexFunc(ordered, func(c Candidate) bool { return c.Name == name }); i >= 0 {
-		return i
-	}
-	return len(ordered)
+	return ordered
 }
 
 // Fresh reports whether a copy of an age is one that follows the store, or close
--- a/internal/kernel/routing/table.go
+++ b/internal/kernel/routing/table.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/account"
 )
 
 type (
@@ -18,6 +20,8 @@
 		Routes   map[string]*Route
 		Services map[string]*Service
 		Limits   Limits
+		// Accounts are the client accounts; nil if requests need no key.
+		Accounts *account.Table `json:"-"`
 		byHost   map[string][]*Route
 	}
 
@@ -48,6 +52,8 @@
 		Sticky bool
 		// Regions that may serve the route; none means all.
 		Regions []string
+		// Public routes need no API key.
+		Public bool
 		// Parts are the services that share the route's requests.
 		Parts []Part
 	}
@@ -110,6 +116,12 @@
 	return t
 }
 
+// WithAccounts adds the client accounts, while the table is being built.
+func (t *Table) WithAccounts(accounts *account.Table) *Table {
+	t.Accounts = accounts
+	return t
+}
+
 // Match finds the route with the longest prefix of path among the host's.
 func (t *Table) Match(host, path string) *Route {
 	for _, r := range t.byHost[host] {
@@ -120,11 +132,6 @@
 	return nil
 }
 
-// Allows reports whether the route may be served in a region.
-func (r *Route) Allows(region string) bool {
-	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
-}
-
 // HostRegions lists the regions in which any route of the host may be served;
 // none means all. An entry proxy elsewhere would take in requests that it may
 // not pass on.
--- a/internal/kernel/steering/ask.go
+++ b/internal/kernel/steering/ask.go
@@ -76,7 +76,7 @@
 	return &Ask{
 		Owner: owner, Server: s.id, Limit: g.holding.limits[s.Slots], Work: least,
 		Ticket: admission.Ticket{
-			ID: f.number, From: k.config.Name, Priority: f.Route.Priority,
+			ID: f.number, From: k.config.Name, Priority: f.priority(),
 			Good: f.began.Add(f.Route.Target - work - way), Last: f.Until.Add(-least - way), Until: f.Until,
 		},
 	}
@@ -134,7 +134,16 @@
 		d.Release = release
 		return d
 	}
-	if !s.takesRequests() || k.evacuated[s.Domain] || s.isCold(now) {
+	if reason := k.identifyAgain(f); reason != ReasonNone {
+		// Its key was taken away while the request waited.
+		release := f.release(0)
+		s.inFlight--
+		k.quarantine.Stopped(f.Work)
+		d := k.giveUp(now, f, reason)
+		d.Release = release
+		return d
+	}
+	if !s.takesRequests() || k.evacuated[s.Domain] || s.isCold(now) || !f.allowed.has(s.regionBit) {
 		// The server has begun to leave, or to be cold, while the request waited.
 		release := f.release(0)
 		s.inFlight--
--- a/internal/kernel/steering/call.go
+++ b/internal/kernel/steering/call.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/account"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
 
@@ -31,6 +33,16 @@
 	callDoubted      = "doubted"
 	callRefusing     = "server-refusing"
 	callSuspicions   = "suspicions"
+	callReport       = "limit-report"
+	callHearReport   = "hear-limit-report"
+	callHearGrants   = "hear-grants"
+	callUnanswered   = "limit-report-unanswered"
+	callTakeToken    = "take-token"
+	callToken        = "token"
+	callBorrow       = "borrow"
+	callHearLoan     = "hear-loan"
+	callFleet        = "fleet"
+	callResumed      = "resumed"
 )
 
 type (
@@ -60,6 +72,14 @@
 		Release  *Release        `json:"release,omitempty"`
 		// Suspicions are what a peer knows of work that ends servers.
 		Suspicions []quarantine.Report `json:"suspicions,omitempty"`
+		// Accounts are those of a table. What follows is of their limits.
+		Accounts []*account.Account `json:"accounts,omitempty"`
+		Asked    time.Time          `json:"asked,omitzero"`
+		Report   *ratelimit.Report  `json:"report,omitempty"`
+		Grants   *ratelimit.Grants  `json:"grants,omitempty"`
+		Token    *ratelimit.Token   `json:"token,omitempty"`
+		Count    int                `json:"count,omitempty"`
+		IDs      []string           `json:"ids,omitempty"`
 	}
 
 	// Verdict is a decision as it is recorded.
@@ -69,6 +89,7 @@
 		Reason   Reason        `json:"reason,omitempty"`
 		NotRun   bool          `json:"not-run,omitempty"`
 		ComeBack time.Duration `json:"come-back,omitempty"`
+		Pool     string        `json:"pool,omitempty"`
 	}
 )
 
@@ -80,7 +101,7 @@
 }
 
 func verdictOf(d Decision) Verdict {
-	v := Verdict{Answer: d.Answer, Reason: d.Reason, NotRun: d.NotRun, ComeBack: d.ComeBack}
+	v := Verdict{Answer: d.Answer, Reason: d.Reason, NotRun: d.NotRun, ComeBack: d.ComeBack, Pool: d.Pool}
 	if d.Server != nil {
 		v.Server = d.Server.ID
 	}
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -45,12 +45,13 @@
 )
 
 type (
-	// reach is how far the work of a route may go: near, in this region only, if a
-	// round trip to another takes too much of the route's target. Routes with the same
-	// key reach the same servers.
+	// reach is how far requests may go: near, in this region only, if a round trip to
+	// another takes too much of the route's target; in the regions allowed, but for one
+	// that is left out.
 	reach struct {
-		near bool
-		key  string
+		near    bool
+		allowed regionSet
+		without string
 	}
 
 	// pick is a choice and what it was reckoned to take.
@@ -123,7 +124,7 @@
 
 // mayTry reports whether the request may go to a server now.
 func (f *Flight) mayTry(now time.Time, s *server) bool {
-	return f.Route.Allows(s.region) && !slices.Contains(f.tried, s) && s.usable(now)
+	return f.allowed.has(s.regionBit) && !slices.Contains(f.tried, s) && s.usable(now)
 }
 
 // weigh tells how a server is weighed.
@@ -141,10 +142,10 @@
 		return nil
 	}
 	r := k.reachOf(f)
-	h := g.homes[r.key]
+	h := g.homes[r]
 	if h == nil {
 		h = k.newHomes(f, g, r)
-		g.homes[r.key] = h
+		g.homes[r] = h
 	}
 	return h.Of(f.Object)
 }
@@ -165,7 +166,7 @@
 // their work a slot of each region gets.
 func (k *Kernel) spread(f *Flight, g *service, r reach) (candidates []*server, weights map[string]int) {
 	for _, s := range g.servers {
-		if f.Route.Allows(s.region) && (!r.near || s.region == k.config.Region) {
+		if f.allowed.has(s.regionBit) && (!r.near || s.region == k.config.Region) {
 			candidates = append(candidates, s)
 		}
 	}
@@ -186,7 +187,7 @@
 		slots[s.region] += s.Slots
 	}
 	var list []placing.Room
-	for region, n := range k.demand(f.Route.Allows) {
+	for region, n := range k.demand(f.allowed) {
 		list = append(list, placing.Room{Region: region, Slots: slots[region], Demand: n})
 	}
 	slices.SortFunc(list, func(a, b placing.Room) int { return strings.Compare(a.Region, b.Region) })
@@ -201,11 +202,10 @@
 			farthest = max(farthest, d.roundTrip)
 		}
 	}
-	key := strings.Join(f.Route.Regions, " ")
 	if farthest > time.Duration(farShare*float64(f.Route.Target)) || !k.on(MechanismRooms) {
-		return reach{near: true, key: "near " + key}
+		return reach{near: true, allowed: f.allowed}
 	}
-	return reach{key: key}
+	return reach{allowed: f.allowed}
 }
 
 // reckon estimates the time until the answer from one server.
--- a/internal/kernel/steering/draw.go
+++ b/internal/kernel/steering/draw.go
@@ -21,10 +21,10 @@
 // another within two seconds, more than operators allow to shift at once.
 func (k *Kernel) drawRegion(f *Flight, g *service) string {
 	r := k.reachOf(f)
-	shares := g.regions[r.key]
+	shares := g.regions[r]
 	if shares == nil {
 		shares = k.newRegionShares(f, g, r)
-		g.regions[r.key] = shares
+		g.regions[r] = shares
 	}
 	if len(shares.names) == 0 {
 		return k.config.Region
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -55,6 +55,8 @@
 		Kind    Kind
 		Request string
 		Route   string
+		// Account is the client account.
+		Account string
 		Service string
 		Server  string
 		Object  string
--- a/internal/kernel/steering/failover.go
+++ b/internal/kernel/steering/failover.go
@@ -1,7 +1,6 @@
 package steering
 
 import (
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -49,7 +48,7 @@
 func (g *service) homeless(f *Flight, region string) float64 {
 	all, sound, own, ownSound := 0.0, 0.0, 0.0, 0.0
 	for _, s := range g.servers {
-		if !f.Route.Allows(s.region) {
+		if !f.allowed.has(s.regionBit) {
 			continue
 		}
 		slots := float64(s.Slots)
@@ -74,13 +73,13 @@
 
 // homesWithout deals all objects out over the servers outside a region.
 func (k *Kernel) homesWithout(f *Flight, g *service, region string) *placing.Homes {
-	key := "without " + region + " " + strings.Join(f.Route.Regions, " ")
+	key := reach{allowed: f.allowed, without: region}
 	if h := g.homes[key]; h != nil {
 		return h
 	}
 	var list []placing.Server
 	for _, s := range g.servers {
-		if f.Route.Allows(s.region) && s.region != region {
+		if f.allowed.has(s.regionBit) && s.region != region {
 			list = append(list, placing.Server{ID: s.id, Weight: s.Slots, Class: s.class()})
 		}
 	}
--- a/internal/kernel/steering/flight.go
+++ b/internal/kernel/steering/flight.go
@@ -26,6 +26,9 @@
 	if f.Route == nil {
 		return k.finish(now, f, Decision{Reason: ReasonNoRoute, NotRun: true})
 	}
+	if reason := k.identify(f); reason != ReasonNone {
+		return k.finish(now, f, Decision{Reason: reason, NotRun: true})
+	}
 	f.Until = now.Add(f.Route.Timeout)
 	if !f.Deadline.IsZero() && f.Deadline.Before(f.Until) {
 		f.Until = f.Deadline
@@ -39,6 +42,11 @@
 		// emulator 0.93 answered within the target, against 1.00 without homes.
 		f.Object = ""
 	}
+	return k.limit(now, f)
+}
+
+// start hands a request that is within its limits to a service.
+func (k *Kernel) start(now time.Time, f *Flight) Decision {
 	f.Service = k.splitter.Next(f.Route)
 	if f.Object != "" {
 		k.service(f.Service).demand.Heard(now, f.Object)
@@ -58,6 +66,9 @@
 // place picks a server and counts the request in there.
 func (k *Kernel) place(now time.Time, f *Flight) (*Target, Reason) {
 	g := k.group(f.Service)
+	if reason := k.identifyAgain(f); reason != ReasonNone {
+		return nil, reason
+	}
 	if f.Until.Sub(now) < leastLeft && len(f.tried) > 0 {
 		return nil, ReasonLate
 	}
@@ -194,12 +205,21 @@
 	if !k.on(MechanismRepeats) || f.sends >= f.Route.Attempts || f.dials >= sendsMost || f.breaks >= quarantine.BreaksMost || f.Until.Sub(now) < leastLeft {
 		return false
 	}
-	return k.service(f.Service).repeats.Spend(now, len(k.sharers))
+	if !k.service(f.Service).repeats.Spend(now, len(k.sharers)) {
+		return false
+	}
+	if f.mayHaveRun && f.Account != nil {
+		k.limits.holder.Charge(f.Account.Name)
+	}
+	return true
 }
 
 // giveUp ends a request without an answer, at once.
 func (k *Kernel) giveUp(now time.Time, f *Flight, reason Reason) Decision {
 	d := Decision{Reason: reason, NotRun: !f.mayHaveRun}
+	if f.Account != nil && len(f.steps) == 0 {
+		k.limits.holder.Return(f.Account.Name)
+	}
 	if d.NotRun {
 		d.ComeBack = k.comeBack(now, f)
 	}
@@ -223,6 +243,9 @@
 	if f.Route != nil {
 		e.Route, e.Target = f.Route.Name, f.Route.Target
 	}
+	if f.Account != nil {
+		e.Account = f.Account.Name
+	}
 	e.Cause, e.State = f.causeOf(now)
 	k.config.Observe(e)
 	return d
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
 
@@ -51,6 +52,8 @@
 		// ColdFactor and ColdSlack bound what a cold server gets in a second.
 		ColdFactor float64
 		ColdSlack  float64
+		// Quota is what is allowed beyond the limits of client accounts.
+		Quota ratelimit.Allowance
 	}
 
 	// RetryBudget bounds repeats over all proxies.
@@ -72,8 +75,11 @@
 		random   *rand.Rand
 		table    *routing.Table
 		splitter *routing.Splitter
-		// leastUrgent is the priority of each service's least urgent route.
+		// allowed are the regions of each route, by its name.
+		allowed map[string]regionSet
+		// leastUrgent is the priority of each service's least urgent requests.
 		leastUrgent map[string]int
+		limits      *limits
 		servers     map[string]*server
 		services    map[string]*service
 		// evacuated failure domains take no requests.
@@ -149,6 +155,7 @@
 
 		quarantine: quarantine.NewLedger(),
 	}
+	k.limits = newLimits(k)
 	k.quarantine.Observe, k.quarantine.Rank = k.observeWork, k.trialRank
 	if c.EndsToCondemn > 0 {
 		k.quarantine.Condemn = c.EndsToCondemn
@@ -194,8 +201,12 @@
 	if k.table != nil && t.Version <= k.table.Version {
 		return false
 	}
-	k.record(Call{Do: callTable, Table: t})
+	k.record(Call{Do: callTable, Table: t, Accounts: t.Accounts.All()})
 	k.table = t
+	k.allowed = make(map[string]regionSet, len(t.Routes))
+	for name, r := range t.Routes {
+		k.allowed[name] = k.regionSet(r.Regions)
+	}
 	k.leastUrgent = leastUrgentOf(t)
 	k.splitter.Forget(t)
 	for _, g := range k.services {
--- a/internal/kernel/steering/replay.go
+++ b/internal/kernel/steering/replay.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/account"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
 
@@ -110,8 +111,7 @@
 	case callBounds:
 		k.SetBounds(*c.Bounds)
 	case callTable:
-		t := c.Table
-		k.SetTable(routing.NewTable(t.Version, slices.Collect(maps.Values(t.Routes)), slices.Collect(maps.Values(t.Services)), t.Limits))
+		k.SetTable(tableOf(c))
 	case callServer:
 		k.SetServer(c.At, *c.Server)
 	case callRemove:
@@ -140,11 +140,29 @@
 		k.HearSuspicions(c.At, c.Suspicions)
 	case callHolding:
 		k.SetHolding(c.At, c.Holding)
+	case callReport:
+		k.LimitReport(c.At, c.ID, c.IDs)
+	case callHearReport:
+		k.HearReport(c.At, *c.Report)
+	case callHearGrants:
+		k.HearGrants(c.At, c.Asked, c.ID, *c.Grants)
+	case callUnanswered:
+		k.ReportUnanswered(c.At, c.ID)
+	case callTakeToken:
+		k.TakeToken(c.At, c.ID)
+	case callBorrow:
+		k.Borrow(c.At, c.IDs)
+	case callHearLoan:
+		k.HearLoan(c.At, c.Asked, c.ID, *c.Grants)
+	case callFleet:
+		k.SetFleet(c.Count)
+	case callResumed:
+		k.Resumed(c.At)
 	case callHearAsk:
 		k.HearAsk(c.At, *c.Ask)
 	case callHearRelease:
 		k.HearRelease(c.At, *c.Release)
-	case callBegin, callEnded, callAsked:
+	case callBegin, callEnded, callAsked, callToken:
 		return r.request(c)
 	default:
 		return errors.Errorf("do: %q is no call", c.Do)
@@ -152,6 +170,16 @@
 	return nil
 }
 
+// tableOf is the table of a call. Its keys are fingerprints, as those of its requests.
+func tableOf(c Call) *routing.Table {
+	t := routing.NewTable(c.Table.Version, slices.Collect(maps.Values(c.Table.Routes)), slices.Collect(maps.Values(c.Table.Services)), c.Table.Limits)
+	if c.Accounts == nil {
+		return t
+	}
+	accounts, _ := account.NewTable(c.Accounts)
+	return t.WithAccounts(accounts)
+}
+
 // request replays a call that decides on a request.
 func (r *replayer) request(c Call) error {
 	var f *Flight
@@ -165,9 +193,12 @@
 			return errNoFlight
 		}
 		r.watch(c, f.ID, (len(f.steps)+1)/2+1)
-		if c.Do == callAsked {
+		switch c.Do {
+		case callAsked:
 			d = r.kernel.Asked(c.At, f, *c.Reply, c.On)
-		} else {
+		case callToken:
+			d = r.kernel.Token(c.At, f, *c.Token, c.On)
+		default:
 			d = r.kernel.Ended(c.At, f, *c.Attempt)
 		}
 	}
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/account"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
 
@@ -42,6 +44,12 @@
 	ReasonNoTable Reason = "no-configuration"
 	// ReasonNoRoute means that no route matches.
 	ReasonNoRoute Reason = "no-route"
+	// ReasonNoAccount means that the request carries no key of an account.
+	ReasonNoAccount Reason = "no-account"
+	// ReasonRateLimit means that its account has sent as many as it may.
+	ReasonRateLimit Reason = "rate-limit"
+	// ReasonNoRegion means that no region may serve both its route and its account.
+	ReasonNoRegion Reason = "no-region"
 	// ReasonNoServer means that no server may take the request now.
 	ReasonNoServer Reason = "no-server"
 	// ReasonOverload means that no server would answer in time.
@@ -95,6 +103,8 @@
 		Host   string
 		Path   string
 		Object string
+		// Credential shows whose request it is.
+		Credential account.Credential
 		// Work names what a server would run.
 		Work quarantine.Work
 		// Deadline is when the caller stops waiting; zero if it did not say.
@@ -106,11 +116,21 @@
 		Request
 		Route   *routing.Route
 		Service string
+		// Account is the client account, nil for none; Keyed is set if the configuration
+		// has accounts, so that no key may be passed on.
+		Account *account.Account
+		Keyed   bool
 		// Until is when the request ends at the latest, answered or not.
 		Until time.Time
 
 		// number counts the kernel's requests.
-		number   uint64
+		number uint64
+		// version is that of the table by which the account was found.
+		version uint64
+		// allowed are the regions in which the request may run.
+		allowed regionSet
+		// asked is the ruling by which a pool is asked for a token.
+		asked    ratelimit.Ruling
 		began    time.Time
 		server   *server
 		sentAt   time.Time
@@ -153,13 +173,18 @@
 		// must be given back.
 		Ask     *Ask
 		Release *Release
+		// Pool is the proxy that must be asked whether the request is within its account's
+		// limit, before anything else; empty for none.
+		Pool string
 		// Answer ends the request with the attempt's answer.
 		Answer bool
 		Reason Reason
 		// NotRun is set if no server has run the request or will.
 		NotRun bool
-		// ComeBack is when a refused caller may try again.
-		ComeBack time.Duration
+		// ComeBack is when a refused caller may try again. Elsewhere is set if another
+		// proxy may serve it now.
+		ComeBack  time.Duration
+		Elsewhere bool
 	}
 
 	// Target is the server that an attempt goes to.
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -41,8 +41,10 @@
 		// start names this start of the server in the quarantine.
 		start  quarantine.Server
 		region string
-		gone   bool
-		domain *distance
+		// regionBit stands for the region in sets of them.
+		regionBit regionSet
+		gone      bool
+		domain    *distance
 		// unreadable is set while its entry names no server.
 		unreadable bool
 		// absentUntil is set while the server's registration is missing.
--- a/internal/kernel/steering/servers.go
+++ b/internal/kernel/steering/servers.go
@@ -37,6 +37,7 @@
 	s.unreadable = false
 	s.absentUntil = time.Time{}
 	s.region = k.config.RegionOf[r.Domain]
+	s.regionBit = k.regionBit(s.region)
 	s.domain = k.distanceTo(r.Domain)
 	if r.ColdFor > 0 {
 		s.coldUntil = later(s.coldUntil, now.Add(r.ColdFor))
@@ -100,6 +101,7 @@
 	k.forget(now)
 	k.strand(now)
 	k.expireGates(now)
+	k.limits.tick(now)
 	for id, s := range k.servers {
 		if !s.absentUntil.IsZero() && now.After(s.absentUntil) {
 			k.remove(now, id)
--- a/internal/kernel/steering/service.go
+++ b/internal/kernel/steering/service.go
@@ -21,13 +21,13 @@
 		holding holding
 		// work is how long the requests of each route take, by its name.
 		work  map[string]*workModel
-		homes map[string]*placing.Homes
+		homes map[reach]*placing.Homes
 		// ranking keeps what dealing objects out to the servers is made from.
 		ranking *placing.Ranking
 		// demand is how often objects are asked for.
 		demand placing.Demand
 		// regions are the parts of the regions in requests without objects.
-		regions map[string]*regionShares
+		regions map[reach]*regionShares
 		// pressure is how long the queues are, by the servers' region.
 		pressure map[string]*admission.Pressure
 	}
@@ -82,7 +82,7 @@
 	s := k.services[name]
 	if s == nil {
 		s = &service{
-			name: name, homes: make(map[string]*placing.Homes), regions: make(map[string]*regionShares), members: make(map[string]*server),
+			name: name, homes: make(map[reach]*placing.Homes), regions: make(map[reach]*regionShares), members: make(map[string]*server),
 			work:     make(map[string]*workModel),
 			ranking:  placing.NewRanking(),
 			pressure: make(map[string]*admission.Pressure),
--- a/internal/kernel/steering/shed.go
+++ b/internal/kernel/steering/shed.go
@@ -85,7 +85,7 @@
 	}
 	f.pressure = p.Level(now)
 	share := p.Shed(now)
-	if f.Route.Priority < k.leastUrgent[g.name] {
+	if f.priority() < k.leastUrgent[g.name] {
 		share = max(0, 2*share-1)
 	}
 	if share == 0 || k.random.Float64() >= share {
@@ -98,12 +98,22 @@
 	return true
 }
 
-// leastUrgentOf finds the priority of the least urgent route of each service.
+// leastUrgentOf finds the priority of the least urgent requests of each service. That of
+// an account goes before that of a route.
 func leastUrgentOf(t *routing.Table) map[string]int {
 	least := make(map[string]int)
+	accounts := t.Accounts.All()
 	for _, r := range t.Routes {
+		priority := r.Priority
+		for i, a := range accounts {
+			if r.Public || a.Priority == nil {
+				priority = max(priority, r.Priority)
+			} else if priority = max(priority, *a.Priority); i == 0 {
+				priority = *a.Priority
+			}
+		}
 		for _, part := range r.Parts {
-			least[part.Service] = max(least[part.Service], r.Priority)
+			least[part.Service] = max(least[part.Service], priority)
 		}
 	}
 	return least
--- a/internal/kernel/steering/stranded.go
+++ b/internal/kernel/steering/stranded.go
@@ -80,13 +80,13 @@
 	return true
 }
 
-// demand tells each region's part of the callers of a route's regions, by its
+// demand tells each region's part of the callers of the regions allowed, by its
 // failure domains. The callers of a region without proxies ask any proxy of the
 // other regions, and so count there in equal parts.
-func (k *Kernel) demand(allows func(region string) bool) map[string]float64 {
+func (k *Kernel) demand(allowed regionSet) map[string]float64 {
 	demand := make(map[string]float64)
 	for _, region := range k.config.RegionOf {
-		if allows(region) {
+		if allowed.has(k.regionBit(region)) {
 			demand[region]++
 		}
 	}
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/adapter/peerdrpc"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/steeringhttp"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/sleep"
@@ -43,7 +44,8 @@
 		mu     sync.Mutex
 		kernel *steering.Kernel
 		// inForce are the bounds in force; those of settings are the first.
-		inForce Bounds
+		inForce     Bounds
+		suspensions suspensions
 
 		callers   *http.Server
 		servers   *serverhttp.Client
@@ -59,6 +61,7 @@
 		peers     *peerdrpc.Client
 		places    *places
 		verdicts  *verdicts
+		quotas    *quotas
 
 		stopping chan struct{}
 		// stirred asks for suspicions to be followed soon.
@@ -84,6 +87,7 @@
 	seams.Store = counted(seams.Store, d.meters.storeCall)
 	d.feed = newFeed(d)
 	d.verdicts = newVerdicts(d, seams.Store)
+	d.quotas = newQuotas(d, seams.Store)
 	d.peers = peerdrpc.NewClient(func() *tls.Config { return nil })
 	d.peers.Sent, d.peers.Received = d.meters.sent.Add, d.meters.received.Add
 	d.meters.watch(d, seams.Dropped)
@@ -95,7 +99,7 @@
 	d.servers = serverhttp.NewClient(seams.Names.Server, memory, d.now, d.meters.connections.Inc)
 	d.callers = (&forwardhttp.Server{
 		Headers: seams.Names.Caller, Kernel: d.do, Memory: memory, Send: d.servers.Send, Now: d.now,
-		Ask: d.places.ask, GiveBack: d.places.giveBack,
+		Ask: d.places.ask, GiveBack: d.places.giveBack, AskPool: d.quotas.ask,
 		Stopping: d.isStopping, Configured: d.feed.begun, Started: d.start,
 	}).HTTP()
 	d.readiness = &http.Server{Handler: d.readinessHandler(), ReadHeaderTimeout: time.Second, IdleTimeout: faceIdle}
@@ -127,7 +131,12 @@
 func (d *Daemon) do(f func(*steering.Kernel, time.Time)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	f(d.kernel, d.now())
+	clock := time.Now()
+	now := d.start.Add(clock.Sub(d.start))
+	if d.suspensions.ended(clock) {
+		d.kernel.Resumed(now)
+	}
+	f(d.kernel, now)
 	if d.kernel.Stirred() {
 		select {
 		case d.stirred <- struct{}{}:
@@ -189,6 +198,8 @@
 	go d.tick(ctx)
 	go d.watchSuspicions(ctx)
 	go d.verdicts.run(ctx)
+	go d.quotas.run(ctx)
+	go d.quotas.count(ctx)
 	go d.measure(ctx)
 	if len(d.settings.Off) > 0 {
 		klog.InfoS("mechanisms switched off", "mechanisms", d.settings.Off)
@@ -212,6 +223,14 @@
 			return reply
 		},
 		Release: d.places.release, Grant: d.places.hear, Now: d.now,
+		ReportLimits: func(r ratelimit.Report) (g ratelimit.Grants) {
+			d.do(func(k *steering.Kernel, now time.Time) { g = k.HearReport(now, r) })
+			return g
+		},
+		TakeToken: func(account string) (t ratelimit.Token) {
+			d.do(func(k *steering.Kernel, now time.Time) { t = k.TakeToken(now, account) })
+			return t
+		},
 	}
 }
 
--- a/internal/proxy/forward/feed.go
+++ b/internal/proxy/forward/feed.go
@@ -81,9 +81,13 @@
 // tell brings one change to the kernel.
 func (f *feed) tell(e replica.Entry) {
 	n := f.daemon.seams.Names
-	if e.Key == n.Configuration {
+	switch e.Key {
+	case n.Configuration:
 		f.tellTable(e)
 		return
+	case fleetKey:
+		f.daemon.quotas.hear(e)
+		return
 	}
 	if domain, ok := strings.CutPrefix(e.Key, n.Evacuations); ok {
 		if err := f.checkDomain(domain, ""); err != nil && !e.Removed {
--- a/internal/proxy/forward/members.go
+++ b/internal/proxy/forward/members.go
@@ -172,19 +172,25 @@
 	return m.Peers, known
 }
 
-// rank is this proxy's place among those of its region. While none is known, as when
-// a whole fleet starts, the seeds follow the store and tell the others; hundreds that
-// each took themselves for the first made a call for each of the others' entries.
-func (f *feed) rank() int {
-	settings := f.daemon.settings
+// candidates lists a region's proxies by what they do for the others.
+func (f *feed) candidates(region string) []replica.Candidate {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []replica.Candidate
 	for _, m := range f.members {
-		if m.Region == settings.Region && !m.Leaving {
+		if m.Region == region && !m.Leaving {
 			list = append(list, replica.Candidate{Name: m.Name, LinkMbps: m.LinkMbps})
 		}
 	}
+	return replica.Order(list)
+}
+
+// rank is this proxy's place among those of its region. While none is known, as when
+// a whole fleet starts, the seeds follow the store and tell the others; hundreds that
+// each took themselves for the first made a call for each of the others' entries.
+func (f *feed) rank() int {
+	settings := f.daemon.settings
+	list := f.candidates(settings.Region)
 	if len(list) == 0 && len(settings.Seeds) > 0 && !slices.Contains(settings.Seeds, settings.Listen.Peers) {
 		return replica.Relays
 	}
--- a/internal/proxy/forward/reload.go
+++ b/internal/proxy/forward/reload.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
@@ -77,5 +78,6 @@
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow,
 		},
 		ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack,
+		Quota: ratelimit.Allowance{Ratio: s.Bounds.QuotaRatio, Requests: s.Bounds.QuotaRequests},
 	}
 }
--- a/internal/proxy/forward/settings.go
+++ b/internal/proxy/forward/settings.go
@@ -71,6 +71,10 @@
 		// ColdFactor and ColdSlack bound what a cold server gets in a second.
 		ColdFactor float64
 		ColdSlack  float64
+		// QuotaRatio and QuotaRequests are allowed beyond the limits of client accounts: a
+		// part of the limit, and a number on top.
+		QuotaRatio    float64
+		QuotaRequests float64
 	}
 
 	// Names is how messages and keys call the product's fields.
