--- /dev/null
+++ b/internal/adapter/bearer/bearer_test.go
@@ -0,0 +1,69 @@
+package bearer
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/account"
+)
+
+func TestCredentialOf(t *testing.T) {
+	for _, c := range []struct {
+		fields []string
+		want   account.CredentialState
+	}{
+		{nil, account.Absent},
+		{[]string{"Bearer abc"}, account.Present},
+		{[]string{"bearer abc"}, account.Present},
+		{[]string{"BEARER   abc "}, account.Present},
+		{[]string{"Bearer"}, account.Malformed},
+		{[]string{"Bearer "}, account.Malformed},
+		{[]string{""}, account.Malformed},
+		{[]string{"Basic abc"}, account.Malformed},
+		{[]string{"abc"}, account.Malformed},
+		{[]string{"Bearer abc def"}, account.Malformed},
+		{[]string{"Bearer abc\tdef"}, account.Malformed},
+		{[]string{"Bearer ab\u00e7"}, account.Malformed},
+		{[]string{"Bearer abc", "Bearer abc"}, account.Malformed},
+		{[]string{"Bearer " + strings.Repeat("x", 10_000)}, account.Malformed},
+	} {
+		got := CredentialOf(http.Header{Field: c.fields})
+		if got.State != c.want {
+			t.Errorf("%q: state is %d, want %d", c.fields, got.State, c.want)
+		}
+		if want, _ := account.KeyOf("abc"); c.want == account.Present && got.Key != want {
+			t.Errorf("%q: key is %s, want that of abc", c.fields, got.Key)
+		}
+	}
+}
+
+// FuzzCredentialOf looks for texts that pass for a key that the caller did not write as one
+// word.
+func FuzzCredentialOf(f *testing.F) {
+	f.Add("Bearer abc", "")
+	f.Add("Bearer  abc", "Bearer def")
+	f.Fuzz(func(t *testing.T, one, two string) {
+		h := http.Header{Field: {one}}
+		if two != "" {
+			h.Add(Field, two)
+		}
+		got := CredentialOf(h)
+		words := strings.Fields(one)
+		proper := two == "" && len(words) == 2 && strings.EqualFold(words[0], Scheme)
+		if got.State == account.Present && !proper {
+			t.Errorf("%q and %q are taken for a key", one, two)
+		}
+		if got.State != account.Present && got.Key != (account.Key{}) {
+			t.Errorf("%q and %q: state %d with a key", one, two, got.State)
+		}
+	})
+}
+
+func TestSame(t *testing.T) {
+	for name, want := range map[string]bool{"X-Account": true, "x-account": true, "X_Account": true, "x_ACCOUNT": true, "X-Accounts": false, "XAccount": false} {
+		if got := Same("X-Account", name); got != want {
+			t.Errorf("%s is the same: %t, want %t", name, got, want)
+		}
+	}
+}
--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -35,10 +35,15 @@
 		Holding []steering.Held `json:"holding-back,omitempty"`
 		// Condemned is work that is refused because servers ended with it.
 		Condemned []CondemnedWork `json:"condemned-work,omitempty"`
-		Proxies   []Proxy         `json:"proxies"`
-		Servers   []BackendServer `json:"backend-servers"`
-		Routes    []Route         `json:"routes"`
-		At        time.Time       `json:"at"`
+		// Accounts are the client accounts; limits are divided among Holders proxies, and
+		// Pool is the proxy that this one gives its part to.
+		Accounts []Account       `json:"client-accounts,omitempty"`
+		Holders  int             `json:"limits-divided-among,omitempty"`
+		Pool     string          `json:"pool-of-limits,omitempty"`
+		Proxies  []Proxy         `json:"proxies"`
+		Servers  []BackendServer `json:"backend-servers"`
+		Routes   []Route         `json:"routes"`
+		At       time.Time       `json:"at"`
 	}
 
 	// Proxy is a proxy that the asked one knows.
@@ -81,17 +86,38 @@
 		For  string `json:"for"`
 	}
 
+	// Account is a client account as the asked proxy sees it.
+	Account struct {
+		Name string `json:"name"`
+		// Keys are fingerprints, which tell keys apart and nothing of them.
+		Keys     []string `json:"key-fingerprints"`
+		Regions  []string `json:"regions,omitempty"`
+		Priority *int     `json:"priority,omitempty"`
+		// LimitPerSecond and Burst are the limit over all proxies, zero for none.
+		LimitPerSecond float64 `json:"limit-per-second,omitempty"`
+		Burst          float64 `json:"burst,omitempty"`
+		// HeldShare is the part of the limit that the proxy holds by itself, PerSecond the
+		// rate of requests there; Admitted and Refused count them since the account was
+		// last idle.
+		HeldShare float64 `json:"held-share"`
+		PerSecond float64 `json:"per-second"`
+		Admitted  uint64  `json:"admitted"`
+		Refused   uint64  `json:"refused"`
+	}
+
 	// Event is one decision of one proxy.
 	Event struct {
-		At            time.Time `json:"at"`
-		VM            string    `json:"vm"`
-		Kind          string    `json:"kind"`
-		Request       string    `json:"request,omitempty"`
-		Route         string    `json:"route,omitempty"`
-		Configuration uint64    `json:"configuration,omitempty"`
-		Service       string    `json:"service,omitempty"`
-		Server        string    `json:"server,omitempty"`
-		Object        string    `json:"object,omitempty"`
+		At      time.Time `json:"at"`
+		VM      string    `json:"vm"`
+		Kind    string    `json:"kind"`
+		Request string    `json:"request,omitempty"`
+		Route   string    `json:"route,omitempty"`
+		// Account is the client account.
+		Account       string `json:"account,omitempty"`
+		Configuration uint64 `json:"configuration,omitempty"`
+		Service       string `json:"service,omitempty"`
+		Server        string `json:"server,omitempty"`
+		Object        string `json:"object,omitempty"`
 		// Work names what the request asks a server to do; requests with the same one
 		// have the same path, client account and body.
 		Work   string `json:"work,omitempty"`
@@ -126,7 +152,7 @@
 // EventOf is a kernel's event as operators see it.
 func EventOf(vm string, e steering.Event) Event {
 	out := Event{
-		At: e.At, VM: vm, Kind: string(e.Kind), Request: e.Request, Route: e.Route, Configuration: e.Version,
+		At: e.At, VM: vm, Kind: string(e.Kind), Request: e.Request, Route: e.Route, Account: e.Account, Configuration: e.Version,
 		Service: e.Service, Server: e.Server, Object: e.Object, Work: e.Work.String(), Domain: e.Domain, Region: e.Region, Elsewhere: e.Elsewhere, Attempt: e.Attempt,
 		Reason: string(e.Reason), Load: e.Load, Warm: e.Warm, Draining: e.Draining,
 		Expected: span(e.Expected), Took: span(e.Took), ComeBack: span(e.ComeBack), Pressure: e.Pressure,
--- a/internal/client/command/steering.go
+++ b/internal/client/command/steering.go
@@ -23,13 +23,14 @@
 type (
 	// SteeringArguments are the commands for proxies on the platform.
 	SteeringArguments struct {
-		Status  *SteeringStatusArguments  `arg:"subcommand:status" help:"who is alive, versions in force, age of the store's news"`
-		Servers *SteeringServersArguments `arg:"subcommand:servers" help:"backend servers as one proxy sees them"`
-		Routes  *SteeringRoutesArguments  `arg:"subcommand:routes" help:"routes in force at one proxy"`
-		Explain *SteeringExplainArguments `arg:"subcommand:explain" help:"all decisions on one request, over all proxies"`
-		Events  *SteeringEventsArguments  `arg:"subcommand:events" help:"decisions and changes of all proxies, merged"`
-		Losses  *SteeringLossesArguments  `arg:"subcommand:losses" help:"late, refused and failed requests by cause, route, region, server state and time"`
-		Replay  *SteeringReplayArguments  `arg:"subcommand:replay" help:"give a recording of a proxy to a new kernel and compare the decisions"`
+		Status   *SteeringStatusArguments   `arg:"subcommand:status" help:"who is alive, versions in force, age of the store's news"`
+		Servers  *SteeringServersArguments  `arg:"subcommand:servers" help:"backend servers as one proxy sees them"`
+		Routes   *SteeringRoutesArguments   `arg:"subcommand:routes" help:"routes in force at one proxy"`
+		Accounts *SteeringAccountsArguments `arg:"subcommand:accounts" help:"client accounts, their limits and their use over all proxies"`
+		Explain  *SteeringExplainArguments  `arg:"subcommand:explain" help:"all decisions on one request, over all proxies"`
+		Events   *SteeringEventsArguments   `arg:"subcommand:events" help:"decisions and changes of all proxies, merged"`
+		Losses   *SteeringLossesArguments   `arg:"subcommand:losses" help:"late, refused and failed requests by cause, route, region, server state and time"`
+		Replay   *SteeringReplayArguments   `arg:"subcommand:replay" help:"give a recording of a proxy to a new kernel and compare the decisions"`
 	}
 
 	// SteeringStatusArguments has no fields.
@@ -86,6 +87,8 @@
 		return a.Servers.run(s, client)
 	case a.Routes != nil:
 		return a.Routes.run(s, client)
+	case a.Accounts != nil:
+		return a.Accounts.run(s, client)
 	case a.Explain != nil:
 		return steeringEvents(s, client, a.Explain.Request, func(steeringhttp.Event) bool { return true })
 	case a.Events != nil:
@@ -95,7 +98,7 @@
 	case a.Replay != nil:
 		return a.Replay.run()
 	}
-	return Result{}, usageError("steering: needs status, servers, routes, explain, events, losses or replay")
+	return Result{}, usageError("steering: needs status, servers, routes, accounts, explain, events, losses or replay")
 }
 
 func (a *SteeringEventsArguments) match(e steeringhttp.Event) bool {
@@ -246,7 +249,7 @@
 func steeringDetail(e steeringhttp.Event) string {
 	var parts []string
 	for _, f := range []struct{ name, value string }{
-		{"request", e.Request}, {"route", e.Route}, {"service", e.Service}, {"server", e.Server}, {"object", e.Object},
+		{"request", e.Request}, {"route", e.Route}, {"account", e.Account}, {"service", e.Service}, {"server", e.Server}, {"object", e.Object},
 		{"failure-domain", e.Domain}, {"result", e.Result}, {"outcome", e.Outcome}, {"reason", e.Reason},
 		{"expected", e.Expected}, {"took", e.Took}, {"load-age", e.LoadAge}, {"come-back", e.ComeBack}, {"pressure", level(e.Pressure)},
 		{"cause", e.Cause}, {"server-state", e.State}, {"wait", e.Wait}, {"target", e.Target}, {"error", e.Error},
--- /dev/null
+++ b/internal/kernel/account/table_test.go
@@ -0,0 +1,100 @@
+package account
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+func key(t testing.TB, text string) Key {
+	t.Helper()
+	k, ok := KeyOf(text)
+	if !ok {
+		t.Fatalf("%q is no key", text)
+	}
+	return k
+}
+
+func TestHolderOfAKey(t *testing.T) {
+	anna := &Account{Name: "anna", Keys: []Key{key(t, "1"), key(t, "2"), key(t, "2")}}
+	table, conflicts := NewTable([]*Account{anna, {Name: "bruno", Keys: []Key{key(t, "3")}}})
+	if len(conflicts) > 0 {
+		t.Errorf("conflicts are %v, want none: an account may name a key twice", conflicts)
+	}
+	for text, want := range map[string]string{"1": "anna", "2": "anna", "3": "bruno", "4": ""} {
+		got := ""
+		if a := table.Holder(key(t, text)); a != nil {
+			got = a.Name
+		}
+		if got != want {
+			t.Errorf("key %s is of %q, want %q", text, got, want)
+		}
+	}
+}
+
+// Guards against a key that runs requests for whichever account was read first.
+func TestKeyOfTwoAccountsOpensNeither(t *testing.T) {
+	table, conflicts := NewTable([]*Account{
+		{Name: "anna", Keys: []Key{key(t, "1"), key(t, "2")}}, {Name: "bruno", Keys: []Key{key(t, "1")}}, {Name: "carla", Keys: []Key{key(t, "1")}},
+	})
+	if a := table.Holder(key(t, "1")); a != nil {
+		t.Errorf("the key is of %s, want nobody", a.Name)
+	}
+	if a := table.Holder(key(t, "2")); a == nil || a.Name != "anna" {
+		t.Errorf("the other key is of %v, want anna", a)
+	}
+	if got, want := len(conflicts), 2; got != want {
+		t.Errorf("%d conflicts, want %d", got, want)
+	}
+}
+
+func TestTextsThatAreNoKeys(t *testing.T) {
+	for _, text := range []string{"", strings.Repeat("x", keyBytesMost+1)} {
+		if _, ok := KeyOf(text); ok {
+			t.Errorf("a text of %d bytes is taken for a key", len(text))
+		}
+	}
+}
+
+func TestFingerprintTellsNothingOfTheKey(t *testing.T) {
+	const text = "fwrz56aw63is47qdqiqr"
+	data, err := json.Marshal(Credential{State: Present, Key: key(t, text)})
+	if err != nil || strings.Contains(string(data), text) {
+		t.Errorf("credential is written as %s, %v", data, err)
+	}
+	var back Credential
+	if err := json.Unmarshal(data, &back); err != nil || back.Key.Fingerprint() != key(t, text).Fingerprint() {
+		t.Errorf("read back as %s, %v, want the fingerprint %s", back.Key, err, key(t, text))
+	}
+}
+
+func BenchmarkHolder(b *testing.B) {
+	for _, keys := range []int{10, 1_000, 100_000} {
+		b.Run(fmt.Sprint(keys), func(b *testing.B) {
+			a := &Account{Name: "anna"}
+			for i := range keys {
+				a.Keys = append(a.Keys, key(b, fmt.Sprint(i)))
+			}
+			table, _ := NewTable([]*Account{a})
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				k, _ := KeyOf("17")
+				if table.Holder(k) == nil && keys > 17 {
+					b.Fatal("key not found")
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkNewTable(b *testing.B) {
+	a := &Account{Name: "anna"}
+	for i := range 100_000 {
+		a.Keys = append(a.Keys, key(b, fmt.Sprint(i)))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		NewTable([]*Account{a})
+	}
+}
--- a/internal/kernel/ratelimit/holder.go
+++ b/internal/kernel/ratelimit/holder.go
@@ -56,8 +56,10 @@
 
 		name string
 		part Share
-		// awayUntil is how long others may hold the own part.
+		// awayUntil is how long others may hold the own part, ownSince since when it has
+		// been here undiminished.
 		awayUntil time.Time
+		ownSince  time.Time
 		pool      link
 		// others are the pools of some other regions.
 		others []string
@@ -109,7 +111,12 @@
 }
 
 // SetPart sets the own part of all limits.
-func (h *Holder) SetPart(part Share) { h.part = part }
+func (h *Holder) SetPart(part Share) {
+	if part > h.part {
+		h.ownSince = time.Time{}
+	}
+	h.part = part
+}
 
 // Resume forgets what was granted and given: this process did not run for a while, and
 // shares may have ended meanwhile by others' clocks.
@@ -128,6 +135,9 @@
 		return Ruling{Verdict: Admitted}
 	}
 	a := h.account(account)
+	if a.bucket.at.IsZero() && !now.Before(h.awayUntil) {
+		a.bucket = Bucket{at: h.heldSince(now), share: h.part}
+	}
 	a.arrivals.Heard(now)
 	a.bucket.Fill(now, l, h.share(now, a))
 	switch {
@@ -145,6 +155,18 @@
 	return Ruling{Verdict: Denied, Wait: a.bucket.Wait(l, aloneWait), Elsewhere: true}
 }
 
+// Tick notes since when the own part has been here.
+func (h *Holder) Tick(now time.Time) { h.heldSince(now) }
+
+// heldSince is since when the own part has been here. An account that was not used since
+// then has the tokens that came in meanwhile.
+func (h *Holder) heldSince(now time.Time) time.Time {
+	if h.ownSince.IsZero() {
+		h.ownSince = now
+	}
+	return later(h.ownSince, h.awayUntil)
+}
+
 // ask names the next pool to ask: that of the own region first, then some others.
 func (h *Holder) ask(now time.Time, from int) (Ruling, bool) {
 	for i := from; i <= len(h.others); i++ {
@@ -240,7 +262,7 @@
 			list = append(list, Want{Account: name, Share: share})
 			continue
 		}
-		if rate < idleBelow && !a.granted.live(now) && !now.Before(a.deniedUntil) {
+		if rate < idleBelow && !a.granted.live(now) && !now.Before(a.deniedUntil) && a.bucket.Full(h.Limits(name)) {
 			delete(h.accounts, name)
 		}
 	}
--- a/internal/kernel/replica/relay.go
+++ b/internal/kernel/replica/relay.go
@@ -32,8 +32,10 @@
 	}
 )
 
-// Rank is a proxy's place in an order. A name that is not listed comes last.
-func Rank(name string, ordered []Candidate) int {
+// Rank is a proxy's place among those of its region. A name that is not listed comes
+// last.
+func Rank(name string, region []Candidate) int {
+	ordered := Order(region)
 	if i := slices.IndexFunc(ordered, func(c Candidate) bool { return c.Name == name }); i >= 0 {
 		return i
 	}
--- a/internal/kernel/steering/flight.go
+++ b/internal/kernel/steering/flight.go
@@ -27,7 +27,11 @@
 		return k.finish(now, f, Decision{Reason: ReasonNoRoute, NotRun: true})
 	}
 	if reason := k.identify(f); reason != ReasonNone {
-		return k.finish(now, f, Decision{Reason: reason, NotRun: true})
+		d := Decision{Reason: reason, NotRun: true}
+		if reason == ReasonNoRegion {
+			d.ComeBack = comeBackMost
+		}
+		return k.finish(now, f, d)
 	}
 	f.Until = now.Add(f.Route.Timeout)
 	if !f.Deadline.IsZero() && f.Deadline.Before(f.Until) {
--- a/internal/kernel/steering/limits.go
+++ b/internal/kernel/steering/limits.go
@@ -76,6 +76,7 @@
 		l.waited = true
 		l.divide()
 	}
+	l.holder.Tick(now)
 	l.pool.Tick(now)
 }
 
--- a/internal/kernel/steering/status.go
+++ b/internal/kernel/steering/status.go
@@ -4,6 +4,9 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/account"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 )
 
 type (
@@ -23,6 +26,17 @@
 		Holding []Held
 		// Condemned is work that is refused because servers ended with it.
 		Condemned []Condemnation
+		// Accounts are the client accounts; limits are divided among Holders proxies, and
+		// Pool is the one that this proxy reports to.
+		Accounts []AccountStatus
+		Holders  int
+		Pool     string
+	}
+
+	// AccountStatus is a client account and what this proxy knows of its use.
+	AccountStatus struct {
+		*account.Account
+		ratelimit.Held
 	}
 
 	// ServerStatus is one backend server as one proxy sees it.
@@ -50,6 +64,7 @@
 // Status describes the kernel at one moment.
 func (k *Kernel) Status(now time.Time) Status {
 	s := Status{Version: k.Version(), Proxies: slices.Clone(k.proxies), Evacuated: k.Evacuated(), Stranded: k.strandedRegions(), Off: k.config.Off, Holding: k.Holding(now), Condemned: k.Condemned(now)}
+	s.Accounts, s.Holders, s.Pool = k.accounts(now), max(k.limits.fleet, k.limits.holders), k.limits.holder.Pool()
 	for _, b := range k.servers {
 		s.InFlight += b.inFlight
 		s.Servers = append(s.Servers, ServerStatus{
@@ -62,3 +77,19 @@
 	slices.SortFunc(s.Servers, func(a, b ServerStatus) int { return strings.Compare(a.Service+a.ID, b.Service+b.ID) })
 	return s
 }
+
+// accounts lists the client accounts with their use here, by name.
+func (k *Kernel) accounts(now time.Time) []AccountStatus {
+	if k.table == nil {
+		return nil
+	}
+	held := make(map[string]ratelimit.Held)
+	for _, h := range k.limits.holder.Held(now) {
+		held[h.Account] = h
+	}
+	var list []AccountStatus
+	for _, a := range k.table.Accounts.All() {
+		list = append(list, AccountStatus{Account: a, Held: held[a.Name]})
+	}
+	return list
+}
--- a/internal/proxy/forward/face.go
+++ b/internal/proxy/forward/face.go
@@ -10,6 +10,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/steeringhttp"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
@@ -81,6 +82,10 @@
 	for _, c := range view.Condemned {
 		s.Condemned = append(s.Condemned, steeringhttp.CondemnedWork{Work: c.Work.String(), Ends: c.Open(), For: c.For.Round(time.Second).String()})
 	}
+	s.Holders, s.Pool = view.Holders, view.Pool
+	for _, a := range view.Accounts {
+		s.Accounts = append(s.Accounts, accountOf(a))
+	}
 	if table == nil {
 		return s
 	}
@@ -94,3 +99,15 @@
 	slices.SortFunc(s.Routes, func(a, b steeringhttp.Route) int { return strings.Compare(a.Name, b.Name) })
 	return s
 }
+
+// accountOf is a client account as operators see it.
+func accountOf(a steering.AccountStatus) steeringhttp.Account {
+	out := steeringhttp.Account{
+		Name: a.Name, Regions: a.Regions, Priority: a.Priority, LimitPerSecond: a.Limit.PerSecond, Burst: a.Limit.Burst,
+		HeldShare: float64(a.Share) / float64(ratelimit.Whole), PerSecond: a.PerSecond, Admitted: a.Admitted, Refused: a.Denied,
+	}
+	for _, key := range a.Keys {
+		out.Keys = append(out.Keys, key.Fingerprint())
+	}
+	return out
+}
--- a/internal/proxy/forward/journal.go
+++ b/internal/proxy/forward/journal.go
@@ -89,7 +89,7 @@
 		}
 	}
 	j.keep(e)
-	klog.InfoS(string(e.Kind), "request", e.Request, "route", e.Route, "work", e.Work.String(), "configuration", e.Version,
+	klog.InfoS(string(e.Kind), "request", e.Request, "route", e.Route, "account", e.Account, "work", e.Work.String(), "configuration", e.Version,
 		"outcome", e.Outcome.String(), "reason", string(e.Reason), "took", e.Took.String(), "attempts", e.Attempt, "tried", tried(e.Steps),
 		"come-back", e.ComeBack.String(), "pressure", e.Pressure, "target", e.Target.String(), "cause", string(e.Cause), "server-state", string(e.State))
 }
--- a/internal/proxy/forward/members.go
+++ b/internal/proxy/forward/members.go
@@ -172,7 +172,7 @@
 	return m.Peers, known
 }
 
-// candidates lists a region's proxies by what they do for the others.
+// candidates lists a region's proxies that do not leave.
 func (f *feed) candidates(region string) []replica.Candidate {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -182,7 +182,7 @@
 			list = append(list, replica.Candidate{Name: m.Name, LinkMbps: m.LinkMbps})
 		}
 	}
-	return replica.Order(list)
+	return list
 }
 
 // rank is this proxy's place among those of its region. While none is known, as when
--- a/internal/proxy/forward/quotas.go
+++ b/internal/proxy/forward/quotas.go
@@ -200,7 +200,7 @@
 	now := q.daemon.now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, c := range q.daemon.feed.candidates(region) {
+	for _, c := range replica.Order(q.daemon.feed.candidates(region)) {
 		if now.After(q.silent[c.Name]) {
 			return c.Name
 		}
