Regions leave room for accounts that are bound to them

What callers saw: on the shifted deployment the two largest accounts may be served in catania only, which has a tenth of the servers and was given its tenth of all other objects besides.

Cause: objects are dealt out by slots, as if all requests could run anywhere. Now each region's part of bound requests, reckoned from the limits of the accounts, is taken off its room; it follows later configurations in steps that keep callers' regions.

--- a/internal/fake/warmnet/load.go
+++ b/internal/fake/warmnet/load.go
@@ -76,6 +76,10 @@
 		// Plain routes promise nothing of servers that know an object; WarmShare
 		// should be 1 then.
 		Plain bool `json:"plain"`
+		// Bound is the part of all requests whose accounts may be served in the region
+		// BoundTo only, in tenths.
+		Bound   float64 `json:"bound"`
+		BoundTo string  `json:"bound-to"`
 		// Off lists the mechanisms that the proxies do without.
 		Off []steering.Mechanism `json:"off"`
 		// Leave is when one server of each region leaves; zero for never.
--- a/internal/fake/warmnet/play.go
+++ b/internal/fake/warmnet/play.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/account"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
@@ -22,6 +23,8 @@
 	service  = "service"
 	host     = "host"
 	workVary = 0.15
+	// accountsInAll is how many accounts there are, which send alike.
+	accountsInAll = 10
 	// calmShare is the rate while a load is calm, as a part of the load's.
 	calmShare = 0.5
 )
@@ -62,6 +65,8 @@
 		server  *server
 		object  string
 		returns int
+		// credential is that of the caller's account, if there are any.
+		credential account.Credential
 		// deadly work ends its server.
 		deadly bool
 	}
@@ -159,13 +164,35 @@
 		Timeout: w.load.Timeout.Std(), Target: w.load.Target.Std(), Parts: []routing.Part{{Service: service, Weight: 1}},
 	}
 	bounds := &routing.Service{Name: service, Connections: w.load.Connections}
-	k.SetTable(routing.NewTable(1, []*routing.Route{route}, []*routing.Service{bounds}, routing.Limits{}))
+	k.SetTable(routing.NewTable(1, []*routing.Route{route}, []*routing.Service{bounds}, routing.Limits{}).WithAccounts(w.accounts()))
 	for _, s := range w.servers {
 		k.SetServer(w.clock(), w.registration(s))
 		k.Measured(s.region+"-a", w.roundTrip(region, s.region))
 	}
 }
 
+// accounts are those of the callers, if some are bound to a region.
+func (w *world) accounts() *account.Table {
+	if w.load.Bound == 0 {
+		return nil
+	}
+	var list []*account.Account
+	for i := range accountsInAll {
+		a := &account.Account{Name: strconv.Itoa(i), Keys: []account.Key{accountKey(i)}}
+		if float64(i) < w.load.Bound*accountsInAll {
+			a.Regions = []string{w.load.BoundTo}
+		}
+		list = append(list, a)
+	}
+	table, _ := account.NewTable(list)
+	return table
+}
+
+func accountKey(i int) account.Key {
+	key, _ := account.KeyOf("key-" + strconv.Itoa(i))
+	return key
+}
+
 func (w *world) registration(s *server) routing.Server {
 	return routing.Server{ID: s.id, Service: service, Domain: s.region + "-a", Slots: w.load.Slots}
 }
@@ -220,7 +247,11 @@
 	if !w.load.Anonymous {
 		object = strconv.FormatInt(int64(i*w.load.Objects+w.draw()), 16)
 	}
-	w.begin(&job{region: region, began: w.now, object: object, returns: w.load.Returns})
+	j := &job{region: region, began: w.now, object: object, returns: w.load.Returns}
+	if w.load.Bound > 0 {
+		j.credential = account.Credential{State: account.Present, Key: accountKey(w.random.IntN(accountsInAll))}
+	}
+	w.begin(j)
 }
 
 // draw draws an object among those of one region.
@@ -250,7 +281,7 @@
 }
 
 func (w *world) receive(j *job) {
-	flight, decision := j.kernel.Begin(w.clock(), steering.Request{ID: strconv.Itoa(w.out.Asked), Host: host, Path: "/", Object: j.object, Work: workOf(j.object)})
+	flight, decision := j.kernel.Begin(w.clock(), steering.Request{ID: strconv.Itoa(w.out.Asked), Host: host, Path: "/", Object: j.object, Work: workOf(j.object), Credential: j.credential})
 	j.flight = flight
 	w.follow(j, decision)
 }
--- a/internal/kernel/placing/home_test.go
+++ b/internal/kernel/placing/home_test.go
@@ -185,7 +185,7 @@
 // other regions idled; if objects were dealt out regardless of the region, two
 // thirds of all requests would travel.
 func TestSpreadKeepsObjectsNearAsFarAsThereIsRoom(t *testing.T) {
-	rooms := []Room{{"few", 8, 1}, {"some", 16, 1}, {"many", 24, 1}}
+	rooms := []Room{{"few", 8, 1, 0}, {"some", 16, 1, 0}, {"many", 24, 1, 0}}
 	share := func(from string) map[string]float64 {
 		weights := Spread(rooms, from, RoomShare)
 		total := 0.0
@@ -211,11 +211,37 @@
 	}
 }
 
+// Guards against a region that takes its part of all objects on top of requests that may
+// run nowhere else.
+func TestSpreadLeavesRoomForBoundRequests(t *testing.T) {
+	rooms := []Room{{"few", 8, 1, 0.1}, {"some", 16, 1, 0}, {"many", 24, 1, 0}}
+	load := make(map[string]float64)
+	for _, from := range rooms {
+		weights, total := Spread(rooms, from.Region, RoomShare), 0.0
+		for _, r := range rooms {
+			total += float64(weights[r.Region] * r.Slots)
+		}
+		for _, r := range rooms {
+			load[r.Region] += float64(weights[r.Region]*r.Slots) / total * 0.9 / 3
+		}
+	}
+	load["few"] += 0.1
+	for _, r := range rooms {
+		if most := RoomShare * float64(r.Slots) / 48; load[r.Region] > most+0.01 {
+			t.Errorf("%s has %.2f of all requests, want at most %.2f", r.Region, load[r.Region], most)
+		}
+	}
+	alone := []Room{{"few", 8, 1, 0.9}, {"none", 0, 1, 0}}
+	if got := Spread(alone, "few", RoomShare); got["few"] == 0 {
+		t.Error("a region alone gives its objects no home, want them at home though there is no room")
+	}
+}
+
 func TestSpreadWithoutServersOrOwnRegion(t *testing.T) {
-	if got := Spread([]Room{{"a", 0, 1}}, "a", RoomShare); len(got) != 0 {
+	if got := Spread([]Room{{"a", 0, 1, 0}}, "a", RoomShare); len(got) != 0 {
 		t.Errorf("no slots: got %v, want none", got)
 	}
-	got := Spread([]Room{{"a", 4, 1}, {"b", 8, 1}}, "elsewhere", RoomShare)
+	got := Spread([]Room{{"a", 4, 1, 0}, {"b", 8, 1, 0}}, "elsewhere", RoomShare)
 	if got["a"] == 0 || got["a"] != got["b"] {
 		t.Errorf("callers of another region: got %v, want equal weights", got)
 	}
--- a/internal/kernel/placing/spread.go
+++ b/internal/kernel/placing/spread.go
@@ -23,6 +23,9 @@
 		Slots int
 		// Demand is the region's share of the callers, in any unit.
 		Demand float64
+		// Bound is the part of all requests that must run there, wherever their callers
+		// are.
+		Bound float64
 	}
 )
 
@@ -32,21 +35,23 @@
 // have, up to a share of the mean load. All proxies of a region come to the same
 // answer from the same list.
 func Spread(rooms []Room, from string, share float64) map[string]int {
-	slots, demand := 0.0, 0.0
+	weights := make(map[string]int)
+	slots, demand, bound := 0.0, 0.0, 0.0
 	for _, r := range rooms {
 		slots += float64(r.Slots)
 		demand += r.Demand
+		bound += r.Bound
 	}
-	weights := make(map[string]int)
 	if slots == 0 || demand == 0 {
 		return weights
 	}
+	free := max(0, 1-bound)
+	most := func(r Room) float64 { return max(0, share*float64(r.Slots)/slots-r.Bound) }
 	spare, own := 0.0, 0.0
 	for _, r := range rooms {
-		room := share*float64(r.Slots)/slots - r.Demand/demand
-		spare += max(0, room)
+		spare += max(0, most(r)-free*r.Demand/demand)
 		if r.Region == from {
-			own = r.Demand / demand
+			own = free * r.Demand / demand
 		}
 	}
 	i := slices.IndexFunc(rooms, func(r Room) bool { return r.Region == from })
@@ -57,10 +62,14 @@
 		}
 		return weights
 	}
-	home := min(own, share*float64(rooms[i].Slots)/slots)
+	home := min(own, most(rooms[i]))
+	if spare == 0 {
+		// No other region has room either.
+		home = own
+	}
 	for _, r := range rooms {
 		flow := 0.0
-		if room := share*float64(r.Slots)/slots - r.Demand/demand; room > 0 && spare > 0 {
+		if room := most(r) - free*r.Demand/demand; room > 0 {
 			flow = (own - home) * room / spare
 		}
 		if r.Region == from {
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -188,7 +188,11 @@
 	}
 	var list []placing.Room
 	for region, n := range k.demand(f.allowed) {
-		list = append(list, placing.Room{Region: region, Slots: slots[region], Demand: n})
+		room := placing.Room{Region: region, Slots: slots[region], Demand: n}
+		if f.allowed == everywhere {
+			room.Bound = k.bound.now[region]
+		}
+		list = append(list, room)
 	}
 	slices.SortFunc(list, func(a, b placing.Room) int { return strings.Compare(a.Region, b.Region) })
 	return list
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -80,6 +80,7 @@
 		// leastUrgent is the priority of each service's least urgent requests.
 		leastUrgent map[string]int
 		limits      *limits
+		bound       bound
 		servers     map[string]*server
 		services    map[string]*service
 		// evacuated failure domains take no requests.
@@ -208,6 +209,7 @@
 		k.allowed[name] = k.regionSet(r.Regions)
 	}
 	k.leastUrgent = leastUrgentOf(t)
+	k.setBound(t)
 	k.splitter.Forget(t)
 	for _, g := range k.services {
 		g.forgetWork(t)
--- a/internal/kernel/steering/servers.go
+++ b/internal/kernel/steering/servers.go
@@ -102,6 +102,7 @@
 	k.strand(now)
 	k.expireGates(now)
 	k.limits.tick(now)
+	k.moveBound(now)
 	for id, s := range k.servers {
 		if !s.absentUntil.IsZero() && now.After(s.absentUntil) {
 			k.remove(now, id)
