A request's servers are weighed among those that know its object

If the best of these costs less than any other can, the others are not looked at; else all are, as before.

--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -42,6 +42,8 @@
 	memory = 10 * time.Second
 	// memoryMost bounds the objects noted for each server.
 	memoryMost = 64
+	// knownObjectsMost is from how many objects on those are swept that no server knows.
+	knownObjectsMost = 8192
 )
 
 type (
@@ -72,16 +74,28 @@
 // choose picks the server with the least expected time for the request among
 // all that may take it.
 func (k *Kernel) choose(now time.Time, f *Flight, g *service) (*server, pick) {
-	best := pick{reason: ReasonNoServer}
 	homes := k.failover(now, f, g, k.atReplica(f, g, k.homes(f, g)))
 	if f.Object == "" && f.region == "" {
 		f.region = k.drawRegion(f, g)
 	}
 	f.work = g.workOn(f.Route)
+	best, settled := k.chooseNear(now, f, g, homes)
+	if !settled {
+		best = k.chooseAmong(now, f, g, homes, g.servers)
+	}
+	if best.server != nil && best.server.isCold(now) {
+		best.server.cold.Take(now)
+	}
+	return best.server, best
+}
+
+// chooseAmong picks the server with the least expected time among some.
+func (k *Kernel) chooseAmong(now time.Time, f *Flight, g *service, homes []string, servers []*server) pick {
+	best := pick{reason: ReasonNoServer}
 	left := f.Until.Sub(now)
 	most := k.connections(g)
 	homeFull := false
-	for _, s := range g.servers {
+	for _, s := range servers {
 		if k.weighed != nil {
 			k.weigh(now, f, s, homes)
 		}
@@ -111,15 +125,10 @@
 		// home has answered lately, so it does not hang but is busy. Its requests
 		// would run cold elsewhere and leave the servers with three times the work,
 		// until nearly all requests of the service come late. Refused callers come
-		// back when the home has caught up. In the emulator, at 0.82 of what warm
-		// servers can do and three connections a proxy, 0.76 are answered within the
-		// target instead of 0.72.
-		return nil, pick{reason: ReasonOverload}
+		// back when the home has caught up.
+		return pick{reason: ReasonOverload}
 	}
-	if best.server != nil && best.server.isCold(now) {
-		best.server.cold.Take(now)
-	}
-	return best.server, best
+	return best
 }
 
 // mayTry reports whether the request may go to a server now.
--- a/internal/kernel/steering/learn.go
+++ b/internal/kernel/steering/learn.go
@@ -62,4 +62,5 @@
 		model.heard(f.warm, work, f.Route.Target)
 	}
 	s.handled(f.Object, now)
+	g.knows(now, s, f.Object)
 }
--- a/internal/kernel/steering/placer.go
+++ b/internal/kernel/steering/placer.go
@@ -22,14 +22,16 @@
 	placer struct {
 		name string
 		cost func(k *Kernel, f *Flight, p pick) time.Duration
-		// sheds is set if requests are refused where queues are too long.
-		sheds bool
+		// sheds is set if requests are refused where queues are too long, keepsHomes if
+		// servers away from an object's homes are charged for running it cold.
+		sheds      bool
+		keepsHomes bool
 	}
 )
 
 func init() {
 	registerPlacer(placer{
-		name: DefaultPlacer, sheds: true,
+		name: DefaultPlacer, sheds: true, keepsHomes: true,
 		cost: func(_ *Kernel, _ *Flight, p pick) time.Duration { return p.cost },
 	})
 	registerPlacer(placer{name: "least-in-flight", cost: func(_ *Kernel, _ *Flight, p pick) time.Duration {
--- a/internal/kernel/steering/service.go
+++ b/internal/kernel/steering/service.go
@@ -22,6 +22,8 @@
 		// work is how long the requests of each route take, by its name.
 		work  map[string]*workModel
 		homes map[reach]*placing.Homes
+		// knowers are the servers that have handled each object lately.
+		knowers map[string][]*server
 		// ranking keeps what dealing objects out to the servers is made from.
 		ranking *placing.Ranking
 		// demand is how often objects are asked for.
