A fleet divides limits as soon as it knows how many proxies it has

Cause: the number of proxies was stored a fixed time after the start, and looked at once a second. Now it is stored once the number known has not changed for 1.2 s.

--- a/internal/kernel/steering/limits.go
+++ b/internal/kernel/steering/limits.go
@@ -9,7 +9,7 @@
 const (
 	// fleetWait is how long after its start a proxy waits to be told of how many proxies
 	// limits are divided. Later it takes those that it knows, twice.
-	fleetWait = 3 * time.Second
+	fleetWait = 4 * time.Second
 	// poolSuffix tells what a proxy asks as a pool from what it asks for itself.
 	poolSuffix = "/pool"
 )
--- a/internal/proxy/forward/quotas.go
+++ b/internal/proxy/forward/quotas.go
@@ -24,10 +24,10 @@
 	// that have all lost power must not take the first few for all.
 	fleetKey = "gypsumquay/fleet"
 	// fleetEvery is how often the stored number is compared with the proxies known.
-	fleetEvery = time.Second
-	// fleetSettles is how long a proxy must have run before it stores a larger number,
-	// fleetShrinks how long it must have known fewer before it stores a smaller one.
-	fleetSettles = 3 * time.Second
+	fleetEvery = 300 * time.Millisecond
+	// fleetSettles is how long a proxy must have known the same number before it stores a
+	// larger one, fleetShrinks the same for a smaller one.
+	fleetSettles = 1200 * time.Millisecond
 	fleetShrinks = time.Minute
 	// lendersMost is how many other regions' pools are asked at a time.
 	lendersMost = 4
@@ -46,10 +46,11 @@
 		mu sync.Mutex
 		// silent is until when a pool is passed over.
 		silent map[string]time.Time
-		// stored is the number that the store holds, fewerSince since when fewer proxies
-		// are known.
+		// stored is the number that the store holds, known how many proxies are known and
+		// since when.
 		stored     int
-		fewerSince time.Time
+		known      int
+		knownSince time.Time
 	}
 
 	// fleetSize is the text at fleetKey.
@@ -251,13 +252,14 @@
 	now := d.now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if n >= q.stored {
-		q.fewerSince = now
+	if n != q.known {
+		q.known, q.knownSince = n, now
 	}
-	if !first || n == q.stored || now.Sub(d.start) < fleetSettles {
-		return n, false
+	settles := fleetSettles
+	if n < q.stored {
+		settles = fleetShrinks
 	}
-	return n, n > q.stored || now.Sub(q.fewerSince) >= fleetShrinks
+	return n, first && n != q.stored && now.Sub(q.knownSince) >= settles
 }
 
 // regions lists all regions, in order.
