--- a/internal/adapter/peerdrpc/limits.go
+++ b/internal/adapter/peerdrpc/limits.go
@@ -25,7 +25,7 @@
 	defer cancel()
 	out, err := peerpb.NewDRPCReplicaClient(c.pool.Get(ctx, to, c.dial)).ReportLimits(ctx, &peerpb.LimitReport{
 		From: r.From, Part: uint32(r.Part), Pool: r.Pool, ClockMicro: r.Echo.Microseconds(), Applied: r.Applied,
-		Wants: sharesOut(r.Wants), Withdraws: r.Withdraws, Lends: r.Lends,
+		Wants: sharesOut(r.Wants), Withdraws: r.Withdraws, Lends: r.Lends, Starter: uint32(r.Starter), Start: r.Start,
 	})
 	if err != nil {
 		return ratelimit.Grants{}, errors.Wrap(err, "report to the pool of limits")
@@ -55,6 +55,7 @@
 	g := s.handlers.ReportLimits(ratelimit.Report{
 		From: in.GetFrom(), Part: ratelimit.Share(in.GetPart()), Pool: in.GetPool(), Echo: micro(in.GetClockMicro()),
 		Applied: in.GetApplied(), Wants: sharesIn(in.GetWants()), Withdraws: in.GetWithdraws(), Lends: in.GetLends(),
+		Starter: min(ratelimit.Share(in.GetStarter()), ratelimit.Whole), Start: in.GetStart(),
 	})
 	return &peerpb.LimitGrants{
 		Pool: g.Pool, ClockMicro: g.Clock.Microseconds(), Id: g.ID, Shares: sharesOut(g.Shares),
--- a/internal/fake/limitnet/play.go
+++ b/internal/fake/limitnet/play.go
@@ -99,6 +99,7 @@
 	p.pool = ratelimit.NewPool(uint64(p.start), w.clock())
 	limits := func(account string) ratelimit.Limit { return w.limits[account].With(allowance) }
 	p.holder.Limits, p.pool.Limits = limits, limits
+	p.pool.Starter = func(account string) float64 { return w.limits[account].Starter(allowance) }
 	p.holder.SetPart(ratelimit.Part(w.load.Proxies))
 	if w.way != Even {
 		w.report(p, p.start)
--- a/internal/kernel/ratelimit/holder.go
+++ b/internal/kernel/ratelimit/holder.go
@@ -56,6 +56,10 @@
 
 		name string
 		part Share
+		// start tells the starts of the process apart; started is set once the pool has
+		// heard of this one.
+		start   uint64
+		started bool
 		// awayUntil is how long others may hold the own part, ownSince since when it has
 		// been here undiminished.
 		awayUntil time.Time
@@ -107,7 +111,7 @@
 // NewHolder makes the holder of a process that started at a moment. What the process
 // before it on this VM gave away may still be in use.
 func NewHolder(name string, start time.Time) *Holder {
-	return &Holder{name: name, awayUntil: start.Add(depositFor + guard), silent: make(map[string]time.Time), accounts: make(map[string]*holding)}
+	return &Holder{name: name, start: uint64(start.UnixMilli()), awayUntil: start.Add(depositFor + guard), silent: make(map[string]time.Time), accounts: make(map[string]*holding)}
 }
 
 // SetPart sets the own part of all limits.
@@ -152,7 +156,16 @@
 		return ruling
 	}
 	a.denied++
-	return Ruling{Verdict: Denied, Wait: a.bucket.Wait(l, aloneWait), Elsewhere: true}
+	return h.alone(now)
+}
+
+// alone denies a request because no pool can be asked. Another proxy may serve it, unless
+// all may have just started.
+func (h *Holder) alone(now time.Time) Ruling {
+	if young := h.awayUntil.Sub(now); !h.started && young > 0 {
+		return Ruling{Verdict: Denied, Wait: young + rampUp}
+	}
+	return Ruling{Verdict: Denied, Wait: aloneWait, Elsewhere: true}
 }
 
 // Tick notes since when the own part has been here.
@@ -196,7 +209,7 @@
 	}
 	a.denied++
 	if !answered {
-		return Ruling{Verdict: Denied, Wait: aloneWait, Elsewhere: true}
+		return h.alone(now)
 	}
 	wait := max(deniedLeast, min(t.Wait, deniedMost))
 	a.deniedUntil = later(a.deniedUntil, now.Add(wait))
@@ -233,6 +246,9 @@
 		h.awayUntil = later(h.awayUntil, now.Add(depositFor+guard))
 		r.Part = h.part
 	}
+	if !h.started {
+		r.Starter, r.Start = h.part, h.start
+	}
 	r.Wants = h.wants(now)
 	return h.pool.name, r
 }
@@ -283,6 +299,7 @@
 		*p = link{}
 		return true
 	}
+	h.started = h.started || h.part > 0
 	first := p.id != g.Pool
 	if first {
 		p.given = false
--- a/internal/kernel/ratelimit/limit.go
+++ b/internal/kernel/ratelimit/limit.go
@@ -18,6 +18,9 @@
 	// allowanceUsed is the part in use of what operators allow beyond a limit. The rest
 	// covers requests that are sent again and views of the fleet that differ.
 	allowanceUsed = 0.5
+	// starterShare is the part of it for processes that start; all may start twice within
+	// a window.
+	starterShare = 0.2
 	// room is how much more is wanted than what has come of late.
 	room = 1.25
 )
@@ -33,6 +36,7 @@
 
 	// Allowance is what operators allow beyond a limit in any window.
 	Allowance struct {
+		Window time.Duration
 		// Ratio is a part of what the limit allows in the window, Requests a number on
 		// top.
 		Ratio    float64
@@ -63,6 +67,16 @@
 	return Limit{PerSecond: l.PerSecond * more, Burst: max(1, l.Burst*more+allowanceUsed*a.Requests)}
 }
 
+// Starter is how many requests all processes together may let through at their start,
+// before they can know what the processes before them have given away: a part of what is
+// allowed beyond the limit and not in use.
+func (l Limit) Starter(a Allowance) float64 {
+	if l.None() {
+		return 0
+	}
+	return starterShare * (a.Ratio*(l.PerSecond*a.Window.Seconds()+l.Burst) + a.Requests)
+}
+
 // Part is the share of each of a number of equal holders.
 func Part(holders int) Share { return Whole / Share(max(1, holders)) }
 
--- a/internal/kernel/ratelimit/message.go
+++ b/internal/kernel/ratelimit/message.go
@@ -6,18 +6,21 @@
 
 const (
 	// ReportEvery is how often a proxy tells its pool what it needs.
-	ReportEvery = 200 * time.Millisecond
+	ReportEvery = 100 * time.Millisecond
 	// grantFor is how long a granted share lasts, counted by its holder from before it
 	// asked. Two reports may be lost before it ends.
-	grantFor = 600 * time.Millisecond
+	grantFor = 300 * time.Millisecond
 	// grantLeast is the least time for which a deposit must last to back new grants.
-	grantLeast = 400 * time.Millisecond
+	grantLeast = 200 * time.Millisecond
 	// depositFor is how long a proxy gives its own part away, counted by the pool from
 	// before the proxy did.
-	depositFor = time.Second
+	depositFor = 500 * time.Millisecond
+	// rampUp is how long after its parts have come in a pool needs to serve those who were
+	// refused meanwhile.
+	rampUp = 400 * time.Millisecond
 	// guard is added by whoever gave a share away before it is used again, for clocks
 	// that differ in rate.
-	guard = 100 * time.Millisecond
+	guard = 50 * time.Millisecond
 )
 
 type (
@@ -33,6 +36,10 @@
 		// Applied is the last answer that was taken in.
 		Applied uint64
 		Wants   []Want
+		// Starter is the part of a process that has just started, told until it is answered;
+		// Start tells the starts of the process apart.
+		Starter Share
+		Start   uint64
 		// Withdraws is set if the proxy takes its part back, and has given up all that it
 		// was granted.
 		Withdraws bool
--- a/internal/kernel/ratelimit/pool.go
+++ b/internal/kernel/ratelimit/pool.go
@@ -20,6 +20,9 @@
 	Pool struct {
 		// Limits tells the limit of an account; none for one that is not known.
 		Limits func(account string) Limit
+		// Starter tells how many requests of an account all processes together may let
+		// through at their start.
+		Starter func(account string) float64
 
 		id       uint64
 		start    time.Time
@@ -33,6 +36,9 @@
 		share   Share
 		settled time.Time
 		accrued float64
+		// starter are the parts of the processes that have started until a short while ago.
+		starter      Share
+		starterUntil time.Time
 	}
 
 	// round is one report being answered.
@@ -64,6 +70,8 @@
 		until   time.Time
 		heard   time.Time
 		applied uint64
+		// start is that of the proxy's process, as far as it is known.
+		start uint64
 		// closed is the pool's clock when the part was last taken back: reports made before
 		// may still arrive.
 		closed time.Duration
@@ -76,6 +84,10 @@
 		bucket Bucket
 		// asks are those for single requests.
 		asks Arrivals
+		// starters are tokens of processes that have just started; counted is how much of
+		// the pool's starter they are made from.
+		starters float64
+		counted  Share
 		// wants and grants are by proxy.
 		wants  map[string]right
 		grants map[string]grant
@@ -129,6 +141,7 @@
 		m.applied = r.Applied
 		p.deposit(m, r)
 	}
+	p.begins(now, m, r)
 	p.settle(now)
 	if r.Withdraws {
 		answer.Withdrawn = p.withdraw(now, r.From, m)
@@ -155,6 +168,37 @@
 	}
 }
 
+// begins takes in that a process has started. Its part may still be held by others, but
+// some requests are let through at once.
+func (p *Pool) begins(now time.Time, m *member, r Report) {
+	if r.Starter == 0 || m.start == r.Start {
+		return
+	}
+	m.start = r.Start
+	if now.After(p.starterUntil) {
+		p.starter = 0
+		for _, a := range p.accounts {
+			a.starters, a.counted = 0, 0
+		}
+	}
+	p.starter += r.Starter
+	p.starterUntil = now.Add(depositFor + guard)
+}
+
+// takeStarter takes one of the tokens of processes that have just started.
+func (p *Pool) takeStarter(now time.Time, account string, a *pooled) bool {
+	if now.After(p.starterUntil) {
+		return false
+	}
+	a.starters += float64(p.starter-a.counted) / float64(Whole) * p.Starter(account)
+	a.counted = p.starter
+	if a.starters < 1 {
+		return false
+	}
+	a.starters--
+	return true
+}
+
 // settle brings all buckets up to a moment if the pool has become larger or smaller.
 func (p *Pool) settle(now time.Time) {
 	if now.After(p.settled) {
@@ -272,10 +316,15 @@
 	a := p.account(now, account)
 	a.asks.Heard(now)
 	p.fill(now, l, a)
-	if a.bucket.Take() {
+	if a.bucket.Take() || p.takeStarter(now, account, a) {
 		return Token{Granted: true}
 	}
-	return Token{Wait: a.bucket.Wait(l, waitMost)}
+	wait := waitMost
+	if young := p.start.Add(depositFor + guard).Sub(now); p.share == 0 && young > 0 {
+		// Proxies that have started with this one have not given their parts yet.
+		wait = young + rampUp
+	}
+	return Token{Wait: a.bucket.Wait(l, wait)}
 }
 
 // fill brings an account's bucket up to a moment, at the share that the pool keeps.
--- a/internal/kernel/steering/limits.go
+++ b/internal/kernel/steering/limits.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/account"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 )
 
@@ -36,20 +37,30 @@
 		holder: ratelimit.NewHolder(k.config.Name, k.config.Joined),
 		pool:   ratelimit.NewPool(uint64(max(1, k.config.Joined.UnixMilli())), k.config.Joined),
 	}
-	l.holder.Limits, l.pool.Limits = l.of, l.of
+	l.holder.Limits, l.pool.Limits, l.pool.Starter = l.of, l.of, l.starter
 	return l
 }
 
+// starter is how many requests of an account all processes may let through at their start.
+func (l *limits) starter(name string) float64 {
+	return l.account(name).Limit.Starter(l.kernel.config.Quota)
+}
+
 // of is the limit that an account is held to, with a part of what is allowed beyond it.
-func (l *limits) of(account string) ratelimit.Limit {
+func (l *limits) of(name string) ratelimit.Limit {
+	return l.account(name).Limit.With(l.kernel.config.Quota)
+}
+
+// account is the account of a name; one that is not known has no limit and no share of one.
+func (l *limits) account(name string) account.Account {
 	if l.kernel.table == nil {
-		return ratelimit.Limit{}
+		return account.Account{}
 	}
-	a := l.kernel.table.Accounts.Named(account)
+	a := l.kernel.table.Accounts.Named(name)
 	if a == nil {
-		return ratelimit.Limit{}
+		return account.Account{}
 	}
-	return a.Limit.With(l.kernel.config.Quota)
+	return *a
 }
 
 // setHolders sets among how many proxies limits are divided. Shares of proxies that no
--- a/internal/proxy/forward/quotas.go
+++ b/internal/proxy/forward/quotas.go
@@ -97,7 +97,7 @@
 func (q *quotas) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !q.limited() {
-			sleep.For(ctx, time.Second)
+			sleep.For(ctx, ratelimit.ReportEvery)
 			continue
 		}
 		next := q.daemon.now().Add(ratelimit.ReportEvery - ratelimit.ReportEvery/10 + rand.N(ratelimit.ReportEvery/5))
--- a/internal/proxy/forward/settings.go
+++ b/internal/proxy/forward/settings.go
@@ -71,8 +71,9 @@
 		// ColdFactor and ColdSlack bound what a cold server gets in a second.
 		ColdFactor float64
 		ColdSlack  float64
-		// QuotaRatio and QuotaRequests are allowed beyond the limits of client accounts: a
-		// part of the limit, and a number on top.
+		// QuotaRatio and QuotaRequests are allowed beyond the limits of client accounts in any
+		// QuotaWindow: a part of the limit, and a number on top.
+		QuotaWindow   time.Duration
 		QuotaRatio    float64
 		QuotaRequests float64
 	}
