gypsumquay-bench limits: ways to keep limits over sizes, accounts and skew

Plays fleets of 10 to 300 proxies with 81 and 1,000 accounts against pools of regions, one owner of all and even parts, as a table and a chart.

--- /dev/null
+++ b/cmd/gypsumquay-bench/limits.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+
+	"github.com/gypsumquay/gypsumquay/internal/fake/limitnet"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/errs"
+)
+
+type (
+	limitsArguments struct {
+		Proxies  []int     `help:"numbers of proxies [default: 10 77 300]"`
+		Accounts []int     `help:"numbers of accounts [default: 81 1000]"`
+		Skew     []float64 `help:"how unlike accounts are [default: 0.7 1.2]"`
+		Seconds  int       `default:"10" help:"length of each play"`
+		Out      string    `help:"directory for a chart; none if left out"`
+	}
+
+	// limitsRow is one play.
+	limitsRow struct {
+		fleet   limitnet.Load
+		way     limitnet.Way
+		outcome limitnet.Outcome
+	}
+)
+
+const (
+	// ratePerProxy is how many requests a second callers send for each proxy.
+	ratePerProxy = 26
+	// clientsPerProxy is how many callers there are for each.
+	clientsPerProxy = 13
+	// proxiesPerRegion is about how many proxies a region has in a large fleet.
+	proxiesPerRegion = 60
+	regionsLeast     = 3
+	// limitHeadroom is the limit of each account over what it sends.
+	limitHeadroom = 1.6
+)
+
+// run plays fleets of several sizes against the ways to keep limits.
+func (a *limitsArguments) run() error {
+	a.defaults()
+	fmt.Printf("%8s %9s %5s %-6s %12s %12s %8s %8s %10s %7s\n", "PROXIES", "ACCOUNTS", "SKEW", "WAY", "REFUSED 1ST", "FOR GOOD", "EXCESS", "BROKEN", "REPORTS/S", "ASKS/S")
+	var rows []limitsRow
+	for _, accounts := range a.Accounts {
+		for _, skew := range a.Skew {
+			for _, proxies := range a.Proxies {
+				rows = append(rows, a.play(proxies, accounts, skew)...)
+			}
+		}
+	}
+	if a.Out == "" {
+		return nil
+	}
+	return a.draw(rows)
+}
+
+func (a *limitsArguments) defaults() {
+	if len(a.Proxies) == 0 {
+		a.Proxies = []int{10, 77, 300}
+	}
+	if len(a.Accounts) == 0 {
+		a.Accounts = []int{81, 1000}
+	}
+	if len(a.Skew) == 0 {
+		a.Skew = []float64{0.7, 1.2}
+	}
+}
+
+func (a *limitsArguments) play(proxies, accounts int, skew float64) []limitsRow {
+	l := limitnet.Load{
+		Regions: max(regionsLeast, proxies/proxiesPerRegion), Proxies: proxies, Accounts: accounts, Skew: skew,
+		Rate: float64(ratePerProxy * proxies), Clients: clientsPerProxy * proxies, Headroom: limitHeadroom,
+		For: time.Duration(a.Seconds) * time.Second,
+	}
+	var rows []limitsRow
+	for _, way := range []limitnet.Way{limitnet.Pools, limitnet.Owner, limitnet.Even} {
+		o := limitnet.Play(l, way, 1)
+		fmt.Printf("%8d %9d %5.1f %-6s %12.4f %12.4f %8.2f %8.2f %10.1f %7.1f\n", proxies, accounts, skew, way,
+			o.RefusedAtFirstShare(), o.RefusedShare(), o.Excess, o.Broken, o.Reports, o.Asks)
+		rows = append(rows, limitsRow{fleet: l, way: way, outcome: o})
+	}
+	return rows
+}
+
+// draw writes a chart of what is refused for good over the number of proxies.
+func (a *limitsArguments) draw(rows []limitsRow) error {
+	p := plot.New()
+	p.Title.Text = "requests within a limit that are refused for good"
+	p.X.Label.Text = "proxies"
+	p.Y.Label.Text = "part of them"
+	lines := make(map[string]plotter.XYs)
+	var names []string
+	for _, r := range rows {
+		name := fmt.Sprintf("%s, %d accounts, skew %.1f", r.way, r.fleet.Accounts, r.fleet.Skew)
+		if lines[name] == nil {
+			names = append(names, name)
+		}
+		lines[name] = append(lines[name], plotter.XY{X: float64(r.fleet.Proxies), Y: r.outcome.RefusedShare()})
+	}
+	var arguments []any
+	for _, name := range names {
+		arguments = append(arguments, name, lines[name])
+	}
+	if err := plotutil.AddLinePoints(p, arguments...); err != nil {
+		return errors.Wrap(err, "chart")
+	}
+	p.Legend.Top = true
+	return errs.Wrap(p.Save(chartWidth, chartHeight, filepath.Join(a.Out, "limits.png")), "save chart")
+}
--- a/cmd/gypsumquay-bench/main.go
+++ b/cmd/gypsumquay-bench/main.go
@@ -17,6 +17,7 @@
 		Experiment *experimentArguments `arg:"subcommand:experiment" help:"placers against loads with warm servers, as a table"`
 		Ablate     *ablateArguments     `arg:"subcommand:ablate" help:"each mechanism switched off in turn, against loads, as a table"`
 		Ends       *endsArguments       `arg:"subcommand:ends" help:"servers lost and sound work refused against the ends that condemn work"`
+		Limits     *limitsArguments     `arg:"subcommand:limits" help:"limits of client accounts: what is refused within them, over sizes and ways to keep them"`
 		Soak       *soakArguments       `arg:"subcommand:soak" help:"randomised faults with fresh seeds until the time is over"`
 	}
 )
@@ -36,6 +37,8 @@
 		err = a.Soak.run()
 	case a.Ends != nil:
 		err = a.Ends.run()
+	case a.Limits != nil:
+		err = a.Limits.run()
 	case a.Ablate != nil:
 		err = a.Ablate.run()
 	case a.Experiment != nil:
--- a/internal/fake/limitnet/play.go
+++ b/internal/fake/limitnet/play.go
@@ -34,6 +34,10 @@
 		way     Way
 		random  *rand.Rand
 		proxies []*proxy
+		byName  map[string]*proxy
+		// domains are the proxies of each failure domain, regions those of each region.
+		domains map[int][]*proxy
+		regions map[int][]*proxy
 		// limits are those of the accounts, by name.
 		limits map[string]ratelimit.Limit
 		// owed, kept and allowed are single buckets that see all requests: of the limit, of
@@ -70,12 +74,16 @@
 // Play plays a load. Equal arguments give equal outcomes.
 func Play(l Load, way Way, seed uint64) Outcome {
 	w := &world{
+		byName: make(map[string]*proxy), domains: make(map[int][]*proxy), regions: make(map[int][]*proxy),
 		load: l, way: way, random: rand.New(rand.NewPCG(seed, 1)), limits: make(map[string]ratelimit.Limit),
 		owed: make(map[string]*reference), kept: make(map[string]*reference), allowed: make(map[string]*reference),
 	}
 	for i := range l.Proxies {
 		p := &proxy{name: "proxy-" + strconv.Itoa(i), region: i % l.Regions, domain: i % (2 * l.Regions)}
 		w.proxies = append(w.proxies, p)
+		w.byName[p.name] = p
+		w.domains[p.domain] = append(w.domains[p.domain], p)
+		w.regions[p.region] = append(w.regions[p.region], p)
 		w.begin(p)
 	}
 	for i, rate := range l.rates() {
@@ -125,7 +133,7 @@
 	if w.way == Owner {
 		r.Wants = nil
 	}
-	pool := w.named(to)
+	pool := w.byName[to]
 	w.reports++
 	var g ratelimit.Grants
 	w.call(p, pool, reportLost, func() { g = pool.pool.Hear(w.clock(), r) }, func(answered bool) {
@@ -148,7 +156,7 @@
 	}
 	asked := w.clock()
 	for _, l := range p.pool.Borrow(asked, p.name+"/pool", w.others(p)) {
-		lender := w.named(l.Lender)
+		lender := w.byName[l.Lender]
 		var g ratelimit.Grants
 		w.call(p, lender, reportLost, func() { g = lender.pool.Hear(w.clock(), l.Report) }, func(answered bool) {
 			if answered && p.start == start && !p.down {
@@ -224,23 +232,14 @@
 	if w.way == Owner {
 		region = 0
 	}
-	for _, other := range w.proxies {
-		if other.region == region && w.Now >= p.silent[other.name] {
+	for _, other := range w.regions[region] {
+		if w.Now >= p.silent[other.name] {
 			return other
 		}
 	}
 	return nil
 }
 
-func (w *world) named(name string) *proxy {
-	for _, p := range w.proxies {
-		if p.name == name {
-			return p
-		}
-	}
-	return nil
-}
-
 // account makes an account with its clients and has them send.
 func (w *world) account(i int, rate float64) {
 	name := "account-" + strconv.Itoa(i)
@@ -312,7 +311,7 @@
 		done(r)
 		return
 	}
-	pool, start := w.named(r.Pool), p.start
+	pool, start := w.byName[r.Pool], p.start
 	if pool != p {
 		w.asks++
 	}
@@ -332,8 +331,8 @@
 		return c.last
 	}
 	var list []*proxy
-	for _, p := range w.proxies {
-		if p.domain == c.domain && !p.down {
+	for _, p := range w.domains[c.domain] {
+		if !p.down {
 			list = append(list, p)
 		}
 	}
