A process that stops answers requests that it had not read yet

Now the process takes over what waits to be accepted, closes connections that are idle and hold no unread byte, and waits for the others.

--- /dev/null
+++ b/internal/adapter/forwardhttp/closing.go
@@ -0,0 +1,70 @@
+package forwardhttp
+
+import (
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// silentLeast is how long a new connection may take to bring its first byte when its
+	// process stops.
+	silentLeast = 500 * time.Millisecond
+)
+
+// Note takes in the state of a connection, as its server tells it.
+func (l *Listener) Note(c net.Conn, state http.ConnState) {
+	held, ok := c.(*countedConn)
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held.state, held.since = state, time.Now()
+}
+
+// CloseIdle closes the connections on which nothing happens, and tells how many are left.
+// The library's server does not do: once it shuts down it drops requests that it had not
+// read, and on a busy VM these may have come long before.
+func (l *Listener) CloseIdle() (left int) {
+	for _, c := range l.idle() {
+		if !hasUnread(c.Conn) {
+			_ = c.Close()
+		}
+	}
+	return l.Open()
+}
+
+// idle lists the connections that wait for a request.
+func (l *Listener) idle() []*countedConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []*countedConn
+	for c := range l.connections {
+		if c.state == http.StateIdle || c.state == http.StateNew && time.Since(c.since) > silentLeast {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// hasUnread reports whether bytes have come that nobody has read.
+func hasUnread(c net.Conn) bool {
+	tcp, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	err = raw.Control(func(fd uintptr) {
+		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+	})
+	return err == nil && unread
+}
--- a/internal/adapter/forwardhttp/listener_test.go
+++ b/internal/adapter/forwardhttp/listener_test.go
@@ -69,3 +69,70 @@
 		}
 	}
 }
+
+// Guards against a request that came while its process began to stop, and was not read yet.
+func TestUnreadRequestsAreAnsweredAfterTheEnd(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := LimitConnections(inner, 10, func() {})
+	c, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Note(accepted, http.StateIdle)
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(10 * time.Second); !hasUnread(accepted.(*countedConn).Conn); {
+		if time.Now().After(end) {
+			t.Fatal("the bytes never come")
+		}
+	}
+	if left := l.CloseIdle(); left != 1 {
+		t.Errorf("%d connections are left, want the one with an unread request", left)
+	}
+	if _, err := accepted.Read(make([]byte, 64)); err != nil {
+		t.Fatal(err)
+	}
+	if left := l.CloseIdle(); left != 0 {
+		t.Errorf("%d connections are left, want none: it is idle and all is read", left)
+	}
+}
+
+// Guards against requests of callers whose connections wait to be accepted when a process
+// stops: the system would reset them.
+func TestConnectionsThatWaitAreServedAfterTheEnd(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := LimitConnections(inner, 10, func() {})
+	c, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if got := l.Open(); got != 1 {
+		t.Errorf("%d connections are open, want the one that waits", got)
+	}
+	server := &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	if err := c.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 1)); err != nil {
+		t.Errorf("a request that was sent before the end gets no answer: %v", err)
+	}
+}
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -47,21 +47,23 @@
 		inForce     Bounds
 		suspensions suspensions
 
-		callers   *http.Server
-		servers   *serverhttp.Client
-		readiness *http.Server
-		directory *http.Server
-		operators *http.Server
-		journal   *journal
-		meters    *meters
-		feed      *feed
-		follower  *follower
-		gossip    *gossip
-		keeper    *keeper
-		peers     *peerdrpc.Client
-		places    *places
-		verdicts  *verdicts
-		quotas    *quotas
+		callers *http.Server
+		// callerConnections is what callers' connections are accepted by.
+		callerConnections *forwardhttp.Listener
+		servers           *serverhttp.Client
+		readiness         *http.Server
+		directory         *http.Server
+		operators         *http.Server
+		journal           *journal
+		meters            *meters
+		feed              *feed
+		follower          *follower
+		gossip            *gossip
+		keeper            *keeper
+		peers             *peerdrpc.Client
+		places            *places
+		verdicts          *verdicts
+		quotas            *quotas
 
 		stopping chan struct{}
 		// stirred asks for suspicions to be followed soon.
@@ -180,7 +182,11 @@
 			return errors.Wrap(err, "listen")
 		}
 		if l.share > 0 {
-			listener = forwardhttp.LimitConnections(listener, int(l.share*openFiles()), d.meters.turnedAway.Inc)
+			limited := forwardhttp.LimitConnections(listener, int(l.share*openFiles()), d.meters.turnedAway.Inc)
+			if l.server == d.callers {
+				d.callerConnections, d.callers.ConnState = limited, limited.Note
+			}
+			listener = limited
 		}
 		go func() { failed <- l.server.Serve(listener) }()
 	}
--- a/internal/proxy/forward/stop.go
+++ b/internal/proxy/forward/stop.go
@@ -17,6 +17,8 @@
 	// answerMargin is how long before the process leaves the last request is
 	// given up on, so that its answer is still written and its end logged.
 	answerMargin = 100 * time.Millisecond
+	// closePause is how long connections that are not idle yet are left alone.
+	closePause = 5 * time.Millisecond
 	// drainShare is the part of the grace time in which new requests are
 	// still taken: callers keep an answer of the directory for its lifetime.
 	drainShare = 0.5
@@ -38,7 +40,7 @@
 	sleep.For(ctx, time.Duration(drainShare*float64(grace)))
 	limited, cancel := context.WithTimeout(ctx, end.Sub(d.now()))
 	defer cancel()
-	if err := d.callers.Shutdown(limited); err != nil {
+	if err := d.shutDown(limited); err != nil {
 		// Only requests whose time-out is longer than the grace time can be.
 		inFlight := 0
 		d.do(func(k *steering.Kernel, now time.Time) { inFlight = k.Status(now).InFlight })
@@ -46,3 +48,17 @@
 	}
 	klog.InfoS("stopped", "took", d.now().Sub(began).String())
 }
+
+// shutDown takes no more connections, ends those that are idle, and waits for the others.
+func (d *Daemon) shutDown(ctx context.Context) error {
+	if err := d.callerConnections.Close(); err != nil {
+		klog.InfoS("callers' listener not closed", "error", err.Error())
+	}
+	for d.callerConnections.CloseIdle() > 0 {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		sleep.For(ctx, closePause)
+	}
+	return nil
+}
