Large news are offered before they are brought

Cause: two relays a region, and proxies that pass news on, each brought a changed configuration, some 15 KB with 81 accounts, to every proxy whether it had it or not. Two ways compared: bring at once, as before; and ask first whether it is lacking, from 2 KB on, each relay leaving the one before it 0.1 s.

Small changes go out as before.

--- a/internal/proxy/forward/gossip.go
+++ b/internal/proxy/forward/gossip.go
@@ -38,6 +38,11 @@
 	confirmsMost = 12
 	// othersMost is how many peers a proxy names that may not give everything.
 	othersMost = 4
+	// offerFrom is the size of news, in bytes, from which a peer is asked first whether it
+	// has them: two relays and the exchanges would each bring it all of a configuration.
+	offerFrom = 2 << 10
+	// offerPause is how long each relay leaves large news to the one before it.
+	offerPause = 100 * time.Millisecond
 	// farOneIn is how many exchanges go to another region: one in so many.
 	farOneIn = 4
 )
@@ -196,7 +201,25 @@
 		list = append(list, region[rand.N(len(region))])
 	}
 	for _, to := range list {
-		go g.push(ctx, to, since)
+		go g.offer(ctx, to, since)
+	}
+}
+
+// offer sends news to a peer, large ones only if it lacks them.
+func (g *gossip) offer(ctx context.Context, to netip.AddrPort, since uint64) {
+	if g.feed.since(since).Size() < offerFrom {
+		g.push(ctx, to, since)
+		return
+	}
+	sleep.For(ctx, time.Duration(min(g.feed.rank(), replica.Relays))*offerPause)
+	reply, err := g.send(ctx, to, g.message(g.feed.since(g.feed.revision()), false))
+	if err != nil {
+		klog.V(1).InfoS("news not delivered", "peer", to, "error", err.Error())
+		return
+	}
+	g.take(reply)
+	if reply.Revision < g.feed.revision() {
+		g.push(ctx, to, reply.Revision)
 	}
 }
 
@@ -241,7 +264,7 @@
 		most = passesMost
 	}
 	for _, to := range some(near, most) {
-		go g.push(ctx, to, since)
+		go g.offer(ctx, to, since)
 	}
 }
 
--- a/internal/proxy/forward/gossip_test.go
+++ b/internal/proxy/forward/gossip_test.go
@@ -371,3 +371,25 @@
 		}
 	}
 }
+
+// Guards against a large configuration that each relay brings to each proxy again.
+func TestLargeNewsAreBroughtToThoseThatLackThem(t *testing.T) {
+	f := newFleet(t, 1)
+	d := f.idle()
+	d.feed.apply(replica.Delta{Revision: 7, Whole: true})
+	d.feed.apply(replica.Delta{Base: 7, Revision: 8, Entries: []replica.Entry{{Key: "x", Revision: 8, Value: make([]byte, 2*offerFrom)}}})
+	for name, c := range map[string]struct {
+		has  uint64
+		want int
+	}{"a proxy that has them": {8, 0}, "a proxy that lacks them": {7, 1}} {
+		brought := 0
+		g := &gossip{feed: d.feed, send: func(_ context.Context, _ netip.AddrPort, m peerdrpc.SyncMessage) (peerdrpc.SyncMessage, error) {
+			brought += len(m.Entries)
+			return peerdrpc.SyncMessage{Delta: replica.Delta{Base: c.has, Revision: c.has}}, nil
+		}}
+		g.offer(context.Background(), netip.AddrPort{}, 7)
+		if brought != c.want {
+			t.Errorf("%s is brought %d entries, want %d", name, brought, c.want)
+		}
+	}
+}
