--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -40,10 +40,9 @@
 	// second.
 	noMemoryPause = 500 * time.Millisecond
 	// startWait is how long after the start a request waits for the first
-	// configuration. A proxy reads it within 10 to 270 ms, those far from the
-	// store last; refused callers would come back after 80 ms at the soonest, and
-	// those of a fleet that has lost power all at once. After that time there is
-	// no store and no peer, and a request is refused at once.
+	// configuration, which comes within that time if there is a store or a peer.
+	// Refused callers would come back later, and those of a fleet that has lost
+	// power all at once.
 	startWait = 300 * time.Millisecond
 	// bodyDefault bounds bodies while no configuration says more.
 	bodyDefault = 1 << 20
--- a/internal/adapter/peerdrpc/sync.go
+++ b/internal/adapter/peerdrpc/sync.go
@@ -21,8 +21,7 @@
 	// packFrom is the size of the entries, in bytes, from which they are
 	// packed. Below it a message is a packet or a few.
 	packFrom = 4 << 10
-	// packLevel is the fastest: a copy of 3,000 registrations shrinks to a
-	// sixth in 4 ms of a core (BenchmarkPack).
+	// packLevel is the fastest: registrations are much alike (BenchmarkPack).
 	packLevel = flate.BestSpeed
 	// unpackMost bounds what a peer's message may unpack to, in bytes.
 	unpackMost = 64 << 20
--- a/internal/kernel/admission/pressure.go
+++ b/internal/kernel/admission/pressure.go
@@ -9,10 +9,7 @@
 	// answered in time, from which some are refused, and shedSlope the share
 	// refused for each further whole room. A queue that is short for a moment is
 	// no overload. Refused callers come back, so a third must be refused for a
-	// tenth to stay away. In the emulator, with 2% more asked than warm servers
-	// can do, 0.006 of all are answered in time without it, 0.49 with these. A
-	// start at 0.7 or a slope of 0.7 cost 0.05 to 0.07 of that, a start at 0.3
-	// refuses also at the top of a wave that passes by itself.
+	// tenth to stay away.
 	ShedFrom  = 0.5
 	shedSlope = 1.0
 	// shedMost leaves a part that is always sent, so that the end of an overload
--- a/internal/kernel/placing/home.go
+++ b/internal/kernel/placing/home.go
@@ -120,8 +120,7 @@
 
 // Number is an object's place in the order in which objects are dealt out.
 // Objects that number themselves densely, in decimal or hexadecimal digits,
-// are spread evenly; a hash leaves the busiest of twelve servers at 1.4 to 2.1
-// times the mean.
+// are spread evenly, which a hash does not do for a few dozen.
 func Number(object string) int {
 	n, err := strconv.ParseUint(object, 16, 63)
 	if err == nil && n < maxNumber {
--- a/internal/kernel/replica/allowance.go
+++ b/internal/kernel/replica/allowance.go
@@ -10,11 +10,9 @@
 	// while peers start or come back.
 	wholePerSecond = 64 << 10
 	// wholeAtOnce is what it may give away at once, some copies of a fleet of
-	// a hundred VMs, packed. In a fleet of 300 that starts together, copies of 750 KB
-	// for all that asked filled the links and held up everything else.
+	// a hundred VMs, packed. More would fill the links when a large fleet starts.
 	wholeAtOnce = 1 << 20
-	// packing is how many times smaller a whole copy is on its way, as measured
-	// in adapter/peerdrpc on registrations.
+	// packing is how many times smaller a whole copy is on its way.
 	packing = 6
 )
 
--- a/internal/kernel/steering/ask.go
+++ b/internal/kernel/steering/ask.go
@@ -11,8 +11,7 @@
 
 const (
 	// askShare is the largest part of a route's target that the way to a gate may
-	// take. The request takes the same way again after it: in the emulator, at a
-	// third (110 of 300 ms), every request that asks is late.
+	// take. The request takes the same way again after it.
 	askShare = 0.2
 	// ownerPause is how long the owner of a gate that did not answer is not asked.
 	ownerPause = time.Second
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -15,15 +15,12 @@
 	farShare = 0.5
 	// spillCost is charged for work on a server that does not know the
 	// object, as a part of that work and for each rank away from home: it takes
-	// the slots of others. Measured on two deployments: 0.5 and 1 make overload
-	// worse, from 3 to 10 nothing changes beyond noise.
+	// the slots of others.
 	spillCost = 6.0
 	// unseenWait is the part of their work for which a request without an object is
 	// taken to wait for others that nobody has told of, as many of each proxy of the
 	// region as of this one. Reports are behind by some requests, and all proxies see
-	// the same idle server. In the emulator, at 0.96 of what servers can do, 0.96 are
-	// answered within the target where servers tell their load and 0.90 where not,
-	// 0.86 and 0.56 without it.
+	// the same idle server.
 	unseenWait = 0.5
 	// busyFor is for how many times a route's target a server without an answer may
 	// be busy. Work that the target allows for takes longer on a first run.
--- a/internal/kernel/steering/flight.go
+++ b/internal/kernel/steering/flight.go
@@ -42,8 +42,7 @@
 	}
 	if !f.Route.Sticky || !k.on(MechanismHomes) {
 		// No server is faster for having handled the object, and one home each
-		// would only leave some servers with long queues while others idle: in the
-		// emulator 0.93 answered within the target, against 1.00 without homes.
+		// would only leave some servers with long queues while others idle.
 		f.Object = ""
 	}
 	return k.limit(now, f)
--- a/internal/kernel/steering/learn.go
+++ b/internal/kernel/steering/learn.go
@@ -51,8 +51,7 @@
 	work := took - s.domain.roundTrip
 	s.succeeded(work, f.expected-s.domain.roundTrip)
 	// Warm work is the least that was seen, so it needs no correction for slow
-	// servers; divided by a speed that queues had inflated it came out at two
-	// thirds, and queues seemed to have room for twice as many.
+	// servers: queues inflate their speed.
 	if !f.warm {
 		work = time.Duration(float64(work) / max(1, s.speed))
 	}
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -74,8 +74,7 @@
 		// speed is observed over expected time of answers. What is expected takes
 		// it into account, so it settles at the square root of how many times as
 		// long the server takes. That is meant: a home that is slow keeps its
-		// objects unless it is very slow, for each would run cold elsewhere. With
-		// the whole factor nothing was gained (docs/design/queueing.md).
+		// objects unless it is very slow, for each would run cold elsewhere.
 		speed    float64
 		failed   float64
 		failures int
--- a/internal/kernel/steering/shed.go
+++ b/internal/kernel/steering/shed.go
@@ -54,8 +54,7 @@
 	waiting := max(0, float64(work-alone.warm)/float64(alone.warm)*float64(s.Slots))
 	if waiting >= 1 && f.Object != "" {
 		// Without an object, the choice reckons with others' requests by itself,
-		// and does better without a guess (0.90 of the requests answered within the
-		// target at 0.96 of what servers can do, 0.87 with both).
+		// and does better without a guess.
 		s.report(now, s.Slots, int(waiting))
 	}
 	left := f.Route.Target - s.domain.roundTrip
--- a/internal/kernel/steering/stranded.go
+++ b/internal/kernel/steering/stranded.go
@@ -9,9 +9,7 @@
 const (
 	// strandedAfter is how long a region must have been without proxies before
 	// its callers count with other regions. A single proxy whose entry the store
-	// takes away writes it again within half a second. In the emulator, with two
-	// of three regions left without proxies, 0.87 of the requests are answered
-	// within the target at 1 s, 0.76 at 3 s, and 0.70 if nothing moves.
+	// takes away writes it again within half a second.
 	strandedAfter = time.Second
 	// returnedAfter is how long a region must have had proxies again. Callers
 	// keep a look-up's answer for two seconds, some for three times as long.
--- a/internal/proxy/forward/follow.go
+++ b/internal/proxy/forward/follow.go
@@ -37,8 +37,7 @@
 	followCheck = 200 * time.Millisecond
 	// retryLeast and retryMost bound the pause after a failed call; retryOthers
 	// is the longest of proxies that are no relays. They hear of the store's
-	// return from the relays; asking on their own, 70 of them made 500 calls in
-	// an outage of 8 s.
+	// return from the relays.
 	retryLeast  = 100 * time.Millisecond
 	retryMost   = time.Second
 	retryOthers = 4 * time.Second
--- a/internal/proxy/forward/limits.go
+++ b/internal/proxy/forward/limits.go
@@ -9,7 +9,7 @@
 
 const (
 	// memoryShare of what the process may use makes the collector work harder:
-	// past all of it the process is killed. Measured peaks are 25 MB.
+	// past all of it the process is killed.
 	memoryShare = 0.8
 	// bodiesShare is the part of it that bodies of requests and answers may take
 	// together: a body that grows is held twice for a moment, and the collector
@@ -18,7 +18,7 @@
 	bodiesDefault = 64 << 20
 	// callerShare and directoryShare are the parts of the open files that
 	// connections of callers and of their look-ups may take. Servers, peers and
-	// the store need the rest: 424 were the most of all kinds on the users' days.
+	// the store need the rest.
 	callerShare    = 0.6
 	directoryShare = 0.2
 	// filesDefault applies where the limit is not known; more than filesMost are
