--- a/internal/adapter/forwardhttp/listener.go
+++ b/internal/adapter/forwardhttp/listener.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 )
@@ -134,7 +135,7 @@
 	err = raw.Control(func(fd uintptr) {
 		for {
 			accepted, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-			if err == syscall.EINTR || err == syscall.ECONNABORTED {
+			if errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ECONNABORTED) {
 				continue
 			}
 			if err != nil {
