Tests of accounts over several proxies, and of the command line's sums

A limit shared by three proxies in one process, a key that is taken away, the stored number of proxies, suspensions against steps of the clock, use summed over proxies.

--- a/internal/client/command/steering_test.go
+++ b/internal/client/command/steering_test.go
@@ -65,6 +65,47 @@
 	}
 }
 
+// Guards against use of a limit that is told for one proxy as if it were all, and against
+// accounts of proxies that did not answer that pass for unused.
+func TestAccountsAreSummedOverProxies(t *testing.T) {
+	use := func(admitted, refused uint64) steeringhttp.Server {
+		return steeringhttp.Server{Metrics: metrics.NewSet(), Status: func() steeringhttp.Status {
+			return steeringhttp.Status{Accounts: []steeringhttp.Account{
+				{Name: "anna", Keys: []string{"0badc0de"}, LimitPerSecond: 5, PerSecond: 2, Admitted: admitted, Refused: refused}, {Name: "bruno"},
+			}}
+		}}
+	}
+	one, two := use(3, 1), use(4, 0)
+	second := httptest.NewServer(two.HTTP().Handler)
+	defer second.Close()
+	status := one.Status()
+	one.Status = func() steeringhttp.Status {
+		status.VM = "vm-1"
+		status.Proxies = []steeringhttp.Proxy{
+			{Name: "vm-2", Operators: netip.MustParseAddrPort(strings.TrimPrefix(second.URL, "http://"))},
+			{Name: "vm-3", Operators: netip.MustParseAddrPort("127.0.0.1:1")},
+		}
+		return status
+	}
+	first := httptest.NewServer(one.HTTP().Handler)
+	defer first.Close()
+	var out strings.Builder
+	code := Run(context.Background(), Arguments{
+		JSON: true, Proxies: []netip.AddrPort{netip.MustParseAddrPort(strings.TrimPrefix(first.URL, "http://"))},
+		Steering: &SteeringArguments{Accounts: &SteeringAccountsArguments{Refused: true}},
+	}, &out, io.Discard)
+	var got AccountsAnswer
+	if err := json.Unmarshal([]byte(out.String()), &got); err != nil {
+		t.Fatal(err)
+	}
+	if code != ExitOK || len(got.Accounts) != 1 || got.Accounts[0].Admitted != 7 || got.Accounts[0].Refused != 1 || got.Accounts[0].PerSecond != 4 {
+		t.Errorf("exit code %d, got %s; want anna alone, 7 admitted and 1 refused", code, out.String())
+	}
+	if len(got.Unanswered) != 1 || got.Unanswered[0].Proxy != "vm-3" {
+		t.Errorf("unanswered are %v, want vm-3", got.Unanswered)
+	}
+}
+
 // An engineer counts what callers lost from the logs of a bad minute, and misspells
 // a file's name. The count is printed, and the error names the file.
 func TestLossesFromLogFiles(t *testing.T) {
--- a/internal/proxy/forward/fleet_test.go
+++ b/internal/proxy/forward/fleet_test.go
@@ -19,6 +19,8 @@
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
 	clientcommand "github.com/gypsumquay/gypsumquay/internal/client/command"
 	"github.com/gypsumquay/gypsumquay/internal/fake/ports"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/account"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/sleep"
@@ -63,6 +65,9 @@
 	testTable struct {
 		Version uint64
 		Service string
+		// Key opens the only client account, with a limit; no key means no accounts.
+		Key       string
+		PerSecond float64
 	}
 )
 
@@ -323,7 +328,13 @@
 			}
 			read := *route
 			read.Name, read.Prefix, read.Idempotent = "reads", "/b/", true
-			return routing.NewTable(w.Version, []*routing.Route{route, &read}, nil, routing.Limits{}), nil
+			table := routing.NewTable(w.Version, []*routing.Route{route, &read}, nil, routing.Limits{})
+			if w.Key != "" {
+				key, _ := account.KeyOf(w.Key)
+				accounts, _ := account.NewTable([]*account.Account{{Name: "anna", Keys: []account.Key{key}, Limit: ratelimit.Limit{PerSecond: w.PerSecond, Burst: 1}}})
+				table.WithAccounts(accounts)
+			}
+			return table, nil
 		},
 		Server: func(id string, data []byte) (routing.Server, error) {
 			var w testServer
--- /dev/null
+++ b/internal/proxy/forward/quotas_test.go
@@ -0,0 +1,111 @@
+package forward
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
+)
+
+// askAs asks a proxy with a key.
+func (f *fleet) askAs(i int, key string) int {
+	r, err := http.NewRequest(http.MethodGet, "http://"+f.daemons[i].settings.Listen.Callers.String()+"/b/x", nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+key)
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// Guards against a limit that each proxy takes for its own, and against one that none of
+// them may use.
+func TestProxiesShareALimit(t *testing.T) {
+	const proxies, perSecond, span = 3, 100.0, 3 * time.Second
+	f := newFleet(t, proxies)
+	f.store.write("config", testTable{Version: 2, Service: "service", Key: "good", PerSecond: perSecond})
+	for i := range proxies {
+		f.eventually("the account is served", func() bool { return f.version(i) == 2 && f.askAs(i, "good") == http.StatusOK })
+	}
+	var served, refused atomic.Int64
+	var callers sync.WaitGroup
+	began := time.Now()
+	for i := range proxies {
+		callers.Go(func() {
+			for time.Since(began) < span {
+				switch f.askAs(i, "good") {
+				case http.StatusOK:
+					served.Add(1)
+				case http.StatusTooManyRequests:
+					refused.Add(1)
+				}
+				time.Sleep(2 * time.Millisecond)
+			}
+		})
+	}
+	callers.Wait()
+	if most := perSecond*time.Since(began).Seconds() + 2; float64(served.Load()) > most {
+		t.Errorf("%d served in %s, want at most %.0f", served.Load(), time.Since(began), most)
+	}
+	if served.Load() == 0 || refused.Load() == 0 {
+		t.Errorf("%d served and %d refused, want some of both", served.Load(), refused.Load())
+	}
+}
+
+// Guards against keys that go on opening routes after they were taken away.
+func TestKeyThatIsTakenAwayOpensNothing(t *testing.T) {
+	f := newFleet(t, 2)
+	f.store.write("config", testTable{Version: 2, Service: "service", Key: "old"})
+	for i := range 2 {
+		f.eventually("the key opens", func() bool { return f.version(i) == 2 && f.askAs(i, "old") == http.StatusOK })
+	}
+	f.store.write("config", testTable{Version: 3, Service: "service", Key: "new"})
+	for i := range 2 {
+		f.eventually("the new key opens", func() bool { return f.version(i) == 3 && f.askAs(i, "new") == http.StatusOK })
+		if got := f.askAs(i, "old"); got != http.StatusUnauthorized {
+			t.Errorf("the old key: status is %d, want 401", got)
+		}
+	}
+}
+
+// Guards against a number of proxies that another program wrote and that divides by nothing.
+func TestNumberOfProxiesIsChecked(t *testing.T) {
+	f := newFleet(t, 1)
+	d := f.idle()
+	for text, want := range map[string]int{`{"proxies":7}`: 7, `{"proxies":0}`: 0, `{"proxies":-1}`: 0, `{"proxies":"7"}`: 0, `{`: 0, ``: 0} {
+		d.quotas.stored = 0
+		d.quotas.hear(replica.Entry{Key: fleetKey, Value: []byte(text)})
+		if got := d.quotas.stored; got != want {
+			t.Errorf("%q is taken for %d proxies, want %d", text, got, want)
+		}
+	}
+}
+
+// Guards against shares that seem to last after the VM was suspended, and against steps of
+// the time of day that pass for a suspension.
+func TestSuspensions(t *testing.T) {
+	var s suspensions
+	now := time.Now()
+	if s.ended(now) {
+		t.Error("the first look tells of a suspension, want none")
+	}
+	if s.ended(now.Add(time.Second)) {
+		t.Error("a second that passes tells of a suspension, want none")
+	}
+	s.wall -= time.Minute
+	if s.ended(now.Add(time.Second)) {
+		t.Error("a step of the time of day tells of a suspension, want none")
+	}
+	s.wall -= time.Minute
+	s.asleep -= time.Minute
+	if !s.ended(now.Add(time.Second)) {
+		t.Error("a minute that only the time of day and the boot clock know tells of no suspension")
+	}
+}
