Large regions have a pool of limits in each failure domain; tokens are cut with a share

From 41 proxies on a region's failure domains have a pool each; the near ones are asked for tokens and loans before far ones. Who may be a pool is settled when proxies come and go, not ten times a second.

Also: a bucket whose share had grown took the tokens that the larger share allows, for time in which it held the smaller one (TestSharesThatMoveBringNoTokens failed: 10 tokens, 1 due).

--- a/internal/adapter/serverhttp/account_test.go
+++ b/internal/adapter/serverhttp/account_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 )
 
 // Guards against keys that reach servers, and against names of accounts that callers wrote
@@ -11,7 +12,7 @@
 	const name = "X-Account-Of-Caller"
 	h := headers
 	h.Account = name
-	c := &Client{headers: h}
+	c := &Client{headers: h, now: time.Now}
 	given := http.Header{
 		"Authorization": {"Bearer secret"}, name: {"other", "another"}, "X_account-of_caller": {"other"}, "x-ACCOUNT-of-caller": {"other"},
 		"Connection": {name},
--- a/internal/kernel/ratelimit/limit.go
+++ b/internal/kernel/ratelimit/limit.go
@@ -21,6 +21,9 @@
 	// starterShare is the part of it for processes that start; all may start twice within
 	// a window.
 	starterShare = 0.2
+	// tokenLeast is what counts as a token. Shares are whole millionths, and those of all
+	// add up to a little less than the whole.
+	tokenLeast = 0.999
 	// room is how much more is wanted than what has come of late.
 	room = 1.25
 )
@@ -95,19 +98,20 @@
 // Fill brings the tokens up to a moment, at which a share is held. A share that has
 // grown brings no tokens: whoever held it before may have used them.
 func (b *Bucket) Fill(now time.Time, l Limit, s Share) {
+	kept := min(b.share, s)
 	if now.After(b.at) {
 		if !b.at.IsZero() {
-			b.tokens += now.Sub(b.at).Seconds() * min(b.share, s).rate(l)
+			b.tokens += now.Sub(b.at).Seconds() * kept.rate(l)
 		}
 		b.at = now
 	}
 	b.share = s
-	b.tokens = min(b.tokens, s.burst(l))
+	b.tokens = min(b.tokens, kept.burst(l))
 }
 
 // Take takes a token, if there is one.
 func (b *Bucket) Take() bool {
-	if b.tokens < 1 {
+	if b.tokens < tokenLeast {
 		return false
 	}
 	b.tokens--
@@ -126,7 +130,7 @@
 // Wait is the time until the next token, or most if that is longer.
 func (b *Bucket) Wait(l Limit, most time.Duration) time.Duration {
 	rate := b.share.rate(l)
-	if rate <= 0 || b.share.burst(l) < 1 {
+	if rate <= 0 || b.share.burst(l) < tokenLeast {
 		return most
 	}
 	return min(most, time.Duration(max(0, 1-b.tokens)/rate*float64(time.Second)))
--- a/internal/kernel/ratelimit/pool.go
+++ b/internal/kernel/ratelimit/pool.go
@@ -238,7 +238,7 @@
 	l, a := p.Limits(w.Account), p.account(d.now, w.Account)
 	before := a.grants[d.from].heldBy(d)
 	share := min(p.fair(d, a, w), d.have-a.grantedTo(d.now, d.from))
-	if l.None() || share.burst(l) < 1 {
+	if l.None() || share.burst(l) < tokenLeast {
 		share = 0
 	}
 	if share == 0 && before.share == 0 {
--- a/internal/proxy/forward/feed.go
+++ b/internal/proxy/forward/feed.go
@@ -35,6 +35,8 @@
 		// allowance bounds the whole copies given to peers.
 		allowance replica.Allowance
 		members   map[string]member
+		// changed counts the changes of members.
+		changed int
 		// listedAt is when the kernel was last told who is alive, unlisted whether it
 		// has not heard of a change since.
 		listedAt time.Time
--- a/internal/proxy/forward/members.go
+++ b/internal/proxy/forward/members.go
@@ -71,6 +71,7 @@
 }
 
 func (f *feed) hearMember(name string, e replica.Entry) {
+	f.changed++
 	if e.Removed {
 		delete(f.members, name)
 		if name == f.daemon.settings.Name {
@@ -148,6 +149,7 @@
 	if said.Leaving && sameStart && !m.Leaving {
 		m.Leaving = true
 		f.members[name] = m
+		f.changed++
 		f.listProxies()
 	}
 }
@@ -172,25 +174,32 @@
 	return m.Peers, known
 }
 
-// candidates lists a region's proxies that do not leave.
-func (f *feed) candidates(region string) []replica.Candidate {
+// candidates lists the proxies that match and do not leave.
+func (f *feed) candidates(matches func(member) bool) []replica.Candidate {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []replica.Candidate
 	for _, m := range f.members {
-		if m.Region == region && !m.Leaving {
+		if matches(m) && !m.Leaving {
 			list = append(list, replica.Candidate{Name: m.Name, LinkMbps: m.LinkMbps})
 		}
 	}
 	return list
 }
 
+// changes counts the changes of who is known and who leaves.
+func (f *feed) changes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
 // rank is this proxy's place among those of its region. While none is known, as when
 // a whole fleet starts, the seeds follow the store and tell the others; hundreds that
 // each took themselves for the first made a call for each of the others' entries.
 func (f *feed) rank() int {
 	settings := f.daemon.settings
-	list := f.candidates(settings.Region)
+	list := f.candidates(func(m member) bool { return m.Region == settings.Region })
 	if len(list) == 0 && len(settings.Seeds) > 0 && !slices.Contains(settings.Seeds, settings.Listen.Peers) {
 		return replica.Relays
 	}
--- a/internal/proxy/forward/quotas.go
+++ b/internal/proxy/forward/quotas.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -29,7 +30,9 @@
 	// larger one, fleetShrinks the same for a smaller one.
 	fleetSettles = 1200 * time.Millisecond
 	fleetShrinks = time.Minute
-	// lendersMost is how many other regions' pools are asked at a time.
+	// groupMost is how many proxies report to one pool at most.
+	groupMost = 40
+	// lendersMost is how many other pools are asked at a time.
 	lendersMost = 4
 	// askedMost is how many of them a request is asked of in turn.
 	askedMost = 2
@@ -44,6 +47,10 @@
 		store  Store
 
 		mu sync.Mutex
+		// groups are the proxies that have a pool together, the first to be it first, as of
+		// a number of changes of who is known.
+		groups  map[group][]replica.Candidate
+		changes int
 		// silent is until when a pool is passed over.
 		silent map[string]time.Time
 		// stored is the number that the store holds, known how many proxies are known and
@@ -53,6 +60,12 @@
 		knownSince time.Time
 	}
 
+	// group names proxies that have a pool together: those of a region, or of one failure
+	// domain of it.
+	group struct {
+		region, domain string
+	}
+
 	// fleetSize is the text at fleetKey.
 	fleetSize struct {
 		Proxies int `json:"proxies"`
@@ -93,7 +106,8 @@
 	return f.Proxies, nil
 }
 
-// run reports to the pool of this region, and borrows for the pool here if there is one.
+// run reports to the pool of this proxy's group, and borrows for the pool here if there is
+// one.
 func (q *quotas) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !q.limited() {
@@ -117,11 +131,10 @@
 // report makes one report, and tells whether the next one should follow at once.
 func (q *quotas) report(ctx context.Context) (again bool) {
 	d := q.daemon
-	best := q.poolOf(d.settings.Region)
+	best, others := q.pools()
 	if best == "" {
 		return false
 	}
-	others := q.lenders()
 	var to string
 	var r ratelimit.Report
 	var asked time.Time
@@ -140,10 +153,10 @@
 	return again
 }
 
-// borrow asks other regions' pools for what the one here lacks.
+// borrow asks other pools for what the one here lacks.
 func (q *quotas) borrow(ctx context.Context) {
 	d := q.daemon
-	lenders := q.lenders()
+	_, lenders := q.pools()
 	if len(lenders) == 0 {
 		return
 	}
@@ -195,13 +208,12 @@
 	return t, err == nil
 }
 
-// poolOf names the proxy that is a region's pool, empty for none: all that know the same
-// proxies take the same one.
-func (q *quotas) poolOf(region string) string {
+// pool names the proxy that is the pool of a group now, empty for none.
+func (q *quotas) pool(g group) string {
 	now := q.daemon.now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, c := range replica.Order(q.daemon.feed.candidates(region)) {
+	for _, c := range q.groups[g] {
 		if now.After(q.silent[c.Name]) {
 			return c.Name
 		}
@@ -209,19 +221,64 @@
 	return ""
 }
 
-// lenders are the pools of some other regions, others in turn.
-func (q *quotas) lenders() []string {
-	var list []string
-	for _, region := range q.daemon.settings.regions() {
-		if region == q.daemon.settings.Region {
-			continue
+// pools names the pool of this proxy's group, empty for none, and some others: those of its
+// region first, then others in turn.
+func (q *quotas) pools() (own string, others []string) {
+	q.regroup()
+	self := q.daemon.settings
+	var near, far []group
+	for _, g := range q.allGroups() {
+		switch {
+		case g == (group{region: self.Region}), g == group{region: self.Region, domain: self.Domain}:
+			own = q.pool(g)
+		case g.region == self.Region:
+			near = append(near, g)
+		default:
+			far = append(far, g)
+		}
+	}
+	for _, list := range [][]group{near, far} {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		for _, g := range list {
+			if name := q.pool(g); name != "" && len(others) < lendersMost {
+				others = append(others, name)
+			}
 		}
-		if name := q.poolOf(region); name != "" {
-			list = append(list, name)
+	}
+	return own, others
+}
+
+func (q *quotas) allGroups() []group {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.Collect(maps.Keys(q.groups))
+}
+
+// regroup settles which proxies have a pool together, after changes of who is known: those
+// of a region, or of each failure domain where the region has many. All that know the same
+// proxies come to the same groups.
+func (q *quotas) regroup() {
+	f := q.daemon.feed
+	changes := f.changes()
+	q.mu.Lock()
+	same := q.groups != nil && changes == q.changes
+	q.mu.Unlock()
+	if same {
+		return
+	}
+	groups := make(map[group][]replica.Candidate)
+	for domain, region := range q.daemon.settings.RegionOf {
+		all := f.candidates(func(m member) bool { return m.Region == region })
+		g := group{region: region}
+		if len(all) > groupMost {
+			g.domain = domain
+			all = f.candidates(func(m member) bool { return m.Domain == domain })
 		}
+		groups[g] = replica.Order(all)
 	}
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(len(list), lendersMost)]
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.groups, q.changes = groups, changes
 }
 
 // count keeps the stored number of proxies: the first of the fleet sees to it.
@@ -261,13 +318,3 @@
 	}
 	return n, first && n != q.stored && now.Sub(q.knownSince) >= settles
 }
-
-// regions lists all regions, in order.
-func (s *Settings) regions() []string {
-	var list []string
-	for _, region := range s.RegionOf {
-		list = append(list, region)
-	}
-	slices.Sort(list)
-	return slices.Compact(list)
-}
--- a/internal/proxy/forward/quotas_test.go
+++ b/internal/proxy/forward/quotas_test.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -109,3 +111,29 @@
 		t.Error("a minute that only the time of day and the boot clock know tells of no suspension")
 	}
 }
+
+// Guards against one proxy that answers the reports of a hundred, and against groups so small
+// that each has a part of a limit that lets nothing through.
+func TestLargeRegionsHaveAPoolInEachFailureDomain(t *testing.T) {
+	f := newFleet(t, 1)
+	d := f.idle()
+	d.settings.RegionOf = map[string]string{"a": "north", "b": "north", "c": "south"}
+	add := func(domain, region string, count int) {
+		for i := range count {
+			name := fmt.Sprintf("%s-%d", domain, i)
+			d.feed.members[name] = member{Name: name, Domain: domain, Region: region, Peers: freePort(t)}
+		}
+		d.feed.changed++
+	}
+	add("a", "north", groupMost/2)
+	add("b", "north", groupMost/2)
+	add("c", "south", 3)
+	if own, others := d.quotas.pools(); own == "" || len(others) != 1 || len(d.quotas.groups) != 2 {
+		t.Errorf("pools are %q and %q of %d groups, want one of each region", own, others, len(d.quotas.groups))
+	}
+	add("a", "north", groupMost/2+1)
+	own, others := d.quotas.pools()
+	if !strings.HasPrefix(own, "a-") || len(others) != 2 || !strings.HasPrefix(others[0], "b-") {
+		t.Errorf("pools are %q and %q, want the own failure domain's, and the near one before the far one", own, others)
+	}
+}
