--- a/internal/fake/warmnet/ends.go
+++ b/internal/fake/warmnet/ends.go
@@ -91,18 +91,18 @@
 	}
 	var next func()
 	next = func() {
-		if w.now >= to.Std() {
+		if w.Now >= to.Std() {
 			return
 		}
 		do()
-		w.after(pause(), next)
+		w.After(pause(), next)
 	}
-	w.after(from.Std()+pause(), next)
+	w.After(from.Std()+pause(), next)
 }
 
 func (w *world) askDeadly(name string) {
 	region := w.load.Regions[w.random.IntN(len(w.load.Regions))].Name
-	w.begin(&job{region: region, began: w.now, object: name, deadly: true})
+	w.begin(&job{region: region, began: w.Now, object: name, deadly: true})
 }
 
 // deadlyRan ends the server of deadly work that has run for a while.
@@ -111,7 +111,7 @@
 		return
 	}
 	w.out.Ends.ByWork++
-	w.out.Ends.Deadly[j.object] = append(w.out.Ends.Deadly[j.object], w.now)
+	w.out.Ends.Deadly[j.object] = append(w.out.Ends.Deadly[j.object], w.Now)
 	w.finish(s)
 }
 
@@ -128,8 +128,8 @@
 	for _, j := range jobs {
 		w.end(j, steering.Broken)
 	}
-	w.after(endedLapse, func() { w.remove(s) })
-	w.after(w.load.Back.Std(), func() {
+	w.After(endedLapse, func() { w.remove(s) })
+	w.After(w.load.Back.Std(), func() {
 		s.starts++
 		again := &server{id: s.id + "." + strconv.Itoa(s.starts), region: s.region, number: s.number, slow: s.slow}
 		for i := range w.servers {
@@ -148,12 +148,12 @@
 		return
 	}
 	w.ends.due[k] = true
-	w.after(dialAfter, func() {
+	w.After(dialAfter, func() {
 		w.ends.due[k] = false
 		_, region := w.kernelOf(k.Name())
 		for _, s := range k.Doubted() {
 			known := w.byID[s.ID]
-			w.after(w.roundTrip(region, known.region), func() {
+			w.After(w.roundTrip(region, known.region), func() {
 				if known.ended {
 					k.Refusing(w.clock(), known.id)
 					w.stir(k)
@@ -177,7 +177,7 @@
 		}
 		for range min(most, len(others)) {
 			to := others[w.random.IntN(len(others))]
-			w.after(w.roundTrip(region, r.Name)/2, func() {
+			w.After(w.roundTrip(region, r.Name)/2, func() {
 				to.HearSuspicions(w.clock(), list)
 				w.stir(to)
 			})
--- a/internal/fake/warmnet/holds.go
+++ b/internal/fake/warmnet/holds.go
@@ -48,7 +48,7 @@
 	if owner == j.kernel {
 		way = 0
 	}
-	w.after(way, func() {
+	w.After(way, func() {
 		reply := owner.HearAsk(w.clock(), a)
 		if reply.Verdict == admission.Queued {
 			if w.holds.waiting == nil {
@@ -57,14 +57,14 @@
 			w.holds.waiting[ticketKey{a.From, a.ID}] = j
 			return
 		}
-		w.after(way, func() { w.follow(j, j.kernel.Asked(w.clock(), j.flight, reply, true)) })
+		w.After(way, func() { w.follow(j, j.kernel.Asked(w.clock(), j.flight, reply, true)) })
 	})
 }
 
 // release brings a place back and tells those that get it.
 func (w *world) release(entry string, r steering.Release) {
 	owner, region := w.kernelOf(r.Owner.Name)
-	w.after(w.roundTrip(entry, region)/2, func() { w.granted(region, owner.HearRelease(w.clock(), r)) })
+	w.After(w.roundTrip(entry, region)/2, func() { w.granted(region, owner.HearRelease(w.clock(), r)) })
 }
 
 func (w *world) granted(region string, grants []steering.Reply) {
@@ -75,7 +75,7 @@
 			continue
 		}
 		delete(w.holds.waiting, key)
-		w.after(w.roundTrip(j.entry, region)/2, func() {
+		w.After(w.roundTrip(j.entry, region)/2, func() {
 			w.follow(j, j.kernel.Asked(w.clock(), j.flight, g, true))
 		})
 	}
@@ -83,10 +83,10 @@
 
 // exchange has all proxies tell each other which services they hold back.
 func (w *world) exchange() {
-	if w.now < w.holds.gossip {
+	if w.Now < w.holds.gossip {
 		return
 	}
-	w.holds.gossip = w.now + gossipEvery
+	w.holds.gossip = w.Now + gossipEvery
 	if w.load.hasEnds() {
 		w.tellSuspicions()
 	}
--- a/internal/fake/warmnet/losses.go
+++ b/internal/fake/warmnet/losses.go
@@ -40,8 +40,8 @@
 		}
 	})
 	w.exchange()
-	if w.now < w.load.Span.Std() {
-		w.after(tickEvery, w.tick)
+	if w.Now < w.load.Span.Std() {
+		w.After(tickEvery, w.tick)
 	}
 }
 
@@ -56,7 +56,7 @@
 
 // away reports whether a server is down for a while.
 func (w *world) away(s *server) bool {
-	if !w.load.Away.in(s.region, w.now) {
+	if !w.load.Away.in(s.region, w.Now) {
 		return false
 	}
 	first := slices.IndexFunc(w.servers, func(o *server) bool { return o.region == s.region })
@@ -91,5 +91,5 @@
 		w.byID[s.id] = s
 		w.each(func(k *steering.Kernel) { k.SetServer(w.clock(), w.registration(s)) })
 	}
-	w.after(w.load.Release.Gap.Std(), func() { w.replace(n + 1) })
+	w.After(w.load.Release.Gap.Std(), func() { w.replace(n + 1) })
 }
--- a/internal/fake/warmnet/play.go
+++ b/internal/fake/warmnet/play.go
@@ -1,7 +1,6 @@
 package warmnet
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -9,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/fake/schedule"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/account"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
@@ -31,11 +31,9 @@
 
 type (
 	world struct {
+		schedule.Schedule
 		load    Load
 		random  *rand.Rand
-		now     time.Duration
-		queue   events
-		order   int
 		servers []*server
 		byID    map[string]*server
 		proxies map[string][]*steering.Kernel
@@ -92,24 +90,21 @@
 		w.arrivals(i, r)
 	}
 	if l.Leave > 0 {
-		w.after(l.Leave.Std(), w.leave)
+		w.After(l.Leave.Std(), w.leave)
 	}
 	if l.Release != nil {
-		w.after(l.Release.From.Std(), func() { w.replace(0) })
+		w.After(l.Release.From.Std(), func() { w.replace(0) })
 	}
 	if len(l.Stranded) > 0 {
-		w.after(l.StrandAt.Std(), w.strand)
+		w.After(l.StrandAt.Std(), w.strand)
 	}
 	if l.hasEnds() {
 		w.playEnds()
 	}
 	if len(l.Stranded) > 0 || l.Knee > 0 || l.hasEnds() {
-		w.after(tickEvery, w.tick)
+		w.After(tickEvery, w.tick)
 	}
-	for len(w.queue) > 0 {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
+	for w.Next() {
 	}
 	w.out.ByRegion = make(map[string]float64)
 	for region, n := range w.asked {
@@ -120,7 +115,7 @@
 	return w.out
 }
 
-func (w *world) clock() time.Time { return time.Unix(1_000_000, 0).Add(w.now) }
+func (w *world) clock() time.Time { return time.Unix(1_000_000, 0).Add(w.Now) }
 
 func (w *world) build(placer string, seed uint64) {
 	regionOf := make(map[string]string)
@@ -213,30 +208,30 @@
 	pause := func() time.Duration { return time.Duration(w.random.ExpFloat64() / most * float64(time.Second)) }
 	var next func()
 	next = func() {
-		if w.now >= w.load.Span.Std() {
+		if w.Now >= w.load.Span.Std() {
 			return
 		}
 		// Moments at the highest rate are thinned out to the rate of now.
 		if w.load.even() || w.random.Float64()*most < r.PerSecond*w.wave(i) {
 			w.ask(i, r.Name)
 		}
-		w.after(pause(), next)
+		w.After(pause(), next)
 	}
-	w.after(pause(), next)
+	w.After(pause(), next)
 }
 
 // wave is a region's rate now, as a part of its mean.
 func (w *world) wave(i int) float64 {
-	if w.now < w.load.Calm.Std() {
+	if w.Now < w.load.Calm.Std() {
 		return calmShare
 	}
-	if w.load.Surge.in(w.load.Regions[i].Name, w.now) {
+	if w.load.Surge.in(w.load.Regions[i].Name, w.Now) {
 		return w.load.Surge.Times
 	}
 	if w.load.Swing == 0 {
 		return 1
 	}
-	turns := w.now.Seconds()/w.load.Period.Std().Seconds() + float64(i)/float64(len(w.load.Regions))
+	turns := w.Now.Seconds()/w.load.Period.Std().Seconds() + float64(i)/float64(len(w.load.Regions))
 	return 1 + w.load.Swing*math.Sin(2*math.Pi*turns)
 }
 
@@ -247,7 +242,7 @@
 	if !w.load.Anonymous {
 		object = strconv.FormatInt(int64(i*w.load.Objects+w.draw()), 16)
 	}
-	j := &job{region: region, began: w.now, object: object, returns: w.load.Returns}
+	j := &job{region: region, began: w.Now, object: object, returns: w.load.Returns}
 	if w.load.Bound > 0 {
 		j.credential = account.Credential{State: account.Present, Key: accountKey(w.random.IntN(accountsInAll))}
 	}
@@ -277,7 +272,7 @@
 		w.receive(j)
 		return
 	}
-	w.after(w.roundTrip(j.region, j.entry)/2, func() { w.receive(j) })
+	w.After(w.roundTrip(j.region, j.entry)/2, func() { w.receive(j) })
 }
 
 func (w *world) receive(j *job) {
@@ -301,16 +296,16 @@
 			s = w.best(j)
 		}
 		j.server = s
-		w.shares.sent(w.now, j.region, s.region)
-		w.after(w.roundTrip(j.entry, s.region)/2, func() { w.arrive(j) })
+		w.shares.sent(w.Now, j.region, s.region)
+		w.After(w.roundTrip(j.entry, s.region)/2, func() { w.arrive(j) })
 	case d.Answer && j.entry != j.region:
-		w.after(w.roundTrip(j.region, j.entry)/2, func() { w.answered(j) })
+		w.After(w.roundTrip(j.region, j.entry)/2, func() { w.answered(j) })
 	case d.Answer:
 		w.answered(j)
 	case j.deadly:
 	case d.NotRun && j.returns > 0:
 		j.returns--
-		w.after(d.ComeBack, func() { w.begin(j) })
+		w.After(d.ComeBack, func() { w.begin(j) })
 	case d.NotRun:
 		w.out.Refused++
 	default:
@@ -343,7 +338,7 @@
 }
 
 func (w *world) answered(j *job) {
-	took := w.now - j.began
+	took := w.Now - j.began
 	w.out.Times = append(w.out.Times, took)
 	if took <= w.load.Target.Std() {
 		w.out.InTarget++
@@ -355,7 +350,7 @@
 
 func (w *world) arrive(j *job) {
 	s := j.server
-	refuses := w.now >= w.load.RefuseFrom.Std() && w.now < w.load.RefuseTo.Std() && w.random.Float64() < w.load.RefuseShare
+	refuses := w.Now >= w.load.RefuseFrom.Std() && w.Now < w.load.RefuseTo.Std() && w.random.Float64() < w.load.RefuseShare
 	switch {
 	case w.away(s):
 		s.recent = nil
@@ -376,7 +371,7 @@
 	s.running++
 	s.now = append(s.now, j)
 	if j.deadly {
-		w.after(w.load.Deadly.After.Std(), func() { w.deadlyRan(j, s) })
+		w.After(w.load.Deadly.After.Std(), func() { w.deadlyRan(j, s) })
 		return
 	}
 	work := float64(w.load.Work.Std()) * w.slowness(s) * w.vary()
@@ -389,7 +384,7 @@
 		w.out.First++
 	}
 	s.remember(j.flight.Object, w.load.Remember)
-	w.after(time.Duration(work), func() {
+	w.After(time.Duration(work), func() {
 		if s.ended {
 			return
 		}
@@ -410,7 +405,7 @@
 
 // slowness is how many times as long a server takes now.
 func (w *world) slowness(s *server) float64 {
-	if s.number < max(1, w.load.SlowServers) && w.now >= w.load.SlowFrom.Std() && w.now < w.load.SlowTo.Std() {
+	if s.number < max(1, w.load.SlowServers) && w.Now >= w.load.SlowFrom.Std() && w.Now < w.load.SlowTo.Std() {
 		return s.slow * w.load.SlowBy
 	}
 	return s.slow
@@ -439,7 +434,7 @@
 
 // endWith brings an attempt's end back to the proxy.
 func (w *world) endWith(j *job, attempt steering.Attempt) {
-	w.after(w.roundTrip(j.entry, j.server.region)/2, func() {
+	w.After(w.roundTrip(j.entry, j.server.region)/2, func() {
 		if attempt.Result == steering.Answered && w.clock().After(j.flight.Until) {
 			// The proxy has gone before the server's word arrives.
 			attempt = steering.Attempt{Result: steering.Late}
