A proxy keeps its pool of limits though a report is lost

A pool is now passed over after three reports in a row without answer, or at once if nothing listens there.

--- a/internal/proxy/forward/quotas.go
+++ b/internal/proxy/forward/quotas.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -36,8 +37,11 @@
 	lendersMost = 4
 	// askedMost is how many of them a request is asked of in turn.
 	askedMost = 2
-	// poolPause is how long a pool that did not answer is passed over.
-	poolPause = 2 * time.Second
+	// poolPause is how long a pool that did not answer unansweredMost reports in a row is
+	// passed over. When a large fleet starts, pools and proxies are busy, and each change of
+	// the pool costs the proxy its part for as long as it was given away.
+	poolPause      = 2 * time.Second
+	unansweredMost = 3
 )
 
 type (
@@ -51,8 +55,10 @@
 		// a number of changes of who is known.
 		groups  map[group][]replica.Candidate
 		changes int
-		// silent is until when a pool is passed over.
-		silent map[string]time.Time
+		// silent is until when a pool is passed over, unanswered counts the reports in a row
+		// that it did not answer.
+		silent     map[string]time.Time
+		unanswered map[string]int
 		// stored is the number that the store holds, known how many proxies are known and
 		// since when.
 		stored     int
@@ -73,7 +79,7 @@
 )
 
 func newQuotas(d *Daemon, s Store) *quotas {
-	return &quotas{daemon: d, store: s, silent: make(map[string]time.Time)}
+	return &quotas{daemon: d, store: s, silent: make(map[string]time.Time), unanswered: make(map[string]int)}
 }
 
 // hear takes in the stored number of proxies.
@@ -186,15 +192,30 @@
 	if !known {
 		return g, errors.New("pool of limits is gone")
 	}
-	if g, err = d.peers.ReportLimits(ctx, peer, r); err != nil {
+	g, err = d.peers.ReportLimits(ctx, peer, r)
+	if err != nil {
 		klog.V(1).InfoS("pool of limits does not answer", "proxy", to, "error", err.Error())
-		q.mu.Lock()
-		q.silent[to] = d.now().Add(poolPause)
-		q.mu.Unlock()
 	}
+	q.note(to, err)
 	return g, err
 }
 
+// note takes in whether a pool has answered. One at whose address nothing listens is passed
+// over at once.
+func (q *quotas) note(pool string, err error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if err == nil {
+		delete(q.unanswered, pool)
+		return
+	}
+	q.unanswered[pool]++
+	if q.unanswered[pool] >= unansweredMost || errors.Is(err, syscall.ECONNREFUSED) {
+		q.silent[pool] = q.daemon.now().Add(poolPause)
+		delete(q.unanswered, pool)
+	}
+}
+
 // ask asks a pool for one request of an account.
 func (q *quotas) ask(ctx context.Context, pool, account string) (ratelimit.Token, bool) {
 	peer, known := q.daemon.feed.peerOf(pool)
--- a/internal/proxy/forward/quotas_test.go
+++ b/internal/proxy/forward/quotas_test.go
@@ -1,11 +1,13 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -137,3 +139,30 @@
 		t.Errorf("pools are %q and %q, want the own failure domain's, and the near one before the far one", own, others)
 	}
 }
+
+// Guards against proxies of a busy fleet that go from pool to pool, and lose their parts at
+// each change.
+func TestPoolIsKeptThoughAReportIsLost(t *testing.T) {
+	f := newFleet(t, 1)
+	d := f.idle()
+	for _, name := range []string{"first", "second"} {
+		d.feed.members[name] = member{Name: name, Domain: "a", Region: "north", Peers: freePort(t)}
+	}
+	d.feed.changed++
+	first, _ := d.quotas.pools()
+	for range unansweredMost - 1 {
+		d.quotas.note(first, context.DeadlineExceeded)
+	}
+	if got, _ := d.quotas.pools(); got != first {
+		t.Errorf("the pool is %s after %d reports without answer, want %s still", got, unansweredMost-1, first)
+	}
+	d.quotas.note(first, context.DeadlineExceeded)
+	if got, _ := d.quotas.pools(); got == first {
+		t.Errorf("the pool is still %s after %d reports without answer", got, unansweredMost)
+	}
+	second, _ := d.quotas.pools()
+	d.quotas.note(second, syscall.ECONNREFUSED)
+	if got, _ := d.quotas.pools(); got == second {
+		t.Error("a pool at whose address nothing listens is kept")
+	}
+}
