--- a/internal/proxy/forward/suspensions.go
+++ b/internal/proxy/forward/suspensions.go
@@ -13,6 +13,11 @@
 	jumpLeast = 50 * time.Millisecond
 )
 
+var (
+	// processStart has a steady reading.
+	processStart = time.Now()
+)
+
 type (
 	// suspensions notices that the VM did not run for a while. The steady clock stands
 	// still meanwhile, and everything that was given for a time would seem to last.
@@ -49,11 +54,6 @@
 	return suspended
 }
 
-var (
-	// processStart has a steady reading.
-	processStart = time.Now()
-)
-
 // steady is the steady clock since this process started.
 func steady(clock time.Time) time.Duration { return clock.Sub(processStart) }
 
