Limits that servers name are decoded and logged; nothing follows from them yet

Each answer's signal is read now, of failures, refusals and answers to other requests too, and kept by the start of a server; a line and an event (server-limit) tell of each limit that is named, changes by more than a tenth or ends. No decision uses it. Text that is no decimal number names no limit and is logged.

--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -24,6 +24,7 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/bearer"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/bodies"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/errs"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
@@ -70,6 +71,8 @@
 		Seal string
 		// Account names the client account of a request.
 		Account string
+		// Limit is the rate of requests that a server takes from all proxies together.
+		Limit string
 	}
 
 	// Client exchanges requests with servers.
@@ -114,6 +117,9 @@
 		conn    *conn
 		request Request
 		message *http.Request
+		// signal is what all answers of the exchange ask together, those to other
+		// requests included.
+		signal backpressure.Signal
 	}
 )
 
@@ -145,11 +151,11 @@
 	if !stop() {
 		// The caller left, and the connection was closed to tell the server.
 		answer.Release()
-		return steering.Attempt{Result: steering.Left, Err: context.Cause(ctx)}, nil
+		return steering.Attempt{Result: steering.Left, Err: context.Cause(ctx), Signal: e.signal}, nil
 	}
 	c.pool.put(connection, reusable, r.Connections)
 	attempt := c.judge(r, answer, err)
-	attempt.RoundTrip = roundTrip
+	attempt.RoundTrip, attempt.Signal = roundTrip, e.signal
 	return attempt, answer
 }
 
@@ -336,6 +342,7 @@
 		return nil, true, errors.Wrap(err, "read answer")
 	}
 	defer func() { _ = response.Body.Close() }()
+	e.hearSignal(response)
 	told := response.ContentLength
 	if e.request.Method == http.MethodHead {
 		// The length is that of the answer to a GET; nothing follows.
--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -139,6 +139,8 @@
 		ComeBack  string  `json:"come-back,omitempty"`
 		Pressure  float64 `json:"pressure,omitempty"`
 		Error     string  `json:"error,omitempty"`
+		// Limit is what a server takes from all proxies together.
+		Limit string `json:"limit,omitempty"`
 		// Wait is the part of Expected until a slot is free.
 		Wait string `json:"wait,omitempty"`
 		// State is how the server stood when the request was sent there last.
@@ -156,7 +158,7 @@
 		Service: e.Service, Server: e.Server, Object: e.Object, Work: e.Work.String(), Domain: e.Domain, Region: e.Region, Elsewhere: e.Elsewhere, Attempt: e.Attempt,
 		Reason: string(e.Reason), Load: e.Load, Warm: e.Warm, Draining: e.Draining,
 		Expected: span(e.Expected), Took: span(e.Took), ComeBack: span(e.ComeBack), Pressure: e.Pressure,
-		Wait: span(e.Wait), State: string(e.State), Cause: string(e.Cause), Target: span(e.Target),
+		Wait: span(e.Wait), State: string(e.State), Cause: string(e.Cause), Target: span(e.Target), Limit: e.Limit.String(),
 	}
 	if e.Result != 0 {
 		out.Result = e.Result.String()
--- a/internal/client/command/steering.go
+++ b/internal/client/command/steering.go
@@ -252,7 +252,7 @@
 		{"request", e.Request}, {"route", e.Route}, {"account", e.Account}, {"service", e.Service}, {"server", e.Server}, {"object", e.Object},
 		{"failure-domain", e.Domain}, {"result", e.Result}, {"outcome", e.Outcome}, {"reason", e.Reason},
 		{"expected", e.Expected}, {"took", e.Took}, {"load-age", e.LoadAge}, {"come-back", e.ComeBack}, {"pressure", level(e.Pressure)},
-		{"cause", e.Cause}, {"server-state", e.State}, {"wait", e.Wait}, {"target", e.Target}, {"error", e.Error},
+		{"cause", e.Cause}, {"server-state", e.State}, {"wait", e.Wait}, {"target", e.Target}, {"limit", e.Limit}, {"error", e.Error},
 	} {
 		if f.value != "" {
 			parts = append(parts, f.name+"="+f.value)
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 )
 
@@ -21,6 +22,8 @@
 	// EventSound marks a service whose servers were found to be as good when full: its
 	// requests are no longer held back.
 	EventSound Kind = "no-longer-held-back"
+	// EventServerLimit marks a server that names a limit, another one, or none any more.
+	EventServerLimit Kind = "server-limit"
 	// EventServerOut marks a server passed over after failures.
 	EventServerOut Kind = "server-out"
 	// EventEvacuated marks a failure domain emptied or taken back.
@@ -75,10 +78,12 @@
 		// Version is that of the configuration.
 		Version uint64
 		// Attempt counts the sends of a request from 1.
-		Attempt  int
-		Result   Result
-		Outcome  Outcome
-		Reason   Reason
+		Attempt int
+		Result  Result
+		Outcome Outcome
+		Reason  Reason
+		// Limit is what a server takes from all proxies together.
+		Limit    backpressure.Limit
 		Draining bool
 		// Expected is the time until the answer that the choice reckoned
 		// with, Load and LoadAge the load it saw and how old that was, negative
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
@@ -112,7 +113,9 @@
 		// quarantine knows the work that ends servers. ownPlace is this proxy's place
 		// among the sharers.
 		quarantine *quarantine.Ledger
-		ownPlace   int
+		// signals are what servers ask of their senders.
+		signals  *backpressure.Ledger
+		ownPlace int
 		// flights counts the requests so far.
 		flights uint64
 		// weighed sees each server that a choice looks at; nil for none.
@@ -154,10 +157,11 @@
 		regions:   regionsOf(c.RegionOf),
 		stranded:  make(map[string]*stranding),
 
-		quarantine: quarantine.NewLedger(),
+		quarantine: quarantine.NewLedger(), signals: backpressure.NewLedger(),
 	}
 	k.limits = newLimits(k)
 	k.quarantine.Observe, k.quarantine.Rank = k.observeWork, k.trialRank
+	k.signals.Observe = k.observeSignal
 	if c.EndsToCondemn > 0 {
 		k.quarantine.Condemn = c.EndsToCondemn
 	}
--- a/internal/kernel/steering/learn.go
+++ b/internal/kernel/steering/learn.go
@@ -7,6 +7,7 @@
 // learn takes in what an attempt tells of the server.
 func (k *Kernel) learn(now time.Time, f *Flight, s *server, a Attempt, took time.Duration) {
 	s.domain.heard(a.RoundTrip)
+	k.hearSignal(now, f, s, a)
 	if a.Loaded {
 		s.report(now, a.Running, a.Waiting)
 		k.feel(now, f, s, float64(a.Waiting))
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/account"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
@@ -212,7 +213,9 @@
 		Refusing bool
 		// Leaving is set if the server said that it leaves.
 		Leaving bool
-		Err     error `json:"-"`
+		// Signal is what the server asks of its senders.
+		Signal backpressure.Signal
+		Err    error `json:"-"`
 	}
 )
 
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
@@ -39,7 +40,9 @@
 		routing.Server
 		id string
 		// start names this start of the server in the quarantine.
-		start  quarantine.Server
+		start quarantine.Server
+		// word is what this start of the server asks of its senders, nil for nothing.
+		word   *backpressure.Word
 		region string
 		// regionBit stands for the region in sets of them.
 		regionBit regionSet
--- a/internal/kernel/steering/servers.go
+++ b/internal/kernel/steering/servers.go
@@ -25,7 +25,8 @@
 		s = nil
 	}
 	if s == nil {
-		s = &server{id: r.ID, start: quarantine.ServerOf(r.ID, r.Started), speed: 1}
+		start := quarantine.ServerOf(r.ID, r.Started)
+		s = &server{id: r.ID, start: start, word: k.signals.Of(start), speed: 1}
 		k.servers[r.ID] = s
 	}
 	moved := s.Service != r.Service || s.Slots != r.Slots || s.Draining != r.Draining || s.Domain != r.Domain || s.unreadable
--- a/internal/proxy/forward/journal.go
+++ b/internal/proxy/forward/journal.go
@@ -74,7 +74,7 @@
 	if e.Kind != steering.EventFinished {
 		j.keep(e)
 		klog.InfoS(string(e.Kind), "service", e.Service, "server", e.Server, "failure-domain", e.Domain, "region", e.Region, "elsewhere", e.Elsewhere,
-			"configuration", e.Version, "draining", e.Draining, "cause", e.Result.String(), "for", e.Took.String(), "work", e.Work.String(), "ends", e.Ends, "works", names(e.Works))
+			"configuration", e.Version, "draining", e.Draining, "cause", e.Result.String(), "for", e.Took.String(), "limit", e.Limit.String(), "work", e.Work.String(), "ends", e.Ends, "works", names(e.Works))
 		return
 	}
 	wanted := j.wanted(e)
