Servers that name a limit get ten times as much: a test that fails

From 4 s after the limit was named they get 10 to 11 times what is allowed in a window of 4 s (1.5 times the limit and 5 requests) from proxies that had the answer half a second before.

--- /dev/null
+++ b/internal/fake/warmnet/limits_test.go
@@ -0,0 +1,23 @@
+package warmnet
+
+import (
+	"testing"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+)
+
+// Guards against proxies that each keep to a server's limit, or do not, and pass it together.
+func TestServersGetNoMoreThanTheLimitThatTheyName(t *testing.T) {
+	for _, proxies := range []int{1, 3, 12} {
+		l := load(t, "limited")
+		l.Proxies = proxies
+		for seed := range uint64(2) {
+			o := Play(l, steering.DefaultPlacer, seed+1)
+			t.Logf("%d proxies a region: at most %.2f of what is allowed; %.2f of the limits in use, %.2f of the rate before from 4 s after; %.3f in target",
+				proxies, o.Limits.Most, o.Limits.Use, o.Limits.After, o.Share())
+			if o.Limits.Most > 1 {
+				t.Errorf("%d proxies a region: a server got %.2f times what is allowed in 4 s", proxies, o.Limits.Most)
+			}
+		}
+	}
+}
--- a/internal/fake/warmnet/load.go
+++ b/internal/fake/warmnet/load.go
@@ -100,6 +100,8 @@
 		Deadly *Deadly           `json:"deadly"`
 		Storm  *Storm            `json:"storm"`
 		Back   operator.Duration `json:"back"`
+		// Limited servers name a limit for a while.
+		Limited []Limited `json:"limited"`
 		// EndsToCondemn is from how many ends on proxies refuse work; zero for as many
 		// as they do without being told.
 		EndsToCondemn int `json:"ends-to-condemn"`
@@ -143,6 +145,7 @@
 		// region than those of the window before.
 		Shifted float64
 		Ends    Ends
+		Limits  Limits
 		Times   []time.Duration
 	}
 )
--- a/internal/fake/warmnet/losses.go
+++ b/internal/fake/warmnet/losses.go
@@ -1,7 +1,6 @@
 package warmnet
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -66,7 +65,7 @@
 // leave takes the first server of each region away.
 func (w *world) leave() {
 	for _, r := range w.load.Regions {
-		w.remove(w.byID[r.Name+"-0"])
+		w.remove(w.byID[serverID(r.Name, 0)])
 	}
 }
 
@@ -81,7 +80,7 @@
 		return
 	}
 	for _, r := range w.load.Regions {
-		old := w.byID[fmt.Sprintf("%s-%d", r.Name, n)]
+		old := w.byID[serverID(r.Name, n)]
 		if old == nil {
 			continue
 		}
--- a/internal/fake/warmnet/play.go
+++ b/internal/fake/warmnet/play.go
@@ -51,6 +51,7 @@
 		upTo   []float64
 		shares shares
 		ends   ends
+		limits limits
 	}
 
 	job struct {
@@ -101,7 +102,7 @@
 	if l.hasEnds() {
 		w.playEnds()
 	}
-	if len(l.Stranded) > 0 || l.Knee > 0 || l.hasEnds() {
+	if len(l.Stranded) > 0 || l.Knee > 0 || l.hasEnds() || l.asksOfSenders() {
 		w.After(tickEvery, w.tick)
 	}
 	for w.Next() {
@@ -111,6 +112,7 @@
 		w.out.ByRegion[region] = float64(w.inRange[region]) / float64(max(1, n))
 	}
 	w.out.Shifted = w.shares.shifted()
+	w.out.Limits = w.limits.judge(l.Limited)
 	slices.Sort(w.out.Times)
 	return w.out
 }
@@ -122,7 +124,7 @@
 	for _, r := range w.load.Regions {
 		regionOf[r.Name+"-a"] = r.Name
 		for i := range r.Servers {
-			s := &server{id: fmt.Sprintf("%s-%d", r.Name, i), region: r.Name, number: i, slow: 1}
+			s := &server{id: serverID(r.Name, i), region: r.Name, number: i, slow: 1}
 			if n := len(w.load.Speeds); n > 0 {
 				s.slow = w.load.Speeds[len(w.servers)%n]
 			}
@@ -350,6 +352,7 @@
 
 func (w *world) arrive(j *job) {
 	s := j.server
+	w.limits.arrived(w.Now, s.id, j.kernel.Name())
 	refuses := w.Now >= w.load.RefuseFrom.Std() && w.Now < w.load.RefuseTo.Std() && w.random.Float64() < w.load.RefuseShare
 	switch {
 	case w.away(s):
@@ -434,7 +437,11 @@
 
 // endWith brings an attempt's end back to the proxy.
 func (w *world) endWith(j *job, attempt steering.Attempt) {
+	attempt.Signal = w.signal(j.server, attempt.Result)
 	w.After(w.roundTrip(j.entry, j.server.region)/2, func() {
+		if attempt.Signal.Limit.Named {
+			w.limits.told(w.Now, j.server.id, j.kernel.Name())
+		}
 		if attempt.Result == steering.Answered && w.clock().After(j.flight.Until) {
 			// The proxy has gone before the server's word arrives.
 			attempt = steering.Attempt{Result: steering.Late}
--- a/internal/fake/warmnet/server.go
+++ b/internal/fake/warmnet/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 )
 
 type (
@@ -37,3 +38,6 @@
 		s.recent = s.recent[1:]
 	}
 }
+
+// serverID names a server of a region by its number.
+func serverID(region string, number int) string { return region + "-" + strconv.Itoa(number) }
