All proxies together keep to the limit that a backend server names

Callers saw nothing; servers in need got two to three times what they had asked for, and would have failed where the need was real.

Cause: nobody read the limit. Class: a demand of a peer that no sender knows. Reading it at each proxy would not do: nine proxies that each keep to 6.6 a second together send what callers ask for.

A server's word is now kept in one ledger (kernel/backpressure) by the start of the server, so that it outlives a registration that runs out and comes back. Every way to a server asks it in one place (mayTry). A proxy without a part hears from peers when the limit ends, and forgets it 15 s after anybody heard it. Callers that find all servers so limited are refused at once, with when one of them takes more.

--- a/internal/adapter/peerdrpc/sync.go
+++ b/internal/adapter/peerdrpc/sync.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/peerpb"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
@@ -40,6 +41,8 @@
 		Held []steering.Held
 		// Suspicions are works that were there at the ends of servers.
 		Suspicions []quarantine.Report
+		// Signals are what backend servers ask of all proxies.
+		Signals []backpressure.Report
 		// Others may have what the sender may not give away now.
 		Others []netip.AddrPort
 	}
@@ -84,7 +87,7 @@
 	for _, h := range m.Held {
 		out.Held = append(out.Held, limitOut(h.Service, h.Limit))
 	}
-	out.Suspicions = suspicionsOut(m.Suspicions)
+	out.Suspicions, out.Signals = suspicionsOut(m.Suspicions), signalsOut(m.Signals)
 	entries := make([]*peerpb.Entry, 0, len(m.Entries))
 	for _, e := range m.Entries {
 		entries = append(entries, &peerpb.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Removed: e.Removed, Doubtful: e.Doubtful})
@@ -117,6 +120,9 @@
 	if m.Suspicions, err = suspicionsIn(in.GetSuspicions()); err != nil {
 		return SyncMessage{}, err
 	}
+	if m.Signals, err = signalsIn(in.GetSignals()); err != nil {
+		return SyncMessage{}, err
+	}
 	entries := in.GetEntries()
 	if len(in.GetPacked()) > 0 {
 		if entries, err = unpack(in.GetPacked()); err != nil {
--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -66,6 +66,8 @@
 		Load     float64 `json:"load"`
 		Speed    float64 `json:"speed"`
 		Failed   float64 `json:"failed-share"`
+		// Limit is what it takes from all proxies together, if it names a limit.
+		Limit string `json:"limit,omitempty"`
 	}
 
 	// Route is one route in force.
@@ -193,6 +195,8 @@
 		return "out for " + s.OutFor.Round(time.Millisecond).String()
 	case s.ColdFor > 0:
 		return "cold for " + s.ColdFor.Round(time.Millisecond).String()
+	case s.Limit.Named:
+		return "takes " + s.Limit.String()
 	}
 	return "in use"
 }
--- a/internal/fake/warmnet/ends.go
+++ b/internal/fake/warmnet/ends.go
@@ -187,13 +187,7 @@
 
 // tellSuspicions has each proxy exchange what it knows with another one.
 func (w *world) tellSuspicions() {
-	w.each(func(k *steering.Kernel) {
-		_, region := w.kernelOf(k.Name())
-		others := w.proxies[region]
-		if w.random.IntN(farOneIn) == 0 {
-			others = w.proxies[w.load.Regions[w.random.IntN(len(w.load.Regions))].Name]
-		}
-		to := others[w.random.IntN(len(others))]
+	w.gossip(func(k, to *steering.Kernel) {
 		to.HearSuspicions(w.clock(), k.Suspicions(w.clock(), false))
 		k.HearSuspicions(w.clock(), to.Suspicions(w.clock(), false))
 		w.stir(to)
--- a/internal/fake/warmnet/holds.go
+++ b/internal/fake/warmnet/holds.go
@@ -81,6 +81,18 @@
 	}
 }
 
+// gossip has each proxy exchange what it knows with another one.
+func (w *world) gossip(exchange func(k, to *steering.Kernel)) {
+	w.each(func(k *steering.Kernel) {
+		_, region := w.kernelOf(k.Name())
+		others := w.proxies[region]
+		if w.random.IntN(farOneIn) == 0 {
+			others = w.proxies[w.load.Regions[w.random.IntN(len(w.load.Regions))].Name]
+		}
+		exchange(k, others[w.random.IntN(len(others))])
+	})
+}
+
 // exchange has all proxies tell each other which services they hold back.
 func (w *world) exchange() {
 	if w.Now < w.holds.gossip {
@@ -90,6 +102,9 @@
 	if w.load.hasEnds() {
 		w.tellSuspicions()
 	}
+	if w.load.asksOfSenders() {
+		w.tellSignals()
+	}
 	var all []steering.Held
 	w.each(func(k *steering.Kernel) { all = append(all, k.Holding(w.clock())...) })
 	w.each(func(k *steering.Kernel) { k.SetHolding(w.clock(), all) })
--- a/internal/fake/warmnet/limits.go
+++ b/internal/fake/warmnet/limits.go
@@ -71,6 +71,14 @@
 	return backpressure.Signal{Limit: w.load.limit(s, w.Now)}
 }
 
+// tellSignals has each proxy tell another one what servers ask, and be told.
+func (w *world) tellSignals() {
+	w.gossip(func(k, to *steering.Kernel) {
+		to.HearSignals(w.clock(), k.Signals(w.clock(), false))
+		k.HearSignals(w.clock(), to.Signals(w.clock(), false))
+	})
+}
+
 func (l *limits) arrived(now time.Duration, server, proxy string) {
 	if l.arrivals == nil {
 		l.arrivals, l.toldAt = make(map[string][]limitArrival), make(map[[2]string]time.Duration)
--- a/internal/kernel/admission/cold.go
+++ b/internal/kernel/admission/cold.go
@@ -20,7 +20,7 @@
 type (
 	// Cold paces one proxy's requests to one cold server.
 	Cold struct {
-		sent []time.Time
+		pace Pace
 	}
 
 	// ColdRate is what a cold server bears from all proxies in any second.
@@ -37,23 +37,11 @@
 // request after the other until none is left.
 func (c ColdRate) Share(rank, proxies int) int {
 	total := int(math.Floor(coldShare * (c.PerSecond*c.Factor + c.Slack)))
-	if proxies < 1 || rank < 0 || rank >= proxies {
-		return 0
-	}
-	share := total / proxies
-	if rank < total%proxies {
-		share++
-	}
-	return share
+	return Deal(total, rank, proxies)
 }
 
 // Room reports whether one more request is within the share of this second.
-func (c *Cold) Room(now time.Time, share int) bool {
-	for len(c.sent) > 0 && now.Sub(c.sent[0]) >= coldSpan {
-		c.sent = c.sent[1:]
-	}
-	return len(c.sent) < share
-}
+func (c *Cold) Room(now time.Time, share int) bool { return c.pace.Room(now, coldSpan, share) }
 
 // Take counts one request.
-func (c *Cold) Take(now time.Time) { c.sent = append(c.sent, now) }
+func (c *Cold) Take(now time.Time) { c.pace.Take(now) }
--- /dev/null
+++ b/internal/kernel/admission/pace.go
@@ -0,0 +1,47 @@
+package admission
+
+import (
+	"time"
+)
+
+type (
+	// Pace counts one proxy's requests to one server in a sliding window.
+	Pace struct {
+		sent []time.Time
+	}
+)
+
+// Room reports whether one more request is within a share of the window that ends now.
+func (p *Pace) Room(now time.Time, span time.Duration, share int) bool {
+	for len(p.sent) > 0 && now.Sub(p.sent[0]) >= span {
+		p.sent = p.sent[1:]
+	}
+	return len(p.sent) < share
+}
+
+// Take counts one request.
+func (p *Pace) Take(now time.Time) { p.sent = append(p.sent, now) }
+
+// Next is when there is room for one more request; zero for never.
+func (p *Pace) Next(now time.Time, span time.Duration, share int) time.Time {
+	if p.Room(now, span, share) {
+		return now
+	}
+	if share < 1 {
+		return time.Time{}
+	}
+	return p.sent[len(p.sent)-share].Add(span)
+}
+
+// Deal is the share of the proxy of a rank, from 0, in a number of requests. One request
+// after the other goes to the first ranks until none is left.
+func Deal(total, rank, proxies int) int {
+	if proxies < 1 || rank < 0 || rank >= proxies {
+		return 0
+	}
+	share := total / proxies
+	if rank < total%proxies {
+		share++
+	}
+	return share
+}
--- a/internal/kernel/backpressure/ledger.go
+++ b/internal/kernel/backpressure/ledger.go
@@ -3,12 +3,15 @@
 import (
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 )
 
 const (
 	// noticeFrom is by which part of itself a limit must change to be told of.
 	noticeFrom = 0.1
+	// wordsMost bounds the servers of which something is kept.
+	wordsMost = 4096
 )
 
 type (
@@ -27,8 +30,12 @@
 		limit  Limit
 		// limitAt is when the limit was last named, or found to have ended.
 		limitAt time.Time
-		// noticed is the limit that was last told of.
+		// changedAt is when it last changed, toldAt when peers were last told of it.
+		changedAt, toldAt time.Time
+		// noticed is the limit that was last told to Observe.
 		noticed Limit
+		// pace counts this proxy's requests while there is a limit.
+		pace admission.Pace
 	}
 
 	// Notice tells of a change.
@@ -46,6 +53,12 @@
 // Of is what a server asks, nil for nothing.
 func (l *Ledger) Of(s quarantine.Server) *Word { return l.words[s] }
 
+func (l *Ledger) word(s quarantine.Server) *Word {
+	w := &Word{server: s}
+	l.words[s] = w
+	return w
+}
+
 // Heard takes in the signal of an answer to a request that was sent at a moment. whole is
 // set if all that the answer says is known: what it does not ask then has ended.
 func (l *Ledger) Heard(now, sent time.Time, s quarantine.Server, g Signal, whole bool) *Word {
@@ -54,26 +67,33 @@
 		if !g.Limit.Named {
 			return nil
 		}
-		w = &Word{server: s}
-		l.words[s] = w
+		w = l.word(s)
 	}
 	w.hearLimit(now, sent, g.Limit, whole)
 	l.notice(w)
 	return w
 }
 
-// hearLimit takes in a limit, or that none is named any more. Answers may overtake each
-// other: one to a request that was sent before the limit was last named does not lift it.
-func (w *Word) hearLimit(now, sent time.Time, limit Limit, whole bool) {
-	later := sent.After(w.limitAt)
-	switch {
-	case limit.Named && later:
-		w.limit, w.limitAt = limit, now
-	case limit.Named:
-		w.limit, w.limitAt = w.limit.lower(limit), now
-	case whole && later && w.limit.Named:
-		w.limit, w.limitAt = Limit{}, now
+// Tick drops what has run out.
+func (l *Ledger) Tick(now time.Time) {
+	for s, w := range l.words {
+		if !w.limited(now) && now.Sub(w.changedAt) >= newsFor {
+			delete(l.words, s)
+		}
+	}
+	for len(l.words) > wordsMost {
+		l.dropOldest()
+	}
+}
+
+func (l *Ledger) dropOldest() {
+	var oldest *Word
+	for _, w := range l.words {
+		if oldest == nil || w.limitAt.Before(oldest.limitAt) {
+			oldest = w
+		}
 	}
+	delete(l.words, oldest.server)
 }
 
 // notice tells of a limit that is named, ends or changes by more than a little.
--- /dev/null
+++ b/internal/kernel/backpressure/limit.go
@@ -0,0 +1,81 @@
+package backpressure
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// limitSpan is the sliding window in which a limit is kept.
+	limitSpan = 4 * time.Second
+	// limitFor is how long a limit holds after the last answer at any proxy that named it.
+	// A server that nobody asks says nothing, and one that has ended its limit can tell
+	// only those who still send.
+	limitFor = 15 * time.Second
+	// liftAfter is how long no answer must have named the limit for it to be lifted. A
+	// server that names it in some of its answers only still asks for it.
+	liftAfter = time.Second
+	// windowLeast is how many requests a limit leaves in a window, however low it is:
+	// without any, nobody would hear that it has ended.
+	windowLeast = 1
+	// windowMost is from how many requests in a window on a limit is none for one proxy.
+	windowMost = 1 << 14
+)
+
+// Limit is the limit in force.
+func (w *Word) Limit(now time.Time) Limit {
+	if w == nil || !w.limited(now) {
+		return Limit{}
+	}
+	return w.limit
+}
+
+// Window is how many requests the server takes from all proxies together in a window;
+// false if it names no limit.
+func (w *Word) Window(now time.Time) (int, bool) {
+	if w == nil || !w.limited(now) {
+		return 0, false
+	}
+	n := math.Floor(w.limit.PerSecond * limitSpan.Seconds())
+	if n >= windowMost {
+		return 0, false
+	}
+	return max(windowLeast, int(n)), true
+}
+
+// hearLimit takes in the limit that an answer names, if any. Answers may overtake each
+// other: one to a request that was sent before the limit was last named does not lift it.
+func (w *Word) hearLimit(now, sent time.Time, limit Limit, whole bool) {
+	later := sent.After(w.limitAt)
+	switch {
+	case limit.Named && later:
+		w.set(now, now, limit)
+	case limit.Named:
+		w.set(now, now, w.limit.lower(limit))
+	case whole && later && w.limit.Named && now.Sub(w.limitAt) >= liftAfter:
+		w.set(now, now, Limit{})
+	}
+}
+
+// set notes what the server said at a moment.
+func (w *Word) set(now, at time.Time, limit Limit) {
+	if limit != w.limit {
+		w.changedAt = now
+	}
+	w.limit, w.limitAt = limit, at
+}
+
+func (w *Word) limited(now time.Time) bool { return w.limit.Named && now.Sub(w.limitAt) < limitFor }
+
+// Room reports whether this proxy, with a share of the window, may send one more request.
+func (w *Word) Room(now time.Time, share int) bool { return w.pace.Room(now, limitSpan, share) }
+
+// RoomAt is when it may, zero if not before the server says otherwise.
+func (w *Word) RoomAt(now time.Time, share int) time.Time { return w.pace.Next(now, limitSpan, share) }
+
+// Sent counts a request to the server.
+func (w *Word) Sent(now time.Time) {
+	if w != nil && w.limited(now) {
+		w.pace.Take(now)
+	}
+}
--- /dev/null
+++ b/internal/kernel/backpressure/report.go
@@ -0,0 +1,76 @@
+package backpressure
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
+)
+
+const (
+	// newsFor is for how long a change is told to every peer that this proxy speaks to.
+	newsFor = 3 * time.Second
+	// reportsMost bounds the servers in one message, some 20 bytes each; standingMost those
+	// of them of which there is nothing new.
+	reportsMost  = 64
+	standingMost = 16
+)
+
+type (
+	// Report is what a proxy tells others of what a server asks of all of them.
+	Report struct {
+		Server quarantine.Server `json:"server"`
+		Limit  Limit             `json:"limit"`
+		// Age is how long ago the server said so last; clocks differ.
+		Age time.Duration `json:"age"`
+	}
+)
+
+// Reports lists what peers should hear: what has changed of late, and some of the limits
+// in force in turn; all of them for a proxy that knows nothing yet.
+func (l *Ledger) Reports(now time.Time, all bool) []Report {
+	var news, standing []*Word
+	for _, w := range l.words {
+		switch {
+		case now.Sub(w.changedAt) < newsFor:
+			news = append(news, w)
+		case w.limited(now):
+			standing = append(standing, w)
+		}
+	}
+	slices.SortFunc(news, func(a, b *Word) int { return cmp.Or(b.changedAt.Compare(a.changedAt), cmp.Compare(a.server, b.server)) })
+	slices.SortFunc(standing, func(a, b *Word) int { return cmp.Or(a.toldAt.Compare(b.toldAt), cmp.Compare(a.server, b.server)) })
+	if !all {
+		standing = standing[:min(len(standing), standingMost)]
+	}
+	list := append(news, standing...)
+	list = list[:min(len(list), reportsMost)]
+	reports := make([]Report, 0, len(list))
+	for _, w := range list {
+		w.toldAt = now
+		reports = append(reports, Report{Server: w.server, Limit: w.limit, Age: now.Sub(w.limitAt)})
+	}
+	return reports
+}
+
+// Hear takes in a peer's reports. It reports whether it has learned of servers that it
+// knew nothing of.
+func (l *Ledger) Hear(now time.Time, reports []Report) (learned bool) {
+	for _, r := range reports {
+		at := now.Add(-max(0, r.Age))
+		w := l.words[r.Server]
+		if r.Age >= limitFor || w == nil && !r.Limit.Named {
+			continue
+		}
+		if w == nil {
+			w = l.word(r.Server)
+			learned = true
+		}
+		if at.After(w.limitAt) {
+			w.set(now, at, r.Limit)
+			l.notice(w)
+		}
+	}
+	return learned
+}
--- a/internal/kernel/steering/call.go
+++ b/internal/kernel/steering/call.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/account"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
@@ -33,6 +34,7 @@
 	callDoubted      = "doubted"
 	callRefusing     = "server-refusing"
 	callSuspicions   = "suspicions"
+	callSignals      = "signals"
 	callReport       = "limit-report"
 	callHearReport   = "hear-limit-report"
 	callHearGrants   = "hear-grants"
@@ -72,6 +74,8 @@
 		Release  *Release        `json:"release,omitempty"`
 		// Suspicions are what a peer knows of work that ends servers.
 		Suspicions []quarantine.Report `json:"suspicions,omitempty"`
+		// Signals are what a peer knows of what servers ask.
+		Signals []backpressure.Report `json:"signals,omitempty"`
 		// Accounts are those of a table. What follows is of their limits.
 		Accounts []*account.Account `json:"accounts,omitempty"`
 		Asked    time.Time          `json:"asked,omitzero"`
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -96,7 +96,7 @@
 		if k.weighed != nil {
 			k.weigh(now, f, s, homes)
 		}
-		if !f.mayTry(now, s) {
+		if !k.mayTry(now, f, s) {
 			continue
 		}
 		p := k.reckon(now, f, s, homes)
@@ -129,7 +129,12 @@
 }
 
 // mayTry reports whether the request may go to a server now.
-func (f *Flight) mayTry(now time.Time, s *server) bool {
+func (k *Kernel) mayTry(now time.Time, f *Flight, s *server) bool {
+	return f.mayUse(now, s) && k.permits(now, s)
+}
+
+// mayUse reports whether it may, but for what the server asks of its senders.
+func (f *Flight) mayUse(now time.Time, s *server) bool {
 	return f.allowed.has(s.regionBit) && !slices.Contains(f.tried, s) && s.usable(now)
 }
 
@@ -137,7 +142,7 @@
 func (k *Kernel) weigh(now time.Time, f *Flight, s *server, homes []string) {
 	p := k.reckon(now, f, s, homes)
 	k.weighed(Weighed{
-		Server: s.id, Usable: f.mayTry(now, s), Cold: s.isCold(now),
+		Server: s.id, Usable: k.mayTry(now, f, s), Cold: s.isCold(now),
 		Home: p.home, Warm: p.warm, Load: s.load(now), Speed: s.speed, Expected: p.expected, Cost: k.placer.cost(k, f, p),
 	})
 }
--- a/internal/kernel/steering/cold.go
+++ b/internal/kernel/steering/cold.go
@@ -15,6 +15,21 @@
 	joinFor = 2 * time.Second
 )
 
+type (
+	// serverRank is a proxy's place among all proxies, the nearest to a server first, and
+	// how many of them are in the server's region.
+	serverRank struct {
+		place, near int
+	}
+)
+
+const (
+	// The farness of a proxy: in a server's failure domain, in its region, or in another.
+	farnessDomain = iota
+	farnessRegion
+	farnessOther
+)
+
 // coldRoom reports whether this proxy may send a cold server one more request
 // in this second.
 func (k *Kernel) coldRoom(now time.Time, g *service, s *server) bool {
@@ -32,29 +47,34 @@
 		return 0
 	}
 	rate := admission.ColdRate{PerSecond: c.ColdPerSecond, Factor: k.config.ColdFactor, Slack: k.config.ColdSlack}
-	return rate.Share(k.coldRank(s), len(k.sharers))
+	return rate.Share(k.rankAt(s).place, len(k.sharers))
 }
 
-// coldRank is this proxy's place among all proxies, the nearest to the server
-// first. It is kept for each failure domain: all its servers are as near, and
-// after a failure domain's return each choice asks for hundreds of them.
-func (k *Kernel) coldRank(s *server) int {
-	if rank, known := k.coldRanks[s.Domain]; known {
+// rankAt is this proxy's place among all proxies at a server. It is kept for each failure
+// domain: all its servers are as near, and after a failure domain's return each choice asks
+// for hundreds of them.
+func (k *Kernel) rankAt(s *server) serverRank {
+	if rank, known := k.ranks[s.Domain]; known {
 		return rank
 	}
 	ordered := slices.Clone(k.sharers)
 	slices.SortStableFunc(ordered, func(a, b sharer) int { return farness(a.Proxy, s) - farness(b.Proxy, s) })
-	rank := slices.IndexFunc(ordered, func(p sharer) bool { return p.Name == k.config.Name })
-	k.coldRanks[s.Domain] = rank
+	rank := serverRank{place: slices.IndexFunc(ordered, func(p sharer) bool { return p.Name == k.config.Name })}
+	for _, p := range ordered {
+		if farness(p.Proxy, s) < farnessOther {
+			rank.near++
+		}
+	}
+	k.ranks[s.Domain] = rank
 	return rank
 }
 
 func farness(p Proxy, s *server) int {
 	switch {
 	case p.Domain == s.Domain:
-		return 0
+		return farnessDomain
 	case p.Region == s.region:
-		return 1
+		return farnessRegion
 	}
-	return 2
+	return farnessOther
 }
--- a/internal/kernel/steering/flight.go
+++ b/internal/kernel/steering/flight.go
@@ -80,7 +80,7 @@
 	}
 	s, pick := k.chooseFor(now, f, g)
 	if s == nil {
-		return nil, pick.reason
+		return nil, k.withheldReason(now, f, g, pick.reason)
 	}
 	if len(f.steps) == 0 {
 		if k.sheds(now, f, g, s) {
@@ -93,6 +93,7 @@
 	state := s.state(now)
 	s.inFlight++
 	s.turns++
+	s.word.Sent(now)
 	f.note(Event{
 		At: now, Kind: EventSent, Server: s.id, Domain: s.Domain, Attempt: len(f.steps)/2 + 1, Expected: pick.expected,
 		Load: s.load(now), LoadAge: s.loadAge(now), Home: pick.home, Warm: pick.warm,
@@ -226,6 +227,9 @@
 	if d.NotRun {
 		d.ComeBack = k.comeBack(now, f)
 	}
+	if d.NotRun && reason == ReasonWithheld {
+		d.ComeBack = k.afterWait(f)
+	}
 	if d.NotRun && reason == ReasonEndsServers {
 		// Its work does not run before its next trial, however soon the caller returns.
 		d.ComeBack = f.away
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -103,9 +103,9 @@
 		// must have its result then.
 		leaving bool
 		end     time.Time
-		// coldRanks caches this proxy's rank at the cold servers of a failure
-		// domain, until the sharers change.
-		coldRanks map[string]int
+		// ranks caches this proxy's rank at the servers of a failure domain, until the
+		// sharers change.
+		ranks map[string]serverRank
 		// gates are those that this proxy owns, by server; grants are what the last
 		// tick has granted there.
 		gates  map[string]*gate
@@ -151,7 +151,7 @@
 		services:  make(map[string]*service),
 		evacuated: make(map[string]bool),
 		distance:  make(map[string]*distance),
-		coldRanks: make(map[string]int),
+		ranks:     make(map[string]serverRank),
 		gates:     make(map[string]*gate),
 		off:       make(map[Mechanism]bool),
 		regions:   regionsOf(c.RegionOf),
--- a/internal/kernel/steering/quarantine.go
+++ b/internal/kernel/steering/quarantine.go
@@ -56,7 +56,7 @@
 	f.work = g.workOn(f.Route)
 	least := 0.0
 	for _, s := range g.servers {
-		if !f.mayTry(now, s) {
+		if !k.mayTry(now, f, s) {
 			continue
 		}
 		load := s.load(now) + float64(s.domain.roundTrip)/float64(max(f.Route.Target, time.Millisecond))
--- a/internal/kernel/steering/replay.go
+++ b/internal/kernel/steering/replay.go
@@ -138,6 +138,8 @@
 		k.Refusing(c.At, c.ID)
 	case callSuspicions:
 		k.HearSuspicions(c.At, c.Suspicions)
+	case callSignals:
+		k.HearSignals(c.At, c.Signals)
 	case callHolding:
 		k.SetHolding(c.At, c.Holding)
 	case callReport:
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -53,6 +53,9 @@
 	ReasonNoRegion Reason = "no-region"
 	// ReasonNoServer means that no server may take the request now.
 	ReasonNoServer Reason = "no-server"
+	// ReasonWithheld means that all servers that might take the request have asked for no
+	// more of them now.
+	ReasonWithheld Reason = "withheld-by-servers"
 	// ReasonOverload means that no server would answer in time.
 	ReasonOverload Reason = "overload"
 	// ReasonQueues says that the queues are so long that answers come late.
@@ -162,8 +165,10 @@
 		pressure float64
 		// soon is the longest time until a refused caller's return in which it
 		// can still be answered within the target; zero if it can't.
-		soon  time.Duration
-		steps []Event
+		soon time.Duration
+		// withheld is how long until a server that has asked for less takes more.
+		withheld time.Duration
+		steps    []Event
 	}
 
 	// Decision is the next step of a request.
--- a/internal/kernel/steering/servers.go
+++ b/internal/kernel/steering/servers.go
@@ -110,6 +110,7 @@
 		}
 	}
 	k.quarantine.Tick(now)
+	k.signals.Tick(now)
 }
 
 // Servers lists the ids of all registered servers.
--- a/internal/kernel/steering/sharers.go
+++ b/internal/kernel/steering/sharers.go
@@ -61,7 +61,7 @@
 
 // sharersChanged renews what follows from the list of sharers.
 func (k *Kernel) sharersChanged() {
-	clear(k.coldRanks)
+	clear(k.ranks)
 	k.limits.setHolders(len(k.sharers))
 	k.neighbours = 0
 	for i, s := range k.sharers {
--- a/internal/kernel/steering/signals.go
+++ b/internal/kernel/steering/signals.go
@@ -1,17 +1,125 @@
 package steering
 
 import (
+	"math"
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 )
 
+const (
+	// nearPart is the part of a server's limit that the proxies of its own region share:
+	// most of its objects are asked for there.
+	nearPart = 0.75
+	// withheldMost bounds the time that a caller is told to stay away since servers have
+	// asked for less.
+	withheldMost = time.Minute
+)
+
 // hearSignal takes in what an attempt tells of what the server asks of its senders.
 func (k *Kernel) hearSignal(now time.Time, f *Flight, s *server, a Attempt) {
 	whole := a.Result == Answered || a.Result == Failed || a.Result == Refused
 	s.word = k.signals.Heard(now, f.sentAt, s.start, a.Signal, whole)
 }
 
+// permits reports whether a server takes a request of this proxy now, by what it asks of
+// its senders. Every way to a server asks this.
+func (k *Kernel) permits(now time.Time, s *server) bool {
+	window, limited := s.word.Window(now)
+	return !limited || s.word.Room(now, k.limitShare(now, s, window))
+}
+
+// permittedAt is when a server takes a request of this proxy again; false if that is not
+// known before it says otherwise.
+func (k *Kernel) permittedAt(now time.Time, s *server) (time.Time, bool) {
+	window, limited := s.word.Window(now)
+	if !limited {
+		return now, true
+	}
+	at := s.word.RoomAt(now, k.limitShare(now, s, window))
+	return at, !at.IsZero()
+}
+
+// limitShare is this proxy's part of the requests that a server takes in a window. The
+// parts of all proxies add up to the window without a message, so that the limit holds
+// where they can't hear each other. A proxy that has just started knows too few others,
+// and has no part.
+func (k *Kernel) limitShare(now time.Time, s *server, window int) int {
+	if now.Sub(k.config.Joined) < joinFor {
+		return 0
+	}
+	rank := k.rankAt(s)
+	far := len(k.sharers) - rank.near
+	if rank.near == 0 || far == 0 {
+		return admission.Deal(window, rank.place, len(k.sharers))
+	}
+	nearWindow := int(math.Ceil(nearPart * float64(window)))
+	if rank.place < rank.near {
+		return admission.Deal(nearWindow, rank.place, rank.near)
+	}
+	return admission.Deal(window-nearWindow, rank.place-rank.near, far)
+}
+
+// withheld is how long until a server that might take the request else takes more; false
+// if there is none.
+func (k *Kernel) withheld(now time.Time, f *Flight, g *service) (wait time.Duration, found bool) {
+	for _, s := range g.servers {
+		if s.word == nil || !f.mayUse(now, s) {
+			continue
+		}
+		at, known := k.permittedAt(now, s)
+		if !known {
+			at = now.Add(comeBackMost)
+		}
+		if left := at.Sub(now); !found || left < wait {
+			wait, found = left, true
+		}
+	}
+	return wait, found
+}
+
+// withheldReason tells whether a request finds no server since those that there are have
+// asked for less.
+func (k *Kernel) withheldReason(now time.Time, f *Flight, g *service, reason Reason) Reason {
+	if reason != ReasonNoServer {
+		return reason
+	}
+	wait, found := k.withheld(now, f, g)
+	if !found {
+		return reason
+	}
+	f.withheld = wait
+	return ReasonWithheld
+}
+
+// afterWait is when a caller may come back that servers would not take, spread so that not
+// all return as the first of them takes more.
+func (k *Kernel) afterWait(f *Flight) time.Duration {
+	wait := max(comeBackLeast, min(f.withheld, withheldMost))
+	return wait + time.Duration(k.random.Int64N(int64(min(wait, comeBackMost))))
+}
+
+// Signals lists what peers should hear of what servers ask; all of it for one that knows
+// nothing yet.
+func (k *Kernel) Signals(now time.Time, all bool) []backpressure.Report {
+	return k.signals.Reports(now, all)
+}
+
+// HearSignals takes in what a peer knows.
+func (k *Kernel) HearSignals(now time.Time, list []backpressure.Report) {
+	if len(list) == 0 {
+		return
+	}
+	k.record(Call{Do: callSignals, At: now, Signals: list})
+	if !k.signals.Hear(now, list) {
+		return
+	}
+	for _, s := range k.servers {
+		s.word = k.signals.Of(s.start)
+	}
+}
+
 // observeSignal tells of what a server asks from now on.
 func (k *Kernel) observeSignal(n backpressure.Notice) {
 	e := Event{Kind: EventServerLimit, Limit: n.Limit}
--- /dev/null
+++ b/internal/kernel/steering/signals_test.go
@@ -0,0 +1,75 @@
+package steering
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
+)
+
+func limited(perSecond float64) backpressure.Signal {
+	return backpressure.Signal{Limit: backpressure.Limit{Named: true, PerSecond: perSecond}}
+}
+
+// Guards against shares of a limit that add up to more than it, or leave a part to nobody.
+func TestSharesOfALimitAddUpToIt(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for _, proxies := range []int{1, 2, 9, 77, 300} {
+		fleet, _ := fleetOf(now, time.Time{}, proxies, []string{"north-a", "south-a", "south-a", "north-b"})
+		for _, window := range []int{1, 2, 3, 26, 400, 4001} {
+			sum := 0
+			for _, k := range fleet {
+				sum += k.limitShare(now, k.servers["cold"], window)
+			}
+			if sum != window {
+				t.Errorf("%d proxies may send %d in a window, want %d", proxies, sum, window)
+			}
+		}
+	}
+}
+
+// Guards against a proxy that has just started, knows no other and takes a limit for its own.
+func TestProxyThatJoinsHasNoPartOfALimit(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	fleet, _ := fleetOf(now, now, 1, []string{"north-a"})
+	if got := fleet[0].limitShare(now.Add(time.Second), fleet[0].servers["cold"], 26); got != 0 {
+		t.Errorf("got a part of %d a second after the start, want none", got)
+	}
+	if got := fleet[0].limitShare(now.Add(3*time.Second), fleet[0].servers["cold"], 26); got != 26 {
+		t.Errorf("got a part of %d 3 s after the start, want 26", got)
+	}
+}
+
+// Guards against a server that registers anew after the store was away and gets more than
+// its limit, as what it asked was forgotten with its entry.
+func TestLimitOutlivesTheRegistration(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	k := quarantineKernel(now, true)
+	for _, id := range []string{"s2", "s3", "s4", "s5", "s6"} {
+		k.RemoveServer(now, id)
+	}
+	f, _ := beginDeadly(k, now)
+	k.Ended(now, f, Attempt{Result: Answered, Signal: limited(0.5)})
+	k.RemoveServer(now, "s1")
+	k.SetServer(now, routing.Server{ID: "s1", Service: "service", Domain: "north-a", Slots: 4, Started: now})
+	sent := 0
+	for range 20 {
+		now = now.Add(50 * time.Millisecond)
+		f, d := beginDeadly(k, now)
+		if d.Server != nil {
+			sent++
+			k.Ended(now, f, Attempt{Result: Answered, Signal: limited(0.5)})
+		} else if d.Reason != ReasonWithheld || !d.NotRun || d.ComeBack <= 0 {
+			t.Fatalf("got %+v, want it refused since the server has asked for less", d)
+		}
+	}
+	if sent != 2 {
+		t.Errorf("%d requests were sent within a second, want the 2 of a window", sent)
+	}
+	now = now.Add(time.Second)
+	k.SetServer(now, routing.Server{ID: "s1", Service: "service", Domain: "north-a", Slots: 4, Started: now})
+	if _, d := beginDeadly(k, now); d.Server == nil {
+		t.Errorf("got %+v, want a server that has started again to ask nothing", d)
+	}
+}
--- a/internal/kernel/steering/status.go
+++ b/internal/kernel/steering/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/account"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 )
 
@@ -55,6 +56,8 @@
 		// Load is what it was last said to run and queue, LoadAge ago.
 		Load    float64
 		LoadAge time.Duration
+		// Limit is what it takes from all proxies together, if it names a limit.
+		Limit backpressure.Limit
 		// Speed is observed over expected time, Failed the share of failures.
 		Speed  float64
 		Failed float64
@@ -71,7 +74,7 @@
 			ID: b.id, Service: b.Service, Domain: b.Domain, Slots: b.Slots, InFlight: b.inFlight,
 			Draining: b.Draining, Absent: !b.absentUntil.IsZero(),
 			ColdFor: max(0, b.coldUntil.Sub(now)), OutFor: max(0, b.outUntil.Sub(now)),
-			Load: b.load(now), LoadAge: b.loadAge(now), Speed: b.speed, Failed: b.failed,
+			Load: b.load(now), LoadAge: b.loadAge(now), Limit: b.word.Limit(now), Speed: b.speed, Failed: b.failed,
 		})
 	}
 	slices.SortFunc(s.Servers, func(a, b ServerStatus) int { return strings.Compare(a.Service+a.ID, b.Service+b.ID) })
--- a/internal/proxy/forward/face.go
+++ b/internal/proxy/forward/face.go
@@ -76,7 +76,7 @@
 	for _, b := range view.Servers {
 		s.Servers = append(s.Servers, steeringhttp.BackendServer{
 			ID: b.ID, Service: b.Service, Domain: b.Domain, State: steeringhttp.StateOf(b), InFlight: b.InFlight,
-			Slots: b.Slots, Load: b.Load, Speed: b.Speed, Failed: b.Failed,
+			Slots: b.Slots, Load: b.Load, Speed: b.Speed, Failed: b.Failed, Limit: b.Limit.String(),
 		})
 	}
 	for _, c := range view.Condemned {
--- a/internal/proxy/forward/gossip.go
+++ b/internal/proxy/forward/gossip.go
@@ -111,10 +111,11 @@
 // take takes a peer's message in and reports whether the copy advanced.
 func (g *gossip) take(m peerdrpc.SyncMessage) bool {
 	g.feed.hear(m)
-	if len(m.Held)+len(m.Suspicions) > 0 {
+	if len(m.Held)+len(m.Suspicions)+len(m.Signals) > 0 {
 		g.feed.daemon.do(func(k *steering.Kernel, now time.Time) {
 			k.SetHolding(now, m.Held)
 			k.HearSuspicions(now, m.Suspicions)
+			k.HearSignals(now, m.Signals)
 		})
 	}
 	g.mu.Lock()
@@ -135,8 +136,8 @@
 // that has just started hears of all suspicions.
 func (g *gossip) message(d replica.Delta, starts bool) peerdrpc.SyncMessage {
 	return peerdrpc.SyncMessage{
-		Suspicions: g.feed.daemon.suspicions(starts),
-		From:       g.feed.daemon.settings.Name, Started: g.feed.daemon.started(), Leaving: g.feed.daemon.isStopping(),
+		Suspicions: g.feed.daemon.suspicions(starts), Signals: g.feed.daemon.signals(starts),
+		From: g.feed.daemon.settings.Name, Started: g.feed.daemon.started(), Leaving: g.feed.daemon.isStopping(),
 		Held: g.feed.daemon.holding(), Delta: d,
 	}
 }
