The own interface keeps to the limits of backend servers too

The same fault elsewhere: behind the product's own interface a server could ask for less in no way at all but by refusing. Its field is Gypsumquay-Limit.

Requests and probes ask the same ledger; the proxies' places are dealt by the bundle's numbers, so that parts of a fleet that are cut off from each other can't each take the whole. How the parts are dealt has moved to kernel/backpressure, for both interfaces.

--- a/internal/adapter/backendhttp/client.go
+++ b/internal/adapter/backendhttp/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backend"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
 )
 
@@ -105,7 +106,7 @@
 	if err != nil {
 		return Response{Result: failure(ctx, connected.Load()), Refusing: serverhttp.Refusing(err), Err: err}
 	}
-	return c.receive(ctx, response)
+	return c.receive(ctx, response, r.Address.String())
 }
 
 // failure classifies an exchange without an answer. Without a connection no
@@ -149,8 +150,8 @@
 	}
 }
 
-func (c *Client) receive(ctx context.Context, response *http.Response) Response {
-	report := c.report(response.Header)
+func (c *Client) receive(ctx context.Context, response *http.Response, server string) Response {
+	report := c.report(response.Header, server)
 	if response.Header.Get(caller.HeaderOutcome) == caller.NotRun.String() {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, BufferedBytes))
 		_ = response.Body.Close()
@@ -163,7 +164,7 @@
 	}
 	header := make(http.Header)
 	serverhttp.CopyHeader(header, response.Header)
-	for _, own := range []string{caller.HeaderLoad, caller.HeaderLeaving} {
+	for _, own := range []string{caller.HeaderLoad, caller.HeaderLeaving, caller.HeaderLimit} {
 		header.Del(own)
 	}
 	answer := &caller.Answer{Status: response.StatusCode, Header: header, Body: head}
@@ -176,13 +177,14 @@
 	return out
 }
 
-func (c *Client) report(h http.Header) *backend.Report {
+func (c *Client) report(h http.Header, server string) *backend.Report {
 	running, err := strconv.Atoi(h.Get(caller.HeaderLoad))
 	leaving := h.Get(caller.HeaderLeaving) == "true"
-	if err != nil && !leaving {
+	signal := serverhttp.SignalOf(h, caller.HeaderLimit, server)
+	if err != nil && !leaving && signal == (backpressure.Signal{}) {
 		return nil
 	}
-	return &backend.Report{Running: max(0, running), Leaving: leaving, At: c.now()}
+	return &backend.Report{Running: max(0, running), Leaving: leaving, Signal: signal, At: c.now()}
 }
 
 // Probe asks a server for its health.
@@ -199,5 +201,5 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxHeaderBytes))
-	return backend.Health{OK: response.StatusCode < http.StatusInternalServerError, Report: c.report(response.Header)}
+	return backend.Health{OK: response.StatusCode < http.StatusInternalServerError, Report: c.report(response.Header, address.String())}
 }
--- a/internal/adapter/peerdrpc/convert.go
+++ b/internal/adapter/peerdrpc/convert.go
@@ -85,7 +85,7 @@
 		}
 		out.Rows = append(out.Rows, one)
 	}
-	out.Suspicions = suspicionsOut(e.Suspicions)
+	out.Suspicions, out.Signals = suspicionsOut(e.Suspicions), signalsOut(e.Signals)
 	return out
 }
 
@@ -117,7 +117,10 @@
 		in.Rows = append(in.Rows, one)
 	}
 	var err error
-	in.Suspicions, err = suspicionsIn(e.GetSuspicions())
+	if in.Suspicions, err = suspicionsIn(e.GetSuspicions()); err != nil {
+		return in, err
+	}
+	in.Signals, err = signalsIn(e.GetSignals())
 	return in, err
 }
 
--- a/internal/fake/simnet/checks.go
+++ b/internal/fake/simnet/checks.go
@@ -46,6 +46,8 @@
 		stopped int
 		// deadlyEnds are the moments at which deadly requests have ended servers.
 		deadlyEnds []time.Time
+		// limits are those of the servers that name one.
+		limits map[string]*limitCheck
 		// Headroom is the largest share of a region's capacity ever used.
 		Used float64
 		// InForce is the time from each roll-out until all proxies used it.
@@ -87,6 +89,7 @@
 		rollouts:   make(map[uint64]time.Time),
 		bundles:    make(map[uint64]*operator.Bundle),
 		lostAt:     make(map[string]time.Time),
+		limits:     make(map[string]*limitCheck),
 		LastWork:   make(map[string]time.Time),
 		Dispatched: make(map[string]map[int64]int),
 	}
@@ -182,6 +185,7 @@
 	}
 	c.link(p, w)
 	c.leaving(p, w)
+	c.limit(p, w)
 }
 
 // link counts requests over a link between regions.
@@ -264,7 +268,7 @@
 // proxyTicked asserts that versions never fall and measures when a bundle is
 // in force everywhere.
 func (c *Checks) proxyTicked(p *Proxy) {
-	id := fmt.Sprint(p.name, "/", p.life)
+	id := p.id()
 	version := p.kernel.BundleVersion()
 	if version < c.versions[id] {
 		c.violate("%s went from bundle %d back to %d", p.name, c.versions[id], version)
--- /dev/null
+++ b/internal/fake/simnet/limits.go
@@ -0,0 +1,60 @@
+package simnet
+
+import (
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backend"
+)
+
+const (
+	// limitSpan is the window in which a server's limit is judged, limitFactor and
+	// limitSlack what is allowed there beyond it.
+	limitSpan   = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	// limitGrace is how long after it is first named a limit is not judged, heedWithin how
+	// long a proxy may take to heed an answer.
+	limitGrace = 4 * time.Second
+	heedWithin = 500 * time.Millisecond
+)
+
+type (
+	// limitCheck is what a server got since it names a limit.
+	limitCheck struct {
+		named time.Time
+		// told is when each process has heard of it.
+		told map[string]time.Time
+		// sent are the moments of the requests from processes that knew.
+		sent []time.Time
+	}
+)
+
+// heard notes that a process has heard of a server's limit.
+func (c *Checks) heard(p *Proxy, w *Worker, r *backend.Report) {
+	l := c.limits[w.config.Name]
+	if l == nil || r == nil || !r.Signal.Limit.Named {
+		return
+	}
+	if _, known := l.told[p.id()]; !known {
+		l.told[p.id()] = c.sim.now
+	}
+}
+
+// limit asserts that a server gets no more than it has asked for from those who know.
+func (c *Checks) limit(p *Proxy, w *Worker) {
+	l := c.limits[w.config.Name]
+	if l == nil {
+		return
+	}
+	now := c.sim.now
+	if at, told := l.told[p.id()]; told && now.Sub(at) >= heedWithin {
+		l.sent = append(l.sent, now)
+	}
+	for len(l.sent) > 0 && now.Sub(l.sent[0]) >= limitSpan {
+		l.sent = l.sent[1:]
+	}
+	allowed := limitFactor*limitSpan.Seconds()*w.limit.PerSecond + limitSlack
+	if now.Sub(l.named) >= limitGrace && float64(len(l.sent)) > allowed {
+		c.violate("%s names a limit of %.1f a second and got %d requests in %s, %.1f are allowed", w.config.Name, w.limit.PerSecond, len(l.sent), limitSpan, allowed)
+	}
+}
--- a/internal/fake/simnet/proxy.go
+++ b/internal/fake/simnet/proxy.go
@@ -76,6 +76,9 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 255, byte(p.index >> 8), byte(p.index)}), 1)
 }
 
+// id names this incarnation.
+func (p *Proxy) id() string { return fmt.Sprint(p.name, "/", p.life) }
+
 // start begins a new incarnation.
 func (p *Proxy) start() {
 	p.life++
--- a/internal/fake/simnet/scenario.go
+++ b/internal/fake/simnet/scenario.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
@@ -29,6 +30,7 @@
 		"kill-server":        killServer,
 		"deadly-request":     deadlyRequest,
 		"shed-server":        shedServer,
+		"limit-server":       limitServer,
 		"leave-server":       func(s *Sim, f Fault) { s.workers[f.Target].leaves = true },
 		"platform-outage":    platformOutage,
 		"lose-answers":       func(s *Sim, f Fault) { s.LoseAnswers(f.Amount) },
@@ -219,6 +221,17 @@
 	s.lasting(f, func() { s.workers[f.Target].shed = false })
 }
 
+// limitServer has a server name a limit, Amount requests in ten seconds.
+func limitServer(s *Sim, f Fault) {
+	w := s.workers[f.Target]
+	w.limit = backpressure.Limit{Named: true, PerSecond: float64(f.Amount) / 10}
+	s.checks.limits[f.Target] = &limitCheck{named: s.now, told: make(map[string]time.Time)}
+	s.lasting(f, func() {
+		w.limit = backpressure.Limit{}
+		delete(s.checks.limits, f.Target)
+	})
+}
+
 func platformOutage(s *Sim, f Fault) {
 	s.SetDown(true)
 	s.lasting(f, func() { s.SetDown(false) })
--- a/internal/fake/simnet/serve.go
+++ b/internal/fake/simnet/serve.go
@@ -59,6 +59,7 @@
 				return
 			}
 			ended = true
+			p.sim.checks.heard(p, w, report)
 			var answer *caller.Answer
 			if result == backend.Answered {
 				answer = &caller.Answer{Status: 200, Body: []byte(r.key)}
--- a/internal/fake/simnet/worker.go
+++ b/internal/fake/simnet/worker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backend"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
 )
 
@@ -20,6 +21,8 @@
 		queue  []*job
 		shed   bool
 		leaves bool
+		// limit is what it names, in requests a second.
+		limit  backpressure.Limit
 		report int
 		at     time.Time
 	}
@@ -137,5 +140,5 @@
 		w.report = w.busy + len(w.queue)
 		w.at = w.sim.now
 	}
-	return &backend.Report{Running: w.report, Leaving: w.leaves, At: w.sim.now}
+	return &backend.Report{Running: w.report, Leaving: w.leaves, Signal: backpressure.Signal{Limit: w.limit}, At: w.sim.now}
 }
--- a/internal/kernel/backend/server.go
+++ b/internal/kernel/backend/server.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
 )
 
@@ -57,7 +58,9 @@
 	Report struct {
 		Running int
 		Leaving bool
-		At      time.Time
+		// Signal is what it asks of its senders.
+		Signal backpressure.Signal
+		At     time.Time
 	}
 
 	// Server is what this proxy knows of one backend server.
--- a/internal/kernel/backpressure/ledger.go
+++ b/internal/kernel/backpressure/ledger.go
@@ -53,6 +53,9 @@
 // Of is what a server asks, nil for nothing.
 func (l *Ledger) Of(s quarantine.Server) *Word { return l.words[s] }
 
+// Empty reports whether no server asks anything.
+func (l *Ledger) Empty() bool { return len(l.words) == 0 }
+
 func (l *Ledger) word(s quarantine.Server) *Word {
 	w := &Word{server: s}
 	l.words[s] = w
--- a/internal/kernel/backpressure/limit.go
+++ b/internal/kernel/backpressure/limit.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
 )
 
 const (
@@ -20,8 +22,34 @@
 	windowLeast = 1
 	// windowMost is from how many requests in a window on a limit is none for one proxy.
 	windowMost = 1 << 14
+	// nearPart is the part of a limit that the proxies of the server's own region share:
+	// most requests for it come from there.
+	nearPart = 0.75
+)
+
+type (
+	// Rank is a proxy's place among all proxies, those in the region of a server first.
+	Rank struct {
+		Place int
+		// Near counts the proxies in the server's region, All all of them.
+		Near, All int
+	}
 )
 
+// Share is the proxy's part of the requests that a server takes in a window. The parts of
+// all proxies add up to the window without a message, so that the limit holds where they
+// can't hear each other.
+func (r Rank) Share(window int) int {
+	if r.Near == 0 || r.Near == r.All {
+		return admission.Deal(window, r.Place, r.All)
+	}
+	near := int(math.Ceil(nearPart * float64(window)))
+	if r.Place < r.Near {
+		return admission.Deal(near, r.Place, r.Near)
+	}
+	return admission.Deal(window-near, r.Place-r.Near, r.All-r.Near)
+}
+
 // Limit is the limit in force.
 func (w *Word) Limit(now time.Time) Limit {
 	if w == nil || !w.limited(now) {
--- a/internal/kernel/caller/header.go
+++ b/internal/kernel/caller/header.go
@@ -23,4 +23,7 @@
 	HeaderLoad = "Gypsumquay-Load"
 	// HeaderLeaving is "true" from a backend server that wants no new work.
 	HeaderLeaving = "Gypsumquay-Leaving"
+	// HeaderLimit is the rate, in requests a second, that a backend server takes from all
+	// proxies together.
+	HeaderLimit = "Gypsumquay-Limit"
 )
--- a/internal/kernel/core/event.go
+++ b/internal/kernel/core/event.go
@@ -36,6 +36,8 @@
 	EventRegionLost Kind = "region-lost"
 	// EventRegionBack marks a region that answers again.
 	EventRegionBack Kind = "region-back"
+	// EventServerLimit marks a backend server that names a limit, another one, or none.
+	EventServerLimit Kind = "backend-server-limit"
 	// EventServerOut marks a backend server taken out after failures.
 	EventServerOut Kind = "backend-server-out"
 	// EventServerLeaving marks a backend server that gets no new work.
--- a/internal/kernel/core/gossip.go
+++ b/internal/kernel/core/gossip.go
@@ -103,6 +103,7 @@
 		Members:  k.members.Newest(newestMembers, now.Add(-newsLife)),
 
 		Suspicions: k.quarantine.Reports(now, false),
+		Signals:    k.signals.Reports(now, false),
 	}
 }
 
@@ -130,7 +131,7 @@
 	}
 	if asker, _ := k.members.Get(m.From); asker.State == peer.Joining && k.members.Self().State == peer.Live {
 		reply.Rows = k.rows()
-		reply.Suspicions = k.quarantine.Reports(now, true)
+		reply.Suspicions, reply.Signals = k.quarantine.Reports(now, true), k.signals.Reports(now, true)
 	}
 	if reply.Versions.Bundle > m.Versions.Bundle {
 		reply.Bundle = k.envelope
@@ -195,6 +196,7 @@
 func (k *Kernel) learn(now time.Time, m peer.Exchange) {
 	k.clock.Hear(m.Stamp)
 	k.quarantine.Hear(now, m.Suspicions)
+	k.signals.Hear(now, m.Signals)
 	news := false
 	for _, member := range m.Members {
 		if k.members.Hear(member, now) {
--- a/internal/kernel/core/kernel.go
+++ b/internal/kernel/core/kernel.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backend"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
@@ -126,6 +127,8 @@
 		// of servers at which exchanges broke.
 		quarantine *quarantine.Ledger
 		starts     map[string]quarantine.Server
+		// signals are what servers ask of their senders.
+		signals *backpressure.Ledger
 	}
 
 	service struct {
@@ -176,8 +179,10 @@
 
 		quarantine: quarantine.NewLedger(),
 		starts:     make(map[string]quarantine.Server),
+		signals:    backpressure.NewLedger(),
 	}
 	k.quarantine.Observe, k.quarantine.Rank = k.observeWork, k.trialRank
+	k.signals.Observe = k.observeSignal
 	return k
 }
 
@@ -201,6 +206,7 @@
 		actions = k.probe(now, actions)
 		actions = k.probeDoubted(actions)
 		k.followSuspicions(now)
+		k.signals.Tick(now)
 	}
 	actions = k.exchange(now, actions)
 	actions = k.store(now, actions)
--- a/internal/kernel/core/request.go
+++ b/internal/kernel/core/request.go
@@ -182,7 +182,7 @@
 		r.quota.Undo()
 		return k.turnAway(now, f, caller.ReasonLink, k.comeBack(now, link))
 	}
-	server := f.service.picker.Pick(now, f.service.byRegion[at], avoid, k.connectionLimit)
+	server := f.service.picker.Pick(now, f.service.byRegion[at], avoid, k.room(now))
 	if server == nil {
 		r.quota.Undo()
 		if link != nil {
@@ -224,6 +224,7 @@
 		f.id = k.config.Self.Name + "-" + strconv.FormatUint(k.serial, 36)
 	}
 	server.Start()
+	k.wordOf(server).Sent(now)
 	k.quarantine.Started(f.work)
 	k.inFlight++
 	kind := EventAdmitted
@@ -242,6 +243,17 @@
 	}
 }
 
+// room tells how many requests this proxy may have at a server now: its part of the
+// server's connections, or none if the server asks for less.
+func (k *Kernel) room(now time.Time) func(*backend.Server) int {
+	return func(s *backend.Server) int {
+		if !k.permits(now, s) {
+			return 0
+		}
+		return k.connectionLimit(s)
+	}
+}
+
 // connectionLimit is this proxy's part of a server's connections.
 func (k *Kernel) connectionLimit(s *backend.Server) int {
 	return max(1, s.Connections/max(1, k.quotaSlots))
@@ -261,6 +273,7 @@
 	wasOut := f.server.Out()
 	if e.Report != nil {
 		f.server.Learn(*e.Report, now)
+		k.hearSignal(now, f.sent, f.server, *e.Report)
 	}
 	f.server.End(e.Result, now.Sub(f.sent), now)
 	if f.server.Out() && !wasOut {
--- a/internal/kernel/core/route.go
+++ b/internal/kernel/core/route.go
@@ -160,7 +160,8 @@
 			continue
 		}
 		for _, s := range r.servers {
-			if s.ProbeDue(now, probeEvery) {
+			if k.permits(now, s) && s.ProbeDue(now, probeEvery) {
+				k.wordOf(s).Sent(now)
 				actions = append(actions, SendProbe{Server: s.Name, Address: s.Address})
 			}
 		}
@@ -180,6 +181,8 @@
 			}
 			if h.Report != nil {
 				s.Learn(*h.Report, now)
+				// When it was asked is not known, so it lifts no limit.
+				k.signals.Heard(now, now, signalKey(s.Name), h.Report.Signal, false)
 			}
 			s.Probed(h.OK, now)
 		}
--- /dev/null
+++ b/internal/kernel/core/signals.go
@@ -0,0 +1,93 @@
+package core
+
+import (
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backend"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
+)
+
+// signalKey names a server among all proxies. It has one name for good, so what an earlier
+// start has asked ends with the first answers of the next.
+func signalKey(server string) quarantine.Server { return quarantine.ServerOf(server, time.Time{}) }
+
+// wordOf is what a server asks of its senders, nil for nothing.
+func (k *Kernel) wordOf(s *backend.Server) *backpressure.Word {
+	if k.signals.Empty() {
+		return nil
+	}
+	return k.signals.Of(signalKey(s.Name))
+}
+
+// hearSignal takes in what a server's answer asks.
+func (k *Kernel) hearSignal(now, sent time.Time, s *backend.Server, r backend.Report) {
+	k.signals.Heard(now, sent, signalKey(s.Name), r.Signal, true)
+}
+
+// permits reports whether a server takes a request of this proxy now, by what it asks of
+// its senders. Requests and probes ask this.
+func (k *Kernel) permits(now time.Time, s *backend.Server) bool {
+	word := k.wordOf(s)
+	window, limited := word.Window(now)
+	return !limited || word.Room(now, k.rankAt(s.Region).Share(window))
+}
+
+// rankAt is this proxy's place among all proxies at the servers of a region. Their numbers
+// are the bundle's, so that parts of a fleet that are cut off from each other do not each
+// take a whole limit; in an unlisted region, or beyond its number, there is no place.
+func (k *Kernel) rankAt(server string) backpressure.Rank {
+	self := k.config.Self
+	rank, own := backpressure.Rank{}, -1
+	for _, r := range k.regions {
+		if r.Name == server {
+			rank.Near = r.Proxies
+		}
+		if r.Name == self.Region {
+			own = k.placeInRegion()
+			if own >= r.Proxies {
+				own = -1
+			}
+		}
+		rank.All += r.Proxies
+	}
+	if own < 0 {
+		return backpressure.Rank{Place: rank.All, Near: rank.Near, All: rank.All}
+	}
+	rank.Place = own
+	if self.Region == server {
+		return rank
+	}
+	rank.Place += rank.Near
+	for _, r := range k.regions {
+		if r.Name == self.Region {
+			break
+		}
+		if r.Name != server {
+			rank.Place += r.Proxies
+		}
+	}
+	return rank
+}
+
+// placeInRegion counts the proxies of the own region before this one.
+func (k *Kernel) placeInRegion() (place int) {
+	for _, m := range k.members.All() {
+		if m.State != peer.Gone && m.Region == k.config.Self.Region && m.Name < k.config.Self.Name {
+			place++
+		}
+	}
+	return place
+}
+
+// observeSignal tells of what a server asks from now on.
+func (k *Kernel) observeSignal(n backpressure.Notice) {
+	for _, r := range k.regions {
+		for _, s := range r.servers {
+			if signalKey(s.Name) == n.Server {
+				k.log(k.lastTick, Event{Kind: EventServerLimit, Target: s.Name, Detail: n.Limit.String()})
+			}
+		}
+	}
+}
--- a/internal/kernel/peer/message.go
+++ b/internal/kernel/peer/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 )
@@ -35,6 +36,8 @@
 		Rows [][]int
 		// Suspicions are works that were there at the ends of backend servers.
 		Suspicions []quarantine.Report
+		// Signals are what backend servers ask of all proxies.
+		Signals []backpressure.Report
 	}
 
 	// BorrowRequest asks for quota of one resource. With a loan's number it
--- a/internal/kernel/steering/cold.go
+++ b/internal/kernel/steering/cold.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 )
 
 const (
@@ -15,14 +16,6 @@
 	joinFor = 2 * time.Second
 )
 
-type (
-	// serverRank is a proxy's place among all proxies, the nearest to a server first, and
-	// how many of them are in the server's region.
-	serverRank struct {
-		place, near int
-	}
-)
-
 const (
 	// The farness of a proxy: in a server's failure domain, in its region, or in another.
 	farnessDomain = iota
@@ -47,22 +40,22 @@
 		return 0
 	}
 	rate := admission.ColdRate{PerSecond: c.ColdPerSecond, Factor: k.config.ColdFactor, Slack: k.config.ColdSlack}
-	return rate.Share(k.rankAt(s).place, len(k.sharers))
+	return rate.Share(k.rankAt(s).Place, len(k.sharers))
 }
 
 // rankAt is this proxy's place among all proxies at a server. It is kept for each failure
 // domain: all its servers are as near, and after a failure domain's return each choice asks
 // for hundreds of them.
-func (k *Kernel) rankAt(s *server) serverRank {
+func (k *Kernel) rankAt(s *server) backpressure.Rank {
 	if rank, known := k.ranks[s.Domain]; known {
 		return rank
 	}
 	ordered := slices.Clone(k.sharers)
 	slices.SortStableFunc(ordered, func(a, b sharer) int { return farness(a.Proxy, s) - farness(b.Proxy, s) })
-	rank := serverRank{place: slices.IndexFunc(ordered, func(p sharer) bool { return p.Name == k.config.Name })}
+	rank := backpressure.Rank{All: len(ordered), Place: slices.IndexFunc(ordered, func(p sharer) bool { return p.Name == k.config.Name })}
 	for _, p := range ordered {
 		if farness(p.Proxy, s) < farnessOther {
-			rank.near++
+			rank.Near++
 		}
 	}
 	k.ranks[s.Domain] = rank
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -105,7 +105,7 @@
 		end     time.Time
 		// ranks caches this proxy's rank at the servers of a failure domain, until the
 		// sharers change.
-		ranks map[string]serverRank
+		ranks map[string]backpressure.Rank
 		// gates are those that this proxy owns, by server; grants are what the last
 		// tick has granted there.
 		gates  map[string]*gate
@@ -151,7 +151,7 @@
 		services:  make(map[string]*service),
 		evacuated: make(map[string]bool),
 		distance:  make(map[string]*distance),
-		ranks:     make(map[string]serverRank),
+		ranks:     make(map[string]backpressure.Rank),
 		gates:     make(map[string]*gate),
 		off:       make(map[Mechanism]bool),
 		regions:   regionsOf(c.RegionOf),
--- a/internal/kernel/steering/signals.go
+++ b/internal/kernel/steering/signals.go
@@ -1,17 +1,12 @@
 package steering
 
 import (
-	"math"
 	"time"
 
-	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 )
 
 const (
-	// nearPart is the part of a server's limit that the proxies of its own region share:
-	// most of its objects are asked for there.
-	nearPart = 0.75
 	// withheldMost bounds the time that a caller is told to stay away since servers have
 	// asked for less.
 	withheldMost = time.Minute
@@ -41,24 +36,13 @@
 	return at, !at.IsZero()
 }
 
-// limitShare is this proxy's part of the requests that a server takes in a window. The
-// parts of all proxies add up to the window without a message, so that the limit holds
-// where they can't hear each other. A proxy that has just started knows too few others,
-// and has no part.
+// limitShare is this proxy's part of the requests that a server takes in a window. One that
+// has just started knows too few others, and has no part.
 func (k *Kernel) limitShare(now time.Time, s *server, window int) int {
 	if now.Sub(k.config.Joined) < joinFor {
 		return 0
 	}
-	rank := k.rankAt(s)
-	far := len(k.sharers) - rank.near
-	if rank.near == 0 || far == 0 {
-		return admission.Deal(window, rank.place, len(k.sharers))
-	}
-	nearWindow := int(math.Ceil(nearPart * float64(window)))
-	if rank.place < rank.near {
-		return admission.Deal(nearWindow, rank.place, rank.near)
-	}
-	return admission.Deal(window-nearWindow, rank.place-rank.near, far)
+	return k.rankAt(s).Share(window)
 }
 
 // withheld is how long until a server that might take the request else takes more; false
