--- a/internal/adapter/backendhttp/client.go
+++ b/internal/adapter/backendhttp/client.go
@@ -36,6 +36,10 @@
 	keyHeaderLower = "idempotency-key"
 )
 
+var (
+	signalHeaders = serverhttp.Headers{Limit: caller.HeaderLimit}
+)
+
 type (
 	// Client sends requests to backend servers.
 	Client struct {
@@ -180,7 +184,7 @@
 func (c *Client) report(h http.Header, server string) *backend.Report {
 	running, err := strconv.Atoi(h.Get(caller.HeaderLoad))
 	leaving := h.Get(caller.HeaderLeaving) == "true"
-	signal := serverhttp.SignalOf(h, caller.HeaderLimit, server)
+	signal := serverhttp.SignalOf(h, signalHeaders, server)
 	if err != nil && !leaving && signal == (backpressure.Signal{}) {
 		return nil
 	}
--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -73,6 +73,8 @@
 		Account string
 		// Limit is the rate of requests that a server takes from all proxies together.
 		Limit string
+		// Leaving is set to LeavingValue by a server that takes no new requests any more.
+		Leaving, LeavingValue string
 	}
 
 	// Client exchanges requests with servers.
--- a/internal/adapter/serverhttp/signal_test.go
+++ b/internal/adapter/serverhttp/signal_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
@@ -12,7 +13,7 @@
 // Guards against signals that are lost with the answers that carry them.
 func TestSignalsOfAllAnswersAreHeard(t *testing.T) {
 	h := headers
-	h.Limit = "Limit"
+	h.Limit, h.Leaving, h.LeavingValue = "Limit", "Leaving", "1"
 	whole := "HTTP/1.1 200 OK\r\nAttempt: a\r\nSeal: s\r\nLimit: 6.5\r\nContent-Length: 0\r\n\r\n"
 	for name, c := range map[string]struct {
 		answer string
@@ -25,6 +26,8 @@
 		"cut short":                 {"HTTP/1.1 200 OK\r\nAttempt: a\r\nLimit: 1\r\nContent-Length: 9\r\n\r\n", 1},
 		"behind one to another":     {"HTTP/1.1 200 OK\r\nAttempt: b\r\nLimit: 5\r\nContent-Length: 0\r\n\r\n" + whole, 5},
 		"of another server, a 421":  {"HTTP/1.1 421 No\r\nAttempt: a\r\nLimit: 7\r\nContent-Length: 0\r\n\r\n", 0},
+		"that leaves":               {"HTTP/1.1 500 No\r\nAttempt: a\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n", 0},
+		"that stays":                {"HTTP/1.1 500 No\r\nAttempt: a\r\nLeaving: 0\r\nContent-Length: 0\r\n\r\n", 0},
 		"that can't be read":        {"HTTP/1.1 200 OK\r\nAttempt: a\r\nSeal: s\r\nLimit: few\r\nContent-Length: 0\r\n\r\n", 0},
 		"twice, of which one reads": {"HTTP/1.1 200 OK\r\nAttempt: a\r\nSeal: s\r\nLimit: 8\r\nLimit: x\r\nContent-Length: 0\r\n\r\n", 8},
 	} {
@@ -37,9 +40,9 @@
 			client.headers = h
 			attempt, answer := send(client, s, "a")
 			answer.Release()
-			want := backpressure.Limit{Named: c.want > 0, PerSecond: c.want}
-			if attempt.Signal.Limit != want {
-				t.Errorf("got %+v, want %+v", attempt.Signal.Limit, want)
+			want := backpressure.Signal{Limit: backpressure.Limit{Named: c.want > 0, PerSecond: c.want}, Leaving: strings.Contains(name, "leaves")}
+			if attempt.Signal != want {
+				t.Errorf("got %+v, want %+v", attempt.Signal, want)
 			}
 		})
 	}
--- a/internal/kernel/backpressure/ledger.go
+++ b/internal/kernel/backpressure/ledger.go
@@ -14,6 +14,13 @@
 	wordsMost = 4096
 )
 
+const (
+	// ChangeLimit tells of a limit that is named, another one, or none any more.
+	ChangeLimit Change = "server-limit"
+	// ChangeLeaving tells of a server that leaves by its own word.
+	ChangeLeaving Change = "server-leaving"
+)
+
 type (
 	// Ledger is what one proxy knows of the signals of servers. It is not safe for use by
 	// several goroutines at once. Its moments are of the caller's steady clock.
@@ -32,8 +39,10 @@
 		limitAt time.Time
 		// changedAt is when it last changed, toldAt when peers were last told of it.
 		changedAt, toldAt time.Time
-		// noticed is the limit that was last told to Observe.
-		noticed Limit
+		// leaving is set once the server has said that it leaves.
+		leaving bool
+		// noticed is what was last told to Observe.
+		noticed Signal
 		// pace counts this proxy's requests while there is a limit.
 		pace admission.Pace
 	}
@@ -41,8 +50,12 @@
 	// Notice tells of a change.
 	Notice struct {
 		Server quarantine.Server
+		Change Change
 		Limit  Limit
 	}
+
+	// Change names what has changed.
+	Change string
 )
 
 // NewLedger makes a ledger that knows nothing.
@@ -67,12 +80,13 @@
 func (l *Ledger) Heard(now, sent time.Time, s quarantine.Server, g Signal, whole bool) *Word {
 	w := l.words[s]
 	if w == nil {
-		if !g.Limit.Named {
+		if g.None() {
 			return nil
 		}
 		w = l.word(s)
 	}
 	w.hearLimit(now, sent, g.Limit, whole)
+	w.hearLeaving(now, g.Leaving)
 	l.notice(w)
 	return w
 }
@@ -99,12 +113,17 @@
 	delete(l.words, oldest.server)
 }
 
-// notice tells of a limit that is named, ends or changes by more than a little.
+// notice tells of a server that leaves, and of a limit that is named, ends or changes by
+// more than a little.
 func (l *Ledger) notice(w *Word) {
-	change := w.limit.PerSecond - w.noticed.PerSecond
-	if w.limit.Named == w.noticed.Named && max(change, -change) <= noticeFrom*w.noticed.PerSecond {
+	if w.leaving && !w.noticed.Leaving {
+		w.noticed.Leaving = true
+		l.Observe(Notice{Server: w.server, Change: ChangeLeaving})
+	}
+	change := w.limit.PerSecond - w.noticed.Limit.PerSecond
+	if w.limit.Named == w.noticed.Limit.Named && max(change, -change) <= noticeFrom*w.noticed.Limit.PerSecond {
 		return
 	}
-	w.noticed = w.limit
-	l.Observe(Notice{Server: w.server, Limit: w.limit})
+	w.noticed.Limit = w.limit
+	l.Observe(Notice{Server: w.server, Change: ChangeLimit, Limit: w.limit})
 }
--- a/internal/kernel/backpressure/ledger_test.go
+++ b/internal/kernel/backpressure/ledger_test.go
@@ -1,6 +1,7 @@
 package backpressure
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -45,15 +46,15 @@
 	}
 }
 
-func TestNoticesOfLimits(t *testing.T) {
+func TestNotices(t *testing.T) {
 	l := NewLedger()
 	var got []string
-	l.Observe = func(n Notice) { got = append(got, n.Limit.String()) }
-	for i, s := range []Signal{{}, limited(6), limited(6.1), limited(6.3), limited(8), {}, {}} {
+	l.Observe = func(n Notice) { got = append(got, string(n.Change)+" "+n.Limit.String()) }
+	for i, s := range []Signal{{}, limited(6), limited(6.1), limited(6.3), limited(8), {}, {Leaving: true}, {}, {Leaving: true}} {
 		l.Heard(at(2000*i+50), at(2000*i), server, s, true)
 	}
-	want := []string{"6/s", "8/s", ""}
-	if len(got) != len(want) || got[0] != want[0] || got[1] != want[1] || got[2] != want[2] {
+	want := []string{"server-limit 6/s", "server-limit 8/s", "server-limit ", "server-leaving "}
+	if !slices.Equal(got, want) {
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
--- a/internal/kernel/backpressure/signal.go
+++ b/internal/kernel/backpressure/signal.go
@@ -31,9 +31,14 @@
 	// Signal is what one answer asks.
 	Signal struct {
 		Limit Limit `json:"limit,omitzero"`
+		// Leaving is set if the server takes no new requests any more.
+		Leaving bool `json:"leaving,omitempty"`
 	}
 )
 
+// None reports whether nothing is asked.
+func (s Signal) None() bool { return s == Signal{} }
+
 // ParseLimit reads the limit that an answer names, in requests a second. Of several the
 // lowest counts. One that is no decimal number names none, and is told of in the error.
 func ParseLimit(values []string) (l Limit, err error) {
@@ -79,5 +84,5 @@
 
 // Merge adds what another answer of the same exchange asks.
 func (s Signal) Merge(other Signal) Signal {
-	return Signal{Limit: s.Limit.lower(other.Limit)}
+	return Signal{Limit: s.Limit.lower(other.Limit), Leaving: s.Leaving || other.Leaving}
 }
--- a/internal/kernel/core/signals.go
+++ b/internal/kernel/core/signals.go
@@ -81,8 +81,12 @@
 	return place
 }
 
-// observeSignal tells of what a server asks from now on.
+// observeSignal tells of the limit that a server names from now on. That it leaves is told
+// with the other reasons for it.
 func (k *Kernel) observeSignal(n backpressure.Notice) {
+	if n.Change != backpressure.ChangeLimit {
+		return
+	}
 	for _, r := range k.regions {
 		for _, s := range r.servers {
 			if signalKey(s.Name) == n.Server {
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -23,7 +23,9 @@
 	// requests are no longer held back.
 	EventSound Kind = "no-longer-held-back"
 	// EventServerLimit marks a server that names a limit, another one, or none any more.
-	EventServerLimit Kind = "server-limit"
+	EventServerLimit = Kind(backpressure.ChangeLimit)
+	// EventServerLeaving marks a server that leaves by its own word.
+	EventServerLeaving = Kind(backpressure.ChangeLeaving)
 	// EventServerOut marks a server passed over after failures.
 	EventServerOut Kind = "server-out"
 	// EventEvacuated marks a failure domain emptied or taken back.
