--- a/internal/fake/warmnet/limits.go
+++ b/internal/fake/warmnet/limits.go
@@ -37,10 +37,17 @@
 		Use, After float64
 	}
 
+	// news are the moments at which proxies first heard something of servers.
+	news map[newsKey]time.Duration
+
+	newsKey struct {
+		server, proxy string
+	}
+
 	// limits notes what arrives at servers, and which proxies were told.
 	limits struct {
 		arrivals map[string][]limitArrival
-		toldAt   map[[2]string]time.Duration
+		toldAt   news
 	}
 
 	limitArrival struct {
@@ -50,6 +57,13 @@
 	}
 )
 
+// note notes the first time.
+func (n news) note(now time.Duration, server, proxy string) {
+	if _, known := n[newsKey{server, proxy}]; !known {
+		n[newsKey{server, proxy}] = now
+	}
+}
+
 // limit is what a server names now.
 func (l Load) limit(s *server, now time.Duration) backpressure.Limit {
 	for _, e := range l.Limited {
@@ -61,14 +75,24 @@
 }
 
 // asksOfSenders reports whether servers ask anything of their senders.
-func (l Load) asksOfSenders() bool { return len(l.Limited) > 0 }
+func (l Load) asksOfSenders() bool { return len(l.Limited)+len(l.Leaving) > 0 }
 
 // signal is what a server's answer asks.
 func (w *world) signal(s *server, r steering.Result) backpressure.Signal {
 	if r == steering.Broken || r == steering.Unreachable || r == steering.Late {
 		return backpressure.Signal{}
 	}
-	return backpressure.Signal{Limit: w.load.limit(s, w.Now)}
+	return backpressure.Signal{Limit: w.load.limit(s, w.Now), Leaving: w.load.leaves(s, w.Now)}
+}
+
+// told notes what a proxy hears with an answer.
+func (w *world) told(j *job, s backpressure.Signal) {
+	if s.Limit.Named {
+		w.limits.told(w.Now, j.server.id, j.kernel.Name())
+	}
+	if s.Leaving {
+		w.leaves.told(w.Now, j.server.id, j.kernel.Name())
+	}
 }
 
 // tellSignals has each proxy tell another one what servers ask, and be told.
@@ -81,16 +105,14 @@
 
 func (l *limits) arrived(now time.Duration, server, proxy string) {
 	if l.arrivals == nil {
-		l.arrivals, l.toldAt = make(map[string][]limitArrival), make(map[[2]string]time.Duration)
+		l.arrivals, l.toldAt = make(map[string][]limitArrival), make(news)
 	}
-	at, told := l.toldAt[[2]string{server, proxy}]
+	at, told := l.toldAt[newsKey{server, proxy}]
 	l.arrivals[server] = append(l.arrivals[server], limitArrival{at: now, told: told && now-at >= heedWithin})
 }
 
 func (l *limits) told(now time.Duration, server, proxy string) {
-	if _, known := l.toldAt[[2]string{server, proxy}]; !known {
-		l.toldAt[[2]string{server, proxy}] = now
-	}
+	l.toldAt.note(now, server, proxy)
 }
 
 // judge sums up what became of the limits.
--- a/internal/fake/warmnet/limits_test.go
+++ b/internal/fake/warmnet/limits_test.go
@@ -6,6 +6,20 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
+// Guards against a server that leaves by its own word and gets new requests, since its
+// registration says otherwise or has come back.
+func TestServerThatLeavesByItsOwnWordGetsNothingNew(t *testing.T) {
+	for _, proxies := range []int{3, 12} {
+		l := load(t, "leaving")
+		l.Proxies = proxies
+		o := Play(l, steering.DefaultPlacer, 1)
+		t.Logf("%d proxies a region: %d requests after the bound, %d told; %.3f in target", proxies, o.Leaving.Requests, o.Leaving.Told, o.Share())
+		if o.Leaving.Told == 0 || o.Leaving.Requests > 0 {
+			t.Errorf("%d proxies a region: %d requests later than %s after one of %d was told, want none", proxies, o.Leaving.Requests, drainWithin, o.Leaving.Told)
+		}
+	}
+}
+
 // Guards against proxies that each keep to a server's limit, or do not, and pass it together.
 func TestServersGetNoMoreThanTheLimitThatTheyName(t *testing.T) {
 	for _, proxies := range []int{1, 3, 12} {
--- a/internal/fake/warmnet/load.go
+++ b/internal/fake/warmnet/load.go
@@ -102,6 +102,9 @@
 		Back   operator.Duration `json:"back"`
 		// Limited servers name a limit for a while.
 		Limited []Limited `json:"limited"`
+		// Leaving servers say so in their answers from a moment on, and are gone at
+		// another. Their registrations don't tell; they run out in between and are back.
+		Leaving []Episode `json:"leaving"`
 		// EndsToCondemn is from how many ends on proxies refuse work; zero for as many
 		// as they do without being told.
 		EndsToCondemn int `json:"ends-to-condemn"`
@@ -146,6 +149,7 @@
 		Shifted float64
 		Ends    Ends
 		Limits  Limits
+		Leaving Leaving
 		Times   []time.Duration
 	}
 )
--- a/internal/fake/warmnet/play.go
+++ b/internal/fake/warmnet/play.go
@@ -52,15 +52,18 @@
 		shares shares
 		ends   ends
 		limits limits
+		leaves leaves
 	}
 
 	job struct {
 		kernel *steering.Kernel
 		flight *steering.Flight
 		// region is the caller's, entry that of the proxy that it asks.
-		region  string
-		entry   string
-		began   time.Duration
+		region string
+		entry  string
+		began  time.Duration
+		// asked is when its caller sent it last.
+		asked   time.Duration
 		server  *server
 		object  string
 		returns int
@@ -102,6 +105,7 @@
 	if l.hasEnds() {
 		w.playEnds()
 	}
+	w.playLeaving()
 	if len(l.Stranded) > 0 || l.Knee > 0 || l.hasEnds() || l.asksOfSenders() {
 		w.After(tickEvery, w.tick)
 	}
@@ -270,6 +274,7 @@
 // begin brings a caller to one of its region's proxies, or to any if it has none.
 func (w *world) begin(j *job) {
 	j.kernel, j.entry = w.entry(j.region)
+	j.asked = w.Now
 	if j.entry == j.region {
 		w.receive(j)
 		return
@@ -353,6 +358,7 @@
 func (w *world) arrive(j *job) {
 	s := j.server
 	w.limits.arrived(w.Now, s.id, j.kernel.Name())
+	w.left(j)
 	refuses := w.Now >= w.load.RefuseFrom.Std() && w.Now < w.load.RefuseTo.Std() && w.random.Float64() < w.load.RefuseShare
 	switch {
 	case w.away(s):
@@ -439,9 +445,7 @@
 func (w *world) endWith(j *job, attempt steering.Attempt) {
 	attempt.Signal = w.signal(j.server, attempt.Result)
 	w.After(w.roundTrip(j.entry, j.server.region)/2, func() {
-		if attempt.Signal.Limit.Named {
-			w.limits.told(w.Now, j.server.id, j.kernel.Name())
-		}
+		w.told(j, attempt.Signal)
 		if attempt.Result == steering.Answered && w.clock().After(j.flight.Until) {
 			// The proxy has gone before the server's word arrives.
 			attempt = steering.Attempt{Result: steering.Late}
