A server that leaves by its own word gets no new requests

Callers saw nothing yet; their requests went on to a server that was about to end, 4 to 14 a second for twelve seconds, while the platform's store was away.

Cause: the word in a server's answers was never read. The kernel had a place for it that no adapter filled, and its registration would have overruled it: each heartbeat that still says ready set the mark back, and one that ran out and came back made the server a new one. Class: two sources of one truth, of which the later, not the surer, wins.

The word now stands in the ledger of signals by the start of the server, apart from its registration, and does not go back. Peers hear of it for a minute, so that a proxy that restarts knows; it is kept for ten in case the registration comes back.

--- a/internal/adapter/peerdrpc/signal.go
+++ b/internal/adapter/peerdrpc/signal.go
@@ -16,6 +16,7 @@
 	for _, r := range list {
 		out = append(out, &peerpb.ServerSignal{
 			Server: uint64(r.Server), AgeMilli: r.Age.Milliseconds(), Limited: r.Limit.Named, LimitPerSecond: r.Limit.PerSecond,
+			Leaving: r.Leaving,
 		})
 	}
 	return out
@@ -30,7 +31,7 @@
 		}
 		reports = append(reports, backpressure.Report{
 			Server: quarantine.Server(s.GetServer()), Age: max(0, time.Duration(s.GetAgeMilli())*time.Millisecond),
-			Limit: backpressure.Limit{Named: s.GetLimited(), PerSecond: rate},
+			Limit: backpressure.Limit{Named: s.GetLimited(), PerSecond: rate}, Leaving: s.GetLeaving(),
 		})
 	}
 	return reports, nil
--- a/internal/kernel/backpressure/leaving.go
+++ b/internal/kernel/backpressure/leaving.go
@@ -4,10 +4,25 @@
 	"time"
 )
 
-// hearLeaving takes in whether the server says that it leaves. A start of a server that
-// leaves does not come back.
-func (w *Word) hearLeaving(now time.Time, leaving bool) {
-	if leaving && !w.leaving {
+const (
+	// leavingFor is how long the word of a server that leaves is kept after it was last
+	// heard. Its registration may run out and come back meanwhile.
+	leavingFor = 10 * time.Minute
+	// leavingTold is how long peers are told of it: those that start know nothing.
+	leavingTold = time.Minute
+)
+
+// Leaving reports whether the server takes no new requests any more.
+func (w *Word) Leaving() bool { return w != nil && w.leaving }
+
+// hearLeaving takes in whether the server said at a moment that it leaves. A start of a
+// server that leaves does not come back, so the word stays.
+func (w *Word) hearLeaving(now, at time.Time, leaving bool) {
+	if !leaving {
+		return
+	}
+	if !w.leaving {
 		w.leaving, w.changedAt = true, now
 	}
+	w.heard(at)
 }
--- a/internal/kernel/backpressure/ledger.go
+++ b/internal/kernel/backpressure/ledger.go
@@ -37,8 +37,9 @@
 		limit  Limit
 		// limitAt is when the limit was last named, or found to have ended.
 		limitAt time.Time
-		// changedAt is when it last changed, toldAt when peers were last told of it.
-		changedAt, toldAt time.Time
+		// heardAt is when the server last said anything, changedAt when that was something
+		// new, toldAt when peers were last told of it.
+		heardAt, changedAt, toldAt time.Time
 		// leaving is set once the server has said that it leaves.
 		leaving bool
 		// noticed is what was last told to Observe.
@@ -86,15 +87,27 @@
 		w = l.word(s)
 	}
 	w.hearLimit(now, sent, g.Limit, whole)
-	w.hearLeaving(now, g.Leaving)
+	w.hearLeaving(now, now, g.Leaving)
 	l.notice(w)
 	return w
 }
 
+// asks reports whether the server asks anything that is in force.
+func (w *Word) asks(now time.Time) bool {
+	return w.limited(now) || w.leaving && now.Sub(w.heardAt) < leavingFor
+}
+
+// heard notes a moment at which the server said something.
+func (w *Word) heard(at time.Time) {
+	if at.After(w.heardAt) {
+		w.heardAt = at
+	}
+}
+
 // Tick drops what has run out.
 func (l *Ledger) Tick(now time.Time) {
 	for s, w := range l.words {
-		if !w.limited(now) && now.Sub(w.changedAt) >= newsFor {
+		if !w.asks(now) && now.Sub(w.changedAt) >= newsFor {
 			delete(l.words, s)
 		}
 	}
@@ -106,7 +119,7 @@
 func (l *Ledger) dropOldest() {
 	var oldest *Word
 	for _, w := range l.words {
-		if oldest == nil || w.limitAt.Before(oldest.limitAt) {
+		if oldest == nil || w.heardAt.Before(oldest.heardAt) {
 			oldest = w
 		}
 	}
--- a/internal/kernel/backpressure/ledger_test.go
+++ b/internal/kernel/backpressure/ledger_test.go
@@ -104,3 +104,26 @@
 		t.Errorf("got %d servers, the oldest %v; want %d without the oldest", len(l.words), l.Of(0), wordsMost)
 	}
 }
+
+// Guards against a proxy that has just started and sends to a server that leaves.
+func TestPeersTellOfServersThatLeave(t *testing.T) {
+	sender, other := NewLedger(), NewLedger()
+	sender.Heard(at(100), at(50), server, Signal{Leaving: true}, true)
+	sender.Heard(at(200), at(150), server, Signal{}, true)
+	if !sender.Of(server).Leaving() {
+		t.Fatal("an answer without the word took it back")
+	}
+	other.Hear(at(30_000), sender.Reports(at(30_000), true))
+	if !other.Of(server).Leaving() {
+		t.Error("the peer does not know that the server leaves")
+	}
+	if got := sender.Reports(at(61_000), true); len(got) > 0 {
+		t.Errorf("got %+v a minute later, want no more of a server that must be gone", got)
+	}
+	for _, minutes := range []int{9, 11} {
+		sender.Tick(at(minutes * 60_000))
+		if kept := sender.Of(server).Leaving(); kept != (minutes == 9) {
+			t.Errorf("the word is kept after %d minutes: %t", minutes, kept)
+		}
+	}
+}
--- a/internal/kernel/backpressure/limit.go
+++ b/internal/kernel/backpressure/limit.go
@@ -91,6 +91,7 @@
 		w.changedAt = now
 	}
 	w.limit, w.limitAt = limit, at
+	w.heard(at)
 }
 
 func (w *Word) limited(now time.Time) bool { return w.limit.Named && now.Sub(w.limitAt) < limitFor }
--- a/internal/kernel/backpressure/report.go
+++ b/internal/kernel/backpressure/report.go
@@ -22,20 +22,22 @@
 	Report struct {
 		Server quarantine.Server `json:"server"`
 		Limit  Limit             `json:"limit"`
+		// Leaving is set if it takes no new requests any more.
+		Leaving bool `json:"leaving,omitempty"`
 		// Age is how long ago the server said so last; clocks differ.
 		Age time.Duration `json:"age"`
 	}
 )
 
-// Reports lists what peers should hear: what has changed of late, and some of the limits
-// in force in turn; all of them for a proxy that knows nothing yet.
+// Reports lists what peers should hear: what has changed of late, and some of the rest that
+// is in force in turn; all of it for a proxy that knows nothing yet.
 func (l *Ledger) Reports(now time.Time, all bool) []Report {
 	var news, standing []*Word
 	for _, w := range l.words {
 		switch {
 		case now.Sub(w.changedAt) < newsFor:
 			news = append(news, w)
-		case w.limited(now):
+		case w.limited(now), w.leaving && now.Sub(w.heardAt) < leavingTold:
 			standing = append(standing, w)
 		}
 	}
@@ -49,7 +51,7 @@
 	reports := make([]Report, 0, len(list))
 	for _, w := range list {
 		w.toldAt = now
-		reports = append(reports, Report{Server: w.server, Limit: w.limit, Age: now.Sub(w.limitAt)})
+		reports = append(reports, Report{Server: w.server, Limit: w.limit, Leaving: w.leaving, Age: now.Sub(w.heardAt)})
 	}
 	return reports
 }
@@ -60,17 +62,18 @@
 	for _, r := range reports {
 		at := now.Add(-max(0, r.Age))
 		w := l.words[r.Server]
-		if r.Age >= limitFor || w == nil && !r.Limit.Named {
+		if r.Age >= leavingFor || w == nil && !r.Limit.Named && !r.Leaving {
 			continue
 		}
 		if w == nil {
 			w = l.word(r.Server)
 			learned = true
 		}
-		if at.After(w.limitAt) {
+		if r.Age < limitFor && at.After(w.limitAt) {
 			w.set(now, at, r.Limit)
-			l.notice(w)
 		}
+		w.hearLeaving(now, at, r.Leaving)
+		l.notice(w)
 	}
 	return learned
 }
--- a/internal/kernel/steering/learn.go
+++ b/internal/kernel/steering/learn.go
@@ -12,11 +12,6 @@
 		s.report(now, a.Running, a.Waiting)
 		k.feel(now, f, s, float64(a.Waiting))
 	}
-	if a.Leaving && !s.Draining {
-		s.Draining = true
-		k.service(s.Service).stale = true
-		k.config.Observe(Event{Kind: EventServer, Server: s.id, Service: s.Service, Draining: true})
-	}
 	g := k.service(s.Service)
 	k.suspect(now, f, s, g, a, took)
 	outs := s.outs
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -216,8 +216,6 @@
 		Rejected bool
 		// Refusing is set if nothing listens at the server's address.
 		Refusing bool
-		// Leaving is set if the server said that it leaves.
-		Leaving bool
 		// Signal is what the server asks of its senders.
 		Signal backpressure.Signal
 		Err    error `json:"-"`
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -122,8 +122,11 @@
 
 func (s *server) isCold(now time.Time) bool { return now.Before(s.coldUntil) }
 
-// takesRequests reports whether the server is registered and does not leave.
-func (s *server) takesRequests() bool { return !s.gone && !s.Draining && !s.unreadable }
+// takesRequests reports whether the server is registered and does not leave, by its
+// registration or by its own word.
+func (s *server) takesRequests() bool {
+	return !s.gone && !s.Draining && !s.unreadable && !s.word.Leaving()
+}
 
 // startedAfter reports whether a registration is of an earlier start.
 func (s *server) startedAfter(r routing.Server) bool {
--- a/internal/kernel/steering/signals.go
+++ b/internal/kernel/steering/signals.go
@@ -15,7 +15,9 @@
 // hearSignal takes in what an attempt tells of what the server asks of its senders.
 func (k *Kernel) hearSignal(now time.Time, f *Flight, s *server, a Attempt) {
 	whole := a.Result == Answered || a.Result == Failed || a.Result == Refused
-	s.word = k.signals.Heard(now, f.sentAt, s.start, a.Signal, whole)
+	if w := k.signals.Heard(now, f.sentAt, s.start, a.Signal, whole); w != nil {
+		s.word = w
+	}
 }
 
 // permits reports whether a server takes a request of this proxy now, by what it asks of
@@ -100,16 +102,20 @@
 		return
 	}
 	for _, s := range k.servers {
-		s.word = k.signals.Of(s.start)
+		if w := k.signals.Of(s.start); w != nil {
+			s.word = w
+		}
 	}
 }
 
-// observeSignal tells of what a server asks from now on.
+// observeSignal tells of what a server asks from now on, and lists the servers of its
+// service anew.
 func (k *Kernel) observeSignal(n backpressure.Notice) {
 	e := Event{Kind: Kind(n.Change), Limit: n.Limit}
 	for _, s := range k.servers {
 		if s.start == n.Server {
 			e.Server, e.Service = s.id, s.Service
+			k.service(s.Service).stale = k.service(s.Service).stale || n.Change == backpressure.ChangeLeaving
 		}
 	}
 	k.config.Observe(e)
--- a/internal/kernel/steering/status.go
+++ b/internal/kernel/steering/status.go
@@ -72,7 +72,7 @@
 		s.InFlight += b.inFlight
 		s.Servers = append(s.Servers, ServerStatus{
 			ID: b.id, Service: b.Service, Domain: b.Domain, Slots: b.Slots, InFlight: b.inFlight,
-			Draining: b.Draining, Absent: !b.absentUntil.IsZero(),
+			Draining: b.Draining || b.word.Leaving(), Absent: !b.absentUntil.IsZero(),
 			ColdFor: max(0, b.coldUntil.Sub(now)), OutFor: max(0, b.outUntil.Sub(now)),
 			Load: b.load(now), LoadAge: b.loadAge(now), Limit: b.word.Limit(now), Speed: b.speed, Failed: b.failed,
 		})
--- a/internal/kernel/steering/story_test.go
+++ b/internal/kernel/steering/story_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/account"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
@@ -261,7 +262,7 @@
 		r.flights[s.Request] = f
 		r.check(i, s.Request, s.Want, d)
 	case s.End != "":
-		a := Attempt{Result: results[s.Result], Leaving: s.Leaving}
+		a := Attempt{Result: results[s.Result], Signal: backpressure.Signal{Leaving: s.Leaving}}
 		if len(s.Load) == 2 {
 			a.Loaded, a.Running, a.Waiting = true, s.Load[0], s.Load[1]
 		}
