Behind the own interface a leaving server's word stands until it is taken back

The same fault elsewhere: a server's own word that it leaves held for 30 s after the last answer that carried it. Nobody sends to such a server, so nobody heard it again, and each proxy sent it a request once the time had passed. The scenario leaving-for-long failed first: last new work after 30.4 s, 5 s are allowed; now none. What ends the word is the server's health, asked every 5 s: the scenario's second server stays after all, and has work again.

--- a/internal/fake/simnet/scenario.go
+++ b/internal/fake/simnet/scenario.go
@@ -31,7 +31,7 @@
 		"deadly-request":     deadlyRequest,
 		"shed-server":        shedServer,
 		"limit-server":       limitServer,
-		"leave-server":       func(s *Sim, f Fault) { s.workers[f.Target].leaves = true },
+		"leave-server":       leaveServer,
 		"platform-outage":    platformOutage,
 		"lose-answers":       func(s *Sim, f Fault) { s.LoseAnswers(f.Amount) },
 		"save-platform":      func(s *Sim, _ Fault) { s.SavePlatform() },
@@ -88,6 +88,8 @@
 		// LastWork bounds the time from the first fault to the last new work
 		// of the backend server that it names.
 		LastWork operator.Duration `json:"last-work,omitempty"`
+		// WorksAgain names a backend server that must have new work in the last ten seconds.
+		WorksAgain string `json:"works-again,omitempty"`
 		// EndsAfter is the most servers that a deadly request ends after all proxies must
 		// know of it, EndsAtAll in all; checked if EndsAtAll is given.
 		EndsAfter int `json:"ends-after,omitempty"`
@@ -221,6 +223,12 @@
 	s.lasting(f, func() { s.workers[f.Target].shed = false })
 }
 
+// leaveServer has a server say that it leaves, for good or for a while.
+func leaveServer(s *Sim, f Fault) {
+	s.workers[f.Target].leaves = true
+	s.lasting(f, func() { s.workers[f.Target].leaves = false })
+}
+
 // limitServer has a server name a limit, Amount requests in ten seconds.
 func limitServer(s *Sim, f Fault) {
 	w := s.workers[f.Target]
--- a/internal/fake/simnet/sim_test.go
+++ b/internal/fake/simnet/sim_test.go
@@ -75,6 +75,9 @@
 		return
 	}
 	checkOutcome(t, s, sc.Expect)
+	if name := sc.Expect.WorksAgain; name != "" && s.now.Sub(s.checks.LastWork[name]) > 10*time.Second {
+		t.Errorf("got the last new work of %s %s before the end, want it to have some again", name, s.now.Sub(s.checks.LastWork[name]))
+	}
 	if want := sc.Expect.LastWork.Std(); want > 0 {
 		began := s.checks.from.Add(sc.Faults[0].At.Std())
 		if got := s.checks.LastWork[sc.Faults[0].Target].Sub(began); got > want {
--- a/internal/kernel/backend/server.go
+++ b/internal/kernel/backend/server.go
@@ -19,9 +19,6 @@
 	// shedPause is how long a server that shed is passed over, if others can
 	// take the request. Short: it refuses because its slots are full now.
 	shedPause = 25 * time.Millisecond
-	// leavingHold is how long a server's own word that it is leaving stands.
-	// It is renewed by each further refusal and by the VM list.
-	leavingHold = 30 * time.Second
 	// warmFloor is the share of its slots that a cold server starts with.
 	warmFloor = 0.1
 	// latencyWeight is the weight of one sample in the moving average.
@@ -72,19 +69,19 @@
 		Slots       int
 		Connections int
 
-		inFlight     int
-		others       float64
-		reportedAt   time.Time
-		latency      time.Duration
-		failures     int
-		ejected      int
-		outUntil     time.Time
-		leavingUntil time.Time
-		drained      bool
-		listed       bool
-		warmFrom     time.Time
-		slowStart    time.Duration
-		probeAt      time.Time
+		inFlight   int
+		others     float64
+		reportedAt time.Time
+		latency    time.Duration
+		failures   int
+		ejected    int
+		outUntil   time.Time
+		leaves     bool
+		drained    bool
+		listed     bool
+		warmFrom   time.Time
+		slowStart  time.Duration
+		probeAt    time.Time
 	}
 )
 
@@ -122,13 +119,17 @@
 
 // Leaving reports whether the server must get no new work: a drain planned by
 // bundle, the VM list, or its own word, whichever comes first.
-func (s *Server) Leaving(now time.Time) bool {
-	return s.drained || !s.listed || now.Before(s.leavingUntil)
+func (s *Server) Leaving() bool {
+	return s.drained || !s.listed || s.leaves
 }
 
+// LeavesByItsWord reports whether the server has said that it is leaving. The word stands
+// until its health says otherwise: it has one name for all its starts.
+func (s *Server) LeavesByItsWord() bool { return s.leaves }
+
 // Usable reports whether the server may be chosen.
 func (s *Server) Usable(now time.Time) bool {
-	return !s.Leaving(now) && !now.Before(s.outUntil)
+	return !s.Leaving() && !now.Before(s.outUntil)
 }
 
 // Start counts a request in.
@@ -180,9 +181,9 @@
 func (s *Server) Out() bool { return s.ejected > 0 }
 
 // Learn takes in a load report.
-func (s *Server) Learn(r Report, now time.Time) {
+func (s *Server) Learn(r Report) {
 	if r.Leaving {
-		s.leavingUntil = now.Add(leavingHold)
+		s.leaves = true
 	}
 	if r.At.Before(s.reportedAt) {
 		return
@@ -226,12 +227,19 @@
 }
 
 // Probed takes in a probe's result. A good one brings a server back that was
-// taken out, cold; a bad one counts like a failed request.
-func (s *Server) Probed(ok bool, now time.Time) {
-	if !ok {
-		s.failed(now)
+// taken out, cold, or that was leaving and no longer says so; a bad one counts like a
+// failed request.
+func (s *Server) Probed(h Health, now time.Time) {
+	if !h.OK {
+		if !s.leaves {
+			s.failed(now)
+		}
 		return
 	}
+	if s.leaves && (h.Report == nil || !h.Report.Leaving) {
+		s.leaves = false
+		s.warmFrom = now
+	}
 	if s.ejected > 0 {
 		s.warmFrom = now
 		s.outUntil = now
--- a/internal/kernel/core/quarantine.go
+++ b/internal/kernel/core/quarantine.go
@@ -58,7 +58,7 @@
 		}
 	case backend.Broken:
 		f.breaks++
-		if !f.server.Leaving(now) {
+		if !f.server.Leaving() {
 			// A server that leaves as planned may cut what it still has.
 			q.Broke(now, f.work, k.startOf(now, f.server.Name))
 		}
--- a/internal/kernel/core/request.go
+++ b/internal/kernel/core/request.go
@@ -272,7 +272,7 @@
 	k.learnEnd(now, &f, e)
 	wasOut := f.server.Out()
 	if e.Report != nil {
-		f.server.Learn(*e.Report, now)
+		f.server.Learn(*e.Report)
 		k.hearSignal(now, f.sent, f.server, *e.Report)
 	}
 	f.server.End(e.Result, now.Sub(f.sent), now)
--- a/internal/kernel/core/route.go
+++ b/internal/kernel/core/route.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -16,6 +17,9 @@
 	planEvery = 500 * time.Millisecond
 	// probeEvery is how often a server taken out is asked for its health.
 	probeEvery = 500 * time.Millisecond
+	// leavingProbeEvery is how often a server that leaves by its own word is asked whether
+	// it still does.
+	leavingProbeEvery = 5 * time.Second
 	// rateWeight is the weight of one sample of a rate.
 	rateWeight = 0.2
 	// lostShare of a region's servers out means that the region is lost.
@@ -124,7 +128,7 @@
 func (k *Kernel) judgeRegion(now time.Time, r *regionState) {
 	out, total := 0, 0
 	for _, s := range r.servers {
-		if s.Leaving(now) {
+		if s.Leaving() {
 			continue
 		}
 		total++
@@ -147,23 +151,21 @@
 // probe asks servers that were taken out whether they are back. Without it a
 // lost region, which gets no requests, would never be found to have returned.
 // It also asks one more server of a region in which some are out, so that a
-// region's loss is noticed before each server has failed three requests.
+// region's loss is noticed before each server has failed three requests, and now and
+// then one that leaves by its own word whether it still does.
 func (k *Kernel) probe(now time.Time, actions []Action) []Action {
 	for _, r := range k.regions {
-		suspicious := false
+		suspicious := slices.ContainsFunc(r.servers, (*backend.Server).Out)
 		for _, s := range r.servers {
-			if s.Out() {
-				suspicious = true
+			every := leavingProbeEvery
+			if !s.LeavesByItsWord() {
+				every = probeEvery
 			}
-		}
-		if !suspicious {
-			continue
-		}
-		for _, s := range r.servers {
-			if k.permits(now, s) && s.ProbeDue(now, probeEvery) {
-				k.wordOf(s).Sent(now)
-				actions = append(actions, SendProbe{Server: s.Name, Address: s.Address})
+			if !suspicious && !s.LeavesByItsWord() || !k.permits(now, s) || !s.ProbeDue(now, every) {
+				continue
 			}
+			k.wordOf(s).Sent(now)
+			actions = append(actions, SendProbe{Server: s.Name, Address: s.Address})
 		}
 	}
 	return actions
@@ -180,11 +182,11 @@
 				continue
 			}
 			if h.Report != nil {
-				s.Learn(*h.Report, now)
+				s.Learn(*h.Report)
 				// When it was asked is not known, so it lifts no limit.
 				k.signals.Heard(now, now, signalKey(s.Name), h.Report.Signal, false)
 			}
-			s.Probed(h.OK, now)
+			s.Probed(h, now)
 		}
 	}
 }
@@ -193,11 +195,11 @@
 func (k *Kernel) applyLeaving(now time.Time) {
 	for _, r := range k.regions {
 		for _, s := range r.servers {
-			was := s.Leaving(now)
+			was := s.Leaving()
 			s.SetDrained(k.bundle.Drained(operator.DrainServer, s.Name, now) && !k.config.Break.LeavingServes)
 			state, listed := k.machines.State(s.Name)
 			s.SetListed(!listed || state == kv.MachineLive, now)
-			if !was && s.Leaving(now) {
+			if !was && s.Leaving() {
 				k.log(now, Event{Kind: EventServerLeaving, Target: s.Name})
 			}
 		}
--- a/internal/kernel/core/status.go
+++ b/internal/kernel/core/status.go
@@ -84,7 +84,7 @@
 				Service:   name,
 				Region:    server.Region,
 				InFlight:  server.InFlight(),
-				Leaving:   server.Leaving(now),
+				Leaving:   server.Leaving(),
 				Out:       server.Out(),
 				Latency:   server.Latency(),
 				Connected: k.connectionLimit(server),
