The pause that a server asks for with 503 is decoded and logged; nothing follows yet

Seconds with fractions or a date, which counts from the answer's own; of several the longest, ten minutes at most; what can't be read asks for none and is logged. An event and a line (server-pause) tell of it now. No decision uses it.

--- a/internal/adapter/backendhttp/client.go
+++ b/internal/adapter/backendhttp/client.go
@@ -18,7 +18,6 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backend"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
 )
 
@@ -155,7 +154,7 @@
 }
 
 func (c *Client) receive(ctx context.Context, response *http.Response, server string) Response {
-	report := c.report(response.Header, server)
+	report := c.report(response, server)
 	if response.Header.Get(caller.HeaderOutcome) == caller.NotRun.String() {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, BufferedBytes))
 		_ = response.Body.Close()
@@ -181,11 +180,11 @@
 	return out
 }
 
-func (c *Client) report(h http.Header, server string) *backend.Report {
-	running, err := strconv.Atoi(h.Get(caller.HeaderLoad))
-	leaving := h.Get(caller.HeaderLeaving) == "true"
-	signal := serverhttp.SignalOf(h, signalHeaders, server)
-	if err != nil && !leaving && signal == (backpressure.Signal{}) {
+func (c *Client) report(r *http.Response, server string) *backend.Report {
+	running, err := strconv.Atoi(r.Header.Get(caller.HeaderLoad))
+	leaving := r.Header.Get(caller.HeaderLeaving) == "true"
+	signal := serverhttp.SignalOf(r, signalHeaders, server)
+	if err != nil && !leaving && signal.None() {
 		return nil
 	}
 	return &backend.Report{Running: max(0, running), Leaving: leaving, Signal: signal, At: c.now()}
@@ -205,5 +204,5 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxHeaderBytes))
-	return backend.Health{OK: response.StatusCode < http.StatusInternalServerError, Report: c.report(response.Header, address.String())}
+	return backend.Health{OK: response.StatusCode < http.StatusInternalServerError, Report: c.report(response, address.String())}
 }
--- a/internal/adapter/serverhttp/signal.go
+++ b/internal/adapter/serverhttp/signal.go
@@ -3,28 +3,48 @@
 import (
 	"net/http"
 	"slices"
+	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 )
 
+const (
+	// retryAfter is the standard field for when to come back.
+	retryAfter = "Retry-After"
+)
+
 // hearSignal takes in what a server's answer asks of its senders. An answer from another
 // server at the address asks nothing of the one that was meant.
 func (e *exchange) hearSignal(r *http.Response) {
 	if r.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
-	e.signal = e.signal.Merge(SignalOf(r.Header, e.client.headers, e.request.Instance))
+	e.signal = e.signal.Merge(SignalOf(r, e.client.headers, e.request.Instance))
 }
 
 // SignalOf reads what an answer of a server asks. What can't be read is logged and asks
 // nothing.
-func SignalOf(h http.Header, names Headers, server string) (s backpressure.Signal) {
+func SignalOf(r *http.Response, names Headers, server string) (s backpressure.Signal) {
 	var err error
-	if s.Limit, err = backpressure.ParseLimit(h.Values(names.Limit)); err != nil {
-		klog.V(1).InfoS("signal of a server ignored", "server", server, "field", names.Limit, "error", err.Error())
+	if s.Limit, err = backpressure.ParseLimit(r.Header.Values(names.Limit)); err != nil {
+		ignore(server, names.Limit, err)
+	}
+	s.Leaving = names.Leaving != "" && slices.Contains(r.Header.Values(names.Leaving), names.LeavingValue)
+	if r.StatusCode != http.StatusServiceUnavailable {
+		return s
+	}
+	made, err := http.ParseTime(r.Header.Get("Date"))
+	if err != nil {
+		made = time.Now()
+	}
+	if s.Pause, err = backpressure.ParsePause(r.Header.Values(retryAfter), made); err != nil {
+		ignore(server, retryAfter, err)
 	}
-	s.Leaving = names.Leaving != "" && slices.Contains(h.Values(names.Leaving), names.LeavingValue)
 	return s
 }
+
+func ignore(server, field string, err error) {
+	klog.V(1).InfoS("signal of a server ignored", "server", server, "field", field, "error", err.Error())
+}
--- a/internal/adapter/serverhttp/signal_test.go
+++ b/internal/adapter/serverhttp/signal_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 )
@@ -28,6 +29,8 @@
 		"of another server, a 421":  {"HTTP/1.1 421 No\r\nAttempt: a\r\nLimit: 7\r\nContent-Length: 0\r\n\r\n", 0},
 		"that leaves":               {"HTTP/1.1 500 No\r\nAttempt: a\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n", 0},
 		"that stays":                {"HTTP/1.1 500 No\r\nAttempt: a\r\nLeaving: 0\r\nContent-Length: 0\r\n\r\n", 0},
+		"that pauses":               {"HTTP/1.1 503 No\r\nAttempt: a\r\nNot-Run: 1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n", 0},
+		"that is moved":             {"HTTP/1.1 301 No\r\nAttempt: a\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n", 0},
 		"that can't be read":        {"HTTP/1.1 200 OK\r\nAttempt: a\r\nSeal: s\r\nLimit: few\r\nContent-Length: 0\r\n\r\n", 0},
 		"twice, of which one reads": {"HTTP/1.1 200 OK\r\nAttempt: a\r\nSeal: s\r\nLimit: 8\r\nLimit: x\r\nContent-Length: 0\r\n\r\n", 8},
 	} {
@@ -41,6 +44,9 @@
 			attempt, answer := send(client, s, "a")
 			answer.Release()
 			want := backpressure.Signal{Limit: backpressure.Limit{Named: c.want > 0, PerSecond: c.want}, Leaving: strings.Contains(name, "leaves")}
+			if strings.Contains(name, "pauses") {
+				want.Pause = 3 * time.Second
+			}
 			if attempt.Signal != want {
 				t.Errorf("got %+v, want %+v", attempt.Signal, want)
 			}
--- a/internal/kernel/backpressure/ledger.go
+++ b/internal/kernel/backpressure/ledger.go
@@ -17,6 +17,8 @@
 const (
 	// ChangeLimit tells of a limit that is named, another one, or none any more.
 	ChangeLimit Change = "server-limit"
+	// ChangePause tells of a server that wants nothing from this proxy for a while.
+	ChangePause Change = "server-pause"
 	// ChangeLeaving tells of a server that leaves by its own word.
 	ChangeLeaving Change = "server-leaving"
 )
@@ -42,6 +44,8 @@
 		heardAt, changedAt, toldAt time.Time
 		// leaving is set once the server has said that it leaves.
 		leaving bool
+		// pausedUntil is until when it wants nothing from this proxy.
+		pausedUntil time.Time
 		// noticed is what was last told to Observe.
 		noticed Signal
 		// pace counts this proxy's requests while there is a limit.
@@ -53,6 +57,8 @@
 		Server quarantine.Server
 		Change Change
 		Limit  Limit
+		// Pause is for how long.
+		Pause time.Duration
 	}
 
 	// Change names what has changed.
@@ -88,13 +94,14 @@
 	}
 	w.hearLimit(now, sent, g.Limit, whole)
 	w.hearLeaving(now, now, g.Leaving)
+	l.hearPause(w, now, g.Pause)
 	l.notice(w)
 	return w
 }
 
 // asks reports whether the server asks anything that is in force.
 func (w *Word) asks(now time.Time) bool {
-	return w.limited(now) || w.leaving && now.Sub(w.heardAt) < leavingFor
+	return w.limited(now) || now.Before(w.pausedUntil) || w.leaving && now.Sub(w.heardAt) < leavingFor
 }
 
 // heard notes a moment at which the server said something.
--- a/internal/kernel/backpressure/signal.go
+++ b/internal/kernel/backpressure/signal.go
@@ -6,18 +6,21 @@
 package backpressure
 
 import (
-	"math"
+	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 )
 
 const (
-	// limitLength bounds the text of a limit, in bytes.
-	limitLength = 32
-	// limitDigits are what a limit may be written with.
-	limitDigits = "0123456789."
+	// decimalLength bounds the text of a number, in bytes, decimalDigits are what it may be
+	// written with.
+	decimalLength = 32
+	decimalDigits = "0123456789."
+	// pauseMost bounds the pause that a server may ask for.
+	pauseMost = 10 * time.Minute
 )
 
 type (
@@ -33,6 +36,8 @@
 		Limit Limit `json:"limit,omitzero"`
 		// Leaving is set if the server takes no new requests any more.
 		Leaving bool `json:"leaving,omitempty"`
+		// Pause is for how long the server wants nothing from the proxy that it answers.
+		Pause time.Duration `json:"pause,omitempty"`
 	}
 )
 
@@ -56,16 +61,48 @@
 }
 
 func parseRate(text string) (float64, error) {
-	if len(text) > limitLength || strings.Trim(text, limitDigits) != "" {
-		return 0, errors.Errorf("limit %.*q: must be a decimal number of requests a second", limitLength, text)
-	}
-	rate, err := strconv.ParseFloat(text, 64)
-	if err != nil || math.IsInf(rate, 0) {
-		return 0, errors.Errorf("limit %q: must be a decimal number of requests a second", text)
+	rate, ok := parseDecimal(text)
+	if !ok {
+		return 0, errors.Errorf("limit %.*q: must be a decimal number of requests a second", decimalLength, text)
 	}
 	return rate, nil
 }
 
+// ParsePause reads for how long an answer asks for nothing more: seconds, or a date, which
+// counts from the moment that the answer was made. Of several the longest counts, up to ten
+// minutes. One that can't be read asks for none, and is told of in the error.
+func ParsePause(values []string, made time.Time) (pause time.Duration, err error) {
+	for _, value := range values {
+		p, failed := parsePause(strings.TrimSpace(value), made)
+		if failed != nil {
+			err = failed
+			continue
+		}
+		pause = max(pause, p)
+	}
+	return pause, err
+}
+
+func parsePause(text string, made time.Time) (time.Duration, error) {
+	if seconds, ok := parseDecimal(text); ok {
+		return time.Duration(min(seconds, pauseMost.Seconds()) * float64(time.Second)), nil
+	}
+	until, err := http.ParseTime(text)
+	if err != nil {
+		return 0, errors.Errorf("pause %.*q: must be a number of seconds or a date", len(http.TimeFormat), text)
+	}
+	return max(0, min(until.Sub(made), pauseMost)), nil
+}
+
+// parseDecimal reads a number without sign or exponent.
+func parseDecimal(text string) (float64, bool) {
+	if len(text) > decimalLength || strings.Trim(text, decimalDigits) != "" {
+		return 0, false
+	}
+	value, err := strconv.ParseFloat(text, 64)
+	return value, err == nil
+}
+
 // lower is the lower one of two limits.
 func (l Limit) lower(other Limit) Limit {
 	if !l.Named || other.Named && other.PerSecond < l.PerSecond {
@@ -84,5 +121,5 @@
 
 // Merge adds what another answer of the same exchange asks.
 func (s Signal) Merge(other Signal) Signal {
-	return Signal{Limit: s.Limit.lower(other.Limit), Leaving: s.Leaving || other.Leaving}
+	return Signal{Limit: s.Limit.lower(other.Limit), Leaving: s.Leaving || other.Leaving, Pause: max(s.Pause, other.Pause)}
 }
--- a/internal/kernel/backpressure/signal_test.go
+++ b/internal/kernel/backpressure/signal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 )
 
 func TestParseLimit(t *testing.T) {
@@ -49,3 +50,44 @@
 		}
 	})
 }
+
+func TestParsePause(t *testing.T) {
+	made := time.Date(2026, 5, 4, 15, 0, 0, 0, time.UTC)
+	for _, c := range []struct {
+		values []string
+		want   time.Duration
+		fails  bool
+	}{
+		{nil, 0, false},
+		{[]string{"3"}, 3 * time.Second, false},
+		{[]string{"0.25"}, 250 * time.Millisecond, false},
+		{[]string{"0"}, 0, false},
+		{[]string{"1", "2.5"}, 2500 * time.Millisecond, false},
+		{[]string{"Mon, 04 May 2026 15:00:07 GMT"}, 7 * time.Second, false},
+		{[]string{"Mon, 04 May 2026 14:00:00 GMT"}, 0, false},
+		{[]string{"Mon, 04 May 2099 15:00:00 GMT"}, pauseMost, false},
+		{[]string{"999999999999999999999"}, pauseMost, false},
+		{[]string{"-3"}, 0, true},
+		{[]string{"soon", "1"}, time.Second, true},
+		{[]string{"1, 2"}, 0, true},
+		{[]string{"NaN"}, 0, true},
+		{[]string{""}, 0, true},
+	} {
+		got, err := ParsePause(c.values, made)
+		if got != c.want || (err != nil) != c.fails {
+			t.Errorf("%q: got %s and error %v, want %s and an error %t", c.values, got, err, c.want, c.fails)
+		}
+	}
+}
+
+func FuzzParsePause(f *testing.F) {
+	for _, seed := range []string{"3", "-1", "Mon, 04 May 2026 15:00:07 GMT", "1e9", "9999999999999999999999", "\xff"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		pause, err := ParsePause([]string{text}, time.Unix(1_000_000, 0))
+		if pause < 0 || pause > pauseMost || err != nil && pause != 0 {
+			t.Errorf("%q: got %s and error %v", text, pause, err)
+		}
+	})
+}
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -24,6 +24,8 @@
 	EventSound Kind = "no-longer-held-back"
 	// EventServerLimit marks a server that names a limit, another one, or none any more.
 	EventServerLimit = Kind(backpressure.ChangeLimit)
+	// EventServerPause marks a server that wants nothing from this proxy for a while.
+	EventServerPause = Kind(backpressure.ChangePause)
 	// EventServerLeaving marks a server that leaves by its own word.
 	EventServerLeaving = Kind(backpressure.ChangeLeaving)
 	// EventServerOut marks a server passed over after failures.
--- a/internal/kernel/steering/signals.go
+++ b/internal/kernel/steering/signals.go
@@ -111,7 +111,7 @@
 // observeSignal tells of what a server asks from now on, and lists the servers of its
 // service anew.
 func (k *Kernel) observeSignal(n backpressure.Notice) {
-	e := Event{Kind: Kind(n.Change), Limit: n.Limit}
+	e := Event{Kind: Kind(n.Change), Limit: n.Limit, Took: n.Pause}
 	for _, s := range k.servers {
 		if s.start == n.Server {
 			e.Server, e.Service = s.id, s.Service
