--- a/internal/fake/warmnet/limits.go
+++ b/internal/fake/warmnet/limits.go
@@ -75,14 +75,14 @@
 }
 
 // asksOfSenders reports whether servers ask anything of their senders.
-func (l Load) asksOfSenders() bool { return len(l.Limited)+len(l.Leaving) > 0 }
+func (l Load) asksOfSenders() bool { return len(l.Limited)+len(l.Leaving)+len(l.Pausing) > 0 }
 
 // signal is what a server's answer asks.
 func (w *world) signal(s *server, r steering.Result) backpressure.Signal {
 	if r == steering.Broken || r == steering.Unreachable || r == steering.Late {
 		return backpressure.Signal{}
 	}
-	return backpressure.Signal{Limit: w.load.limit(s, w.Now), Leaving: w.load.leaves(s, w.Now)}
+	return backpressure.Signal{Limit: w.load.limit(s, w.Now), Leaving: w.load.leaves(s, w.Now), Pause: w.load.pause(s, w.Now)}
 }
 
 // told notes what a proxy hears with an answer.
--- a/internal/fake/warmnet/limits_test.go
+++ b/internal/fake/warmnet/limits_test.go
@@ -6,6 +6,31 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
+const (
+	// inPauseMost is the operators' bound on what a proxy sends a server in a pause.
+	inPauseMost = 2
+	// refusedMost is the part of callers that may be refused while two thirds of the
+	// servers have room for all: one in 500.
+	refusedMost = 0.002
+)
+
+// Guards against servers that ask for a pause and get requests in it, and against callers
+// who are refused while other servers have room.
+func TestServersThatAskForAPauseGetIt(t *testing.T) {
+	for _, proxies := range []int{3, 12} {
+		l := load(t, "pausing")
+		l.Proxies = proxies
+		o := Play(l, steering.DefaultPlacer, 1)
+		t.Logf("%d proxies a region: at most %d requests in a pause of %d; %.3f in target, %d refused", proxies, o.Pauses.Most, o.Pauses.Asked, o.Share(), o.Refused)
+		if o.Pauses.Asked == 0 || o.Pauses.Most > inPauseMost {
+			t.Errorf("%d proxies a region: %d requests in one of %d pauses, want %d at most", proxies, o.Pauses.Most, o.Pauses.Asked, inPauseMost)
+		}
+		if refused := float64(o.Refused) / float64(o.Asked); refused > refusedMost {
+			t.Errorf("%d proxies a region: %.3f of the callers are refused, want %.3f at most", proxies, refused, refusedMost)
+		}
+	}
+}
+
 // Guards against a server that leaves by its own word and gets new requests, since its
 // registration says otherwise or has come back.
 func TestServerThatLeavesByItsOwnWordGetsNothingNew(t *testing.T) {
--- a/internal/fake/warmnet/load.go
+++ b/internal/fake/warmnet/load.go
@@ -105,6 +105,9 @@
 		// Leaving servers say so in their answers from a moment on, and are gone at
 		// another. Their registrations don't tell; they run out in between and are back.
 		Leaving []Episode `json:"leaving"`
+		// Pausing servers refuse all requests for a while and ask for a pause with each
+		// refusal.
+		Pausing []Pausing `json:"pausing"`
 		// EndsToCondemn is from how many ends on proxies refuse work; zero for as many
 		// as they do without being told.
 		EndsToCondemn int `json:"ends-to-condemn"`
@@ -150,6 +153,7 @@
 		Ends    Ends
 		Limits  Limits
 		Leaving Leaving
+		Pauses  Pauses
 		Times   []time.Duration
 	}
 )
--- a/internal/fake/warmnet/play.go
+++ b/internal/fake/warmnet/play.go
@@ -53,6 +53,7 @@
 		ends   ends
 		limits limits
 		leaves leaves
+		pauses pauses
 	}
 
 	job struct {
@@ -116,7 +117,7 @@
 		w.out.ByRegion[region] = float64(w.inRange[region]) / float64(max(1, n))
 	}
 	w.out.Shifted = w.shares.shifted()
-	w.out.Limits = w.limits.judge(l.Limited)
+	w.out.Limits, w.out.Pauses = w.limits.judge(l.Limited), w.pauses.judge()
 	slices.Sort(w.out.Times)
 	return w.out
 }
@@ -359,6 +360,7 @@
 	s := j.server
 	w.limits.arrived(w.Now, s.id, j.kernel.Name())
 	w.left(j)
+	w.pauses.arrived(w.Now, s.id, j.kernel.Name())
 	refuses := w.Now >= w.load.RefuseFrom.Std() && w.Now < w.load.RefuseTo.Std() && w.random.Float64() < w.load.RefuseShare
 	switch {
 	case w.away(s):
@@ -366,6 +368,9 @@
 		w.end(j, steering.Unreachable)
 	case s.ended:
 		w.endWith(j, steering.Attempt{Result: steering.Unreachable, Refusing: true})
+	case w.load.pause(s, w.Now) > 0:
+		w.pauses.asked(w.Now, w.load.pause(s, w.Now), s.id, j.kernel.Name())
+		w.end(j, steering.Refused)
 	case s.gone || refuses || s.running >= w.load.Slots && len(s.waiting) >= w.load.Queue:
 		w.end(j, steering.Refused)
 	case s.running < w.load.Slots:
