A server that asks for a pause gets no requests in it

Callers saw refusals while servers were idle: 34 of 420 of one route within two seconds, as each refused request was sent to the same server once more.

Cause: Retry-After of a server's 503 was never read; how long it was left alone followed from our own verdicts, 60 ms to 0.4 s. Class: an answer of a peer that is taken for a symptom and not for what it says.

The pause is kept in the ledger of signals until its end, the longest one that was asked for; neither a later answer nor an outlier's shorter verdict ends it. Where a request is placed, again or from a queue, the ledger is asked; a request for which a connection was opened meanwhile is not sent, and placed anew. A home that pauses counts as out, so that its objects fail over as those of a lost server. If all servers pause, callers are refused at once, with the pause's end.

--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -196,10 +196,16 @@
 		Address: t.Address, Instance: t.ID, Method: r.Method, Host: r.Host, Target: r.RequestURI,
 		Header: r.Header, Body: body, Attempt: q.ID, Deadline: f.Until,
 		DialLimit:   min(dialBase+dialRoundTrips*t.RoundTrip, f.Until.Sub(s.Now())),
-		Connections: t.Connections,
+		Connections: t.Connections, Withheld: func() bool { return s.withheld(f) },
 	}
 }
 
+// withheld reports whether the server of an attempt has asked for no more meanwhile.
+func (s *Server) withheld(f *steering.Flight) (withheld bool) {
+	s.Kernel(func(k *steering.Kernel, now time.Time) { withheld = !k.StillPermits(now, f) })
+	return withheld
+}
+
 // readBody takes the whole body in before any decision: a repeat needs it
 // again, and a caller that breaks off half way must not leave half a request
 // with a server.
--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -99,6 +99,9 @@
 		Deadline time.Time
 		// DialLimit bounds the opening of a connection.
 		DialLimit time.Duration
+		// Withheld reports whether the server has asked for no more requests since this one
+		// was meant for it; nil for never.
+		Withheld func() bool
 		// Connections bounds the connections to the server; zero for no bound.
 		Connections int
 		// Keyed is set if requests carry keys of client accounts, which servers must not
@@ -147,6 +150,11 @@
 		}
 		return steering.Attempt{Result: steering.Unreachable, Refusing: Refusing(err), Err: err}, nil
 	}
+	if connection.fresh() && r.Withheld != nil && r.Withheld() {
+		connection.uses = 0
+		c.pool.put(connection, true, r.Connections)
+		return steering.Attempt{Result: steering.Withheld, RoundTrip: roundTrip}, nil
+	}
 	e := &exchange{client: c, conn: connection, request: r, message: c.message(r)}
 	stop := context.AfterFunc(ctx, connection.abort)
 	answer, reusable, err := e.run()
--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -191,6 +191,8 @@
 		return "draining"
 	case s.Absent:
 		return "absent"
+	case s.PausedFor > 0:
+		return "pauses for " + s.PausedFor.Round(time.Millisecond).String()
 	case s.OutFor > 0:
 		return "out for " + s.OutFor.Round(time.Millisecond).String()
 	case s.ColdFor > 0:
--- a/internal/kernel/backpressure/ledger_test.go
+++ b/internal/kernel/backpressure/ledger_test.go
@@ -127,3 +127,21 @@
 		}
 	}
 }
+
+// Guards against a later answer, or a shorter pause, that cuts a pause short.
+func TestPauseStands(t *testing.T) {
+	l := NewLedger()
+	w := l.Heard(at(0), at(-10), server, Signal{Pause: 3 * time.Second}, true)
+	l.Heard(at(100), at(50), server, Signal{Pause: time.Second}, true)
+	l.Heard(at(200), at(150), server, Signal{}, true)
+	if !w.Paused(at(2900)) || w.Paused(at(3000)) || w.PausedFor(at(2900)) != 100*time.Millisecond {
+		t.Errorf("got a pause until %s, want 3 s", w.PausedUntil())
+	}
+	l.Heard(at(2500), at(2400), server, Signal{Pause: 2 * time.Second}, true)
+	if !w.Paused(at(4400)) {
+		t.Error("a pause that was asked for again ends with the first one")
+	}
+	if got := l.Reports(at(2600), true); len(got) > 0 {
+		t.Errorf("got %+v, want nothing for peers: the pause is between the server and this proxy", got)
+	}
+}
--- a/internal/kernel/backpressure/pause.go
+++ b/internal/kernel/backpressure/pause.go
@@ -18,3 +18,17 @@
 		l.Observe(Notice{Server: w.server, Change: ChangePause, Pause: pause})
 	}
 }
+
+// Paused reports whether the server wants nothing from this proxy now.
+func (w *Word) Paused(now time.Time) bool { return w != nil && now.Before(w.pausedUntil) }
+
+// PausedFor is for how much longer it does not.
+func (w *Word) PausedFor(now time.Time) time.Duration {
+	if !w.Paused(now) {
+		return 0
+	}
+	return w.pausedUntil.Sub(now)
+}
+
+// PausedUntil is when the server takes requests from this proxy again.
+func (w *Word) PausedUntil() time.Time { return w.pausedUntil }
--- a/internal/kernel/steering/ask.go
+++ b/internal/kernel/steering/ask.go
@@ -142,8 +142,8 @@
 		d.Release = release
 		return d
 	}
-	if !s.takesRequests() || k.evacuated[s.Domain] || s.isCold(now) || !f.allowed.has(s.regionBit) {
-		// The server has begun to leave, or to be cold, while the request waited.
+	if !s.takesRequests() || k.evacuated[s.Domain] || s.isCold(now) || !f.allowed.has(s.regionBit) || !k.StillPermits(now, f) {
+		// The server has begun to leave, to pause or to be cold while the request waited.
 		release := f.release(0)
 		s.inFlight--
 		k.quarantine.Stopped(f.Work)
--- a/internal/kernel/steering/failover.go
+++ b/internal/kernel/steering/failover.go
@@ -26,17 +26,17 @@
 		return homes
 	}
 	home := g.members[homes[0]]
-	if home == nil || home.outs == 0 || home.usable(now) || k.reachOf(f).near {
+	if home == nil || home.sound(now) || home.usable(now) && !home.word.Paused(now) || k.reachOf(f).near {
 		// One that is out but due to be tried gets a request, to see; one that is
 		// passed over for a moment is sound.
 		return homes
 	}
-	if chance(f.Object) >= g.homeless(f, home.region) {
+	if chance(f.Object) >= g.homeless(now, f, home.region) {
 		return homes
 	}
 	for _, id := range k.homesWithout(f, g, home.region).Of(f.Object) {
 		s := g.members[id]
-		if p := g.pressure[s.region]; s.outs == 0 && (p == nil || p.Level(now) <= failoverIdle) {
+		if p := g.pressure[s.region]; s.sound(now) && (p == nil || p.Level(now) <= failoverIdle) {
 			return append([]string{id}, homes...)
 		}
 	}
@@ -45,7 +45,7 @@
 
 // homeless is the part of the objects with homes that are out in a region for
 // which the region's other servers have no room.
-func (g *service) homeless(f *Flight, region string) float64 {
+func (g *service) homeless(now time.Time, f *Flight, region string) float64 {
 	all, sound, own, ownSound := 0.0, 0.0, 0.0, 0.0
 	for _, s := range g.servers {
 		if !f.allowed.has(s.regionBit) {
@@ -53,14 +53,14 @@
 		}
 		slots := float64(s.Slots)
 		all += slots
-		if s.outs == 0 {
+		if s.sound(now) {
 			sound += slots
 		}
 		if s.region != region {
 			continue
 		}
 		own += slots
-		if s.outs == 0 {
+		if s.sound(now) {
 			ownSound += slots
 		}
 	}
--- a/internal/kernel/steering/flight.go
+++ b/internal/kernel/steering/flight.go
@@ -160,7 +160,7 @@
 	case Late:
 		f.mayHaveRun = true
 		return k.giveUp(now, f, ReasonLate)
-	case Unreachable:
+	case Unreachable, Withheld:
 		f.dials++
 		if f.dials >= sendsMost {
 			return k.giveUp(now, f, ReasonNoServer)
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -27,6 +27,9 @@
 	Late
 	// Left means that the caller has gone.
 	Left
+	// Withheld means that nothing was sent: the server asked for no more while a
+	// connection was opened.
+	Withheld
 )
 
 const (
@@ -224,7 +227,7 @@
 
 // String names the result for logs.
 func (r Result) String() string {
-	names := [...]string{"none", "answered", "failed", "refused", "mistaken", "unreachable", "broken", "late", "left"}
+	names := [...]string{"none", "answered", "failed", "refused", "mistaken", "unreachable", "broken", "late", "left", "withheld"}
 	return names[min(int(r), len(names)-1)]
 }
 
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -142,6 +142,9 @@
 	return s.outs == 0 || s.inFlight == 0
 }
 
+// sound reports whether the server is neither out after failures nor pausing.
+func (s *server) sound(now time.Time) bool { return s.outs == 0 && !s.word.Paused(now) }
+
 // places is how many requests it should run at once.
 func (s *server) places() int {
 	if s.limit > 0 && s.limit < s.Slots {
--- a/internal/kernel/steering/signals.go
+++ b/internal/kernel/steering/signals.go
@@ -23,6 +23,12 @@
 // permits reports whether a server takes a request of this proxy now, by what it asks of
 // its senders. Every way to a server asks this.
 func (k *Kernel) permits(now time.Time, s *server) bool {
+	if s.word == nil {
+		return true
+	}
+	if s.word.Paused(now) {
+		return false
+	}
 	window, limited := s.word.Window(now)
 	return !limited || s.word.Room(now, k.limitShare(now, s, window))
 }
@@ -30,12 +36,19 @@
 // permittedAt is when a server takes a request of this proxy again; false if that is not
 // known before it says otherwise.
 func (k *Kernel) permittedAt(now time.Time, s *server) (time.Time, bool) {
+	at := later(now, s.word.PausedUntil())
 	window, limited := s.word.Window(now)
 	if !limited {
-		return now, true
+		return at, true
 	}
-	at := s.word.RoomAt(now, k.limitShare(now, s, window))
-	return at, !at.IsZero()
+	room := s.word.RoomAt(now, k.limitShare(now, s, window))
+	return later(at, room), !room.IsZero()
+}
+
+// StillPermits reports whether a request may still go to the server that it was placed at:
+// while a connection was opened, the server may have asked for a pause or begun to leave.
+func (k *Kernel) StillPermits(now time.Time, f *Flight) bool {
+	return !f.server.word.Paused(now) && !f.server.word.Leaving()
 }
 
 // limitShare is this proxy's part of the requests that a server takes in a window. One that
--- a/internal/kernel/steering/signals_test.go
+++ b/internal/kernel/steering/signals_test.go
@@ -73,3 +73,44 @@
 		t.Errorf("got %+v, want a server that has started again to ask nothing", d)
 	}
 }
+
+// Guards against a request that is sent to a server which has asked for a pause, or begun to
+// leave, while a connection was opened for it.
+func TestRequestIsWithheldIfTheServerAsksMeanwhile(t *testing.T) {
+	for name, signal := range map[string]backpressure.Signal{"pause": {Pause: 2 * time.Second}, "leaves": {Leaving: true}} {
+		now := time.Unix(1_000_000, 0)
+		k := quarantineKernel(now, false)
+		first, d := beginDeadly(k, now)
+		second, again := beginDeadly(k, now)
+		if d.Server == nil || again.Server == nil || d.Server.ID != again.Server.ID || !k.StillPermits(now, second) {
+			t.Fatalf("%s: got %+v and %+v, want both requests at one server", name, d, again)
+		}
+		k.Ended(now.Add(50*time.Millisecond), first, Attempt{Result: Refused, Signal: signal})
+		if k.StillPermits(now.Add(60*time.Millisecond), second) {
+			t.Errorf("%s: the second request may still go there", name)
+		}
+		if d = k.Ended(now.Add(60*time.Millisecond), second, Attempt{Result: Withheld}); d.Server == nil || d.Server.ID == again.Server.ID {
+			t.Errorf("%s: got %+v, want the request, which was not sent, at another server", name, d)
+		}
+	}
+}
+
+// Guards against callers that wait at a service all of whose servers pause, and against a
+// time to come back at which they still do.
+func TestCallersAreToldWhenAPauseEnds(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	k := quarantineKernel(now, true)
+	for range 6 {
+		f, d := beginDeadly(k, now)
+		for d.Server != nil {
+			d = k.Ended(now, f, Attempt{Result: Refused, Signal: backpressure.Signal{Pause: 3 * time.Second}})
+		}
+	}
+	_, d := beginDeadly(k, now.Add(time.Second))
+	if d.Reason != ReasonWithheld || !d.NotRun || d.ComeBack < 2*time.Second || d.ComeBack > 4*time.Second {
+		t.Errorf("got %+v, want it refused at once, to come back when the pause has ended, 2 s later", d)
+	}
+	if _, d = beginDeadly(k, now.Add(3*time.Second)); d.Server == nil {
+		t.Errorf("got %+v, want a server after the pause", d)
+	}
+}
--- a/internal/kernel/steering/story_test.go
+++ b/internal/kernel/steering/story_test.go
@@ -95,7 +95,7 @@
 var (
 	results = map[string]Result{
 		"answered": Answered, "failed": Failed, "refused": Refused, "mistaken": Mistaken,
-		"unreachable": Unreachable, "broken": Broken, "late": Late, "left": Left,
+		"unreachable": Unreachable, "broken": Broken, "late": Late, "left": Left, "withheld": Withheld,
 	}
 )
 
