Behind the own interface a server that asks for a pause gets it too

Requests and probes ask; callers who find all servers of a region pausing are told when the first of them takes requests again. Random runs draw the fault too.

--- a/internal/fake/simnet/checks.go
+++ b/internal/fake/simnet/checks.go
@@ -48,6 +48,8 @@
 		deadlyEnds []time.Time
 		// limits are those of the servers that name one.
 		limits map[string]*limitCheck
+		// pauses are what servers have asked processes for.
+		pauses map[pauseKey]*pauseCheck
 		// Headroom is the largest share of a region's capacity ever used.
 		Used float64
 		// InForce is the time from each roll-out until all proxies used it.
@@ -90,6 +92,7 @@
 		bundles:    make(map[uint64]*operator.Bundle),
 		lostAt:     make(map[string]time.Time),
 		limits:     make(map[string]*limitCheck),
+		pauses:     make(map[pauseKey]*pauseCheck),
 		LastWork:   make(map[string]time.Time),
 		Dispatched: make(map[string]map[int64]int),
 	}
@@ -186,6 +189,7 @@
 	c.link(p, w)
 	c.leaving(p, w)
 	c.limit(p, w)
+	c.pause(p, w)
 }
 
 // link counts requests over a link between regions.
--- a/internal/fake/simnet/limits.go
+++ b/internal/fake/simnet/limits.go
@@ -16,6 +16,8 @@
 	// long a proxy may take to heed an answer.
 	limitGrace = 4 * time.Second
 	heedWithin = 500 * time.Millisecond
+	// inPauseMost is how many requests of a process may reach a server in a pause.
+	inPauseMost = 2
 )
 
 type (
@@ -27,12 +29,31 @@
 		// sent are the moments of the requests from processes that knew.
 		sent []time.Time
 	}
+
+	pauseKey struct {
+		server, process string
+	}
+
+	// pauseCheck is a pause that a server has asked a process for, and what came in it.
+	pauseCheck struct {
+		from, until time.Time
+		sent        int
+	}
 )
 
-// heard notes that a process has heard of a server's limit.
+// heard notes what a process hears of what a server asks.
 func (c *Checks) heard(p *Proxy, w *Worker, r *backend.Report) {
+	if r == nil {
+		return
+	}
+	if pause := r.Signal.Pause; pause > 0 {
+		key, now := pauseKey{w.config.Name, p.id()}, c.sim.now
+		if known := c.pauses[key]; known == nil || now.After(known.until) {
+			c.pauses[key] = &pauseCheck{from: now.Add(heedWithin), until: now.Add(pause)}
+		}
+	}
 	l := c.limits[w.config.Name]
-	if l == nil || r == nil || !r.Signal.Limit.Named {
+	if l == nil || !r.Signal.Limit.Named {
 		return
 	}
 	if _, known := l.told[p.id()]; !known {
@@ -40,6 +61,17 @@
 	}
 }
 
+// pause asserts that a server gets hardly anything in a pause that it has asked for.
+func (c *Checks) pause(p *Proxy, w *Worker) {
+	now, asked := c.sim.now, c.pauses[pauseKey{w.config.Name, p.id()}]
+	if asked == nil || p.behind > 0 || now.Before(asked.from) || !now.Before(asked.until) {
+		return
+	}
+	if asked.sent++; asked.sent > inPauseMost {
+		c.violate("%s got %d requests from %s in a pause that it had asked for", w.config.Name, asked.sent, p.name)
+	}
+}
+
 // limit asserts that a server gets no more than it has asked for from those who know.
 func (c *Checks) limit(p *Proxy, w *Worker) {
 	l := c.limits[w.config.Name]
--- a/internal/fake/simnet/random.go
+++ b/internal/fake/simnet/random.go
@@ -61,10 +61,10 @@
 		f.Amount = draw("amount", 200, 460)
 	case "deadly-request":
 		f.Target, f.Amount = c.Bundle.Services[draw("service", 0, len(c.Bundle.Services)-1)].Name, draw("amount", 5, 50)
-	case "kill-server", "shed-server", "drain-server", "leave-server", "limit-server":
+	case "kill-server", "shed-server", "drain-server", "leave-server", "limit-server", "pause-server":
 		s := c.Bundle.Services[draw("service", 0, len(c.Bundle.Services)-1)]
 		f.Target = s.Servers[draw("server", 0, len(s.Servers)-1)].Name
-		if kind == "limit-server" {
+		if kind == "limit-server" || kind == "pause-server" {
 			f.Amount = draw("amount", 0, 100)
 		}
 	case "drain-proxy":
--- a/internal/fake/simnet/scenario.go
+++ b/internal/fake/simnet/scenario.go
@@ -31,6 +31,7 @@
 		"deadly-request":     deadlyRequest,
 		"shed-server":        shedServer,
 		"limit-server":       limitServer,
+		"pause-server":       pauseServer,
 		"leave-server":       leaveServer,
 		"platform-outage":    platformOutage,
 		"lose-answers":       func(s *Sim, f Fault) { s.LoseAnswers(f.Amount) },
@@ -223,6 +224,14 @@
 	s.lasting(f, func() { s.workers[f.Target].shed = false })
 }
 
+// pauseServer has a server refuse all requests and ask for a pause with each refusal, Amount
+// tenths of a second.
+func pauseServer(s *Sim, f Fault) {
+	w := s.workers[f.Target]
+	w.shed, w.pause = true, time.Duration(f.Amount)*100*time.Millisecond
+	s.lasting(f, func() { w.shed, w.pause = false, 0 })
+}
+
 // leaveServer has a server say that it leaves, for good or for a while.
 func leaveServer(s *Sim, f Fault) {
 	s.workers[f.Target].leaves = true
--- a/internal/fake/simnet/worker.go
+++ b/internal/fake/simnet/worker.go
@@ -22,7 +22,9 @@
 		shed   bool
 		leaves bool
 		// limit is what it names, in requests a second.
-		limit  backpressure.Limit
+		limit backpressure.Limit
+		// pause is what it asks for with each refusal.
+		pause  time.Duration
 		report int
 		at     time.Time
 	}
@@ -70,7 +72,9 @@
 		j.reply(backend.Unreachable, nil)
 	case w.shed || w.leaves || w.busy >= w.config.Slots && len(w.queue) >= w.sim.config.Queue:
 		w.sim.checks.sheds++
-		j.reply(backend.Refused, w.load())
+		report := w.load()
+		report.Signal.Pause = w.pause
+		j.reply(backend.Refused, report)
 	case w.busy >= w.config.Slots:
 		w.queue = append(w.queue, j)
 	default:
--- a/internal/kernel/core/request.go
+++ b/internal/kernel/core/request.go
@@ -188,7 +188,7 @@
 		if link != nil {
 			link.Undo()
 		}
-		return k.turnAway(now, f, caller.ReasonNoServer, time.Second)
+		return k.turnAway(now, f, caller.ReasonNoServer, k.pausedFor(now, f.service.byRegion[at]))
 	}
 	return k.send(now, f, at, server)
 }
--- a/internal/kernel/core/signals.go
+++ b/internal/kernel/core/signals.go
@@ -9,6 +9,12 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 )
 
+const (
+	// noServerFor is after how long a caller may come back if no server could take its
+	// request.
+	noServerFor = time.Second
+)
+
 // signalKey names a server among all proxies. It has one name for good, so what an earlier
 // start has asked ends with the first answers of the next.
 func signalKey(server string) quarantine.Server { return quarantine.ServerOf(server, time.Time{}) }
@@ -30,10 +36,29 @@
 // its senders. Requests and probes ask this.
 func (k *Kernel) permits(now time.Time, s *backend.Server) bool {
 	word := k.wordOf(s)
+	if word.Paused(now) {
+		return false
+	}
 	window, limited := word.Window(now)
 	return !limited || word.Room(now, k.rankAt(s.Region).Share(window))
 }
 
+// pausedFor is after how long a caller may come back that no server takes: if all of them
+// pause, when the first of them takes requests again.
+func (k *Kernel) pausedFor(now time.Time, servers []*backend.Server) time.Duration {
+	first := time.Duration(0)
+	for _, s := range servers {
+		left := k.wordOf(s).PausedFor(now)
+		if left == 0 {
+			return noServerFor
+		}
+		if first == 0 || left < first {
+			first = left
+		}
+	}
+	return max(first, noServerFor)
+}
+
 // rankAt is this proxy's place among all proxies at the servers of a region. Their numbers
 // are the bundle's, so that parts of a fleet that are cut off from each other do not each
 // take a whole limit; in an unlisted region, or beyond its number, there is no place.
