--- a/internal/adapter/backendhttp/client_test.go
+++ b/internal/adapter/backendhttp/client_test.go
@@ -70,11 +70,11 @@
 	return s.read
 }
 
-func send(t *testing.T, address netip.AddrPort, method string, header http.Header, timeout time.Duration) Response {
+func send(t *testing.T, address netip.AddrPort, method string, timeout time.Duration) Response {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	return sendWith(ctx, NewClient(4, time.Now), address, method, header)
+	return sendWith(ctx, NewClient(4, time.Now), address, method, nil)
 }
 
 func sendWith(ctx context.Context, c *Client, address netip.AddrPort, method string, header http.Header) Response {
@@ -119,7 +119,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			if got := send(t, c.address, http.MethodPost, nil, 300*time.Millisecond).Result; got != c.want {
+			if got := send(t, c.address, http.MethodPost, 300*time.Millisecond).Result; got != c.want {
 				t.Errorf("got result %d, want %d", got, c.want)
 			}
 		})
@@ -160,7 +160,7 @@
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n"+body)
 		return false
 	})
-	r := send(t, s.address, http.MethodGet, nil, time.Second)
+	r := send(t, s.address, http.MethodGet, time.Second)
 	if r.Rest == nil {
 		t.Fatal("got no stream, want one")
 	}
--- a/internal/adapter/backendhttp/signal_test.go
+++ b/internal/adapter/backendhttp/signal_test.go
@@ -12,7 +12,7 @@
 // Guards against signals of backend servers that are lost, or that callers see.
 func TestSignalsAreReportedAndNotPassedOn(t *testing.T) {
 	s := startRaw(t, write("HTTP/1.1 200 OK\r\nGypsumquay-Limit: 2.5\r\nContent-Length: 0\r\n\r\n"))
-	response := send(t, s.address, http.MethodGet, nil, time.Second)
+	response := send(t, s.address, http.MethodGet, time.Second)
 	want := backpressure.Signal{Limit: backpressure.Limit{Named: true, PerSecond: 2.5}}
 	if response.Report == nil || response.Report.Signal != want {
 		t.Errorf("got %+v, want %+v", response.Report, want)
@@ -21,7 +21,7 @@
 		t.Errorf("the caller sees a limit of %s", got)
 	}
 	s = startRaw(t, write("HTTP/1.1 503 No\r\nGypsumquay-Outcome: not-run\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n"))
-	response = send(t, s.address, http.MethodGet, nil, time.Second)
+	response = send(t, s.address, http.MethodGet, time.Second)
 	want = backpressure.Signal{Pause: 2 * time.Second}
 	if response.Report == nil || response.Report.Signal != want {
 		t.Errorf("got %+v, want %+v", response.Report, want)
