--- a/cmd/gypsumquay-bench/main.go
+++ b/cmd/gypsumquay-bench/main.go
@@ -18,6 +18,7 @@
 		Ablate     *ablateArguments     `arg:"subcommand:ablate" help:"each mechanism switched off in turn, against loads, as a table"`
 		Ends       *endsArguments       `arg:"subcommand:ends" help:"servers lost and sound work refused against the ends that condemn work"`
 		Limits     *limitsArguments     `arg:"subcommand:limits" help:"limits of client accounts: what is refused within them, over sizes and ways to keep them"`
+		Signals    *signalsArguments    `arg:"subcommand:signals" help:"limits that backend servers name: what they get and what callers get, over sizes"`
 		Soak       *soakArguments       `arg:"subcommand:soak" help:"randomised faults with fresh seeds until the time is over"`
 	}
 )
@@ -39,6 +40,8 @@
 		err = a.Ends.run()
 	case a.Limits != nil:
 		err = a.Limits.run()
+	case a.Signals != nil:
+		err = a.Signals.run()
 	case a.Ablate != nil:
 		err = a.Ablate.run()
 	case a.Experiment != nil:
--- /dev/null
+++ b/cmd/gypsumquay-bench/signals.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/gypsumquay/gypsumquay/internal/fake/warmnet"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+)
+
+type (
+	signalsArguments struct {
+		Load    string    `arg:"positional" default:"internal/fake/warmnet/testdata/limited.json" help:"load file in which servers name limits"`
+		Proxies []int     `help:"numbers of proxies in each region [default: 3 25 100 433]"`
+		Limits  []float64 `help:"limits that servers name, in requests a second [default: 0.5 6.6 50]"`
+		Times   float64   `default:"1" help:"by how much more callers ask than the load says"`
+		Seeds   int       `default:"2" help:"plays of each"`
+	}
+)
+
+// run plays fleets of several sizes against servers that name limits: how much of a limit
+// they use, whether they pass it together, and what callers get.
+func (a *signalsArguments) run() error {
+	load, err := warmnet.ReadLoad(a.Load)
+	if err != nil {
+		return err
+	}
+	if len(a.Proxies) == 0 {
+		a.Proxies = []int{3, 25, 100, 433}
+	}
+	if len(a.Limits) == 0 {
+		a.Limits = []float64{0.5, 6.6, 50}
+	}
+	for i := range load.Regions {
+		load.Regions[i].PerSecond *= a.Times
+	}
+	fmt.Printf("%8s %8s %12s %8s %8s %10s %8s %14s\n", "PROXIES", "LIMIT/S", "OF ALLOWED", "IN USE", "AFTER", "IN TARGET", "REFUSED", "REPORTS/PROXY/S")
+	for _, limit := range a.Limits {
+		for _, proxies := range a.Proxies {
+			a.row(load, limit, proxies)
+		}
+	}
+	return nil
+}
+
+func (a *signalsArguments) row(load warmnet.Load, limit float64, proxies int) {
+	load.Proxies = proxies
+	load.Limited = append([]warmnet.Limited(nil), load.Limited...)
+	for i := range load.Limited {
+		load.Limited[i].PerSecond = limit
+	}
+	var most, use, after, share, refused, reports float64
+	n, all := float64(a.Seeds), float64(proxies*len(load.Regions))
+	for seed := range a.Seeds {
+		o := warmnet.Play(load, steering.DefaultPlacer, uint64(seed)+1)
+		most = max(most, o.Limits.Most)
+		use += o.Limits.Use / n
+		after += o.Limits.After / n
+		share += o.Share() / n
+		refused += float64(o.Refused) / float64(max(1, o.Asked)) / n
+		reports += float64(o.Limits.Reports) / all / load.Span.Std().Seconds() / n
+	}
+	fmt.Printf("%8.0f %8.1f %12.2f %8.2f %8.2f %10.3f %8.4f %14.2f\n", all, limit, most, use, after, share, refused, reports)
+}
--- a/internal/fake/warmnet/limits.go
+++ b/internal/fake/warmnet/limits.go
@@ -35,6 +35,8 @@
 		// Use is the mean part of their limits that servers got, After their mean rate
 		// from some time after it, as a part of the rate before it.
 		Use, After float64
+		// Reports counts what proxies told each other of servers.
+		Reports int
 	}
 
 	// news are the moments at which proxies first heard something of servers.
@@ -48,6 +50,7 @@
 	limits struct {
 		arrivals map[string][]limitArrival
 		toldAt   news
+		reports  int
 	}
 
 	limitArrival struct {
@@ -98,8 +101,10 @@
 // tellSignals has each proxy tell another one what servers ask, and be told.
 func (w *world) tellSignals() {
 	w.gossip(func(k, to *steering.Kernel) {
-		to.HearSignals(w.clock(), k.Signals(w.clock(), false))
-		k.HearSignals(w.clock(), to.Signals(w.clock(), false))
+		question, answer := k.Signals(w.clock(), false), to.Signals(w.clock(), false)
+		to.HearSignals(w.clock(), question)
+		k.HearSignals(w.clock(), answer)
+		w.limits.reports += len(question) + len(answer)
 	})
 }
 
@@ -117,6 +122,7 @@
 
 // judge sums up what became of the limits.
 func (l *limits) judge(episodes []Limited) (out Limits) {
+	out.Reports = l.reports
 	before, after, use, servers := 0.0, 0.0, 0.0, 0
 	for _, e := range episodes {
 		for i := range e.Servers {
