A full home's requests don't run cold elsewhere where the queues are long

Cause: a full server refuses and is passed over for 60 ms; the requests of its objects ran on servers that don't know them, four times the work, which filled these in turn: a state that keeps itself up.

Such a request is refused at once, not run, with when to come back, if it would run cold where the queues are over a quarter of what can wait. Where they are short it still runs elsewhere.

--- a/internal/fake/warmnet/limits_test.go
+++ b/internal/fake/warmnet/limits_test.go
@@ -12,6 +12,10 @@
 	// refusedMost is the part of callers that may be refused while two thirds of the
 	// servers have room for all: one in 500.
 	refusedMost = 0.002
+	// crowdedTimes is the load at which the servers without a limit are busy for five
+	// sixths, crowdedShare the part of it that must be answered in time.
+	crowdedTimes = 2.4
+	crowdedShare = 0.9
 )
 
 // Guards against servers that ask for a pause and get requests in it, and against callers
@@ -60,3 +64,20 @@
 		}
 	}
 }
+
+// Guards against a service that is hardly overloaded and does less and less: full servers
+// refuse requests, which run cold elsewhere and fill the other servers.
+func TestFullHomesDoNotSpreadTheirLoad(t *testing.T) {
+	for _, proxies := range []int{3, 12} {
+		l := load(t, "limited")
+		l.Proxies = proxies
+		for i := range l.Regions {
+			l.Regions[i].PerSecond *= crowdedTimes
+		}
+		share, worst, first := mean(l, steering.DefaultPlacer)
+		t.Logf("%d proxies a region: %.3f in target, %.3f of the worst region, %.0f first runs", proxies, share, worst, first)
+		if share < crowdedShare {
+			t.Errorf("%d proxies a region: %.3f in target, want %.2f at least: the servers have room for all", proxies, share, crowdedShare)
+		}
+	}
+}
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -117,6 +117,9 @@
 		}
 		best = p
 	}
+	if k.keptFromSpilling(now, g, homes, best) {
+		return pick{reason: ReasonOverload}
+	}
 	if homeFull && !best.warm {
 		// This proxy has all its connections to the object's home in use, and the
 		// home has answered lately, so it does not hang but is busy. Its requests
