Objects of servers that name a limit go where they are warm

Callers of a service of which three servers of twelve named a limit: the objects of these ran at home and, past the limit, at any other server, by turns; regions with several of them had full servers while others had room.

Limited servers now count for the part of their usual requests that the limit leaves. By that part the same objects stay at home at all proxies; the others go to their next home, or as those of a lost server to regions with room. Without limits nothing changes.

--- a/internal/fake/warmnet/limits_test.go
+++ b/internal/fake/warmnet/limits_test.go
@@ -81,3 +81,20 @@
 		}
 	}
 }
+
+// Guards against objects of limited servers that run by turns at home and anywhere else in
+// a region whose servers are full.
+func TestObjectsOfLimitedServersFailOver(t *testing.T) {
+	l := load(t, "limited")
+	l.Proxies = 12
+	for i := range l.Regions {
+		l.Regions[i].PerSecond *= crowdedTimes
+	}
+	share, worst, _ := mean(l, steering.DefaultPlacer)
+	l.Off = append(l.Off, steering.MechanismFailover)
+	without, worstWithout, _ := mean(l, steering.DefaultPlacer)
+	t.Logf("%.3f in target, %.3f of the worst region; without failover %.3f and %.3f", share, worst, without, worstWithout)
+	if share <= without || worst <= worstWithout {
+		t.Errorf("got %.3f in target and %.3f of the worst region, want more than the %.3f and %.3f without failover", share, worst, without, worstWithout)
+	}
+}
--- a/internal/kernel/admission/repeats.go
+++ b/internal/kernel/admission/repeats.go
@@ -33,6 +33,17 @@
 	r.firsts[r.index()]++
 }
 
+// Rate is how many requests a second were sent first in the window; it is too low until a
+// window has passed.
+func (r *Repeats) Rate(now time.Time) float64 {
+	r.advance(now)
+	firsts := 0
+	for _, n := range r.firsts {
+		firsts += n
+	}
+	return float64(firsts) / r.Window.Seconds()
+}
+
 // Spend takes one repeat, or reports false. proxies is how many share the
 // slack.
 func (r *Repeats) Spend(now time.Time, proxies int) bool {
--- a/internal/kernel/steering/failover.go
+++ b/internal/kernel/steering/failover.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,7 +16,7 @@
 	failoverIdle = 0.25
 )
 
-// failover names the servers for an object whose home is out: for a part of these
+// failover names the servers for an object whose home is out or takes less than usual: for a part of these
 // objects one in another region first. A failure domain is lost and its servers
 // are registered for seconds more. If all their objects went to the servers left
 // in the region, these would have twice their share and answers would come late,
@@ -26,12 +27,22 @@
 		return homes
 	}
 	home := g.members[homes[0]]
-	if home == nil || home.sound(now) || home.usable(now) && !home.word.Paused(now) || k.reachOf(f).near {
+	if home == nil {
+		return homes
+	}
+	switch fit := k.fitness(now, g, home); {
+	case fit == 1, home.outs > 0 && home.usable(now) && !home.word.Paused(now):
 		// One that is out but due to be tried gets a request, to see; one that is
 		// passed over for a moment is sound.
 		return homes
+	case fit > 0 && chance(f.Object+"@"+home.id) < fit:
+		return homes
+	case fit > 0:
+		// The same objects leave a limited home at all proxies, so that they are warm
+		// where they go.
+		homes = append(slices.Clone(homes[1:]), home.id)
 	}
-	if chance(f.Object) >= g.homeless(now, f, home.region) {
+	if k.reachOf(f).near || chance(f.Object) >= k.homeless(now, f, g, home.region) {
 		return homes
 	}
 	for _, id := range k.homesWithout(f, g, home.region).Of(f.Object) {
@@ -45,7 +56,7 @@
 
 // homeless is the part of the objects with homes that are out in a region for
 // which the region's other servers have no room.
-func (g *service) homeless(now time.Time, f *Flight, region string) float64 {
+func (k *Kernel) homeless(now time.Time, f *Flight, g *service, region string) float64 {
 	all, sound, own, ownSound := 0.0, 0.0, 0.0, 0.0
 	for _, s := range g.servers {
 		if !f.allowed.has(s.regionBit) {
@@ -53,16 +64,14 @@
 		}
 		slots := float64(s.Slots)
 		all += slots
-		if s.sound(now) {
-			sound += slots
-		}
+		fit := k.fitness(now, g, s) * slots
+		sound += fit
+
 		if s.region != region {
 			continue
 		}
 		own += slots
-		if s.sound(now) {
-			ownSound += slots
-		}
+		ownSound += fit
 	}
 	if own == ownSound || sound == 0 {
 		return 0
@@ -71,6 +80,24 @@
 	return (1 - kept) / (1 - ownSound/own)
 }
 
+// fitness is the part of its usual requests that a server takes now: none while it is out or
+// pauses, what its limit leaves if it names one.
+func (k *Kernel) fitness(now time.Time, g *service, s *server) float64 {
+	if !s.sound(now) {
+		return 0
+	}
+	limit := s.word.Limit(now)
+	if !limit.Named {
+		return 1
+	}
+	// This proxy takes the others to see as much as it does.
+	usual := g.repeats.Rate(now) * float64(len(k.sharers)) * float64(s.Slots) / float64(max(1, g.slots))
+	if limit.PerSecond >= usual {
+		return 1
+	}
+	return limit.PerSecond / usual
+}
+
 // homesWithout deals all objects out over the servers outside a region.
 func (k *Kernel) homesWithout(f *Flight, g *service, region string) *placing.Homes {
 	key := reach{allowed: f.allowed, without: region}
--- a/internal/kernel/steering/service.go
+++ b/internal/kernel/steering/service.go
@@ -17,6 +17,8 @@
 		members map[string]*server
 		servers []*server
 		stale   bool
+		// slots are those of all servers.
+		slots   int
 		repeats admission.Repeats
 		holding holding
 		// work is how long the requests of each route take, by its name.
@@ -71,7 +73,9 @@
 	}
 	slices.SortFunc(g.servers, func(a, b *server) int { return strings.Compare(a.id, b.id) })
 	ranked := make([]placing.Server, 0, len(g.servers))
+	g.slots = 0
 	for _, s := range g.servers {
+		g.slots += s.Slots
 		ranked = append(ranked, placing.Server{ID: s.id, Class: s.class()})
 	}
 	g.ranking.Update(ranked)
