A pausing home is not full, and old answers don't renew a limit that has ended

Found on reading the change: for 60 ms after its refusal a server that asks for a pause passed for one that is full, so that its objects' callers could be refused though others had to take them; and an answer to an earlier request brought a limit back that a later answer had ended.

--- a/internal/kernel/backpressure/ledger_test.go
+++ b/internal/kernel/backpressure/ledger_test.go
@@ -44,6 +44,9 @@
 	if w := l.Heard(at(1400), at(1300), server, Signal{}, true); w.limit.Named {
 		t.Errorf("got %v, want no limit once a later answer names none", w.limit)
 	}
+	if w := l.Heard(at(1450), at(350), server, limited(6), true); w.limit.Named {
+		t.Errorf("an answer to an earlier request has brought back %v", w.limit)
+	}
 }
 
 func TestNotices(t *testing.T) {
--- a/internal/kernel/backpressure/limit.go
+++ b/internal/kernel/backpressure/limit.go
@@ -72,13 +72,14 @@
 }
 
 // hearLimit takes in the limit that an answer names, if any. Answers may overtake each
-// other: one to a request that was sent before the limit was last named does not lift it.
+// other: one to a request that was sent before the limit was last named, or found to have
+// ended, does neither lift nor raise nor renew it.
 func (w *Word) hearLimit(now, sent time.Time, limit Limit, whole bool) {
 	later := sent.After(w.limitAt)
 	switch {
 	case limit.Named && later:
 		w.set(now, now, limit)
-	case limit.Named:
+	case limit.Named && w.limit.Named:
 		w.set(now, now, w.limit.lower(limit))
 	case whole && later && w.limit.Named && now.Sub(w.limitAt) >= liftAfter:
 		w.set(now, now, Limit{})
--- a/internal/kernel/steering/spill.go
+++ b/internal/kernel/steering/spill.go
@@ -26,5 +26,6 @@
 	return p != nil && p.Level(now) > spillPressure
 }
 
-// isFull reports whether the server has just refused a request since its queue was full.
-func (s *server) isFull(now time.Time) bool { return s.outs == 0 && now.Before(s.outUntil) }
+// isFull reports whether the server has just refused a request since its queue was full, and
+// may take the next. One that pauses may not.
+func (s *server) isFull(now time.Time) bool { return s.sound(now) && now.Before(s.outUntil) }
