--- a/internal/kernel/backpressure/limit.go
+++ b/internal/kernel/backpressure/limit.go
@@ -73,7 +73,7 @@
 
 // hearLimit takes in the limit that an answer names, if any. Answers may overtake each
 // other: one to a request that was sent before the limit was last named, or found to have
-// ended, does neither lift nor raise nor renew it.
+// ended, neither lifts, raises nor renews it.
 func (w *Word) hearLimit(now, sent time.Time, limit Limit, whole bool) {
 	later := sent.After(w.limitAt)
 	switch {
