gypsumquayctl steering signals: what backend servers ask, over all proxies

Which servers name limits, pause or leave by their own word, and how many proxies know of it; one proxy's view misses what only others have heard. Gauges count the limited, pausing and leaving servers.

--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -66,8 +66,13 @@
 		Load     float64 `json:"load"`
 		Speed    float64 `json:"speed"`
 		Failed   float64 `json:"failed-share"`
-		// Limit is what it takes from all proxies together, if it names a limit.
-		Limit string `json:"limit,omitempty"`
+		// Limit is how many requests a second it takes from all proxies together, nil if it
+		// names no limit.
+		Limit *float64 `json:"limit-per-second,omitempty"`
+		// PausedFor is for how long it wants nothing from the asked proxy.
+		PausedFor string `json:"paused-for,omitempty"`
+		// Leaves is set if it leaves by its own word.
+		Leaves bool `json:"leaves,omitempty"`
 	}
 
 	// Route is one route in force.
--- a/internal/client/command/command_test.go
+++ b/internal/client/command/command_test.go
@@ -14,7 +14,7 @@
 		want      string
 	}{
 		{Arguments{}, "name a command; --help lists them"},
-		{Arguments{Steering: &SteeringArguments{}}, "steering: needs status, servers, routes, accounts, explain, events, losses or replay"},
+		{Arguments{Steering: &SteeringArguments{}}, "steering: needs status, servers, routes, accounts, signals, explain, events, losses or replay"},
 		{Arguments{Steering: &SteeringArguments{Status: &SteeringStatusArguments{}}}, "--proxy: name at least one"},
 		{Arguments{Keys: &KeysArguments{}}, "keys: new or list"},
 	} {
--- /dev/null
+++ b/internal/client/command/signals.go
@@ -0,0 +1,107 @@
+package command
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/gypsumquay/gypsumquay/internal/adapter/steeringhttp"
+)
+
+type (
+	// SteeringSignalsArguments picks backend servers.
+	SteeringSignalsArguments struct {
+		Service string `help:"only this service's"`
+	}
+
+	// ServerSignals is what a backend server asks of its senders, over all proxies that
+	// answered.
+	ServerSignals struct {
+		Server  string `json:"server"`
+		Service string `json:"service"`
+		Domain  string `json:"failure-domain"`
+		// Limit is what it takes from all proxies together, the lowest that any knows of.
+		Limit string `json:"limit,omitempty"`
+		// Leaving is set if it leaves by its own word.
+		Leaving bool `json:"leaving,omitempty"`
+		// Limited, Pausing and Known count the proxies that keep to a limit or a pause of
+		// it, and those that know of anything that it asks.
+		Limited int `json:"limited-proxies"`
+		Pausing int `json:"pausing-proxies"`
+		Known   int `json:"proxies"`
+
+		perSecond float64
+	}
+
+	// SignalsAnswer is what signals prints as JSON. What proxies know that did not answer
+	// is missing.
+	SignalsAnswer struct {
+		Servers    []ServerSignals `json:"backend-servers"`
+		Unanswered []Unanswered    `json:"unanswered,omitempty"`
+	}
+)
+
+func (a *SteeringSignalsArguments) run(s *session, c *steeringhttp.Client) (Result, error) {
+	answers, err := ask(s, c, c.Status)
+	if err != nil {
+		return Result{}, err
+	}
+	var text strings.Builder
+	var out SignalsAnswer
+	asking := make(map[string]*ServerSignals)
+	for _, one := range answers {
+		if one.Error != "" {
+			fmt.Fprintf(&text, "%s did not answer: %s\n", one.Proxy.Name, one.Error)
+			out.Unanswered = append(out.Unanswered, Unanswered{Proxy: one.Proxy.Name, Error: one.Error})
+		}
+		for _, b := range one.Value.Servers {
+			if a.Service == "" || a.Service == b.Service {
+				addSignals(asking, b)
+			}
+		}
+	}
+	out.Servers = pickSignals(asking)
+	fmt.Fprintf(&text, "of %d proxies that answered\n%-16s %-16s %-16s %10s %8s %8s %8s %8s\n", len(answers)-len(out.Unanswered),
+		"SERVER", "SERVICE", "DOMAIN", "LIMIT", "LIMITED", "PAUSING", "LEAVES", "KNOWN BY")
+	for _, v := range out.Servers {
+		fmt.Fprintf(&text, "%-16s %-16s %-16s %10s %8d %8d %8t %8d\n", v.Server, v.Service, v.Domain, cmp.Or(v.Limit, "none"), v.Limited, v.Pausing, v.Leaving, v.Known)
+	}
+	return Result{Text: text.String(), Data: out}, nil
+}
+
+// addSignals adds what one proxy knows of a server.
+func addSignals(asking map[string]*ServerSignals, b steeringhttp.BackendServer) {
+	if b.Limit == nil && b.PausedFor == "" && !b.Leaves {
+		return
+	}
+	v := asking[b.ID]
+	if v == nil {
+		v = &ServerSignals{Server: b.ID, Service: b.Service, Domain: b.Domain}
+		asking[b.ID] = v
+	}
+	v.Known++
+	v.Leaving = v.Leaving || b.Leaves
+	if b.PausedFor != "" {
+		v.Pausing++
+	}
+	if b.Limit == nil {
+		return
+	}
+	if v.Limited++; v.Limited == 1 || *b.Limit < v.perSecond {
+		v.perSecond, v.Limit = *b.Limit, fmt.Sprintf("%.1f/s", *b.Limit)
+	}
+}
+
+// pickSignals lists servers by service, those known to the most proxies first.
+func pickSignals(asking map[string]*ServerSignals) []ServerSignals {
+	list := make([]ServerSignals, 0, len(asking))
+	for _, v := range slices.Collect(maps.Values(asking)) {
+		list = append(list, *v)
+	}
+	slices.SortFunc(list, func(a, b ServerSignals) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(b.Known, a.Known), cmp.Compare(a.Server, b.Server))
+	})
+	return list
+}
--- a/internal/client/command/steering.go
+++ b/internal/client/command/steering.go
@@ -27,6 +27,7 @@
 		Servers  *SteeringServersArguments  `arg:"subcommand:servers" help:"backend servers as one proxy sees them"`
 		Routes   *SteeringRoutesArguments   `arg:"subcommand:routes" help:"routes in force at one proxy"`
 		Accounts *SteeringAccountsArguments `arg:"subcommand:accounts" help:"client accounts, their limits and their use over all proxies"`
+		Signals  *SteeringSignalsArguments  `arg:"subcommand:signals" help:"backend servers that name limits, pause or leave by their own word, over all proxies"`
 		Explain  *SteeringExplainArguments  `arg:"subcommand:explain" help:"all decisions on one request, over all proxies"`
 		Events   *SteeringEventsArguments   `arg:"subcommand:events" help:"decisions and changes of all proxies, merged"`
 		Losses   *SteeringLossesArguments   `arg:"subcommand:losses" help:"late, refused and failed requests by cause, route, region, server state and time"`
@@ -89,6 +90,8 @@
 		return a.Routes.run(s, client)
 	case a.Accounts != nil:
 		return a.Accounts.run(s, client)
+	case a.Signals != nil:
+		return a.Signals.run(s, client)
 	case a.Explain != nil:
 		return steeringEvents(s, client, a.Explain.Request, func(steeringhttp.Event) bool { return true })
 	case a.Events != nil:
@@ -98,7 +101,7 @@
 	case a.Replay != nil:
 		return a.Replay.run()
 	}
-	return Result{}, usageError("steering: needs status, servers, routes, accounts, explain, events, losses or replay")
+	return Result{}, usageError("steering: needs status, servers, routes, accounts, signals, explain, events, losses or replay")
 }
 
 func (a *SteeringEventsArguments) match(e steeringhttp.Event) bool {
--- a/internal/client/command/steering_test.go
+++ b/internal/client/command/steering_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -106,6 +107,42 @@
 	}
 }
 
+// Guards against a limit that stands in the view of one proxy and is missed at the one that
+// happens to be asked.
+func TestSignalsAreMergedOverProxies(t *testing.T) {
+	slow, slower := 6.6, 4.0
+	view := func(servers ...steeringhttp.BackendServer) steeringhttp.Server {
+		return steeringhttp.Server{Metrics: metrics.NewSet(), Status: func() steeringhttp.Status { return steeringhttp.Status{Servers: servers} }}
+	}
+	one := view(steeringhttp.BackendServer{ID: "a", Service: "x", Limit: &slow}, steeringhttp.BackendServer{ID: "b", Service: "x"}, steeringhttp.BackendServer{ID: "c", Service: "y", Leaves: true})
+	two := view(steeringhttp.BackendServer{ID: "a", Service: "x", Limit: &slower, PausedFor: "1s"}, steeringhttp.BackendServer{ID: "b", Service: "x", PausedFor: "2s"})
+	second := httptest.NewServer(two.HTTP().Handler)
+	defer second.Close()
+	status := one.Status()
+	status.VM = "vm-1"
+	status.Proxies = []steeringhttp.Proxy{{Name: "vm-2", Operators: netip.MustParseAddrPort(strings.TrimPrefix(second.URL, "http://"))}}
+	one.Status = func() steeringhttp.Status { return status }
+	first := httptest.NewServer(one.HTTP().Handler)
+	defer first.Close()
+	var out strings.Builder
+	a := Arguments{
+		JSON: true, Proxies: []netip.AddrPort{netip.MustParseAddrPort(strings.TrimPrefix(first.URL, "http://"))},
+		Steering: &SteeringArguments{Signals: &SteeringSignalsArguments{Service: "x"}},
+	}
+	code := Run(context.Background(), a, &out, io.Discard)
+	var got SignalsAnswer
+	if err := json.Unmarshal([]byte(out.String()), &got); err != nil {
+		t.Fatal(err)
+	}
+	want := []ServerSignals{
+		{Server: "a", Service: "x", Limit: "4.0/s", Limited: 2, Pausing: 1, Known: 2},
+		{Server: "b", Service: "x", Pausing: 1, Known: 1},
+	}
+	if code != ExitOK || !slices.Equal(got.Servers, want) {
+		t.Errorf("exit code %d, got %+v, want %+v", code, got.Servers, want)
+	}
+}
+
 // An engineer counts what callers lost from the logs of a bad minute, and misspells
 // a file's name. The count is printed, and the error names the file.
 func TestLossesFromLogFiles(t *testing.T) {
--- a/internal/kernel/steering/status.go
+++ b/internal/kernel/steering/status.go
@@ -60,6 +60,8 @@
 		Limit backpressure.Limit
 		// PausedFor is for how long it wants nothing from this proxy.
 		PausedFor time.Duration
+		// Leaves is set if it leaves by its own word.
+		Leaves bool
 		// Speed is observed over expected time, Failed the share of failures.
 		Speed  float64
 		Failed float64
@@ -76,7 +78,7 @@
 			ID: b.id, Service: b.Service, Domain: b.Domain, Slots: b.Slots, InFlight: b.inFlight,
 			Draining: b.Draining || b.word.Leaving(), Absent: !b.absentUntil.IsZero(),
 			ColdFor: max(0, b.coldUntil.Sub(now)), OutFor: max(0, b.outUntil.Sub(now)),
-			Load: b.load(now), LoadAge: b.loadAge(now), Limit: b.word.Limit(now), PausedFor: b.word.PausedFor(now), Speed: b.speed, Failed: b.failed,
+			Load: b.load(now), LoadAge: b.loadAge(now), Limit: b.word.Limit(now), PausedFor: b.word.PausedFor(now), Leaves: b.word.Leaving(), Speed: b.speed, Failed: b.failed,
 		})
 	}
 	slices.SortFunc(s.Servers, func(a, b ServerStatus) int { return strings.Compare(a.Service+a.ID, b.Service+b.ID) })
--- a/internal/proxy/forward/face.go
+++ b/internal/proxy/forward/face.go
@@ -74,10 +74,7 @@
 		Evacuated: view.Evacuated, Stranded: view.Stranded, Off: view.Off, Holding: view.Holding, Proxies: d.feed.proxies(), At: time.Now(),
 	}
 	for _, b := range view.Servers {
-		s.Servers = append(s.Servers, steeringhttp.BackendServer{
-			ID: b.ID, Service: b.Service, Domain: b.Domain, State: steeringhttp.StateOf(b), InFlight: b.InFlight,
-			Slots: b.Slots, Load: b.Load, Speed: b.Speed, Failed: b.Failed, Limit: b.Limit.String(),
-		})
+		s.Servers = append(s.Servers, serverOf(b))
 	}
 	for _, c := range view.Condemned {
 		s.Condemned = append(s.Condemned, steeringhttp.CondemnedWork{Work: c.Work.String(), Ends: c.Open(), For: c.For.Round(time.Second).String()})
@@ -100,6 +97,21 @@
 	return s
 }
 
+// serverOf is a backend server as operators see it.
+func serverOf(b steering.ServerStatus) steeringhttp.BackendServer {
+	out := steeringhttp.BackendServer{
+		ID: b.ID, Service: b.Service, Domain: b.Domain, State: steeringhttp.StateOf(b), InFlight: b.InFlight,
+		Slots: b.Slots, Load: b.Load, Speed: b.Speed, Failed: b.Failed, Leaves: b.Leaves,
+	}
+	if b.Limit.Named {
+		out.Limit = &b.Limit.PerSecond
+	}
+	if b.PausedFor > 0 {
+		out.PausedFor = b.PausedFor.Round(time.Millisecond).String()
+	}
+	return out
+}
+
 // accountOf is a client account as operators see it.
 func accountOf(a steering.AccountStatus) steeringhttp.Account {
 	out := steeringhttp.Account{
--- a/internal/proxy/forward/meters.go
+++ b/internal/proxy/forward/meters.go
@@ -112,6 +112,19 @@
 	m.set.NewGauge("gypsumquay_in_flight_requests", status(func(s steering.Status) float64 { return float64(s.InFlight) }))
 	m.set.NewGauge("gypsumquay_live_proxies", status(func(s steering.Status) float64 { return float64(len(s.Proxies)) }))
 	m.set.NewGauge("gypsumquay_backend_servers", status(func(s steering.Status) float64 { return float64(len(s.Servers)) }))
+	servers := func(counts func(steering.ServerStatus) bool) func() float64 {
+		return status(func(s steering.Status) (n float64) {
+			for _, b := range s.Servers {
+				if counts(b) {
+					n++
+				}
+			}
+			return n
+		})
+	}
+	m.set.NewGauge("gypsumquay_limited_servers", servers(func(b steering.ServerStatus) bool { return b.Limit.Named }))
+	m.set.NewGauge("gypsumquay_pausing_servers", servers(func(b steering.ServerStatus) bool { return b.PausedFor > 0 }))
+	m.set.NewGauge("gypsumquay_leaving_servers", servers(func(b steering.ServerStatus) bool { return b.Leaves }))
 	m.set.NewGauge("gypsumquay_regions_without_proxies", status(func(s steering.Status) float64 { return float64(len(s.Stranded)) }))
 	m.set.NewGauge("gypsumquay_condemned_works", status(func(s steering.Status) float64 { return float64(len(s.Condemned)) }))
 	m.set.NewGauge("gypsumquay_store_copy_age_seconds", func() float64 { return d.feed.age().Seconds() })
