--- a/internal/kernel/backpressure/leaving.go
+++ b/internal/kernel/backpressure/leaving.go
@@ -13,16 +13,16 @@
 )
 
 // Leaving reports whether the server takes no new requests any more.
-func (w *Word) Leaving() bool { return w != nil && w.leaving }
+func (s *State) Leaving() bool { return s != nil && s.leaving }
 
 // hearLeaving takes in whether the server said at a moment that it leaves. A start of a
 // server that leaves does not come back, so the word stays.
-func (w *Word) hearLeaving(now, at time.Time, leaving bool) {
+func (s *State) hearLeaving(now, at time.Time, leaving bool) {
 	if !leaving {
 		return
 	}
-	if !w.leaving {
-		w.leaving, w.changedAt = true, now
+	if !s.leaving {
+		s.leaving, s.changedAt = true, now
 	}
-	w.heard(at)
+	s.heard(at)
 }
--- a/internal/kernel/backpressure/ledger.go
+++ b/internal/kernel/backpressure/ledger.go
@@ -10,8 +10,8 @@
 const (
 	// noticeFrom is by which part of itself a limit must change to be told of.
 	noticeFrom = 0.1
-	// wordsMost bounds the servers of which something is kept.
-	wordsMost = 4096
+	// statesMost bounds the servers of which something is kept.
+	statesMost = 4096
 )
 
 const (
@@ -30,11 +30,11 @@
 		// Observe is told of changes.
 		Observe func(Notice)
 
-		words map[quarantine.Server]*Word
+		states map[quarantine.Server]*State
 	}
 
-	// Word is what one start of a server asks.
-	Word struct {
+	// State is what one start of a server asks.
+	State struct {
 		server quarantine.Server
 		limit  Limit
 		// limitAt is when the limit was last named, or found to have ended.
@@ -67,30 +67,30 @@
 
 // NewLedger makes a ledger that knows nothing.
 func NewLedger() *Ledger {
-	return &Ledger{Observe: func(Notice) {}, words: make(map[quarantine.Server]*Word)}
+	return &Ledger{Observe: func(Notice) {}, states: make(map[quarantine.Server]*State)}
 }
 
 // Of is what a server asks, nil for nothing.
-func (l *Ledger) Of(s quarantine.Server) *Word { return l.words[s] }
+func (l *Ledger) Of(s quarantine.Server) *State { return l.states[s] }
 
 // Empty reports whether no server asks anything.
-func (l *Ledger) Empty() bool { return len(l.words) == 0 }
+func (l *Ledger) Empty() bool { return len(l.states) == 0 }
 
-func (l *Ledger) word(s quarantine.Server) *Word {
-	w := &Word{server: s}
-	l.words[s] = w
+func (l *Ledger) state(s quarantine.Server) *State {
+	w := &State{server: s}
+	l.states[s] = w
 	return w
 }
 
 // Heard takes in the signal of an answer to a request that was sent at a moment. whole is
 // set if all that the answer says is known: what it does not ask then has ended.
-func (l *Ledger) Heard(now, sent time.Time, s quarantine.Server, g Signal, whole bool) *Word {
-	w := l.words[s]
+func (l *Ledger) Heard(now, sent time.Time, s quarantine.Server, g Signal, whole bool) *State {
+	w := l.states[s]
 	if w == nil {
 		if g.None() {
 			return nil
 		}
-		w = l.word(s)
+		w = l.state(s)
 	}
 	w.hearLimit(now, sent, g.Limit, whole)
 	w.hearLeaving(now, now, g.Leaving)
@@ -100,42 +100,42 @@
 }
 
 // asks reports whether the server asks anything that is in force.
-func (w *Word) asks(now time.Time) bool {
-	return w.limited(now) || now.Before(w.pausedUntil) || w.leaving && now.Sub(w.heardAt) < leavingFor
+func (s *State) asks(now time.Time) bool {
+	return s.limited(now) || now.Before(s.pausedUntil) || s.leaving && now.Sub(s.heardAt) < leavingFor
 }
 
 // heard notes a moment at which the server said something.
-func (w *Word) heard(at time.Time) {
-	if at.After(w.heardAt) {
-		w.heardAt = at
+func (s *State) heard(at time.Time) {
+	if at.After(s.heardAt) {
+		s.heardAt = at
 	}
 }
 
 // Tick drops what has run out.
 func (l *Ledger) Tick(now time.Time) {
-	for s, w := range l.words {
+	for s, w := range l.states {
 		if !w.asks(now) && now.Sub(w.changedAt) >= newsFor {
-			delete(l.words, s)
+			delete(l.states, s)
 		}
 	}
-	for len(l.words) > wordsMost {
+	for len(l.states) > statesMost {
 		l.dropOldest()
 	}
 }
 
 func (l *Ledger) dropOldest() {
-	var oldest *Word
-	for _, w := range l.words {
+	var oldest *State
+	for _, w := range l.states {
 		if oldest == nil || w.heardAt.Before(oldest.heardAt) {
 			oldest = w
 		}
 	}
-	delete(l.words, oldest.server)
+	delete(l.states, oldest.server)
 }
 
 // notice tells of a server that leaves, and of a limit that is named, ends or changes by
 // more than a little.
-func (l *Ledger) notice(w *Word) {
+func (l *Ledger) notice(w *State) {
 	if w.leaving && !w.noticed.Leaving {
 		w.noticed.Leaving = true
 		l.Observe(Notice{Server: w.server, Change: ChangeLeaving})
--- a/internal/kernel/backpressure/ledger_test.go
+++ b/internal/kernel/backpressure/ledger_test.go
@@ -99,12 +99,12 @@
 
 func TestLedgerIsBounded(t *testing.T) {
 	l := NewLedger()
-	for i := range wordsMost + 10 {
+	for i := range statesMost + 10 {
 		l.Heard(at(i), at(i-1), quarantine.Server(i), limited(6), true)
 	}
-	l.Tick(at(wordsMost + 10))
-	if len(l.words) != wordsMost || l.Of(0) != nil {
-		t.Errorf("got %d servers, the oldest %v; want %d without the oldest", len(l.words), l.Of(0), wordsMost)
+	l.Tick(at(statesMost + 10))
+	if len(l.states) != statesMost || l.Of(0) != nil {
+		t.Errorf("got %d servers, the oldest %v; want %d without the oldest", len(l.states), l.Of(0), statesMost)
 	}
 }
 
--- a/internal/kernel/backpressure/limit.go
+++ b/internal/kernel/backpressure/limit.go
@@ -51,20 +51,20 @@
 }
 
 // Limit is the limit in force.
-func (w *Word) Limit(now time.Time) Limit {
-	if w == nil || !w.limited(now) {
+func (s *State) Limit(now time.Time) Limit {
+	if s == nil || !s.limited(now) {
 		return Limit{}
 	}
-	return w.limit
+	return s.limit
 }
 
 // Window is how many requests the server takes from all proxies together in a window;
 // false if it names no limit.
-func (w *Word) Window(now time.Time) (int, bool) {
-	if w == nil || !w.limited(now) {
+func (s *State) Window(now time.Time) (int, bool) {
+	if s == nil || !s.limited(now) {
 		return 0, false
 	}
-	n := math.Floor(w.limit.PerSecond * limitSpan.Seconds())
+	n := math.Floor(s.limit.PerSecond * limitSpan.Seconds())
 	if n >= windowMost {
 		return 0, false
 	}
@@ -74,38 +74,38 @@
 // hearLimit takes in the limit that an answer names, if any. Answers may overtake each
 // other: one to a request that was sent before the limit was last named, or found to have
 // ended, neither lifts, raises nor renews it.
-func (w *Word) hearLimit(now, sent time.Time, limit Limit, whole bool) {
-	later := sent.After(w.limitAt)
+func (s *State) hearLimit(now, sent time.Time, limit Limit, whole bool) {
+	later := sent.After(s.limitAt)
 	switch {
 	case limit.Named && later:
-		w.set(now, now, limit)
-	case limit.Named && w.limit.Named:
-		w.set(now, now, w.limit.lower(limit))
-	case whole && later && w.limit.Named && now.Sub(w.limitAt) >= liftAfter:
-		w.set(now, now, Limit{})
+		s.set(now, now, limit)
+	case limit.Named && s.limit.Named:
+		s.set(now, now, s.limit.lower(limit))
+	case whole && later && s.limit.Named && now.Sub(s.limitAt) >= liftAfter:
+		s.set(now, now, Limit{})
 	}
 }
 
 // set notes what the server said at a moment.
-func (w *Word) set(now, at time.Time, limit Limit) {
-	if limit != w.limit {
-		w.changedAt = now
+func (s *State) set(now, at time.Time, limit Limit) {
+	if limit != s.limit {
+		s.changedAt = now
 	}
-	w.limit, w.limitAt = limit, at
-	w.heard(at)
+	s.limit, s.limitAt = limit, at
+	s.heard(at)
 }
 
-func (w *Word) limited(now time.Time) bool { return w.limit.Named && now.Sub(w.limitAt) < limitFor }
+func (s *State) limited(now time.Time) bool { return s.limit.Named && now.Sub(s.limitAt) < limitFor }
 
 // Room reports whether this proxy, with a share of the window, may send one more request.
-func (w *Word) Room(now time.Time, share int) bool { return w.pace.Room(now, limitSpan, share) }
+func (s *State) Room(now time.Time, share int) bool { return s.pace.Room(now, limitSpan, share) }
 
 // RoomAt is when it may, zero if not before the server says otherwise.
-func (w *Word) RoomAt(now time.Time, share int) time.Time { return w.pace.Next(now, limitSpan, share) }
+func (s *State) RoomAt(now time.Time, share int) time.Time { return s.pace.Next(now, limitSpan, share) }
 
 // Sent counts a request to the server.
-func (w *Word) Sent(now time.Time) {
-	if w != nil && w.limited(now) {
-		w.pace.Take(now)
+func (s *State) Sent(now time.Time) {
+	if s != nil && s.limited(now) {
+		s.pace.Take(now)
 	}
 }
--- a/internal/kernel/backpressure/pause.go
+++ b/internal/kernel/backpressure/pause.go
@@ -6,29 +6,29 @@
 
 // hearPause takes in for how long the server wants nothing from this proxy. What it has
 // asked for before stands.
-func (l *Ledger) hearPause(w *Word, now time.Time, pause time.Duration) {
+func (l *Ledger) hearPause(s *State, now time.Time, pause time.Duration) {
 	until := now.Add(pause)
-	if pause <= 0 || !until.After(w.pausedUntil) {
+	if pause <= 0 || !until.After(s.pausedUntil) {
 		return
 	}
-	began := !now.Before(w.pausedUntil)
-	w.pausedUntil = until
-	w.heard(now)
+	began := !now.Before(s.pausedUntil)
+	s.pausedUntil = until
+	s.heard(now)
 	if began {
-		l.Observe(Notice{Server: w.server, Change: ChangePause, Pause: pause})
+		l.Observe(Notice{Server: s.server, Change: ChangePause, Pause: pause})
 	}
 }
 
 // Paused reports whether the server wants nothing from this proxy now.
-func (w *Word) Paused(now time.Time) bool { return w != nil && now.Before(w.pausedUntil) }
+func (s *State) Paused(now time.Time) bool { return s != nil && now.Before(s.pausedUntil) }
 
 // PausedFor is for how much longer it does not.
-func (w *Word) PausedFor(now time.Time) time.Duration {
-	if !w.Paused(now) {
+func (s *State) PausedFor(now time.Time) time.Duration {
+	if !s.Paused(now) {
 		return 0
 	}
-	return w.pausedUntil.Sub(now)
+	return s.pausedUntil.Sub(now)
 }
 
 // PausedUntil is when the server takes requests from this proxy again.
-func (w *Word) PausedUntil() time.Time { return w.pausedUntil }
+func (s *State) PausedUntil() time.Time { return s.pausedUntil }
--- a/internal/kernel/backpressure/report.go
+++ b/internal/kernel/backpressure/report.go
@@ -32,8 +32,8 @@
 // Reports lists what peers should hear: what has changed of late, and some of the rest that
 // is in force in turn; all of it for a proxy that knows nothing yet.
 func (l *Ledger) Reports(now time.Time, all bool) []Report {
-	var news, standing []*Word
-	for _, w := range l.words {
+	var news, standing []*State
+	for _, w := range l.states {
 		switch {
 		case now.Sub(w.changedAt) < newsFor:
 			news = append(news, w)
@@ -41,8 +41,10 @@
 			standing = append(standing, w)
 		}
 	}
-	slices.SortFunc(news, func(a, b *Word) int { return cmp.Or(b.changedAt.Compare(a.changedAt), cmp.Compare(a.server, b.server)) })
-	slices.SortFunc(standing, func(a, b *Word) int { return cmp.Or(a.toldAt.Compare(b.toldAt), cmp.Compare(a.server, b.server)) })
+	slices.SortFunc(news, func(a, b *State) int {
+		return cmp.Or(b.changedAt.Compare(a.changedAt), cmp.Compare(a.server, b.server))
+	})
+	slices.SortFunc(standing, func(a, b *State) int { return cmp.Or(a.toldAt.Compare(b.toldAt), cmp.Compare(a.server, b.server)) })
 	if !all {
 		standing = standing[:min(len(standing), standingMost)]
 	}
@@ -61,12 +63,12 @@
 func (l *Ledger) Hear(now time.Time, reports []Report) (learned bool) {
 	for _, r := range reports {
 		at := now.Add(-max(0, r.Age))
-		w := l.words[r.Server]
+		w := l.states[r.Server]
 		if r.Age >= leavingFor || w == nil && !r.Limit.Named && !r.Leaving {
 			continue
 		}
 		if w == nil {
-			w = l.word(r.Server)
+			w = l.state(r.Server)
 			learned = true
 		}
 		if r.Age < limitFor && at.After(w.limitAt) {
--- a/internal/kernel/core/request.go
+++ b/internal/kernel/core/request.go
@@ -224,7 +224,7 @@
 		f.id = k.config.Self.Name + "-" + strconv.FormatUint(k.serial, 36)
 	}
 	server.Start()
-	k.wordOf(server).Sent(now)
+	k.signalsOf(server).Sent(now)
 	k.quarantine.Started(f.work)
 	k.inFlight++
 	kind := EventAdmitted
--- a/internal/kernel/core/route.go
+++ b/internal/kernel/core/route.go
@@ -164,7 +164,7 @@
 			if !suspicious && !s.LeavesByItsWord() || !k.permits(now, s) || !s.ProbeDue(now, every) {
 				continue
 			}
-			k.wordOf(s).Sent(now)
+			k.signalsOf(s).Sent(now)
 			actions = append(actions, SendProbe{Server: s.Name, Address: s.Address})
 		}
 	}
--- a/internal/kernel/core/signals.go
+++ b/internal/kernel/core/signals.go
@@ -19,8 +19,8 @@
 // start has asked ends with the first answers of the next.
 func signalKey(server string) quarantine.Server { return quarantine.ServerOf(server, time.Time{}) }
 
-// wordOf is what a server asks of its senders, nil for nothing.
-func (k *Kernel) wordOf(s *backend.Server) *backpressure.Word {
+// signalsOf is what a server asks of its senders, nil for nothing.
+func (k *Kernel) signalsOf(s *backend.Server) *backpressure.State {
 	if k.signals.Empty() {
 		return nil
 	}
@@ -35,12 +35,12 @@
 // permits reports whether a server takes a request of this proxy now, by what it asks of
 // its senders. Requests and probes ask this.
 func (k *Kernel) permits(now time.Time, s *backend.Server) bool {
-	word := k.wordOf(s)
-	if word.Paused(now) {
+	state := k.signalsOf(s)
+	if state.Paused(now) {
 		return false
 	}
-	window, limited := word.Window(now)
-	return !limited || word.Room(now, k.rankAt(s.Region).Share(window))
+	window, limited := state.Window(now)
+	return !limited || state.Room(now, k.rankAt(s.Region).Share(window))
 }
 
 // pausedFor is after how long a caller may come back that no server takes: if all of them
@@ -48,7 +48,7 @@
 func (k *Kernel) pausedFor(now time.Time, servers []*backend.Server) time.Duration {
 	first := time.Duration(0)
 	for _, s := range servers {
-		left := k.wordOf(s).PausedFor(now)
+		left := k.signalsOf(s).PausedFor(now)
 		if left == 0 {
 			return noServerFor
 		}
--- a/internal/kernel/steering/failover.go
+++ b/internal/kernel/steering/failover.go
@@ -31,7 +31,7 @@
 		return homes
 	}
 	switch fit := k.fitness(now, g, home); {
-	case fit == 1, home.outs > 0 && home.usable(now) && !home.word.Paused(now):
+	case fit == 1, home.outs > 0 && home.usable(now) && !home.asks.Paused(now):
 		// One that is out but due to be tried gets a request, to see; one that is
 		// passed over for a moment is sound.
 		return homes
@@ -86,7 +86,7 @@
 	if !s.sound(now) {
 		return 0
 	}
-	limit := s.word.Limit(now)
+	limit := s.asks.Limit(now)
 	if !limit.Named {
 		return 1
 	}
--- a/internal/kernel/steering/flight.go
+++ b/internal/kernel/steering/flight.go
@@ -93,7 +93,7 @@
 	state := s.state(now)
 	s.inFlight++
 	s.turns++
-	s.word.Sent(now)
+	s.asks.Sent(now)
 	f.note(Event{
 		At: now, Kind: EventSent, Server: s.id, Domain: s.Domain, Attempt: len(f.steps)/2 + 1, Expected: pick.expected,
 		Load: s.load(now), LoadAge: s.loadAge(now), Home: pick.home, Warm: pick.warm,
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -41,8 +41,8 @@
 		id string
 		// start names this start of the server in the quarantine.
 		start quarantine.Server
-		// word is what this start of the server asks of its senders, nil for nothing.
-		word   *backpressure.Word
+		// asks is what this start of the server asks of its senders, nil for nothing.
+		asks   *backpressure.State
 		region string
 		// regionBit stands for the region in sets of them.
 		regionBit regionSet
@@ -125,7 +125,7 @@
 // takesRequests reports whether the server is registered and does not leave, by its
 // registration or by its own word.
 func (s *server) takesRequests() bool {
-	return !s.gone && !s.Draining && !s.unreadable && !s.word.Leaving()
+	return !s.gone && !s.Draining && !s.unreadable && !s.asks.Leaving()
 }
 
 // startedAfter reports whether a registration is of an earlier start.
@@ -143,7 +143,7 @@
 }
 
 // sound reports whether the server is neither out after failures nor pausing.
-func (s *server) sound(now time.Time) bool { return s.outs == 0 && !s.word.Paused(now) }
+func (s *server) sound(now time.Time) bool { return s.outs == 0 && !s.asks.Paused(now) }
 
 // places is how many requests it should run at once.
 func (s *server) places() int {
--- a/internal/kernel/steering/servers.go
+++ b/internal/kernel/steering/servers.go
@@ -26,7 +26,7 @@
 	}
 	if s == nil {
 		start := quarantine.ServerOf(r.ID, r.Started)
-		s = &server{id: r.ID, start: start, word: k.signals.Of(start), speed: 1}
+		s = &server{id: r.ID, start: start, asks: k.signals.Of(start), speed: 1}
 		k.servers[r.ID] = s
 	}
 	moved := s.Service != r.Service || s.Slots != r.Slots || s.Draining != r.Draining || s.Domain != r.Domain || s.unreadable
--- a/internal/kernel/steering/signals.go
+++ b/internal/kernel/steering/signals.go
@@ -16,39 +16,39 @@
 func (k *Kernel) hearSignal(now time.Time, f *Flight, s *server, a Attempt) {
 	whole := a.Result == Answered || a.Result == Failed || a.Result == Refused
 	if w := k.signals.Heard(now, f.sentAt, s.start, a.Signal, whole); w != nil {
-		s.word = w
+		s.asks = w
 	}
 }
 
 // permits reports whether a server takes a request of this proxy now, by what it asks of
 // its senders. Every way to a server asks this.
 func (k *Kernel) permits(now time.Time, s *server) bool {
-	if s.word == nil {
+	if s.asks == nil {
 		return true
 	}
-	if s.word.Paused(now) {
+	if s.asks.Paused(now) {
 		return false
 	}
-	window, limited := s.word.Window(now)
-	return !limited || s.word.Room(now, k.limitShare(now, s, window))
+	window, limited := s.asks.Window(now)
+	return !limited || s.asks.Room(now, k.limitShare(now, s, window))
 }
 
 // permittedAt is when a server takes a request of this proxy again; false if that is not
 // known before it says otherwise.
 func (k *Kernel) permittedAt(now time.Time, s *server) (time.Time, bool) {
-	at := later(now, s.word.PausedUntil())
-	window, limited := s.word.Window(now)
+	at := later(now, s.asks.PausedUntil())
+	window, limited := s.asks.Window(now)
 	if !limited {
 		return at, true
 	}
-	room := s.word.RoomAt(now, k.limitShare(now, s, window))
+	room := s.asks.RoomAt(now, k.limitShare(now, s, window))
 	return later(at, room), !room.IsZero()
 }
 
 // StillPermits reports whether a request may still go to the server that it was placed at:
 // while a connection was opened, the server may have asked for a pause or begun to leave.
 func (k *Kernel) StillPermits(now time.Time, f *Flight) bool {
-	return !f.server.word.Paused(now) && !f.server.word.Leaving()
+	return !f.server.asks.Paused(now) && !f.server.asks.Leaving()
 }
 
 // limitShare is this proxy's part of the requests that a server takes in a window. One that
@@ -64,7 +64,7 @@
 // if there is none.
 func (k *Kernel) withheld(now time.Time, f *Flight, g *service) (wait time.Duration, found bool) {
 	for _, s := range g.servers {
-		if s.word == nil || !f.mayUse(now, s) {
+		if s.asks == nil || !f.mayUse(now, s) {
 			continue
 		}
 		at, known := k.permittedAt(now, s)
@@ -116,7 +116,7 @@
 	}
 	for _, s := range k.servers {
 		if w := k.signals.Of(s.start); w != nil {
-			s.word = w
+			s.asks = w
 		}
 	}
 }
