One piece of code where the change had written the same again

The command line lists proxies that did not answer in one place instead of three; the emulator asks an episode which servers it strikes instead of testing that at three kinds, and keeps moments of news in one type; an answer's date is read only if it asks for a pause.

--- a/internal/adapter/serverhttp/signal.go
+++ b/internal/adapter/serverhttp/signal.go
@@ -32,14 +32,15 @@
 		ignore(server, names.Limit, err)
 	}
 	s.Leaving = names.Leaving != "" && slices.Contains(r.Header.Values(names.Leaving), names.LeavingValue)
-	if r.StatusCode != http.StatusServiceUnavailable {
+	pauses := r.Header.Values(retryAfter)
+	if r.StatusCode != http.StatusServiceUnavailable || len(pauses) == 0 {
 		return s
 	}
 	made, err := http.ParseTime(r.Header.Get("Date"))
 	if err != nil {
 		made = time.Now()
 	}
-	if s.Pause, err = backpressure.ParsePause(r.Header.Values(retryAfter), made); err != nil {
+	if s.Pause, err = backpressure.ParsePause(pauses, made); err != nil {
 		ignore(server, retryAfter, err)
 	}
 	return s
--- a/internal/client/command/accounts.go
+++ b/internal/client/command/accounts.go
@@ -46,11 +46,8 @@
 	var text strings.Builder
 	var out AccountsAnswer
 	sums := make(map[string]*AccountUse)
+	out.Unanswered = unanswered(&text, answers)
 	for _, one := range answers {
-		if one.Error != "" {
-			fmt.Fprintf(&text, "%s did not answer: %s\n", one.Proxy.Name, one.Error)
-			out.Unanswered = append(out.Unanswered, Unanswered{Proxy: one.Proxy.Name, Error: one.Error})
-		}
 		for _, account := range one.Value.Accounts {
 			addUse(sums, account)
 		}
--- a/internal/client/command/signals.go
+++ b/internal/client/command/signals.go
@@ -51,11 +51,8 @@
 	var text strings.Builder
 	var out SignalsAnswer
 	asking := make(map[string]*ServerSignals)
+	out.Unanswered = unanswered(&text, answers)
 	for _, one := range answers {
-		if one.Error != "" {
-			fmt.Fprintf(&text, "%s did not answer: %s\n", one.Proxy.Name, one.Error)
-			out.Unanswered = append(out.Unanswered, Unanswered{Proxy: one.Proxy.Name, Error: one.Error})
-		}
 		for _, b := range one.Value.Servers {
 			if a.Service == "" || a.Service == b.Service {
 				addSignals(asking, b)
--- a/internal/client/command/steering.go
+++ b/internal/client/command/steering.go
@@ -154,6 +154,17 @@
 	return answers, nil
 }
 
+// unanswered lists the proxies that did not answer, and says so in the text.
+func unanswered[T any](text *strings.Builder, answers []answer[T]) (list []Unanswered) {
+	for _, a := range answers {
+		if a.Error != "" {
+			fmt.Fprintf(text, "%s did not answer: %s\n", a.Proxy.Name, a.Error)
+			list = append(list, Unanswered{Proxy: a.Proxy.Name, Error: a.Error})
+		}
+	}
+	return list
+}
+
 func steeringStatus(s *session, c *steeringhttp.Client) (Result, error) {
 	answers, err := ask(s, c, c.Status)
 	if err != nil {
@@ -225,13 +236,9 @@
 		return Result{}, err
 	}
 	all := []steeringhttp.Event{}
-	var unanswered []Unanswered
 	var text strings.Builder
+	missing := unanswered(&text, answers)
 	for _, a := range answers {
-		if a.Error != "" {
-			fmt.Fprintf(&text, "%s did not answer: %s\n", a.Proxy.Name, a.Error)
-			unanswered = append(unanswered, Unanswered{Proxy: a.Proxy.Name, Error: a.Error})
-		}
 		for _, e := range a.Value {
 			if match(e) {
 				all = append(all, e)
@@ -245,7 +252,7 @@
 	for _, e := range all {
 		fmt.Fprintf(&text, "%s %-22s %-22s %s\n", e.At.Format("15:04:05.000"), e.VM, e.Kind, steeringDetail(e))
 	}
-	return Result{Text: text.String(), Data: EventsAnswer{Events: all, Unanswered: unanswered}}, nil
+	return Result{Text: text.String(), Data: EventsAnswer{Events: all, Unanswered: missing}}, nil
 }
 
 // steeringDetail lists the fields that an event has, each with its name.
--- a/internal/fake/warmnet/leaving.go
+++ b/internal/fake/warmnet/leaving.go
@@ -20,29 +20,21 @@
 		// proxy heard of it; Told counts the proxies that did.
 		Requests, Told int
 	}
-
-	leaves struct {
-		toldAt news
-	}
 )
 
 // leaves reports whether a server says that it leaves.
 func (l Load) leaves(s *server, now time.Duration) bool {
 	for _, e := range l.Leaving {
-		if e.in(s.region, now) && s.number < e.Servers {
+		if e.strikes(s, now) {
 			return true
 		}
 	}
 	return false
 }
 
-func (l *leaves) told(now time.Duration, server, proxy string) {
-	l.toldAt.note(now, server, proxy)
-}
-
 // playLeaving has servers leave that tell nobody but those who send them requests.
 func (w *world) playLeaving() {
-	w.leaves.toldAt = make(news)
+	w.leaves = make(news)
 	for _, e := range w.load.Leaving {
 		for i := range e.Servers {
 			s := w.byID[serverID(e.Region, i)]
@@ -65,9 +57,9 @@
 
 // left notes a request that reaches a server which leaves.
 func (w *world) left(j *job) {
-	at, told := w.leaves.toldAt[newsKey{j.server.id, j.kernel.Name()}]
+	at, told := w.leaves[newsKey{j.server.id, j.kernel.Name()}]
 	if told && j.asked > at+drainWithin {
 		w.out.Leaving.Requests++
 	}
-	w.out.Leaving.Told = len(w.leaves.toldAt)
+	w.out.Leaving.Told = len(w.leaves)
 }
--- a/internal/fake/warmnet/limits.go
+++ b/internal/fake/warmnet/limits.go
@@ -70,7 +70,7 @@
 // limit is what a server names now.
 func (l Load) limit(s *server, now time.Duration) backpressure.Limit {
 	for _, e := range l.Limited {
-		if e.in(s.region, now) && s.number < e.Servers {
+		if e.strikes(s, now) {
 			return backpressure.Limit{Named: true, PerSecond: e.PerSecond}
 		}
 	}
@@ -91,10 +91,10 @@
 // told notes what a proxy hears with an answer.
 func (w *world) told(j *job, s backpressure.Signal) {
 	if s.Limit.Named {
-		w.limits.told(w.Now, j.server.id, j.kernel.Name())
+		w.limits.toldAt.note(w.Now, j.server.id, j.kernel.Name())
 	}
 	if s.Leaving {
-		w.leaves.told(w.Now, j.server.id, j.kernel.Name())
+		w.leaves.note(w.Now, j.server.id, j.kernel.Name())
 	}
 }
 
@@ -116,10 +116,6 @@
 	l.arrivals[server] = append(l.arrivals[server], limitArrival{at: now, told: told && now-at >= heedWithin})
 }
 
-func (l *limits) told(now time.Duration, server, proxy string) {
-	l.toldAt.note(now, server, proxy)
-}
-
 // judge sums up what became of the limits.
 func (l *limits) judge(episodes []Limited) (out Limits) {
 	out.Reports = l.reports
--- a/internal/fake/warmnet/load.go
+++ b/internal/fake/warmnet/load.go
@@ -176,6 +176,11 @@
 	return e != nil && e.Region == region && now >= e.From.Std() && now < e.To.Std()
 }
 
+// strikes reports whether a server is one of those concerned now.
+func (e *Episode) strikes(s *server, now time.Duration) bool {
+	return e.in(s.region, now) && s.number < e.Servers
+}
+
 // even reports whether the rate stays the same all the time.
 func (l Load) even() bool { return l.Swing == 0 && l.Calm == 0 && l.Surge == nil }
 
--- a/internal/fake/warmnet/pausing.go
+++ b/internal/fake/warmnet/pausing.go
@@ -35,7 +35,7 @@
 // pause is what a server asks for now, zero for nothing.
 func (l Load) pause(s *server, now time.Duration) time.Duration {
 	for _, p := range l.Pausing {
-		if p.in(s.region, now) && s.number < p.Servers {
+		if p.strikes(s, now) {
 			return p.Pause.Std()
 		}
 	}
--- a/internal/fake/warmnet/play.go
+++ b/internal/fake/warmnet/play.go
@@ -52,7 +52,8 @@
 		shares shares
 		ends   ends
 		limits limits
-		leaves leaves
+		// leaves are when proxies heard that servers leave.
+		leaves news
 		pauses pauses
 	}
 
