Start pipelined requests before their turn

Callers that send further requests before the first is answered waited for the sum of them, though servers were free: net/http begins a request when the one before it on the connection is answered. A connection is now read ahead, and GET requests without a body whose route is idempotent start at once, up to eight a connection. net/http stays the parser and the authority on order. Nothing starts behind a request of another kind before that one is answered, and a connection is closed by the last response of those that were started.

--- a/internal/adapter/forwardhttp/idle.go
+++ b/internal/adapter/forwardhttp/idle.go
@@ -31,7 +31,7 @@
 // yet, and on a busy VM these may have arrived long before.
 func (l *Listener) CloseIdleConnections() (remaining int) {
 	for _, c := range l.idleConnections() {
-		if !hasUnreadData(c.Conn) {
+		if !c.pipeline.hasUnread() && !hasUnreadData(c.Conn) {
 			_ = c.Close()
 		}
 	}
--- a/internal/adapter/forwardhttp/listener.go
+++ b/internal/adapter/forwardhttp/listener.go
@@ -22,6 +22,8 @@
 		maxOpen   int64
 		openCount atomic.Int64
 		onReject  func()
+		// newPipeline is nil if requests of a connection run one after the other.
+		newPipeline func(net.Conn) *pipeline
 
 		mu sync.Mutex
 		// connections are the open connections.
@@ -37,6 +39,8 @@
 		net.Conn
 		listener *Listener
 		once     sync.Once
+		// pipeline is nil if requests run one after the other.
+		pipeline *pipeline
 		// state is the last state that the HTTP server has reported, at stateSince. Both are
 		// guarded by the listener's mutex.
 		state      http.ConnState
@@ -99,6 +103,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	tracked := &trackedConn{Conn: c, listener: l, stateSince: time.Now()}
+	if l.newPipeline != nil {
+		tracked.pipeline = l.newPipeline(c)
+	}
 	l.connections[tracked] = true
 	return tracked
 }
@@ -166,8 +173,17 @@
 	return c
 }
 
+// Read implements net.Conn.
+func (c *trackedConn) Read(b []byte) (int, error) {
+	if c.pipeline == nil {
+		return c.Conn.Read(b)
+	}
+	return c.pipeline.Read(b)
+}
+
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
 	c.once.Do(func() { c.listener.untrack(c) })
+	c.pipeline.close()
 	return c.Conn.Close()
 }
--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -65,6 +65,12 @@
 	// Executor runs a function with exclusive access to the kernel, and the current time.
 	Executor func(func(*steering.Kernel, time.Time))
 
+	// result is how a request ended. The response is nil unless the decision returns one.
+	result struct {
+		decision steering.Decision
+		response *serverhttp.Response
+	}
+
 	// Server serves the requests of callers.
 	Server struct {
 		Headers    Headers
@@ -97,10 +103,20 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       withConnection,
 	}
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	connection := pipelineOf(r.Context())
+	early := connection.beginTurn(r)
+	defer connection.endTurn()
+	if early != nil {
+		result := early.wait()
+		defer result.response.Release()
+		s.writeResponse(w, r, result)
+		return
+	}
 	receivedAt := s.Now()
 	s.awaitConfiguration(r.Context())
 	body, err := s.readBody(w, r)
@@ -109,6 +125,13 @@
 		return
 	}
 	defer body.Release()
+	result := s.forward(r.Context(), r, body, receivedAt)
+	defer result.response.Release()
+	s.writeResponse(w, r, result)
+}
+
+// forward sends a request to servers as the kernel decides, until it ends.
+func (s *Server) forward(ctx context.Context, r *http.Request, body *bodies.Body, receivedAt time.Time) result {
 	request := steering.Request{
 		ID: r.Header.Get(s.Headers.AttemptID), Host: hostWithoutPort(r.Host), Path: r.URL.Path, Credential: bearer.ParseCredential(r.Header),
 	}
@@ -123,21 +146,20 @@
 	var decision steering.Decision
 	s.WithKernel(func(k *steering.Kernel, now time.Time) { active, decision = k.BeginRequest(now, request) })
 	for decision.QuotaPool != "" {
-		decision = s.acquireToken(r.Context(), active, decision.QuotaPool)
+		decision = s.acquireToken(ctx, active, decision.QuotaPool)
 	}
 	var response *serverhttp.Response
 	for decision.Server != nil {
 		if decision.SlotRequest != nil {
-			decision = s.acquireSlot(r.Context(), active, *decision.SlotRequest)
+			decision = s.acquireSlot(ctx, active, *decision.SlotRequest)
 			continue
 		}
 		var attempt steering.Attempt
 		response.Release()
-		attempt, response = s.Send(r.Context(), s.newServerRequest(r, body.Bytes, request, active, decision.Server))
+		attempt, response = s.Send(ctx, s.newServerRequest(r, body.Bytes, request, active, decision.Server))
 		decision = s.endAttempt(active, attempt)
 	}
-	s.writeResponse(w, r, decision, response)
-	response.Release()
+	return result{decision: decision, response: response}
 }
 
 // acquireToken asks a pool whether the request is within the rate limit of its account.
@@ -240,10 +262,9 @@
 }
 
 // writeResponse writes the final response to the caller.
-func (s *Server) writeResponse(w http.ResponseWriter, r *http.Request, d steering.Decision, response *serverhttp.Response) {
-	if s.IsStopping() || d.TryOtherProxy {
-		w.Header().Set("Connection", "close")
-	}
+func (s *Server) writeResponse(w http.ResponseWriter, r *http.Request, done result) {
+	d, response := done.decision, done.response
+	s.closeConnectionIf(s.IsStopping() || d.TryOtherProxy, w, r)
 	if !d.ReturnResponse || response == nil {
 		s.writeError(w, r, d)
 		return
@@ -261,6 +282,14 @@
 	}
 }
 
+// closeConnectionIf closes the connection after the response if the condition holds, unless requests
+// behind it are running already: these are answered first.
+func (s *Server) closeConnectionIf(condition bool, w http.ResponseWriter, r *http.Request) {
+	if condition && pipelineOf(r.Context()).mayClose() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 func bodyAllowed(status int) bool {
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -49,6 +49,7 @@
 		suspendDetector suspendDetector
 
 		callerServer *http.Server
+		forwarder    *forwardhttp.Server
 		// callerListener accepts the connections of callers and tracks which are idle.
 		callerListener  *forwardhttp.Listener
 		serverClient    *serverhttp.Client
@@ -100,11 +101,12 @@
 	d.registrar = &registrar{replica: d.replica, store: deps.Store}
 	memory := bodies.NewMemoryBudget(bodyMemoryLimit(s.MemoryBytes))
 	d.serverClient = serverhttp.NewClient(deps.Names.ServerHeaders, memory, d.now, d.metrics.serverConnectionsOpened.Inc)
-	d.callerServer = (&forwardhttp.Server{
+	d.forwarder = &forwardhttp.Server{
 		Headers: deps.Names.CallerHeaders, WithKernel: d.withKernel, BodyMemory: memory, Send: d.serverClient.Send, Now: d.now,
 		RequestSlot: d.slots.acquire, ReleaseSlot: d.slots.release, RequestPoolToken: d.quotas.takeToken,
 		IsStopping: d.isStopping, Configured: d.replica.loaded, StartedAt: d.start,
-	}).HTTPServer()
+	}
+	d.callerServer = d.forwarder.HTTPServer()
 	d.readinessServer = &http.Server{Handler: d.readinessHandler(), ReadHeaderTimeout: time.Second, IdleTimeout: httpIdleTimeout}
 	d.directoryServer = &http.Server{Handler: d.directoryHandler(), ReadHeaderTimeout: time.Second, IdleTimeout: httpIdleTimeout}
 	return d, nil
@@ -188,6 +190,7 @@
 			limited := forwardhttp.LimitConnections(listener, int(l.share*openFileLimit()), d.metrics.callerConnectionsRefused.Inc)
 			if l.server == d.callerServer {
 				d.callerListener, d.callerServer.ConnState = limited, limited.RecordState
+				d.forwarder.EnablePipelining(limited)
 			}
 			listener = limited
 		}
