Pass long responses on while they arrive

Callers saw downloads of 90 KB late: a response was read whole before its first byte was passed on, so it took the time of the VM's link twice, 72 ms each at 10 Mbit/s, of a target of 250 ms. A response of 32 KB or more whose length is known, and whose header proves that it is the server's to this request, is now written while it arrives. It stays within the memory for bodies and does not let a slow caller hold the server. If it breaks off, the caller's connection is closed, and no other server gets the request.

--- a/internal/adapter/forwardhttp/pipeline.go
+++ b/internal/adapter/forwardhttp/pipeline.go
@@ -405,7 +405,7 @@
 	e, receivedAt := &earlyRequest{done: make(chan struct{})}, s.Now()
 	go func() {
 		defer close(e.done)
-		e.result = s.forward(ctx, r, &bodies.Body{}, receivedAt)
+		e.result = s.forward(ctx, r, &bodies.Body{}, receivedAt, nil)
 	}()
 	return e
 }
--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -125,13 +125,19 @@
 		return
 	}
 	defer body.Release()
-	result := s.forward(r.Context(), r, body, receivedAt)
+	stream := &responseStream{}
+	result := s.forward(r.Context(), r, body, receivedAt, func(response *serverhttp.Response) { stream.start(s, w, r, response) })
 	defer result.response.Release()
+	if stream.started() {
+		s.endStream(r, stream, result)
+		return
+	}
 	s.writeResponse(w, r, result)
 }
 
-// forward sends a request to servers as the kernel decides, until it ends.
-func (s *Server) forward(ctx context.Context, r *http.Request, body *bodies.Body, receivedAt time.Time) result {
+// forward sends a request to servers as the kernel decides, until it ends. onStream may be nil; it
+// is called with a long response that is still arriving.
+func (s *Server) forward(ctx context.Context, r *http.Request, body *bodies.Body, receivedAt time.Time, onStream func(*serverhttp.Response)) result {
 	request := steering.Request{
 		ID: r.Header.Get(s.Headers.AttemptID), Host: hostWithoutPort(r.Host), Path: r.URL.Path, Credential: bearer.ParseCredential(r.Header),
 	}
@@ -156,7 +162,7 @@
 		}
 		var attempt steering.Attempt
 		response.Release()
-		attempt, response = s.Send(ctx, s.newServerRequest(r, body.Bytes, request, active, decision.Server))
+		attempt, response = s.Send(ctx, s.newServerRequest(r, body.Bytes, request, active, decision.Server, onStream))
 		decision = s.endAttempt(active, attempt)
 	}
 	return result{decision: decision, response: response}
@@ -206,7 +212,7 @@
 	}
 }
 
-func (s *Server) newServerRequest(r *http.Request, body []byte, request steering.Request, active *steering.ActiveRequest, target *steering.Target) serverhttp.Request {
+func (s *Server) newServerRequest(r *http.Request, body []byte, request steering.Request, active *steering.ActiveRequest, target *steering.Target, onStream func(*serverhttp.Response)) serverhttp.Request {
 	account := ""
 	if active.Account != nil {
 		account = active.Account.Name
@@ -217,6 +223,7 @@
 		Header: r.Header, Body: body, AttemptID: request.ID, Deadline: active.ExpiresAt,
 		DialTimeout:        min(dialBaseTimeout+dialRoundTrips*target.RoundTrip, active.ExpiresAt.Sub(s.Now())),
 		MaxIdleConnections: target.MaxConnections, StoppedAccepting: func() bool { return s.serverStoppedAccepting(active) },
+		OnStream: onStream,
 	}
 }
 
@@ -269,10 +276,8 @@
 		s.writeError(w, r, d)
 		return
 	}
+	copyResponseHeader(w, response)
 	header := w.Header()
-	for name, values := range response.Header {
-		header[name] = values
-	}
 	if r.Method != http.MethodHead && bodyAllowed(response.Status) {
 		header.Set("Content-Length", strconv.Itoa(len(response.Body.Bytes)))
 	}
@@ -290,6 +295,13 @@
 	}
 }
 
+func copyResponseHeader(w http.ResponseWriter, response *serverhttp.Response) {
+	header := w.Header()
+	for name, values := range response.Header {
+		header[name] = values
+	}
+}
+
 func bodyAllowed(status int) bool {
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -37,6 +37,10 @@
 	maxInlineBodyBytes = 16 << 10
 	// maxStrayResponses is how many responses to earlier requests are skipped.
 	maxStrayResponses = 2
+	// minStreamBytes is the length from which a response is passed on while it arrives. A shorter
+	// one is buffered first, so that another server can respond if this one breaks off: at
+	// 10 Mbit/s that delays it by 26 ms at most.
+	minStreamBytes = 32 << 10
 	// bufferSize is the size in bytes of a connection's read and write buffers.
 	bufferSize = 4 << 10
 )
@@ -108,13 +112,19 @@
 		// to servers. Account is the client account of the request, or empty.
 		HasAccounts bool
 		Account     string
+		// OnStream is called with a long response whose body has not arrived yet. It must not
+		// block. If it is nil, all responses are buffered.
+		OnStream func(*Response)
 	}
 
-	// Response is a complete response of a server. Its body must be released.
+	// Response is a response of a server. It must be released.
 	Response struct {
 		Status int
 		Header http.Header
-		Body   *bodies.Body
+		// Body is the complete body. It is nil if the response has a Stream.
+		Body *bodies.Body
+		// Stream is the body of a response that was passed to OnStream.
+		Stream *bodies.Stream
 	}
 
 	exchange struct {
@@ -125,6 +135,8 @@
 		// signal merges the backpressure signals of all responses of the exchange, including those
 		// to other requests.
 		signal backpressure.Signal
+		// streamed is set once a response was passed to OnStream.
+		streamed bool
 	}
 )
 
@@ -132,6 +144,7 @@
 func (a *Response) Release() {
 	if a != nil {
 		a.Body.Release()
+		a.Stream.Release()
 	}
 }
 
@@ -141,7 +154,8 @@
 	return &Client{headers: h, memory: m, now: now, pool: newPool(now, onOpen)}
 }
 
-// Send sends the request once. The response is nil unless a complete one arrived.
+// Send sends the request once. The response is nil unless a complete one arrived. A response that
+// was passed to OnStream must be released by its receiver, whether or not it is returned.
 func (c *Client) Send(ctx context.Context, r Request) (steering.Attempt, *Response) {
 	connection, roundTrip, err := c.pool.get(ctx, r.Address, r.DialTimeout)
 	if err != nil {
@@ -161,12 +175,14 @@
 	if !stop() {
 		// The caller disconnected, and the connection was closed to cancel the request on the
 		// server.
-		response.Release()
+		if !e.streamed {
+			response.Release()
+		}
 		return steering.Attempt{Result: steering.ResultCallerGone, Err: context.Cause(ctx), Signal: e.signal}, nil
 	}
 	c.pool.put(connection, reusable, r.MaxIdleConnections)
 	attempt := c.classify(r, response, err)
-	attempt.RoundTrip, attempt.Signal = roundTrip, e.signal
+	attempt.RoundTrip, attempt.Signal, attempt.ResponseStarted = roundTrip, e.signal, e.streamed
 	return attempt, response
 }
 
@@ -359,14 +375,38 @@
 		// Content-Length is that of the response to a GET; there is no body.
 		contentLength = 0
 	}
-	body, err := e.client.memory.Read(response.Body, contentLength, maxResponseBytes)
-	if err != nil {
-		return nil, true, errors.Wrap(err, "read response body")
-	}
 	e.conn.applyKeepAlive(response.Header.Get("Keep-Alive"))
 	header := make(http.Header, len(response.Header))
 	CopyHeader(header, response.Header)
-	return &Response{Status: response.StatusCode, Header: header, Body: body}, response.Close, nil
+	received := &Response{Status: response.StatusCode, Header: header}
+	if contentLength <= maxResponseBytes && e.mayStream(received, contentLength) {
+		return received, response.Close, e.stream(received, response.Body, contentLength)
+	}
+	if received.Body, err = e.client.memory.Read(response.Body, contentLength, maxResponseBytes); err != nil {
+		return nil, true, errors.Wrap(err, "read response body")
+	}
+	return received, response.Close, nil
+}
+
+// mayStream reports whether a response may be passed on while it arrives: it must be long, and its
+// header must prove that it is the server's response to this request.
+func (e *exchange) mayStream(r *Response, contentLength int64) bool {
+	success := r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices
+	return e.request.OnStream != nil && contentLength >= minStreamBytes && success &&
+		r.Header.Get(e.client.headers.AttemptID) == e.request.AttemptID && e.request.AttemptID != "" && r.Header.Get(e.client.headers.Seal) != ""
+}
+
+// stream passes the response on and reads its body. From here on no other server can take the
+// request: if the body breaks off, the caller's connection must be closed.
+func (e *exchange) stream(r *Response, body io.Reader, contentLength int64) (err error) {
+	if r.Stream, err = e.client.memory.NewStream(contentLength); err != nil {
+		return errors.Wrap(err, "read response body")
+	}
+	e.streamed = true
+	forwarded := &Response{Status: r.Status, Header: r.Header.Clone(), Stream: r.Stream}
+	forwarded.Header.Del(e.client.headers.Load)
+	e.request.OnStream(forwarded)
+	return errs.Wrap(r.Stream.Fill(body), "read response body")
 }
 
 // nextFinalResponse reads the next final response and skips interim (1xx) ones.
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -176,6 +176,10 @@
 	req.sendAttempts++
 	req.mayHaveRun = req.mayHaveRun || a.Result == ResultConnectionLost || a.Result == ResultServerError
 	reason := reasonOf(a.Result)
+	if a.ResponseStarted {
+		// Another response can't follow the part that the caller has.
+		return k.fail(now, req, reason)
+	}
 	if k.mayRetry(now, req) {
 		var target *Target
 		if target, reason = k.place(now, req); target != nil {
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -232,6 +232,8 @@
 		// Refusing is set if the connection was refused: no process listens at the server's
 		// address.
 		Refusing bool
+		// ResponseStarted is set if the caller has already received a part of the response.
+		ResponseStarted bool
 		// Signal is the backpressure signal that the server sent.
 		Signal backpressure.Signal
 		Err    error `json:"-"`
