Find the changes after a revision without a search through all keys

A proxy asks its copy of the store for the latest changes several times for each change in the fleet, and each time all keys were looked at; a full copy was even built before the budget for full copies was asked. The copy now keeps its changes by revision.

--- a/internal/kernel/replica/copy.go
+++ b/internal/kernel/replica/copy.go
@@ -4,6 +4,8 @@
 package replica
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -58,6 +60,11 @@
 		removals    map[string]removal
 		// removalsSince is the revision after which all removals are kept.
 		removalsSince uint64
+		// changes lists the changes of entries and removals, so that those after a revision are
+		// found without a search through all keys.
+		changes changeLog
+		// size is the approximate size in bytes of a full copy.
+		size int
 		// keyDigest is the digest of the keys in entries: the XOR of their hashes.
 		keyDigest uint64
 		// mismatches counts the deltas rejected for a wrong key digest since the last one that
@@ -120,6 +127,7 @@
 	if d.Full {
 		removed = append(removed, c.prune(now, d, last)...)
 	}
+	c.changes.sort(c.isCurrent)
 	c.revision = d.Revision
 	if at := now.Add(-d.Age); at.After(c.confirmedAt) {
 		c.confirmedAt = at
@@ -175,9 +183,12 @@
 	if known == e.Removed {
 		c.keyDigest ^= xxhash.Sum64String(e.Key)
 	}
+	c.size -= c.entries[e.Key].size()
 	if !e.Removed {
 		delete(c.removals, e.Key)
 		c.entries[e.Key] = e
+		c.size += e.size()
+		c.changes.add(e.Key, e.Revision)
 		return true
 	}
 	delete(c.entries, e.Key)
@@ -185,6 +196,15 @@
 	return known
 }
 
+// isCurrent reports whether a change is the last one of its key.
+func (c *Copy) isCurrent(l keyChange) bool {
+	if e, present := c.entries[l.key]; present {
+		return e.Revision == l.revision
+	}
+	r, present := c.removals[l.key]
+	return present && r.revision == l.revision
+}
+
 // prune removes the entries that a full copy doesn't hold.
 func (c *Copy) prune(now time.Time, d Delta, held map[string]int) []Entry {
 	var removed []Entry
@@ -193,6 +213,7 @@
 			continue
 		}
 		delete(c.entries, key)
+		c.size -= e.size()
 		c.keyDigest ^= xxhash.Sum64String(key)
 		gone := Entry{Key: key, Revision: d.Revision, Removed: true, Tentative: d.TentativeRemovals}
 		c.recordRemoval(now, gone)
@@ -214,6 +235,7 @@
 		r.tentativeUntil = now.Add(tentativeFor)
 	}
 	c.removals[e.Key] = r
+	c.changes.add(e.Key, e.Revision)
 }
 
 // confirmRemoval makes a tentative removal definite if e says so, and reports whether it did.
@@ -234,18 +256,19 @@
 		Base: revision, Revision: c.revision, Age: c.Age(now),
 		Full: revision == 0, MayMissRemovals: revision < c.removalsSince, KeyDigest: c.keyDigest,
 	}
-	for _, e := range c.entries {
-		if d.Full || e.Revision > revision {
-			d.Entries = append(d.Entries, e)
-		}
-	}
 	if d.Full {
+		d.Entries = slices.AppendSeq(make([]Entry, 0, len(c.entries)), maps.Values(c.entries))
 		return d
 	}
-	for key, r := range c.removals {
-		if r.revision > revision {
-			d.Entries = append(d.Entries, Entry{Key: key, Revision: r.revision, Removed: true, Tentative: now.Before(r.tentativeUntil)})
+	for _, l := range c.changes.after(revision) {
+		if !c.isCurrent(l) {
+			continue
+		}
+		e, present := c.entries[l.key]
+		if !present {
+			e = Entry{Key: l.key, Revision: l.revision, Removed: true, Tentative: now.Before(c.removals[l.key].tentativeUntil)}
 		}
+		d.Entries = append(d.Entries, e)
 	}
 	return d
 }
--- a/internal/kernel/replica/full_copy_budget.go
+++ b/internal/kernel/replica/full_copy_budget.go
@@ -37,15 +37,23 @@
 }
 
 // CompressedSize returns the approximate size in bytes of a full copy on the wire.
-func (d Delta) CompressedSize() int { return d.Size() / compressionRatio }
+func (c *Copy) CompressedSize() int { return c.size / compressionRatio }
 
 // Size returns the approximate size in bytes of the delta in memory and in an uncompressed
 // message.
 func (d Delta) Size() int {
-	const perEntry = 16
 	n := 0
 	for _, e := range d.Entries {
-		n += len(e.Key) + len(e.Value) + perEntry
+		n += e.size()
 	}
 	return n
 }
+
+// size is the approximate size of an entry in bytes; zero for the entry of an unknown key.
+func (e Entry) size() int {
+	const overhead = 16
+	if e.Key == "" {
+		return 0
+	}
+	return len(e.Key) + len(e.Value) + overhead
+}
--- a/internal/proxy/forward/storereplica.go
+++ b/internal/proxy/forward/storereplica.go
@@ -178,11 +178,10 @@
 	if f.copy.Revision() <= revision {
 		return header
 	}
-	d := f.copy.Since(now, revision)
-	if d.Full && !f.fullCopyBudget.Allow(now, d.CompressedSize()) {
+	if revision == 0 && !f.fullCopyBudget.Allow(now, f.copy.CompressedSize()) {
 		return header
 	}
-	return d
+	return f.copy.Since(now, revision)
 }
 
 // age is the time since the copy was last known to match the store.
