Bound what servers cost that a proxy does not use

A proxy of a large fleet knows ten thousand servers and sends requests to a few hundred of them. It kept the state of a used server for each, went through all of them five times a second to find those whose registration is missing, and at each change of a service with 3,990 servers sorted and grouped them again: 1 MB of garbage and the time of a request that waits. State of use is now made with the first request, missing servers are listed, the list of a service stays sorted, and its ranking is updated in place.

--- a/internal/kernel/placing/ranking.go
+++ b/internal/kernel/placing/ranking.go
@@ -20,6 +20,8 @@
 	// VM, at every proxy and several times a second during a rollout, while requests waited.
 	Ranking struct {
 		classes map[string]*classRanking
+		// update counts the updates.
+		update uint64
 	}
 
 	// classRanking is the ranking of the servers of one class.
@@ -30,6 +32,8 @@
 		ids     []string
 		numbers map[string]int32
 		free    []int32
+		// listedIn is the last update that listed each server, by number.
+		listedIn []uint64
 		// nearest holds for each object the servers with the largest hashes, largest first.
 		nearest [][]serverHash
 	}
@@ -40,28 +44,24 @@
 
 // Update adds and removes servers so that the ranking holds the given ones.
 func (r *Ranking) Update(servers []Server) {
-	listed := make(map[string]map[string]bool)
-	for _, s := range servers {
-		if listed[s.Class] == nil {
-			listed[s.Class] = make(map[string]bool)
-		}
-		listed[s.Class][s.ID] = true
-	}
-	for name, c := range r.classes {
-		for id := range c.numbers {
-			if !listed[name][id] {
-				c.remove(id)
-			}
-		}
-	}
+	r.update++
 	for _, s := range servers {
 		c := r.classes[s.Class]
 		if c == nil {
 			c = &classRanking{numbers: make(map[string]int32)}
 			r.classes[s.Class] = c
 		}
-		if _, known := c.numbers[s.ID]; !known {
-			c.add(s.ID)
+		number, known := c.numbers[s.ID]
+		if !known {
+			number = c.add(s.ID)
+		}
+		c.listedIn[number] = r.update
+	}
+	for _, c := range r.classes {
+		for number, id := range c.ids {
+			if id != "" && c.listedIn[number] != r.update {
+				c.remove(id)
+			}
 		}
 	}
 }
@@ -81,12 +81,12 @@
 	return ids
 }
 
-func (c *classRanking) add(id string) {
+func (c *classRanking) add(id string) int32 {
 	number := int32(len(c.ids))
 	if n := len(c.free); n > 0 {
 		number, c.free = c.free[n-1], c.free[:n-1]
 	} else {
-		c.ids, c.hashes = append(c.ids, ""), append(c.hashes, 0)
+		c.ids, c.hashes, c.listedIn = append(c.ids, ""), append(c.hashes, 0), append(c.listedIn, 0)
 	}
 	c.ids[number], c.hashes[number] = id, xxhash.Sum64String(id)
 	previousCount := len(c.numbers)
@@ -98,6 +98,7 @@
 			c.nearest[object] = insertRanked(list, serverHash{hash, number}, rankedPerObject)
 		}
 	}
+	return number
 }
 
 func (c *classRanking) remove(id string) {
--- a/internal/kernel/steering/bench_test.go
+++ b/internal/kernel/steering/bench_test.go
@@ -117,3 +117,27 @@
 		})
 	}
 }
+
+// BenchmarkFleetServerChange measures what one registration costs a proxy of a fleet with 3,990
+// servers of a service and few requests at each proxy: nearly each request follows a change.
+func BenchmarkFleetServerChange(b *testing.B) {
+	const servers, objects = 3990, 199
+	now := time.Unix(1_000_000, 0)
+	k := New(Config{Name: "proxy-0", Domain: "north-a", Region: "north", RegionOf: regionOf, Bounds: Bounds{ColdFactor: 1.5, ColdSlack: 8}})
+	domains := []string{"north-a", "north-b", "south-a"}
+	for i := range servers {
+		k.RegisterServer(now, routing.Server{ID: fmt.Sprintf("i-%d", i), Service: "0", Domain: domains[i%len(domains)], Slots: 4})
+	}
+	route := &routing.Route{Name: "0", Host: "host", Prefix: "/0/", Sticky: true, Attempts: 2, Timeout: time.Second, Target: time.Second, Parts: []routing.WeightedService{{Service: "0", Weight: 1}}}
+	k.SetTable(routing.NewTable(1, []*routing.Route{route}, []*routing.Service{{Name: "0"}}, routing.Limits{}))
+	for n := range objects {
+		sendRequest(k, now, n)
+	}
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		n++
+		k.RegisterServer(now, routing.Server{ID: "i-7", Service: "0", Domain: "north-b", Slots: 4, Draining: n%2 == 0})
+		sendRequest(k, now, n*37%objects)
+	}
+}
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -84,6 +84,7 @@
 		best = k.chooseAmong(now, req, svc, homes, svc.eligible)
 	}
 	if best.server != nil && best.server.isCold(now) {
+		best.server.use()
 		best.server.coldRate.Record(now)
 	}
 	return best.server, best
@@ -172,7 +173,7 @@
 	list := make([]placing.Server, 0, len(candidates))
 	for _, s := range candidates {
 		if weight := weights[s.region] * s.Slots; weight > 0 {
-			list = append(list, placing.Server{ID: s.id, Weight: weight, Class: s.class()})
+			list = append(list, placing.Server{ID: s.id, Weight: weight, Class: s.class})
 		}
 	}
 	return placing.NewPlacement(list, svc.ranking)
@@ -276,6 +277,7 @@
 	if object == "" {
 		return
 	}
+	s.use()
 	if s.warmObjects == nil {
 		s.warmObjects = make(map[string]time.Time)
 	}
--- a/internal/kernel/steering/concurrencylimit_test.go
+++ b/internal/kernel/steering/concurrencylimit_test.go
@@ -158,6 +158,7 @@
 				result = ResultTimeout
 				now = now.Add(time.Second)
 				for _, s := range k.servers {
+					s.use()
 					s.ejections, s.ejectedUntil = 0, time.Time{}
 				}
 			}
@@ -251,7 +252,7 @@
 		svc := k.service("slow")
 		req := &ActiveRequest{Route: &routing.Route{Name: "route", Sticky: true, Target: 100 * time.Millisecond}, Service: "slow", warm: true}
 		for n := range 40 {
-			s := &server{id: fmt.Sprint(n % 4), Server: routing.Server{Slots: 3}, rtt: &rttEstimate{}}
+			s := &server{id: fmt.Sprint(n % 4), Server: routing.Server{Slots: 3}, rtt: &rttEstimate{}, serverUse: newServerUse()}
 			k.detectSlowdown(now, req, s, svc, Attempt{Result: ResultResponded, Loaded: true, Running: 3}, time.Second)
 		}
 		if got := events > 0 || len(k.ConcurrencyLimits(now)) > 0; got == off {
--- a/internal/kernel/steering/failover.go
+++ b/internal/kernel/steering/failover.go
@@ -106,7 +106,7 @@
 	var list []placing.Server
 	for _, s := range svc.eligible {
 		if req.allowedRegions.has(s.regionBit) && s.region != region {
-			list = append(list, placing.Server{ID: s.id, Weight: s.Slots, Class: s.class()})
+			list = append(list, placing.Server{ID: s.id, Weight: s.Slots, Class: s.class})
 		}
 	}
 	svc.placements[key] = placing.NewPlacement(list, svc.ranking)
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -85,7 +85,9 @@
 		quotas         *quotas
 		pinnedShares   pinnedShares
 		servers        map[string]*server
-		services       map[string]*service
+		// absentServers are the servers whose registration is missing.
+		absentServers map[string]*server
+		services      map[string]*service
 		// evacuatedDomains are the failure domains that take no requests.
 		evacuatedDomains map[string]bool
 		proxies          []Proxy
@@ -150,6 +152,7 @@
 		random:           rand.New(rand.NewChaCha8(c.Seed)),
 		splitter:         routing.NewSplitter(),
 		servers:          make(map[string]*server),
+		absentServers:    make(map[string]*server),
 		services:         make(map[string]*service),
 		evacuatedDomains: make(map[string]bool),
 		roundTrips:       make(map[string]*rttEstimate),
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -91,6 +91,7 @@
 	k.quarantine.RecordStart(req.Work)
 	req.server, req.sentAt, req.expected, req.warm, req.loadAtSend = s, now, chosen.expected, chosen.warm, s.load(now)
 	state := s.state(now)
+	s.use()
 	s.inFlight++
 	s.sentCount++
 	s.backpressure.RecordSent(now)
--- a/internal/kernel/steering/quarantine.go
+++ b/internal/kernel/steering/quarantine.go
@@ -76,6 +76,7 @@
 		best = k.estimate(now, req, s, nil)
 	}
 	if best.server != nil && best.server.isCold(now) {
+		best.server.use()
 		best.server.coldRate.Record(now)
 	}
 	return best.server, best
--- a/internal/kernel/steering/replay.go
+++ b/internal/kernel/steering/replay.go
@@ -249,9 +249,10 @@
 	}
 	s := r.kernel.servers[id]
 	if s == nil {
-		s = &server{id: id, slowdown: 1, rtt: &rttEstimate{}}
+		s = &server{id: id, serverUse: unused, rtt: &rttEstimate{}}
 	}
 	if s != req.server {
+		s.use()
 		s.inFlight++
 	}
 	req.server = s
--- a/internal/kernel/steering/replicas.go
+++ b/internal/kernel/steering/replicas.go
@@ -28,7 +28,7 @@
 	}
 	// The nearest servers of the home's class are the same at all proxies. They usually include the
 	// home itself.
-	nearest := slices.DeleteFunc(svc.ranking.Nearest(home.class(), req.Object), func(id string) bool { return id == home.id })
+	nearest := slices.DeleteFunc(svc.ranking.Nearest(home.class, req.Object), func(id string) bool { return id == home.id })
 	if i > len(nearest) {
 		return homes
 	}
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -49,14 +49,24 @@
 		region       string
 		// regionBit is the bit of the server's region in a regionSet.
 		regionBit regionSet
-		removed   bool
-		rtt       *rttEstimate
+		// class is the placement class of the server.
+		class   string
+		removed bool
+		rtt     *rttEstimate
 		// unreadable is set while the server's registration cannot be parsed.
 		unreadable bool
 		// absentUntil is set while the server's registration is missing. The server is removed at
 		// this time.
 		absentUntil time.Time
+		coldUntil   time.Time
+		// serverUse is what this proxy learned by sending requests to the server. It must only be
+		// changed after a call of use.
+		*serverUse
+	}
 
+	// serverUse is what a proxy learns about a server that it sends requests to. In a large fleet, a
+	// proxy uses a small part of the servers that it knows.
+	serverUse struct {
 		// respondedAt is the time of the last response.
 		respondedAt time.Time
 		inFlight    int
@@ -92,8 +102,7 @@
 		ejections       int
 		ejectedUntil    time.Time
 
-		coldUntil time.Time
-		coldRate  admission.ColdStartLimiter
+		coldRate admission.ColdStartLimiter
 		// warmObjects are the objects handled recently, with the time of the last response.
 		warmObjects map[string]time.Time
 	}
@@ -105,6 +114,20 @@
 	}
 )
 
+var (
+	// unused is the state of all servers that this proxy has not used. It must not be changed.
+	unused = newServerUse()
+)
+
+func newServerUse() *serverUse { return &serverUse{slowdown: 1} }
+
+// use prepares the state of a server for a change.
+func (s *server) use() {
+	if s.serverUse == unused {
+		s.serverUse = newServerUse()
+	}
+}
+
 func (k *Kernel) rttTo(domain string) *rttEstimate {
 	d := k.roundTrips[domain]
 	if d == nil {
@@ -181,6 +204,7 @@
 
 // recordLoad records a load report of the server.
 func (s *server) recordLoad(now time.Time, running, waiting int) {
+	s.use()
 	s.reportedLoad = running + waiting
 	s.inFlightAtReport = s.inFlight
 	s.reportedAt = now
@@ -188,6 +212,7 @@
 
 // unqueuedWorkOf returns the estimate of the server's work without queueing for a route.
 func (s *server) unqueuedWorkOf(route string) *workEstimate {
+	s.use()
 	w := s.unqueuedWork[route]
 	if w == nil {
 		if s.unqueuedWork == nil {
@@ -201,6 +226,7 @@
 
 // recordSuccess records a response and compares its duration with the expected one.
 func (s *server) recordSuccess(elapsed, expected time.Duration) {
+	s.use()
 	s.failuresInRow, s.rejectionsInRow, s.ejections = 0, 0, 0
 	s.failureShare -= failureWeight * s.failureShare
 	if expected <= 0 {
@@ -216,6 +242,7 @@
 // objects, each of which would be rejected or cost a retry. Rejections of a server that reports all
 // its slots in use are not counted, because it is working.
 func (s *server) recordRejection(now time.Time, a Attempt) {
+	s.use()
 	free := a.rejectedWithFreeSlots(s.Slots)
 	if busy := a.Loaded && a.Running >= s.Slots; !busy {
 		s.rejectionsInRow++
@@ -231,6 +258,7 @@
 // recordFailure records a failed attempt. It ejects the server after several consecutive failures,
 // or immediately if the failure is hard.
 func (s *server) recordFailure(now time.Time, ejectNow bool) {
+	s.use()
 	s.failureShare += failureWeight * (1 - s.failureShare)
 	s.failuresInRow++
 	if s.failuresInRow < ejectAfterFailures && !ejectNow {
--- a/internal/kernel/steering/servers.go
+++ b/internal/kernel/steering/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"time"
+	"unique"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
@@ -14,6 +15,7 @@
 // late and ignored.
 func (k *Kernel) RegisterServer(now time.Time, r routing.Server) {
 	k.record(Call{Method: callServer, At: now, Server: &r})
+	r.Service, r.Domain = unique.Make(r.Service).Value(), unique.Make(r.Domain).Value()
 	s := k.servers[r.ID]
 	if s != nil && s.isNewerThan(r) {
 		return
@@ -26,9 +28,10 @@
 	}
 	if s == nil {
 		start := quarantine.NewInstanceID(r.ID, r.Started)
-		s = &server{id: r.ID, startID: start, backpressure: k.backpressure.State(start), slowdown: 1}
+		s = &server{id: r.ID, startID: start, backpressure: k.backpressure.State(start), serverUse: unused}
 		k.servers[r.ID] = s
 	}
+	delete(k.absentServers, r.ID)
 	changed := s.Service != r.Service || s.Slots != r.Slots || s.Draining != r.Draining || s.Domain != r.Domain || s.unreadable
 	if changed {
 		k.service(s.Service).removeServer(s)
@@ -39,6 +42,9 @@
 	s.absentUntil = time.Time{}
 	s.region = k.config.RegionOf[r.Domain]
 	s.regionBit = k.regionBit(s.region)
+	if changed {
+		s.class = classOf(s.region, s.Slots)
+	}
 	s.rtt = k.rttTo(r.Domain)
 	if r.ColdFor > 0 {
 		s.coldUntil = laterOf(s.coldUntil, now.Add(r.ColdFor))
@@ -82,6 +88,7 @@
 func (k *Kernel) forgetServer(s *server) {
 	s.removed = true
 	delete(k.servers, s.id)
+	delete(k.absentServers, s.id)
 	k.service(s.Service).removeServer(s)
 }
 
@@ -91,6 +98,7 @@
 	k.record(Call{Method: callAbsent, ID: id, Until: deadline})
 	if s := k.servers[id]; s != nil && s.absentUntil.IsZero() {
 		s.absentUntil = deadline
+		k.absentServers[id] = s
 	}
 }
 
@@ -103,8 +111,8 @@
 	k.expireLimiters(now)
 	k.quotas.tick(now)
 	k.movePinnedShares(now)
-	for id, s := range k.servers {
-		if !s.absentUntil.IsZero() && now.After(s.absentUntil) {
+	for id, s := range k.absentServers {
+		if now.After(s.absentUntil) {
 			k.remove(now, id)
 		}
 	}
--- a/internal/kernel/steering/service.go
+++ b/internal/kernel/steering/service.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"unique"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
@@ -12,11 +13,14 @@
 type (
 	service struct {
 		name string
-		// registered are all registered servers, by ID. eligible are those that may take requests,
-		// sorted by ID; the list is out of date while stale is set.
+		// registered are all registered servers, by ID, and sorted lists them by ID. eligible are
+		// those of them that may take requests; the list is out of date while stale is set.
 		registered map[string]*server
+		sorted     []*server
 		eligible   []*server
 		stale      bool
+		// ranked is a buffer for the servers that are passed to ranking.
+		ranked []placing.Server
 		// totalSlots is the number of slots of all eligible servers.
 		totalSlots  int
 		retries     admission.RetryBudget
@@ -52,37 +56,48 @@
 func (svc *service) addServer(s *server) {
 	svc.registered[s.id] = s
 	svc.stale = true
+	if i, known := svc.indexOf(s.id); known {
+		svc.sorted[i] = s
+	} else {
+		svc.sorted = slices.Insert(svc.sorted, i, s)
+	}
 }
 
 func (svc *service) removeServer(s *server) {
-	if svc.registered[s.id] != nil {
-		delete(svc.registered, s.id)
-		svc.stale = true
+	if svc.registered[s.id] == nil {
+		return
+	}
+	delete(svc.registered, s.id)
+	svc.stale = true
+	if i, known := svc.indexOf(s.id); known {
+		svc.sorted = slices.Delete(svc.sorted, i, i+1)
 	}
 }
 
+// indexOf returns the index of a server in the sorted list, or where it would be inserted.
+func (svc *service) indexOf(id string) (int, bool) {
+	return slices.BinarySearchFunc(svc.sorted, id, func(s *server, id string) int { return strings.Compare(s.id, id) })
+}
+
 // refreshEligible rebuilds the list of eligible servers.
 func (svc *service) refreshEligible(evacuated map[string]bool) {
 	svc.stale = false
-	svc.eligible = svc.eligible[:0]
 	svc.invalidatePlacements()
-	for _, s := range svc.registered {
+	svc.eligible, svc.ranked, svc.totalSlots = svc.eligible[:0], svc.ranked[:0], 0
+	for _, s := range svc.sorted {
 		if s.isEligible() && !evacuated[s.Domain] {
 			svc.eligible = append(svc.eligible, s)
+			svc.ranked = append(svc.ranked, placing.Server{ID: s.id, Class: s.class})
+			svc.totalSlots += s.Slots
 		}
 	}
-	slices.SortFunc(svc.eligible, func(a, b *server) int { return strings.Compare(a.id, b.id) })
-	ranked := make([]placing.Server, 0, len(svc.eligible))
-	svc.totalSlots = 0
-	for _, s := range svc.eligible {
-		svc.totalSlots += s.Slots
-		ranked = append(ranked, placing.Server{ID: s.id, Class: s.class()})
-	}
-	svc.ranking.Update(ranked)
+	svc.ranking.Update(svc.ranked)
 }
 
-// class groups the servers of a service that get the same share of its objects.
-func (s *server) class() string { return s.region + "/" + strconv.Itoa(s.Slots) }
+// classOf names the servers of a service that get the same share of its objects.
+func classOf(region string, slots int) string {
+	return unique.Make(region + "/" + strconv.Itoa(slots)).Value()
+}
 
 func (k *Kernel) service(name string) *service {
 	s := k.services[name]
--- a/internal/kernel/steering/shed.go
+++ b/internal/kernel/steering/shed.go
@@ -36,6 +36,7 @@
 	}
 	room := k.queueRoom(req, svc, s)
 	p.Observe(now, waiting, room)
+	s.use()
 	s.queuePressure.Observe(now, waiting, room)
 	s.pressureAt = now
 }
