Count the registrations of a whole fleet in the log instead of listing them

A proxy that starts, and each of a thousand after a loss of power, logged a line and kept an event for each of 10,002 servers and 985 proxies at once: eleven million lines in the fleet. 100 changes a second are still logged one by one, the others are counted by kind. TestRegistrationsOfWholeFleetAreNotLoggedOneByOne.

--- a/internal/proxy/forward/decisionlog.go
+++ b/internal/proxy/forward/decisionlog.go
@@ -25,9 +25,14 @@
 	// which lists the attempted servers: another 120 KB a second. Requests beyond both are counted
 	// by outcome.
 	maxSummariesPerSecond = 400
-	// omittedInterval is how often the number of omitted requests is logged.
-	omittedInterval = 10 * time.Second
-	omittedMessage  = "requests left out of the log"
+	// maxChangesPerSecond bounds the changes of single servers and proxies that are logged: a proxy
+	// that starts in a large fleet learns of thousands at once. Changes beyond it are counted by
+	// kind.
+	maxChangesPerSecond = 100
+	// omittedInterval is how often the numbers of omitted requests and changes are logged.
+	omittedInterval       = 10 * time.Second
+	omittedMessage        = "requests left out of the log"
+	omittedChangesMessage = "changes left out of the log"
 	// outcomeLate labels requests whose response came after the route's target latency.
 	outcomeLate = "late"
 	// maxFingerprintsPerLine bounds the request fingerprints listed in one line.
@@ -50,8 +55,11 @@
 		windowStart   time.Time
 		detailedCount int
 		summaryCount  int
-		// omitted counts the requests that weren't logged, by outcome label.
+		changeCount   int
+		// omitted counts the requests that weren't logged, by outcome label, and omittedChanges the
+		// changes that weren't, by kind.
 		omitted           map[string]int
+		omittedChanges    map[string]int
 		omittedReportedAt time.Time
 	}
 
@@ -66,12 +74,15 @@
 )
 
 func newDecisionLog(vm string, now func() time.Time, m *proxyMetrics) *decisionLog {
-	return &decisionLog{vm: vm, now: now, metrics: m, ring: core.NewRingBuffer[steeringhttp.Event](eventRingSize), omitted: make(map[string]int), omittedReportedAt: now()}
+	return &decisionLog{vm: vm, now: now, metrics: m, ring: core.NewRingBuffer[steeringhttp.Event](eventRingSize), omitted: make(map[string]int), omittedChanges: make(map[string]int), omittedReportedAt: now()}
 }
 
 // handleEvent records an event of the kernel.
 func (j *decisionLog) handleEvent(e steering.Event) {
 	j.metrics.recordEvent(e)
+	if isServerChange(e) && !j.allowChange(string(e.Kind)) {
+		return
+	}
 	if e.Kind != steering.EventRequestEnded {
 		j.record(e)
 		klog.InfoS(string(e.Kind), "service", e.Service, "server", e.Server, "failure-domain", e.Domain, "region", e.Region, "elsewhere", e.CallersElsewhere,
@@ -131,11 +142,7 @@
 func (j *decisionLog) chooseDetail(e steering.Event) logDetail {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	now := j.now()
-	if now.Sub(j.windowStart) >= time.Second {
-		j.windowStart, j.detailedCount, j.summaryCount = now, 0, 0
-	}
-	j.reportOmitted(now)
+	j.startWindow()
 	noteworthy := e.Reason != steering.ReasonNone || e.Attempt > 1 || isLate(e)
 	j.served++
 	switch {
@@ -151,6 +158,34 @@
 	return logNothing
 }
 
+// isServerChange reports whether an event is a change of the registration of a single server.
+func isServerChange(e steering.Event) bool {
+	return e.Kind == steering.EventServerChanged || e.Kind == steering.EventServerGone
+}
+
+// allowChange reports whether one more change of a server or proxy may be logged now, and counts it
+// by kind if not.
+func (j *decisionLog) allowChange(kind string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.startWindow()
+	if j.changeCount < maxChangesPerSecond {
+		j.changeCount++
+		return true
+	}
+	j.omittedChanges[kind]++
+	return false
+}
+
+// startWindow resets the counts of lines each second. j.mu must be held.
+func (j *decisionLog) startWindow() {
+	now := j.now()
+	if now.Sub(j.windowStart) >= time.Second {
+		j.windowStart, j.detailedCount, j.summaryCount, j.changeCount = now, 0, 0, 0
+	}
+	j.reportOmitted(now)
+}
+
 // isLate reports whether a request took longer than its route's target.
 func isLate(e steering.Event) bool { return e.Target > 0 && e.Duration > e.Target }
 
@@ -171,6 +206,10 @@
 	}
 	klog.InfoS(omittedMessage, "counts", j.omitted, "served", j.served)
 	clear(j.omitted)
+	if len(j.omittedChanges) > 0 {
+		klog.InfoS(omittedChangesMessage, "counts", j.omittedChanges)
+		clear(j.omittedChanges)
+	}
 	j.omittedReportedAt = now
 }
 
--- a/internal/proxy/forward/decisionlog_test.go
+++ b/internal/proxy/forward/decisionlog_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -70,6 +71,13 @@
 
 // loggedRequests feeds events to a decision log and returns the lines that it wrote about requests.
 func loggedRequests(t *testing.T, feed func(j *decisionLog, clock *time.Time)) []logRecord {
+	t.Helper()
+	return loggedLines(t, feed, string(steering.EventRequestEnded), string(steering.EventRequestSent), string(steering.EventAttemptEnded), omittedMessage)
+}
+
+// loggedLines feeds events to a decision log and returns the lines that it wrote with the given
+// messages.
+func loggedLines(t *testing.T, feed func(j *decisionLog, clock *time.Time), messages ...string) []logRecord {
 	t.Helper()
 	processLog.capture(true)
 	clock := time.Unix(1_000_000, 0)
@@ -80,8 +88,7 @@
 		if err := decoder.Decode(&l); err != nil {
 			t.Fatal(err)
 		}
-		switch l.Message {
-		case string(steering.EventRequestEnded), string(steering.EventRequestSent), string(steering.EventAttemptEnded), omittedMessage:
+		if slices.Contains(messages, l.Message) {
 			list = append(list, l)
 		}
 	}
@@ -165,3 +172,25 @@
 		t.Errorf("%d lines, want three of successful requests and one of the slow one: %+v", len(lines), lines)
 	}
 }
+
+// Guards against a proxy that starts in a large fleet and logs the registration of each of ten
+// thousand servers at once, which took longer than everything else at its start.
+func TestRegistrationsOfWholeFleetAreNotLoggedOneByOne(t *testing.T) {
+	const servers = 10_000
+	lines := loggedLines(t, func(j *decisionLog, clock *time.Time) {
+		for n := range servers {
+			j.handleEvent(steering.Event{Kind: steering.EventServerChanged, Server: fmt.Sprintf("i-%d", n)})
+		}
+		*clock = clock.Add(omittedInterval)
+		j.handleEvent(steering.Event{Kind: steering.EventServerGone, Server: "i-0"})
+	}, string(steering.EventServerChanged), string(steering.EventServerGone), omittedChangesMessage)
+	if got, want := len(lines), maxChangesPerSecond+2; got != want {
+		t.Fatalf("%d lines, want %d: the first changes, the number of the others, and a later change", got, want)
+	}
+	if got, want := lines[maxChangesPerSecond].Counts[string(steering.EventServerChanged)], servers-maxChangesPerSecond; got != want {
+		t.Errorf("%d changes counted, want %d", got, want)
+	}
+	if got := lines[maxChangesPerSecond+1].Message; got != string(steering.EventServerGone) {
+		t.Errorf("the last line is %q, want the later change", got)
+	}
+}
--- a/internal/proxy/forward/members.go
+++ b/internal/proxy/forward/members.go
@@ -81,7 +81,9 @@
 		if e.Tentative {
 			f.daemon.withKernel(func(k *steering.Kernel, now time.Time) { k.IgnoreMissingProxiesUntil(now.Add(absenceGracePeriod)) })
 		}
-		klog.InfoS("proxy removed", "proxy", name)
+		if f.daemon.decisionLog.allowChange("proxy-removed") {
+			klog.InfoS("proxy removed", "proxy", name)
+		}
 		return
 	}
 	m, err := f.decodeMember(name, e.Value)
@@ -97,7 +99,9 @@
 	if len(m.Held) > 0 {
 		f.daemon.withKernel(func(k *steering.Kernel, now time.Time) { k.ApplyConcurrencyLimits(now, m.Held) })
 	}
-	klog.InfoS("proxy registered", "proxy", name, "failure-domain", m.Domain)
+	if f.daemon.decisionLog.allowChange("proxy-registered") {
+		klog.InfoS("proxy registered", "proxy", name, "failure-domain", m.Domain)
+	}
 }
 
 // decodeMember decodes a proxy's entry. Callers are sent to its address and rate limits are
