Show a fleet of a thousand proxies without listing its servers a thousand times

Each of nine gauges listed all 10,002 servers when the metrics were read, some 20 MB of garbage a scrape, and `gypsumquayctl steering status` fetched the same list from each proxy. Gauges now share one count, and the command asks up to 64 proxies at once for a summary, within 20 s. A proxy of the version before ignores the parameter and is shown as before.

--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -5,13 +5,16 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
 const (
-	// PathStatus returns the status of the proxy.
+	// PathStatus returns the status of the proxy. With the query parameter summary, it leaves out
+	// proxies, routes and the backend servers that signal nothing: from each proxy of a large fleet,
+	// these would be megabytes.
 	PathStatus = "/v1/steering"
 	// PathEvents lists the decisions of the proxy; the query parameter request selects those about
 	// one request.
@@ -45,8 +48,10 @@
 		QuotaPool    string          `json:"pool-of-limits,omitempty"`
 		Proxies      []Proxy         `json:"proxies"`
 		Servers      []BackendServer `json:"backend-servers"`
-		Routes       []Route         `json:"routes"`
-		At           time.Time       `json:"at"`
+		// ServerCount is the number of all backend servers.
+		ServerCount int       `json:"backend-server-count,omitempty"`
+		Routes      []Route   `json:"routes"`
+		At          time.Time `json:"at"`
 	}
 
 	// Proxy is a proxy that the responding proxy knows.
@@ -212,3 +217,15 @@
 	}
 	return "in use"
 }
+
+// Summary returns the status without proxies, routes and the backend servers that signal nothing.
+func (s Status) Summary() Status {
+	s.Proxies, s.Routes = nil, nil
+	s.Servers = slices.DeleteFunc(s.Servers, func(b BackendServer) bool { return !b.HasSignals() })
+	return s
+}
+
+// HasSignals reports whether the server signals a limit, a pause or a drain.
+func (b BackendServer) HasSignals() bool {
+	return b.Limit != nil || b.PausedFor != "" || b.ReportsDraining
+}
--- a/internal/adapter/steeringhttp/client.go
+++ b/internal/adapter/steeringhttp/client.go
@@ -15,6 +15,8 @@
 
 const (
 	clientTimeout = 3 * time.Second
+	// summaryParameter is the query parameter of PathStatus for a summary.
+	summaryParameter = "summary"
 )
 
 type (
@@ -34,6 +36,15 @@
 	return s, err
 }
 
+// Summary returns the status of a proxy without proxies, routes and the backend servers that signal
+// nothing. A proxy of an earlier version includes them.
+func (c *Client) Summary(ctx context.Context, proxy netip.AddrPort) (Status, error) {
+	var s Status
+	err := c.get(ctx, "http://"+proxy.String()+PathStatus+"?"+summaryParameter, &s)
+	s.ServerCount = max(s.ServerCount, len(s.Servers))
+	return s, err
+}
+
 // Events returns the decisions of a proxy about a request, or all if request is empty.
 func (c *Client) Events(ctx context.Context, proxy netip.AddrPort, request string) ([]Event, error) {
 	var list []Event
--- a/internal/adapter/steeringhttp/server.go
+++ b/internal/adapter/steeringhttp/server.go
@@ -29,8 +29,12 @@
 // HTTPServer returns an HTTP server for the API, with timeouts.
 func (s *Server) HTTPServer() *http.Server {
 	router := mux.NewRouter()
-	router.HandleFunc(PathStatus, func(w http.ResponseWriter, _ *http.Request) {
-		writeJSON(w, s.Status())
+	router.HandleFunc(PathStatus, func(w http.ResponseWriter, r *http.Request) {
+		status := s.Status()
+		if r.URL.Query().Has(summaryParameter) {
+			status = status.Summary()
+		}
+		writeJSON(w, status)
 	}).Methods(http.MethodGet)
 	router.HandleFunc(PathEvents, func(w http.ResponseWriter, r *http.Request) {
 		writeJSON(w, s.Events(r.URL.Query().Get("request")))
--- a/internal/client/command/accounts.go
+++ b/internal/client/command/accounts.go
@@ -39,7 +39,7 @@
 )
 
 func (a *SteeringAccountsArguments) run(s *session, c *steeringhttp.Client) (Result, error) {
-	responses, err := queryAll(s, c, c.Status)
+	responses, err := queryAll(s, c, c.Summary)
 	if err != nil {
 		return Result{}, err
 	}
--- a/internal/client/command/signals.go
+++ b/internal/client/command/signals.go
@@ -45,7 +45,7 @@
 )
 
 func (a *SteeringSignalsArguments) run(s *session, c *steeringhttp.Client) (Result, error) {
-	responses, err := queryAll(s, c, c.Status)
+	responses, err := queryAll(s, c, c.Summary)
 	if err != nil {
 		return Result{}, err
 	}
@@ -71,7 +71,7 @@
 
 // addSignals adds the signals of a server that one proxy knows.
 func addSignals(byServer map[string]*ServerSignals, b steeringhttp.BackendServer) {
-	if b.Limit == nil && b.PausedFor == "" && !b.ReportsDraining {
+	if !b.HasSignals() {
 		return
 	}
 	v := byServer[b.ID]
--- a/internal/client/command/steering.go
+++ b/internal/client/command/steering.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -17,7 +18,10 @@
 
 const (
 	// maxConcurrentQueries limits the proxies that are queried concurrently.
-	maxConcurrentQueries = 16
+	maxConcurrentQueries = 64
+	// queryTimeout limits the time for the queries to all proxies. Those that have not responded
+	// then are listed.
+	queryTimeout = 20 * time.Second
 )
 
 type (
@@ -135,6 +139,8 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithTimeout(s.ctx, queryTimeout)
+	defer cancel()
 	responses := make([]proxyResponse[T], len(status.Proxies))
 	semaphore := make(chan struct{}, maxConcurrentQueries)
 	var group sync.WaitGroup
@@ -143,7 +149,7 @@
 			semaphore <- struct{}{}
 			defer func() { <-semaphore }()
 			responses[i].Proxy = p
-			value, err := query(s.ctx, p.OperatorAddress)
+			value, err := query(ctx, p.OperatorAddress)
 			responses[i].Value = value
 			if err != nil {
 				responses[i].Error = err.Error()
@@ -166,7 +172,7 @@
 }
 
 func steeringStatus(s *session, c *steeringhttp.Client) (Result, error) {
-	responses, err := queryAll(s, c, c.Status)
+	responses, err := queryAll(s, c, c.Summary)
 	if err != nil {
 		return Result{}, err
 	}
@@ -179,7 +185,7 @@
 		}
 		v := a.Value
 		fmt.Fprintf(&text, "%-24s %-16s %-12s %7d %9d %8s %9d %8d\n", v.VM, a.Proxy.Domain, a.Proxy.Region,
-			v.ConfigurationVersion, v.ReplicaRevision, v.ReplicaAge, v.InFlight, len(v.Servers))
+			v.ConfigurationVersion, v.ReplicaRevision, v.ReplicaAge, v.InFlight, v.ServerCount)
 		if len(v.MechanismsOff) > 0 {
 			fmt.Fprintf(&text, "%24s switched off: %v\n", "", v.MechanismsOff)
 		}
--- a/internal/kernel/steering/status.go
+++ b/internal/kernel/steering/status.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -36,6 +37,15 @@
 		QuotaPool    string
 	}
 
+	// Counts summarizes the state of one proxy without listing servers.
+	Counts struct {
+		Version                            uint64
+		InFlight, Proxies, Servers         int
+		LimitedServers, PausedServers      int
+		DrainingServers                    int
+		RegionsWithoutProxies, Quarantined int
+	}
+
 	// AccountStatus is a client account and its usage at this proxy.
 	AccountStatus struct {
 		*account.Account
@@ -72,6 +82,27 @@
 	}
 )
 
+// Counts returns a summary of the kernel.
+func (k *Kernel) Counts(now time.Time) Counts {
+	c := Counts{
+		Version: k.Version(), Proxies: len(k.proxies), Servers: len(k.servers),
+		RegionsWithoutProxies: len(k.regionsWithoutProxies()), Quarantined: len(k.QuarantinedWork(now)),
+	}
+	for _, s := range k.servers {
+		c.InFlight += s.inFlight
+		if s.backpressure.Limit(now).Set {
+			c.LimitedServers++
+		}
+		if s.backpressure.Paused(now) {
+			c.PausedServers++
+		}
+		if s.backpressure.Draining() {
+			c.DrainingServers++
+		}
+	}
+	return c
+}
+
 // Status returns a snapshot of the kernel.
 func (k *Kernel) Status(now time.Time) Status {
 	s := Status{Version: k.Version(), Proxies: slices.Clone(k.proxies), Evacuated: k.EvacuatedDomains(), RegionsWithoutProxies: k.regionsWithoutProxies(), MechanismsOff: k.config.Off, ConcurrencyLimits: k.ConcurrencyLimits(now), QuarantinedWork: k.QuarantinedWork(now)}
@@ -85,7 +116,9 @@
 			Load: server.load(now), LoadAge: server.loadAge(now), Limit: server.backpressure.Limit(now), PausedFor: server.backpressure.PauseRemaining(now), ReportsDraining: server.backpressure.Draining(), Slowdown: server.slowdown, FailureShare: server.failureShare,
 		})
 	}
-	slices.SortFunc(s.Servers, func(a, server ServerStatus) int { return strings.Compare(a.Service+a.ID, server.Service+server.ID) })
+	slices.SortFunc(s.Servers, func(a, b ServerStatus) int {
+		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.ID, b.ID))
+	})
 	return s
 }
 
--- a/internal/proxy/forward/handlers.go
+++ b/internal/proxy/forward/handlers.go
@@ -73,6 +73,7 @@
 		ReplicaAge: d.replica.age().Round(time.Millisecond).String(), InFlight: status.InFlight, Stopping: d.isStopping(),
 		EvacuatedDomains: status.Evacuated, RegionsWithoutProxies: status.RegionsWithoutProxies, MechanismsOff: status.MechanismsOff, ConcurrencyLimits: status.ConcurrencyLimits, Proxies: d.replica.proxies(), At: time.Now(),
 	}
+	s.ServerCount = len(status.Servers)
 	for _, b := range status.Servers {
 		s.Servers = append(s.Servers, serverStatus(b))
 	}
--- a/internal/proxy/forward/metrics.go
+++ b/internal/proxy/forward/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -9,6 +10,11 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
+const (
+	// countsMaxAge is for how long gauges show the same counts.
+	countsMaxAge = 100 * time.Millisecond
+)
+
 type (
 	// proxyMetrics holds the process's metrics. Names follow the Prometheus conventions: base
 	// units, and _total for counters.
@@ -101,32 +107,36 @@
 
 // registerGauges adds the gauges, which are computed when the metrics are read.
 func (m *proxyMetrics) registerGauges(d *Daemon, dropped func() uint64) {
-	status := func(read func(steering.Status) float64) func() float64 {
-		return func() float64 {
-			var s steering.Status
-			d.withKernel(func(k *steering.Kernel, now time.Time) { s = k.Status(now) })
-			return read(s)
-		}
-	}
-	m.set.NewGauge("gypsumquay_configuration_version", status(func(s steering.Status) float64 { return float64(s.Version) }))
-	m.set.NewGauge("gypsumquay_in_flight_requests", status(func(s steering.Status) float64 { return float64(s.InFlight) }))
-	m.set.NewGauge("gypsumquay_live_proxies", status(func(s steering.Status) float64 { return float64(len(s.Proxies)) }))
-	m.set.NewGauge("gypsumquay_backend_servers", status(func(s steering.Status) float64 { return float64(len(s.Servers)) }))
-	servers := func(matches func(steering.ServerStatus) bool) func() float64 {
-		return status(func(s steering.Status) (n float64) {
-			for _, b := range s.Servers {
-				if matches(b) {
-					n++
-				}
-			}
-			return n
-		})
+	counts := cachedCounts(d)
+	for name, read := range map[string]func(steering.Counts) int{
+		"gypsumquay_configuration_version":   func(c steering.Counts) int { return int(c.Version) },
+		"gypsumquay_in_flight_requests":      func(c steering.Counts) int { return c.InFlight },
+		"gypsumquay_live_proxies":            func(c steering.Counts) int { return c.Proxies },
+		"gypsumquay_backend_servers":         func(c steering.Counts) int { return c.Servers },
+		"gypsumquay_limited_servers":         func(c steering.Counts) int { return c.LimitedServers },
+		"gypsumquay_pausing_servers":         func(c steering.Counts) int { return c.PausedServers },
+		"gypsumquay_leaving_servers":         func(c steering.Counts) int { return c.DrainingServers },
+		"gypsumquay_regions_without_proxies": func(c steering.Counts) int { return c.RegionsWithoutProxies },
+		"gypsumquay_condemned_works":         func(c steering.Counts) int { return c.Quarantined },
+	} {
+		m.set.NewGauge(name, func() float64 { return float64(read(counts())) })
 	}
-	m.set.NewGauge("gypsumquay_limited_servers", servers(func(b steering.ServerStatus) bool { return b.Limit.Set }))
-	m.set.NewGauge("gypsumquay_pausing_servers", servers(func(b steering.ServerStatus) bool { return b.PausedFor > 0 }))
-	m.set.NewGauge("gypsumquay_leaving_servers", servers(func(b steering.ServerStatus) bool { return b.ReportsDraining }))
-	m.set.NewGauge("gypsumquay_regions_without_proxies", status(func(s steering.Status) float64 { return float64(len(s.RegionsWithoutProxies)) }))
-	m.set.NewGauge("gypsumquay_condemned_works", status(func(s steering.Status) float64 { return float64(len(s.QuarantinedWork)) }))
 	m.set.NewGauge("gypsumquay_store_copy_age_seconds", func() float64 { return d.replica.age().Seconds() })
 	m.set.NewGauge("gypsumquay_log_lines_dropped", func() float64 { return float64(dropped()) })
 }
+
+// cachedCounts returns a function that counts the kernel's state once for all gauges of a scrape.
+func cachedCounts(d *Daemon) func() steering.Counts {
+	var mu sync.Mutex
+	var cached steering.Counts
+	var countedAt time.Time
+	return func() steering.Counts {
+		mu.Lock()
+		defer mu.Unlock()
+		if now := d.now(); countedAt.IsZero() || now.Sub(countedAt) > countsMaxAge {
+			d.withKernel(func(k *steering.Kernel, now time.Time) { cached = k.Counts(now) })
+			countedAt = now
+		}
+		return cached
+	}
+}
