Exchange changes with few peers, and get first copies from near ones

Memory of a proxy grew with the time since its start, to 86 MB in a fleet of 985: each exchange went to a random peer, connections to peers are kept for a minute, and a proxy had up to 907 open files. It now has a few neighbors, 2 log2 of its region's size and at least eight in other regions, of which one of each is replaced every ten seconds. What follows from the list of proxies is derived once for each change of the list. A proxy that starts is named peers of its own failure domain first; its domain travels beside the message, so proxies of the version before answer as they did. Bytes between proxies are counted by the border that they cross, messages by kind, full copies by direction.

--- a/internal/adapter/peerdrpc/client.go
+++ b/internal/adapter/peerdrpc/client.go
@@ -31,11 +31,9 @@
 		pool *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
 		// TLS returns the current client configuration, or nil for plain TCP.
 		TLS func() *tls.Config
-		// OnSent is called with the number of bytes of each write to a peer. Bytes are counted only
-		// if OnReceived is set too.
-		OnSent func(int)
-		// OnReceived is called with the number of bytes of each read from a peer.
-		OnReceived func(int)
+		// CountBytes returns the functions that are called with the number of bytes of each write to
+		// a peer and of each read from it. It may be nil.
+		CountBytes func(netip.AddrPort) (sent, received func(int))
 	}
 
 	countedConn struct {
@@ -79,8 +77,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial peer")
 	}
-	if c.OnSent != nil && c.OnReceived != nil {
-		conn = &countedConn{Conn: conn, sent: c.OnSent, received: c.OnReceived}
+	if c.CountBytes != nil {
+		counted := &countedConn{Conn: conn}
+		counted.sent, counted.received = c.CountBytes(address)
+		conn = counted
 	}
 	if config := c.TLS(); config != nil {
 		// The peer's certificate must be valid for the IP address that was dialed.
--- a/internal/adapter/peerdrpc/sync.go
+++ b/internal/adapter/peerdrpc/sync.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
+	"storj.io/drpc/drpcmetadata"
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/peerpb"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
@@ -25,6 +26,8 @@
 	// compressionLevel is the fastest level, since registrations are similar enough to compress
 	// well (BenchmarkCompressEntries).
 	compressionLevel = flate.BestSpeed
+	// domainMetadata is the metadata of a call that holds the failure domain of the caller.
+	domainMetadata = "failure-domain"
 	// maxDecompressedBytes limits the decompressed size of the entries in a peer's message.
 	maxDecompressedBytes = 64 << 20
 )
@@ -36,7 +39,10 @@
 		// StartMillis is the start time of the sender's process in Unix milliseconds, by its own
 		// clock, or zero if it is not known.
 		StartMillis int64
-		Leaving     bool
+		// Domain is the failure domain of a sender that has no copy yet. It may be empty. It is sent
+		// beside the message, so a receiver of an earlier version does not see it.
+		Domain  string
+		Leaving bool
 		replica.Delta
 		// LearnedLimits are the services whose concurrency the sender limits by evidence of its
 		// own.
@@ -55,11 +61,14 @@
 )
 
 // Sync implements peerpb.DRPCReplicaServer.
-func (s *syncService) Sync(_ context.Context, in *peerpb.SyncMessage) (*peerpb.SyncMessage, error) {
+func (s *syncService) Sync(ctx context.Context, in *peerpb.SyncMessage) (*peerpb.SyncMessage, error) {
 	m, err := decodeSync(in)
 	if err != nil {
 		return nil, err
 	}
+	if metadata, ok := drpcmetadata.Get(ctx); ok {
+		m.Domain = metadata[domainMetadata]
+	}
 	return encodeSync(s.handlers.Sync(m))
 }
 
@@ -67,6 +76,9 @@
 func (c *Client) Sync(ctx context.Context, to netip.AddrPort, m SyncMessage) (SyncMessage, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	if m.Domain != "" {
+		ctx = drpcmetadata.Add(ctx, domainMetadata, m.Domain)
+	}
 	in, err := encodeSync(m)
 	if err != nil {
 		return SyncMessage{}, err
--- a/internal/adapter/peerdrpc/sync_test.go
+++ b/internal/adapter/peerdrpc/sync_test.go
@@ -1,8 +1,11 @@
 package peerdrpc
 
 import (
+	"context"
+	"crypto/tls"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"reflect"
 	"testing"
@@ -75,3 +78,32 @@
 	b.ReportMetric(float64(m.Size())/float64(size), "x-smaller")
 	b.ReportMetric(float64(size), "bytes")
 }
+
+// Guards against a proxy without a copy whose failure domain is lost on the way: it would get its
+// copy from far away.
+func TestDomainOfNewProxyIsReceived(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	received := make(chan string, 1)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- ServeSync(ctx, listener, SyncHandlers{Sync: func(m SyncMessage) SyncMessage { received <- m.Domain; return SyncMessage{} }})
+	}()
+	client := NewClient(func() *tls.Config { return nil })
+	for _, want := range []string{"north-a", ""} {
+		if _, err := client.Sync(ctx, netip.MustParseAddrPort(listener.Addr().String()), SyncMessage{From: "new", Domain: want}); err != nil {
+			t.Fatal(err)
+		}
+		if got := <-received; got != want {
+			t.Errorf("received the failure domain %q, want %q", got, want)
+		}
+	}
+	if err := client.Close(); err != nil {
+		t.Error(err)
+	}
+	cancel()
+	<-ended
+}
--- a/internal/proxy/daemon/daemon.go
+++ b/internal/proxy/daemon/daemon.go
@@ -58,8 +58,9 @@
 	}
 	d := &Daemon{settings: s, identity: identity, metrics: newProcessMetrics()}
 	d.peerClient = peerdrpc.NewClient(identity.ClientConfig)
-	d.peerClient.OnSent = d.metrics.addPeerSent
-	d.peerClient.OnReceived = d.metrics.addPeerReceived
+	d.peerClient.CountBytes = func(netip.AddrPort) (sent, received func(int)) {
+		return d.metrics.addPeerSent, d.metrics.addPeerReceived
+	}
 	d.platformClient = kvhttp.NewClient(s.PlatformAddresses)
 	d.platformClient.OnCall = d.metrics.countPlatformCall
 	config, err := newKernelConfig(s)
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -93,7 +93,9 @@
 	d.quarantine = newQuarantineStore(d, deps.Store)
 	d.quotas = newQuotaClient(d, deps.Store)
 	d.peerClient = peerdrpc.NewClient(func() *tls.Config { return nil })
-	d.peerClient.OnSent, d.peerClient.OnReceived = d.metrics.peerBytesSent.Add, d.metrics.peerBytesReceived.Add
+	d.peerClient.CountBytes = func(to netip.AddrPort) (sent, received func(int)) {
+		return d.metrics.peerBytes(d.replica.borderTo(to))
+	}
 	d.metrics.registerGauges(d, deps.DroppedLogLines)
 	d.slots = newSlotClient(d)
 	d.gossip = &gossip{replica: d.replica, send: d.peerClient.Sync}
--- a/internal/proxy/forward/gossip.go
+++ b/internal/proxy/forward/gossip.go
@@ -36,8 +36,12 @@
 	// changed. By exchanges alone this took three seconds in a region of a hundred, so that dozens
 	// of proxies considered their copies stale and queried the store themselves.
 	confirmFanout = 12
-	// maxNamedPeers is how many other peers a proxy names if it can't send a full copy itself.
+	// maxNamedPeers is how many other peers a proxy names if it can't send a full copy itself, and
+	// maxNamedNear how many of them are in the failure domain of the proxy that asks: of a thousand
+	// proxies that start at once, most should get their copies from near ones, but some of each
+	// domain from elsewhere.
 	maxNamedPeers = 4
+	maxNamedNear  = 3
 	// offerMinBytes is the size from which a peer is first asked whether it already has a change:
 	// otherwise two relays and the exchanges would each send it a whole configuration.
 	offerMinBytes = 2 << 10
@@ -48,7 +52,17 @@
 	exchangesPerRemote = 4
 )
 
+const (
+	// The kinds of messages that a proxy sends to peers, for metrics.
+	messageExchange peerMessageKind = "exchange"
+	messageChanges  peerMessageKind = "changes"
+	messageOffer    peerMessageKind = "offer"
+)
+
 type (
+	// peerMessageKind is a kind of messages to peers.
+	peerMessageKind string
+
 	// gossip exchanges the copy's changes with other proxies.
 	gossip struct {
 		replica *storeReplica
@@ -76,6 +90,9 @@
 // exchange sends a peer this copy's revision, merges the changes that the peer returns, and sends
 // it those that it lacks.
 func (g *gossip) exchange(ctx context.Context, to netip.AddrPort) {
+	metrics := g.replica.daemon.metrics
+	metrics.recordPeerMessage(messageExchange)
+	metrics.replicaAge.Update(g.replica.age().Seconds())
 	reply, err := g.send(ctx, to, g.message(g.replica.deltaSince(g.replica.revision()), false))
 	if err != nil {
 		klog.V(1).InfoS("exchange with peer failed", "peer", to, "error", err.Error())
@@ -88,6 +105,7 @@
 }
 
 func (g *gossip) sendDelta(ctx context.Context, to netip.AddrPort, since uint64) {
+	g.replica.daemon.metrics.recordPeerMessage(messageChanges)
 	reply, err := g.send(ctx, to, g.message(g.replica.deltaSince(since), false))
 	if err != nil {
 		klog.V(1).InfoS("changes not delivered to peer", "peer", to, "error", err.Error())
@@ -104,7 +122,7 @@
 	}
 	response := g.message(g.replica.deltaSince(m.Revision), m.Revision == 0)
 	if m.Revision == 0 && !response.Full {
-		response.OtherPeers = g.namePeers()
+		response.OtherPeers = g.replica.namePeers(m.Domain)
 	}
 	return response
 }
@@ -122,31 +140,31 @@
 	g.mu.Lock()
 	g.namedPeers = m.OtherPeers
 	g.mu.Unlock()
+	if m.Full {
+		g.replica.daemon.metrics.fullCopiesReceived.Inc()
+	}
 	return g.replica.apply(m.Delta)
 }
 
-// namePeers picks a few peers for a proxy that starts: hundreds may start at once and know only
-// the same three seeds, which couldn't send a full copy to all of them.
-func (g *gossip) namePeers() []netip.AddrPort {
-	local, remote := g.peers()
-	list := slices.Concat(local, slices.Concat(slices.Collect(maps.Values(remote))...))
-	return sample(list, maxNamedPeers)
-}
-
 // message returns a message with a delta of the copy and this proxy's other state. A peer that
 // has just started gets all quarantine and backpressure reports.
 func (g *gossip) message(d replica.Delta, newPeer bool) peerdrpc.SyncMessage {
+	domain := ""
+	if d.Revision == 0 {
+		domain = g.replica.daemon.settings.Domain
+	}
 	return peerdrpc.SyncMessage{
+		Domain:            domain,
 		QuarantineReports: g.replica.daemon.quarantineReports(newPeer), BackpressureReports: g.replica.daemon.backpressureReports(newPeer),
 		From: g.replica.daemon.settings.Name, StartMillis: g.replica.daemon.startMillis(), Leaving: g.replica.daemon.isStopping(),
 		LearnedLimits: g.replica.daemon.learnedLimits(), Delta: d,
 	}
 }
 
-// pickPeer picks a random peer, mostly of this region. If no peers are known, it picks one that a
+// pickPeer picks a random neighbor, mostly of this region. If no peers are known, it picks one that a
 // seed named, or a seed.
 func (g *gossip) pickPeer() (netip.AddrPort, bool) {
-	local, remote := g.peers()
+	local, remote, _ := g.replica.neighborPeers()
 	list := local
 	if len(remote) > 0 && (len(local) == 0 || rand.N(exchangesPerRemote) == 0) {
 		list = slices.Concat(slices.Collect(maps.Values(remote))...)
@@ -175,28 +193,10 @@
 	return list
 }
 
-// peers lists the other proxies of this region and those of each other region.
-func (g *gossip) peers() (local []netip.AddrPort, remote map[string][]netip.AddrPort) {
-	f := g.replica
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	remote = make(map[string][]netip.AddrPort)
-	for name, m := range f.members {
-		switch {
-		case name == f.daemon.settings.Name:
-		case m.Region == f.daemon.settings.Region:
-			local = append(local, m.Peers)
-		default:
-			remote[m.Region] = append(remote[m.Region], m.Peers)
-		}
-	}
-	return local, remote
-}
-
 // spread sends changes to the peers of this region, up to spreadFanout, and to one proxy in each
 // other region, in case that region's relays can't reach the store.
 func (g *gossip) spread(ctx context.Context, since uint64) {
-	local, remote := g.peers()
+	local, remote, _ := g.replica.neighborPeers()
 	list := sample(local, spreadFanout)
 	for _, region := range remote {
 		list = append(list, region[rand.N(len(region))])
@@ -213,6 +213,7 @@
 		return
 	}
 	sleep.For(ctx, time.Duration(min(g.replica.rank(), replica.RelaysPerRegion))*offerStagger)
+	g.replica.daemon.metrics.recordPeerMessage(messageOffer)
 	reply, err := g.send(ctx, to, g.message(g.replica.deltaSince(g.replica.revision()), false))
 	if err != nil {
 		klog.V(1).InfoS("changes not delivered to peer", "peer", to, "error", err.Error())
@@ -226,8 +227,8 @@
 
 // confirm tells some peers of a large region that the copy still matches the store.
 func (g *gossip) confirm(ctx context.Context) {
-	local, _ := g.peers()
-	if len(local) <= spreadFanout {
+	local, _, localCount := g.replica.neighborPeers()
+	if localCount <= spreadFanout {
 		return
 	}
 	for _, to := range sample(local, confirmFanout) {
@@ -240,7 +241,7 @@
 // with four and three alerts from each, 1,300 proxies are reached within four rounds. It returns
 // the number of peers alerted.
 func (g *gossip) sendAlerts(ctx context.Context) int {
-	local, remote := g.peers()
+	local, remote, _ := g.replica.neighborPeers()
 	list := sample(local, forwardFanout)
 	var remotePeers []netip.AddrPort
 	for _, region := range remote {
@@ -258,21 +259,15 @@
 // proxy would. In a region too large for its relays to reach all proxies, each proxy forwards to a
 // few.
 func (g *gossip) forward(ctx context.Context, since uint64) {
-	local, _ := g.peers()
+	local, _, localCount := g.replica.neighborPeers()
 	fanout := 0
 	switch {
 	case g.replica.rank() < replica.RelaysPerRegion:
 		fanout = spreadFanout
-	case len(local) > spreadFanout:
+	case localCount > spreadFanout:
 		fanout = forwardFanout
 	}
 	for _, to := range sample(local, fanout) {
 		go g.offerDelta(ctx, to, since)
 	}
 }
-
-// sample returns up to limit random elements of a list, which it shuffles.
-func sample(list []netip.AddrPort, limit int) []netip.AddrPort {
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(len(list), limit)]
-}
--- a/internal/proxy/forward/gossip_test.go
+++ b/internal/proxy/forward/gossip_test.go
@@ -82,6 +82,33 @@
 	}
 }
 
+// Guards against a thousand proxies that start at once and get their copies across the borders of
+// failure domains and regions.
+func TestNamedPeersAreMostlyNear(t *testing.T) {
+	f := newFleet(t, 1)
+	g := &gossip{replica: f.newIdleDaemon().replica}
+	const perDomain = 20
+	near := make(map[netip.AddrPort]bool)
+	for i := range 3 * perDomain {
+		name, domain := fmt.Sprintf("peer-%d", i), string(rune('a'+i%3))
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
+		g.replica.members[name] = proxyEntry{Name: name, Domain: domain, Region: "north", Peers: address}
+		near[address] = domain == "b"
+	}
+	for domain, want := range map[string]int{"b": maxNamedNear, "unknown": 0} {
+		got := 0
+		named := g.handle(context.Background(), peerdrpc.SyncMessage{From: "newcomer", Domain: domain}).OtherPeers
+		for _, address := range named {
+			if near[address] {
+				got++
+			}
+		}
+		if len(named) != maxNamedPeers || domain == "b" && got != want {
+			t.Errorf("a proxy in %q: %d peers named, %d of them near; want %d and %d", domain, len(named), got, maxNamedPeers, want)
+		}
+	}
+}
+
 // A large store is read in many pages over a narrow link. If a peer's copy arrives first, the read
 // must be canceled, or it would fill the link for another second.
 func TestStoreReadIsCanceledWhenPeerCopyArrives(t *testing.T) {
--- a/internal/proxy/forward/members.go
+++ b/internal/proxy/forward/members.go
@@ -197,15 +197,3 @@
 	defer f.mu.Unlock()
 	return f.membershipChanges
 }
-
-// rank is this proxy's rank among those of its region. While no proxies are known, as when a whole
-// fleet starts, only the seeds are relays: when hundreds of proxies each considered themselves the
-// first, each made a store call for every other proxy's entry.
-func (f *storeReplica) rank() int {
-	settings := f.daemon.settings
-	list := f.candidates(func(m proxyEntry) bool { return m.Region == settings.Region })
-	if len(list) == 0 && len(settings.Seeds) > 0 && !slices.Contains(settings.Seeds, settings.Listen.Peers) {
-		return replica.RelaysPerRegion
-	}
-	return replica.Rank(settings.Name, list)
-}
--- a/internal/proxy/forward/metrics.go
+++ b/internal/proxy/forward/metrics.go
@@ -22,8 +22,9 @@
 		set                      *metrics.Set
 		serverConnectionsOpened  *metrics.Counter
 		callerConnectionsRefused *metrics.Counter
-		peerBytesSent            *metrics.Counter
-		peerBytesReceived        *metrics.Counter
+		fullCopiesSent           *metrics.Counter
+		fullCopiesReceived       *metrics.Counter
+		replicaAge               *metrics.Histogram
 		requests                 map[requestLabels]*metrics.Counter
 		attempts                 map[attemptLabels]*metrics.Counter
 		durations                map[string]*metrics.Histogram
@@ -47,8 +48,9 @@
 		set:                      set,
 		serverConnectionsOpened:  set.NewCounter("gypsumquay_server_connections_opened_total"),
 		callerConnectionsRefused: set.NewCounter("gypsumquay_caller_connections_refused_total"),
-		peerBytesSent:            set.NewCounter("gypsumquay_peer_sent_bytes_total"),
-		peerBytesReceived:        set.NewCounter("gypsumquay_peer_received_bytes_total"),
+		fullCopiesSent:           set.NewCounter(`gypsumquay_full_copies_total{direction="sent"}`),
+		fullCopiesReceived:       set.NewCounter(`gypsumquay_full_copies_total{direction="received"}`),
+		replicaAge:               set.NewHistogram("gypsumquay_store_copy_age_at_exchange_seconds"),
 		requests:                 make(map[requestLabels]*metrics.Counter),
 		attempts:                 make(map[attemptLabels]*metrics.Counter),
 		durations:                make(map[string]*metrics.Histogram),
@@ -95,6 +97,17 @@
 	counter.Inc()
 }
 
+// peerBytes returns the functions that count the bytes of a connection to a peer across a border.
+func (m *proxyMetrics) peerBytes(b border) (sent, received func(int)) {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("gypsumquay_peer_sent_bytes_total{border=%q}", string(b))).Add,
+		m.set.GetOrCreateCounter(fmt.Sprintf("gypsumquay_peer_received_bytes_total{border=%q}", string(b))).Add
+}
+
+// recordPeerMessage counts a message to a peer.
+func (m *proxyMetrics) recordPeerMessage(kind peerMessageKind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("gypsumquay_peer_messages_total{kind=%q}", string(kind))).Inc()
+}
+
 // recordStoreCall counts a call to the platform's store.
 func (m *proxyMetrics) recordStoreCall(operation string, err error) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("gypsumquay_store_calls_total{operation=%q,failed=\"%t\"}", operation, err != nil)).Inc()
--- a/internal/proxy/forward/storereplica.go
+++ b/internal/proxy/forward/storereplica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,6 +38,9 @@
 		members        map[string]proxyEntry
 		// membershipChanges counts the changes of members, including proxies that start to leave.
 		membershipChanges int
+		// currentView is derived from members, and neighbors are chosen from neighborsView.
+		currentView, neighborsView *peerView
+		neighbors                  *replica.Neighbors
 		// proxiesSetAt is when the kernel last got the list of live proxies; proxiesStale is set
 		// if members have changed since.
 		proxiesSetAt time.Time
@@ -62,6 +66,7 @@
 		rewriteEntry: make(chan struct{}, 1), loaded: make(chan struct{}),
 	}
 }
+		neighbors: replica.NewNeighbors(d.settings.Region, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 
 // apply merges a delta into the copy and reports whether the copy advanced.
 func (f *storeReplica) apply(d replica.Delta) bool {
@@ -178,8 +183,11 @@
 	if f.copy.Revision() <= revision {
 		return header
 	}
-	if revision == 0 && !f.fullCopyBudget.Allow(now, f.copy.CompressedSize()) {
-		return header
+	if revision == 0 {
+		if !f.fullCopyBudget.Allow(now, f.copy.CompressedSize()) {
+			return header
+		}
+		f.daemon.metrics.fullCopiesSent.Inc()
 	}
 	return f.copy.Since(now, revision)
 }
