Wait for a peer's copy at the first start of a fleet as long as peers have one

985 proxies that started together gave up on their peers after 1.2 s, in which copies from three seeds reach a few dozen, and read the store themselves. A proxy now goes on waiting, for 6 s at most, while peers report that they have a copy: each passes it on a few times, so the time grows with the logarithm of the fleet. TestFirstStartWaitsWhilePeersHaveCopies.

--- a/internal/proxy/forward/members.go
+++ b/internal/proxy/forward/members.go
@@ -141,6 +141,9 @@
 func (f *storeReplica) handlePeerState(msg peerdrpc.SyncMessage) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.copy.Revision() == 0 && msg.Revision > 0 {
+		f.copyOfferedAt = f.daemon.now()
+	}
 	name := msg.From
 	m, known := f.members[name]
 	if !known {
--- a/internal/proxy/forward/storereplica.go
+++ b/internal/proxy/forward/storereplica.go
@@ -50,6 +50,8 @@
 		// no peer has one.
 		peerFreshAt  time.Time
 		followsAlone bool
+		// copyOfferedAt is when a peer last reported that it has a copy, while this proxy has none.
+		copyOfferedAt time.Time
 		// outage records when the store was unavailable.
 		outage replica.Outage
 		// rewriteEntry asks the registrar to write this proxy's entry again.
@@ -64,9 +66,9 @@
 	return &storeReplica{
 		daemon: d, copy: replica.NewCopy(), members: make(map[string]proxyEntry),
 		rewriteEntry: make(chan struct{}, 1), loaded: make(chan struct{}),
+		neighbors: replica.NewNeighbors(d.settings.Region, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 }
-		neighbors: replica.NewNeighbors(d.settings.Region, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 
 // apply merges a delta into the copy and reports whether the copy advanced.
 func (f *storeReplica) apply(d replica.Delta) bool {
@@ -192,6 +194,16 @@
 	return f.copy.Since(now, revision)
 }
 
+// copyExpected reports whether a proxy that began to wait for a peer's copy at the given time should
+// go on: for seedTimeout, and then while peers report that they have one.
+func (f *storeReplica) copyExpected(start time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.daemon.now()
+	waited := now.Sub(start)
+	return waited < seedTimeout || waited < maxSeedTimeout && now.Sub(f.copyOfferedAt) < seedTimeout
+}
+
 // age is the time since the copy was last known to match the store.
 func (f *storeReplica) age() time.Duration {
 	f.mu.Lock()
--- a/internal/proxy/forward/storewatcher.go
+++ b/internal/proxy/forward/storewatcher.go
@@ -28,6 +28,10 @@
 	// store calls then. A proxy that starts later reads at once, since callers already send it
 	// requests, which it must reject until it is configured.
 	seedTimeout = 1200 * time.Millisecond
+	// maxSeedTimeout is how long it waits while peers report that they have a copy. Each proxy that
+	// has one may pass it on a few times, so the time grows with the logarithm of the fleet: about
+	// four seconds for a thousand proxies.
+	maxSeedTimeout = 5 * seedTimeout
 	// staleReadAge is the age assumed for a copy from a stale read. The copy may be seconds
 	// older; peers supply the rest in the next two exchanges, and if they don't, this proxy
 	// follows the store a second later.
@@ -83,15 +87,15 @@
 	return maxNonRelayBackoff
 }
 
-// waitForSeed waits up to seedTimeout for a copy from a seed when the whole fleet starts, unless
-// this proxy is a seed.
+// waitForSeed waits for a copy from a seed or from a peer that has one when the whole fleet starts,
+// unless this proxy is a seed.
 func (f *storeWatcher) waitForSeed(ctx context.Context) {
 	settings := f.replica.daemon.settings
 	if !settings.FirstStart || len(settings.Seeds) == 0 || slices.Contains(settings.Seeds, settings.Listen.Peers) {
 		return
 	}
-	deadline := f.replica.daemon.now().Add(seedTimeout)
-	for ctx.Err() == nil && f.replica.revision() == 0 && f.replica.daemon.now().Before(deadline) {
+	start := f.replica.daemon.now()
+	for ctx.Err() == nil && f.replica.revision() == 0 && f.replica.copyExpected(start) {
 		sleep.For(ctx, minRetryBackoff)
 	}
 }
--- a/internal/proxy/forward/storewatcher_test.go
+++ b/internal/proxy/forward/storewatcher_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"testing"
 
+	"github.com/gypsumquay/gypsumquay/internal/adapter/peerdrpc"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
 )
 
@@ -75,3 +76,20 @@
 		}
 	}
 }
+
+// Guards against a whole fleet that reads the store at its first start: copies spread from a few
+// seeds in several rounds, and most proxies gave up before one reached them.
+func TestFirstStartWaitsWhilePeersHaveCopies(t *testing.T) {
+	d := newSeededDaemon(t, false)
+	start := d.now().Add(-2 * seedTimeout)
+	if d.replica.copyExpected(start) {
+		t.Error("a proxy goes on waiting although no peer has a copy")
+	}
+	d.gossip.merge(peerdrpc.SyncMessage{From: "peer", Delta: replica.Delta{Base: 9, Revision: 9}})
+	if !d.replica.copyExpected(start) {
+		t.Error("a proxy reads the store although a peer has a copy")
+	}
+	if d.replica.copyExpected(d.now().Add(-maxSeedTimeout)) {
+		t.Errorf("a proxy goes on waiting after %v", maxSeedTimeout)
+	}
+}
