--- a/internal/adapter/forwardhttp/pipeline.go
+++ b/internal/adapter/forwardhttp/pipeline.go
@@ -259,11 +259,11 @@
 			text = append(slices.Clone(p.headStart), text...)
 		}
 		head, outcome := parseHead(text)
-		switch {
-		case outcome == headIncomplete:
+		switch outcome {
+		case headIncomplete:
 			p.opaque = len(text) >= maxReadAheadBytes
 			return
-		case outcome == headUnsupported:
+		case headUnsupported:
 			p.opaque = true
 			return
 		}
--- a/internal/adapter/forwardhttp/pipeline_test.go
+++ b/internal/adapter/forwardhttp/pipeline_test.go
@@ -162,6 +162,7 @@
 	if err != nil {
 		return err.Error(), true
 	}
+	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		return err.Error(), true
--- a/internal/adapter/forwardhttp/stream_test.go
+++ b/internal/adapter/forwardhttp/stream_test.go
@@ -85,6 +85,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer func() { _ = response.Body.Close() }()
 	if got := response.Header; got.Get("Seal") != "s" || got.Get("Attempt") != "id-1" || got.Get("Load") != "" {
 		t.Errorf("got header %v, want the server's without its load", got)
 	}
@@ -112,6 +113,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	if err == nil {
 		t.Errorf("got %d bytes without an error, want the connection closed within the response", len(body))
@@ -151,6 +153,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer func() { _ = response.Body.Close() }()
 	if n, err := io.Copy(io.Discard, response.Body); n != length || err != nil {
 		t.Errorf("got %d bytes and error %v, want %d", n, err, length)
 	}
--- a/internal/adapter/peerdrpc/sync_test.go
+++ b/internal/adapter/peerdrpc/sync_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
@@ -105,5 +106,7 @@
 		t.Error(err)
 	}
 	cancel()
-	<-ended
+	if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
+		t.Errorf("the peer's server ended with %v", err)
+	}
 }
