Check and start an early request in one step, and nothing behind a closing response

On reading the change: whether a pipelined request may run more than once was checked first and the request started later, so a new configuration in between let one that must not be repeated start before its turn. It is now checked again in the step that starts it; if it may not, it runs in its turn. Responses to bodies that were rejected and responses that break off closed the connection without preventing the start of idempotent requests behind them; they do now. TestConfigurationChangePreventsEarlyStart and TestNothingStartsBehindClosingResponse failed first; FuzzPipeline for 10 s.

--- a/internal/adapter/forwardhttp/pipeline.go
+++ b/internal/adapter/forwardhttp/pipeline.go
@@ -63,6 +63,7 @@
 		// opaque is set once the bytes behind the last request can't or need not be parsed. They
 		// are passed to net/http as they come.
 		opaque bool
+		// closed is set once the connection is closed or the current response will close it.
 		closed bool
 	}
 
@@ -82,7 +83,11 @@
 	earlyRequest struct {
 		done   chan struct{}
 		result result
-		taken  bool
+		// started is set unless a new configuration has forbidden the start in the meantime. It is
+		// valid once done is closed.
+		started bool
+		// taken is set once the handler has the result, or the connection is closed.
+		taken bool
 	}
 )
 
@@ -108,10 +113,14 @@
 	}
 }
 
-// wait returns the result of the request.
-func (e *earlyRequest) wait() result {
+// wait returns the result of the request. It reports false if the request was not started and must
+// run in its turn. e may be nil.
+func (e *earlyRequest) wait() (result, bool) {
+	if e == nil {
+		return result{}, false
+	}
 	<-e.done
-	return e.result
+	return e.result, e.started
 }
 
 // Read implements io.Reader. It returns bytes of one request only. While that request is in
@@ -368,6 +377,16 @@
 	return true
 }
 
+// stopStarting prevents further starts because the current response closes the connection.
+func (p *pipeline) stopStarting() {
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+}
+
 // hasUnread reports whether bytes of the caller have been received that net/http has not read.
 func (p *pipeline) hasUnread() bool {
 	if p == nil {
@@ -391,7 +410,10 @@
 	for _, r := range p.requests {
 		if e := r.early; e != nil && !e.taken {
 			e.taken = true
-			go func() { e.wait().response.Release() }()
+			go func() {
+				r, _ := e.wait()
+				r.response.Release()
+			}()
 		}
 	}
 }
@@ -405,18 +427,23 @@
 	e, receivedAt := &earlyRequest{done: make(chan struct{})}, s.Now()
 	go func() {
 		defer close(e.done)
-		e.result = s.forward(ctx, r, &bodies.Body{}, receivedAt, nil)
+		e.result, e.started = s.forward(ctx, r, forwardOptions{body: &bodies.Body{}, receivedAt: receivedAt, onlyIfRepeatable: true})
 	}()
 	return e
 }
 
 // isRepeatable reports whether the route of a request allows it to run more than once.
 func (s *Server) isRepeatable(r *http.Request) (repeatable bool) {
-	s.WithKernel(func(k *steering.Kernel, _ time.Time) {
-		if t := k.Table(); t != nil {
-			route := t.Match(hostWithoutPort(r.Host), r.URL.Path)
-			repeatable = route != nil && route.Idempotent
-		}
-	})
+	s.WithKernel(func(k *steering.Kernel, _ time.Time) { repeatable = routeAllowsRepeats(k, r) })
 	return repeatable
 }
+
+// routeAllowsRepeats reports whether the route of a request is idempotent.
+func routeAllowsRepeats(k *steering.Kernel, r *http.Request) bool {
+	t := k.Table()
+	if t == nil {
+		return false
+	}
+	route := t.Match(hostWithoutPort(r.Host), r.URL.Path)
+	return route != nil && route.Idempotent
+}
--- a/internal/adapter/forwardhttp/pipeline_test.go
+++ b/internal/adapter/forwardhttp/pipeline_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -387,3 +388,50 @@
 	p.address = inner.Addr().String()
 	return p
 }
+
+// Guards against a request that starts before its turn although its route no longer allows it to
+// run more than once: a new configuration takes effect between the check and the start.
+func TestConfigurationChangePreventsEarlyStart(t *testing.T) {
+	p := newPipelineProxy(t)
+	var changeNow atomic.Bool
+	p.server.Now = func() time.Time {
+		if changeNow.CompareAndSwap(true, false) {
+			route := &routing.Route{Name: "read", Host: "h", Prefix: "/r/", Attempts: 1, Timeout: testTimeout, Target: time.Second, Parts: []routing.WeightedService{{Service: "s", Weight: 1}}}
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.kernel.SetTable(routing.NewTable(2, []*routing.Route{route}, nil, routing.Limits{}))
+		}
+		return time.Now()
+	}
+	p.hold("/r/1")
+	c := p.connect(t)
+	c.write(t, get("/r/1"))
+	p.await(t, "the first request is sent", func() bool { return len(p.started) == 1 })
+	changeNow.Store(true)
+	c.write(t, get("/r/2"))
+	p.await(t, "the configuration has changed", func() bool { return p.kernel.Version() == 2 })
+	time.Sleep(20 * time.Millisecond)
+	p.mu.Lock()
+	if len(p.started) != 1 {
+		t.Errorf("started %v, want only the first", p.started)
+	}
+	close(p.release["/r/1"])
+	p.mu.Unlock()
+	c.expect(t, "200 GET /r/1", "200 GET /r/2")
+}
+
+// Guards against requests that start behind a response that closes the connection: their callers
+// send them again on another one.
+func TestNothingStartsBehindClosingResponse(t *testing.T) {
+	p := &pipeline{
+		startEarly: func(context.Context, *http.Request) *earlyRequest {
+			t.Error("a request was started")
+			return nil
+		},
+		mayRunAhead: func(*http.Request) bool { return true },
+		requests:    []*pipelinedRequest{{}, {simple: true, request: &http.Request{}}, {simple: true, request: &http.Request{}}},
+	}
+	p.stopStarting()
+	p.endTurn()
+	p.next(make([]byte, 1))
+}
--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -71,6 +71,17 @@
 		response *serverhttp.Response
 	}
 
+	// forwardOptions are the body of a request and how it is forwarded.
+	forwardOptions struct {
+		body       *bodies.Body
+		receivedAt time.Time
+		// onStream is called with a long response that is still arriving. It may be nil.
+		onStream func(*serverhttp.Response)
+		// onlyIfRepeatable is set for a request before its turn: it starts only if its route allows
+		// it to run more than once.
+		onlyIfRepeatable bool
+	}
+
 	// Server serves the requests of callers.
 	Server struct {
 		Headers    Headers
@@ -111,8 +122,7 @@
 	connection := pipelineOf(r.Context())
 	early := connection.beginTurn(r)
 	defer connection.endTurn()
-	if early != nil {
-		result := early.wait()
+	if result, started := early.wait(); started {
 		defer result.response.Release()
 		s.writeResponse(w, r, result)
 		return
@@ -126,7 +136,9 @@
 	}
 	defer body.Release()
 	stream := &responseStream{}
-	result := s.forward(r.Context(), r, body, receivedAt, func(response *serverhttp.Response) { stream.start(s, w, r, response) })
+	result, _ := s.forward(r.Context(), r, forwardOptions{
+		body: body, receivedAt: receivedAt, onStream: func(response *serverhttp.Response) { stream.start(s, w, r, response) },
+	})
 	defer result.response.Release()
 	if stream.started() {
 		s.endStream(r, stream, result)
@@ -135,22 +147,29 @@
 	s.writeResponse(w, r, result)
 }
 
-// forward sends a request to servers as the kernel decides, until it ends. onStream may be nil; it
-// is called with a long response that is still arriving.
-func (s *Server) forward(ctx context.Context, r *http.Request, body *bodies.Body, receivedAt time.Time, onStream func(*serverhttp.Response)) result {
+// forward sends a request to servers as the kernel decides, until it ends. It reports false if the
+// options forbid the request to start.
+func (s *Server) forward(ctx context.Context, r *http.Request, o forwardOptions) (result, bool) {
 	request := steering.Request{
 		ID: r.Header.Get(s.Headers.AttemptID), Host: hostWithoutPort(r.Host), Path: r.URL.Path, Credential: bearer.ParseCredential(r.Header),
 	}
 	if c, err := r.Cookie(s.Headers.ObjectCookie); err == nil {
 		request.Object = c.Value
 	}
-	request.Work = quarantine.NewFingerprint(r.Method, request.Host, r.RequestURI, r.Header.Get(bearer.Header), body.Bytes)
+	request.Work = quarantine.NewFingerprint(r.Method, request.Host, r.RequestURI, r.Header.Get(bearer.Header), o.body.Bytes)
 	if timeout, ok := parseTimeout(r.Header.Get(s.Headers.Deadline)); ok {
-		request.Deadline = receivedAt.Add(timeout)
+		request.Deadline = o.receivedAt.Add(timeout)
 	}
 	var active *steering.ActiveRequest
 	var decision steering.Decision
-	s.WithKernel(func(k *steering.Kernel, now time.Time) { active, decision = k.BeginRequest(now, request) })
+	s.WithKernel(func(k *steering.Kernel, now time.Time) {
+		if !o.onlyIfRepeatable || routeAllowsRepeats(k, r) {
+			active, decision = k.BeginRequest(now, request)
+		}
+	})
+	if active == nil {
+		return result{}, false
+	}
 	for decision.QuotaPool != "" {
 		decision = s.acquireToken(ctx, active, decision.QuotaPool)
 	}
@@ -162,10 +181,10 @@
 		}
 		var attempt steering.Attempt
 		response.Release()
-		attempt, response = s.Send(ctx, s.newServerRequest(r, body.Bytes, request, active, decision.Server, onStream))
+		attempt, response = s.Send(ctx, s.newServerRequest(r, o.body.Bytes, request, active, decision.Server, o.onStream))
 		decision = s.endAttempt(active, attempt)
 	}
-	return result{decision: decision, response: response}
+	return result{decision: decision, response: response}, true
 }
 
 // acquireToken asks a pool whether the request is within the rate limit of its account.
@@ -254,6 +273,7 @@
 // rejectBody responds to a request whose body could not be read; nothing was forwarded.
 func (s *Server) rejectBody(w http.ResponseWriter, r *http.Request, err error) {
 	klog.InfoS("request body rejected", "request", r.Header.Get(s.Headers.AttemptID), "length", r.ContentLength, "error", err.Error())
+	pipelineOf(r.Context()).stopStarting()
 	w.Header().Set("Connection", "close")
 	switch {
 	case errors.Is(err, bodies.ErrTooLarge):
--- a/internal/adapter/forwardhttp/stream.go
+++ b/internal/adapter/forwardhttp/stream.go
@@ -41,6 +41,7 @@
 	if done.decision.ReturnResponse && err == nil {
 		return
 	}
+	pipelineOf(r.Context()).stopStarting()
 	text := ""
 	if err != nil {
 		text = err.Error()
