--- a/internal/kernel/replica/neighbors_test.go
+++ b/internal/kernel/replica/neighbors_test.go
@@ -84,6 +84,8 @@
 // change in one copy must be in all after a few exchanges of each proxy, at the target size and at
 // twice it, also after half of all proxies have been lost at once.
 func TestChangeReachesWholeFleetThroughNeighbors(t *testing.T) {
+	// maxSeconds is within what operators allow until all proxies have acknowledged a change, without
+	// the messages that spread it at once.
 	const maxSeconds = 8
 	for _, fleet := range []struct{ regions, perRegion int }{{3, 330}, {22, 60}, {22, 120}, {3, 870}} {
 		random := rand.New(rand.NewPCG(5, 6))
--- a/internal/proxy/forward/decisionlog_test.go
+++ b/internal/proxy/forward/decisionlog_test.go
@@ -174,7 +174,7 @@
 }
 
 // Guards against a proxy that starts in a large fleet and logs the registration of each of ten
-// thousand servers at once, which took longer than everything else at its start.
+// thousand servers at once.
 func TestRegistrationsOfWholeFleetAreNotLoggedOneByOne(t *testing.T) {
 	const servers = 10_000
 	lines := loggedLines(t, func(j *decisionLog, clock *time.Time) {
--- a/internal/proxy/forward/storewatcher.go
+++ b/internal/proxy/forward/storewatcher.go
@@ -29,8 +29,7 @@
 	// requests, which it must reject until it is configured.
 	seedTimeout = 1200 * time.Millisecond
 	// maxSeedTimeout is how long it waits while peers report that they have a copy. Each proxy that
-	// has one may pass it on a few times, so the time grows with the logarithm of the fleet: about
-	// four seconds for a thousand proxies.
+	// has one may pass it on a few times, so the time grows with the logarithm of the fleet.
 	maxSeedTimeout = 5 * seedTimeout
 	// staleReadAge is the age assumed for a copy from a stale read. The copy may be seconds
 	// older; peers supply the rest in the next two exchanges, and if they don't, this proxy
