Simulate several routes with their own priority, work and target on the same servers

All requests of the simulation had the same work and target, so nothing showed what long requests of low priority do to short urgent ones. A scenario lists routes with their share of the load now; results are counted by route and by second.

--- a/internal/fake/warmnet/crashes.go
+++ b/internal/fake/warmnet/crashes.go
@@ -106,7 +106,7 @@
 
 func (w *simulation) sendCrashingRequest(name string) {
 	region := w.scenario.Regions[w.random.IntN(len(w.scenario.Regions))].Name
-	w.sendToProxy(&request{region: region, startedAt: w.Now, object: name, crashing: true})
+	w.sendToProxy(&request{region: region, startedAt: w.Now, route: &w.routes[0], object: name, crashing: true})
 }
 
 // crashFromRequest crashes the server of a crashing request that has run for its delay.
--- a/internal/fake/warmnet/scenario.go
+++ b/internal/fake/warmnet/scenario.go
@@ -39,6 +39,9 @@
 		LatencyTarget operator.Duration `json:"target"`
 		Timeout       operator.Duration `json:"timeout"`
 		Duration      operator.Duration `json:"span"`
+		// Routes are the routes that lead to the servers, each with a service time and a latency
+		// target of its own. Without any, there is one route with those of the scenario.
+		Routes []Route `json:"routes"`
 		// RejectRatio is the fraction of requests that servers reject at random, even with free
 		// slots, from RejectFrom to RejectTo.
 		RejectRatio float64           `json:"refuse-share"`
@@ -117,7 +120,8 @@
 		QuarantineThreshold int `json:"ends-to-condemn"`
 	}
 
-	// Episode is a period in which the conditions in one region differ.
+	// Episode is a period in which the conditions in one region differ, or in all if Region is
+	// empty.
 	Episode struct {
 		Region string `json:"region"`
 		// Servers is the number of servers affected, counted from the first.
@@ -159,7 +163,9 @@
 		RateLimits     RateLimitStats
 		Draining       DrainStats
 		Backoffs       BackoffStats
-		Latencies      []time.Duration
+		// Routes holds the counts of each route, by name.
+		Routes    map[string]*RouteStats
+		Latencies []time.Duration
 	}
 )
 
@@ -178,7 +184,7 @@
 
 // activeIn reports whether the episode applies to a region at a time. It may be called on nil.
 func (e *Episode) activeIn(region string, now time.Duration) bool {
-	return e != nil && e.Region == region && now >= e.From.Std() && now < e.To.Std()
+	return e != nil && (e.Region == "" || e.Region == region) && now >= e.From.Std() && now < e.To.Std()
 }
 
 // affects reports whether the episode applies to a server at a time.
--- a/internal/fake/warmnet/simulation.go
+++ b/internal/fake/warmnet/simulation.go
@@ -43,6 +43,7 @@
 		withinTargetByRegion map[string]int
 		sentByRegion         map[string]int
 		oracle               bool
+		routes               []Route
 		// slotMessages holds the pending messages about slots.
 		slotMessages slotMessages
 		record       func(steering.Call)
@@ -67,6 +68,7 @@
 		// sentAt is when the caller last sent the request.
 		sentAt      time.Duration
 		server      *server
+		route       *Route
 		object      string
 		retriesLeft int
 		// credential belongs to the account of the caller, if the scenario has accounts.
@@ -88,7 +90,7 @@
 		scenario: scenario, random: rand.New(rand.NewPCG(seed, 1)), byID: make(map[string]*server),
 		proxies: make(map[string][]*steering.Kernel), withinTargetByRegion: make(map[string]int), sentByRegion: make(map[string]int),
 		regionCounts: make(regionCounts),
-		oracle:       placer == Oracle,
+		oracle:       placer == Oracle, routes: scenario.routeList(),
 	}
 	if w.oracle {
 		placer = steering.DefaultPlacer
@@ -164,12 +166,8 @@
 }
 
 func (w *simulation) configure(k *steering.Kernel, region string) {
-	route := &routing.Route{
-		Name: "route", Host: host, Prefix: "/", Idempotent: true, Attempts: 2, Sticky: !w.scenario.NotSticky,
-		Timeout: w.scenario.Timeout.Std(), Target: w.scenario.LatencyTarget.Std(), Parts: []routing.WeightedService{{Service: service, Weight: 1}},
-	}
 	bounds := &routing.Service{Name: service, Connections: w.scenario.MaxConnections}
-	k.SetTable(routing.NewTable(1, []*routing.Route{route}, []*routing.Service{bounds}, routing.Limits{}).WithAccounts(w.accounts()))
+	k.SetTable(routing.NewTable(1, w.scenario.routingRoutes(), []*routing.Service{bounds}, routing.Limits{}).WithAccounts(w.accounts()))
 	for _, s := range w.servers {
 		k.RegisterServer(w.clock(), w.registration(s))
 		k.RecordRoundTrip(s.region+"-a", w.roundTrip(region, s.region))
@@ -252,7 +250,11 @@
 	if !w.scenario.NoObjects {
 		object = strconv.FormatInt(int64(regionIndex*w.scenario.ObjectsPerRegion+w.drawObject()), 16)
 	}
-	req := &request{region: region, startedAt: w.Now, object: object, retriesLeft: w.scenario.MaxRetries}
+	req := &request{region: region, startedAt: w.Now, route: w.drawRoute(), object: object, retriesLeft: w.scenario.MaxRetries}
+	if len(w.routes) > 1 {
+		req.object = req.route.Name + "-" + object
+	}
+	w.recordRouteSent(req)
 	if w.scenario.RestrictedShare > 0 {
 		req.credential = account.Credential{State: account.CredentialPresent, Key: accountKey(w.random.IntN(accountCount))}
 	}
@@ -288,7 +290,7 @@
 }
 
 func (w *simulation) handleAtProxy(req *request) {
-	active, decision := req.kernel.BeginRequest(w.clock(), steering.Request{ID: strconv.Itoa(w.result.Sent), Host: host, Path: "/", Object: req.object, Work: fingerprintOf(req.object), Credential: req.credential})
+	active, decision := req.kernel.BeginRequest(w.clock(), steering.Request{ID: strconv.Itoa(w.result.Sent), Host: host, Path: w.scenario.path(req.route), Object: req.object, Work: fingerprintOf(req.object), Credential: req.credential})
 	req.activeRequest = active
 	w.applyDecision(req, decision)
 }
@@ -333,7 +335,7 @@
 		if s.removed || w.inOutage(s) {
 			continue
 		}
-		serviceTime := time.Duration(float64(w.scenario.ServiceTime.Std()) * w.slowdown(s))
+		serviceTime := time.Duration(float64(req.route.ServiceTime.Std()) * w.slowdown(s))
 		warmServiceTime := time.Duration(float64(serviceTime) * w.scenario.WarmFactor)
 		if s.hasCached(req.activeRequest.Object) {
 			serviceTime = warmServiceTime
@@ -352,8 +354,9 @@
 func (w *simulation) recordResponse(req *request) {
 	latency := w.Now - req.startedAt
 	w.result.Latencies = append(w.result.Latencies, latency)
-	if latency <= w.scenario.LatencyTarget.Std() {
+	if latency <= req.route.LatencyTarget.Std() {
 		w.result.WithinTarget++
+		w.recordRouteWithinTarget(req)
 		w.withinTargetByRegion[req.region]++
 		return
 	}
@@ -392,7 +395,7 @@
 		w.After(w.scenario.CrashingRequests.Delay.Std(), func() { w.crashFromRequest(req, s) })
 		return
 	}
-	serviceTime := float64(w.scenario.ServiceTime.Std()) * w.slowdown(s) * w.drawServiceTimeFactor()
+	serviceTime := float64(req.route.ServiceTime.Std()) * w.slowdown(s) * w.drawServiceTimeFactor()
 	if w.scenario.Knee > 0 && float64(s.running) > w.scenario.Knee*float64(w.scenario.SlotsPerServer) {
 		serviceTime *= w.scenario.KneeFactor
 	}
