Expect a request to wait for the work of all routes ahead of it

A short request was expected to wait for its own work times the requests ahead of it, although these may be of another route and take five times as long. Each service has a capacity tracker now; it counts arrivals by route and priority, and the mean work of these counts is what a queued request is expected to take. The tracker keeps the classes in order of arrival, because sums over a map would differ between a recording and its replay.

--- a/internal/kernel/capacity/tracker.go
+++ b/internal/kernel/capacity/tracker.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -20,20 +21,37 @@
 	// minDemandShare is the share of the requests of a service from which a priority has
 	// significant demand. A few requests must not reserve capacity that others need.
 	minDemandShare = 0.02
+	// minRequests is the decayed count below which a class of requests is forgotten.
+	minRequests = 0.001
 )
 
 type (
-	// Report is the load that a server reported.
+	// Report is the load that a server reported. Waiting may be inferred from response times and
+	// need not be a whole number then.
 	Report struct {
-		Running, Waiting, Slots int
+		Running int
+		Waiting float64
+		Slots   int
 	}
 
-	// Load is the mean load of the servers of a region.
+	// Request is an arriving request as far as the demand depends on it.
+	Request struct {
+		// Route is the name of the route. Work is the time that its requests usually take, and
+		// Slack is how long they can wait for a slot and still meet the target, without the round
+		// trip.
+		Route       string
+		Priority    int
+		Work, Slack time.Duration
+	}
+
+	// Load is the mean load of the servers of a region, or of one server.
 	Load struct {
 		// Utilization is the mean share of slots in use, from 0 to 1.
 		Utilization float64
 		// WaitingPerSlot is the mean number of waiting requests per slot.
 		WaitingPerSlot float64
+		// MeanWork is the mean work of the requests of the service.
+		MeanWork time.Duration
 		// Wait is how long another request would wait for a slot.
 		Wait time.Duration
 		// Age is the time since the last report, or negative if there was none.
@@ -42,109 +60,129 @@
 
 	// Tracker tracks one service, as seen by one proxy. The zero value has no data.
 	Tracker struct {
-		regions map[string]*region
-		demand  map[int]*demand
+		regions map[string]*Queue
+		// demand holds the classes of requests in the order in which they first arrived: sums over
+		// it must not depend on the order of a map, because recorded calls are replayed.
+		demand   []demand
+		demandAt time.Time
 	}
 
-	region struct {
+	// Queue is the moving average of the load reports of some servers. The zero value has no data.
+	Queue struct {
 		utilization, waitingPerSlot float64
 		reportedAt                  time.Time
 	}
 
-	// demand is the decaying count of the requests of one priority, and of their work.
+	// demand is the decaying count of the requests of one route with one priority. The work and the
+	// slack are those of the most recent request.
 	demand struct {
-		requests float64
-		seconds  float64
-		// slack is the time that the most recent request could wait and still meet its target.
-		slack time.Duration
-		at    time.Time
+		Request
+		count float64
 	}
 )
 
 // ObserveReport adds a load report of a server in a region.
-func (t *Tracker) ObserveReport(now time.Time, name string, r Report) {
-	if r.Slots <= 0 {
-		return
-	}
+func (t *Tracker) ObserveReport(now time.Time, region string, r Report) {
 	if t.regions == nil {
-		t.regions = make(map[string]*region)
-	}
-	g := t.regions[name]
-	if g == nil {
-		g = &region{}
-		t.regions[name] = g
-	}
-	fresh := g.freshness(now)
-	slots := float64(r.Slots)
-	g.utilization = average(g.utilization*fresh, min(1, float64(r.Running)/slots))
-	g.waitingPerSlot = average(g.waitingPerSlot*fresh, float64(r.Waiting)/slots)
-	g.reportedAt = now
+		t.regions = make(map[string]*Queue)
+	}
+	q := t.regions[region]
+	if q == nil {
+		q = &Queue{}
+		t.regions[region] = q
+	}
+	q.Observe(now, r)
 }
 
-// ObserveRequest adds a request that arrived: its priority, its expected work, and the slack, which
-// is how long it can wait for a slot and still meet its target.
-func (t *Tracker) ObserveRequest(now time.Time, priority int, work, slack time.Duration) {
-	if t.demand == nil {
-		t.demand = make(map[int]*demand)
+// ObserveRequest adds a request that arrived.
+func (t *Tracker) ObserveRequest(now time.Time, r Request) {
+	keep := math.Exp(-max(0, now.Sub(t.demandAt)).Seconds() / demandTimeConstant.Seconds())
+	t.demandAt = now
+	known, faded := false, false
+	for i := range t.demand {
+		d := &t.demand[i]
+		d.count *= keep
+		if d.Route == r.Route && d.Priority == r.Priority {
+			d.Request, known = r, true
+			d.count++
+		}
+		faded = faded || d.count < minRequests
+	}
+	if !known {
+		t.demand = append(t.demand, demand{Request: r, count: 1})
 	}
-	d := t.demand[priority]
-	if d == nil {
-		d = &demand{}
-		t.demand[priority] = d
+	if faded {
+		t.demand = slices.DeleteFunc(t.demand, func(d demand) bool { return d.count < minRequests })
 	}
-	keep := d.decay(now)
-	d.requests, d.seconds = d.requests*keep+1, d.seconds*keep+work.Seconds()
-	d.slack, d.at = slack, now
 }
 
-// MeanWork returns the mean work of the requests of all priorities, or zero if there were none.
-func (t *Tracker) MeanWork(now time.Time) time.Duration {
-	requests, seconds := 0.0, 0.0
-	for _, d := range t.demand {
-		keep := d.decay(now)
-		requests += d.requests * keep
-		seconds += d.seconds * keep
+// MeanWork returns the mean work of the requests of all routes, or zero if there were none.
+func (t *Tracker) MeanWork() time.Duration {
+	if len(t.demand) == 1 {
+		return t.demand[0].Work
 	}
-	if requests == 0 {
+	total, seconds := 0.0, 0.0
+	for i := range t.demand {
+		total += t.demand[i].count
+		seconds += t.demand[i].count * t.demand[i].Work.Seconds()
+	}
+	if total == 0 {
 		return 0
 	}
-	return time.Duration(seconds / requests * float64(time.Second))
+	return time.Duration(seconds / total * float64(time.Second))
 }
 
 // Load returns the load of a region.
-func (t *Tracker) Load(now time.Time, name string) Load {
-	g := t.regions[name]
-	if g == nil {
+func (t *Tracker) Load(now time.Time, region string) Load {
+	q := t.regions[region]
+	if q == nil {
 		return Load{Age: -1}
 	}
-	fresh := g.freshness(now)
-	l := Load{Utilization: g.utilization * fresh, WaitingPerSlot: g.waitingPerSlot * fresh, Age: now.Sub(g.reportedAt)}
-	l.Wait = time.Duration(l.WaitingPerSlot * float64(t.MeanWork(now)))
-	return l
+	return q.Load(now, t.MeanWork())
 }
 
-// UrgentSlack returns the shortest slack among the more urgent priorities that have significant
-// demand, and false if there is none.
-func (t *Tracker) UrgentSlack(now time.Time, priority int) (time.Duration, bool) {
+// UrgentSlack returns the shortest slack among the more urgent routes that have significant demand,
+// and false if there is none.
+func (t *Tracker) UrgentSlack(priority int) (time.Duration, bool) {
 	total := 0.0
-	for _, d := range t.demand {
-		total += d.requests * d.decay(now)
-	}
-	shortest, found := time.Duration(math.MaxInt64), false
-	for p, d := range t.demand {
-		if p < priority && d.requests*d.decay(now) >= minDemandShare*total && d.slack < shortest {
-			shortest, found = d.slack, true
+	for i := range t.demand {
+		total += t.demand[i].count
+	}
+	shortest, found := time.Duration(0), false
+	for i := range t.demand {
+		d := &t.demand[i]
+		if d.Priority < priority && d.count >= minDemandShare*total && (!found || d.Slack < shortest) {
+			shortest, found = d.Slack, true
 		}
 	}
-	if !found {
-		return 0, false
+	return shortest, found
+}
+
+// Observe adds a load report.
+func (q *Queue) Observe(now time.Time, r Report) {
+	if r.Slots <= 0 {
+		return
 	}
-	return shortest, true
+	fresh, slots := q.freshness(now), float64(r.Slots)
+	q.utilization = average(q.utilization*fresh, min(1, float64(r.Running)/slots))
+	q.waitingPerSlot = average(q.waitingPerSlot*fresh, r.Waiting/slots)
+	q.reportedAt = now
+}
+
+// Load returns the load if the requests take the given work in the mean.
+func (q *Queue) Load(now time.Time, meanWork time.Duration) Load {
+	if q.reportedAt.IsZero() {
+		return Load{Age: -1}
+	}
+	fresh := q.freshness(now)
+	l := Load{Utilization: q.utilization * fresh, WaitingPerSlot: q.waitingPerSlot * fresh, MeanWork: meanWork, Age: now.Sub(q.reportedAt)}
+	l.Wait = time.Duration(l.WaitingPerSlot * float64(meanWork))
+	return l
 }
 
 // freshness returns the weight of the last figures: 1 while they are valid, then falling to 0.
-func (g *region) freshness(now time.Time) float64 {
-	age := now.Sub(g.reportedAt)
+func (q *Queue) freshness(now time.Time) float64 {
+	age := now.Sub(q.reportedAt)
 	switch {
 	case age <= reportTTL:
 		return 1
@@ -154,8 +192,4 @@
 	return float64(2*reportTTL-age) / float64(reportTTL)
 }
 
-func (d *demand) decay(now time.Time) float64 {
-	return math.Exp(-max(0, now.Sub(d.at)).Seconds() / demandTimeConstant.Seconds())
-}
-
 func average(old, sample float64) float64 { return old + sampleWeight*(sample-old) }
--- a/internal/kernel/capacity/tracker_test.go
+++ b/internal/kernel/capacity/tracker_test.go
@@ -13,10 +13,10 @@
 	var c Tracker
 	for i := range 100 {
 		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
-		c.ObserveRequest(now, 2, 500*time.Millisecond, time.Second)
+		c.ObserveRequest(now, Request{Route: "long", Priority: 2, Work: 500 * time.Millisecond, Slack: time.Second})
 		c.ObserveReport(now, "north", Report{Running: 3, Waiting: 3, Slots: 3})
 		if i%10 == 0 {
-			c.ObserveRequest(now, 0, 100*time.Millisecond, 150*time.Millisecond)
+			c.ObserveRequest(now, Request{Route: "urgent", Priority: 0, Work: 100 * time.Millisecond, Slack: 150 * time.Millisecond})
 		}
 	}
 	l := c.Load(start.Add(time.Second), "north")
@@ -31,7 +31,7 @@
 // Figures of servers that no longer report must not reject requests forever.
 func TestLoadDecaysWithoutReports(t *testing.T) {
 	var c Tracker
-	c.ObserveRequest(start, 1, time.Second, time.Second)
+	c.ObserveRequest(start, Request{Route: "plain", Priority: 1, Work: time.Second, Slack: time.Second})
 	for range 20 {
 		c.ObserveReport(start, "north", Report{Running: 3, Waiting: 9, Slots: 3})
 	}
@@ -43,19 +43,19 @@
 // A handful of urgent requests must not reserve the capacity that all others use.
 func TestUrgentSlackNeedsSignificantDemand(t *testing.T) {
 	var c Tracker
-	c.ObserveRequest(start, 0, time.Second, 100*time.Millisecond)
+	c.ObserveRequest(start, Request{Route: "urgent", Priority: 0, Work: time.Second, Slack: 100 * time.Millisecond})
 	for range 100 {
-		c.ObserveRequest(start, 2, time.Second, time.Second)
+		c.ObserveRequest(start, Request{Route: "long", Priority: 2, Work: time.Second, Slack: time.Second})
 	}
-	if got, found := c.UrgentSlack(start, 2); found {
+	if got, found := c.UrgentSlack(2); found {
 		t.Errorf("UrgentSlack with 1 urgent request of 101: got %v, want none", got)
 	}
-	c.ObserveRequest(start, 0, time.Second, 100*time.Millisecond)
-	c.ObserveRequest(start, 0, time.Second, 100*time.Millisecond)
-	if got, found := c.UrgentSlack(start, 2); !found || got != 100*time.Millisecond {
+	c.ObserveRequest(start, Request{Route: "urgent", Priority: 0, Work: time.Second, Slack: 100 * time.Millisecond})
+	c.ObserveRequest(start, Request{Route: "urgent", Priority: 0, Work: time.Second, Slack: 100 * time.Millisecond})
+	if got, found := c.UrgentSlack(2); !found || got != 100*time.Millisecond {
 		t.Errorf("UrgentSlack with 3 urgent requests of 103: got %v, %t, want 100ms, true", got, found)
 	}
-	if got, found := c.UrgentSlack(start, 0); found {
+	if got, found := c.UrgentSlack(0); found {
 		t.Errorf("UrgentSlack of the most urgent priority: got %v, want none", got)
 	}
 }
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -78,7 +78,7 @@
 	if req.Object == "" && req.drawnRegion == "" {
 		req.drawnRegion = k.drawRegion(req, svc)
 	}
-	req.workEstimate = svc.workOf(req.Route)
+	req.workEstimate, req.queuedWork = svc.workOf(req.Route), svc.queuedWork(req)
 	best, isBest := k.chooseWarm(now, req, svc, homes)
 	if !isBest {
 		best = k.chooseAmong(now, req, svc, homes, svc.eligible)
@@ -240,9 +240,9 @@
 	if s.isCold(now) {
 		work *= coldWorkFactor
 	}
-	typical := float64(req.workEstimate.typical(req.Route)) * slowdown
+	queuedWork := float64(req.queuedWork) * slowdown
 	slots := float64(s.usableSlots())
-	wait := time.Duration(max(0, s.load(now)+1-slots) / slots * typical)
+	wait := time.Duration(max(0, s.load(now)+1-slots) / slots * queuedWork)
 	estimated := choice{server: s, warm: warm, homeRank: homeRank(homes, s.id), untilStart: s.rtt.roundTrip + wait, expected: s.rtt.roundTrip + wait + work}
 	estimated.cost = estimated.expected + time.Duration(s.failureShare*float64(req.Route.Target))
 	if req.Object == "" {
@@ -250,7 +250,7 @@
 			estimated.cost += otherRegionPenalty
 		}
 		if k.isEnabled(MechanismUnseenRequests) {
-			estimated.cost += time.Duration(unreportedWaitShare * float64(s.inFlight*k.sharersInRegion) / float64(s.Slots) * typical)
+			estimated.cost += time.Duration(unreportedWaitShare * float64(s.inFlight*k.sharersInRegion) / float64(s.Slots) * queuedWork)
 		}
 	}
 	if len(homes) > 0 && !warm {
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -51,6 +51,7 @@
 // dispatch selects the service of a request that is within its rate limit and sends it.
 func (k *Kernel) dispatch(now time.Time, req *ActiveRequest) Decision {
 	req.Service = k.splitter.Next(req.Route)
+	k.observeArrival(now, req)
 	if req.Object != "" {
 		k.service(req.Service).demand.Record(now, req.Object)
 	}
--- a/internal/kernel/steering/quarantine.go
+++ b/internal/kernel/steering/quarantine.go
@@ -54,7 +54,7 @@
 // least.
 func (k *Kernel) chooseLeastLoaded(now time.Time, req *ActiveRequest, svc *service) (*server, choice) {
 	best := choice{reason: ReasonNoServer}
-	req.workEstimate = svc.workOf(req.Route)
+	req.workEstimate, req.queuedWork = svc.workOf(req.Route), svc.queuedWork(req)
 	minLoad := 0.0
 	for _, s := range svc.eligible {
 		if !k.mayUse(now, req, s) {
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -152,6 +152,8 @@
 		warm          bool
 		// workEstimate estimates how long requests of the route take at the service.
 		workEstimate *workEstimate
+		// queuedWork is how long the requests in the queues of the service take in the mean.
+		queuedWork time.Duration
 		// loadAtSend is the estimated number of requests that ran and waited at the server when
 		// this one was sent.
 		loadAtSend float64
--- a/internal/kernel/steering/service.go
+++ b/internal/kernel/steering/service.go
@@ -7,6 +7,7 @@
 	"unique"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/capacity"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
 )
 
@@ -22,8 +23,10 @@
 		// ranked is a buffer for the servers that are passed to ranking.
 		ranked []placing.Server
 		// totalSlots is the number of slots of all eligible servers.
-		totalSlots  int
-		retries     admission.RetryBudget
+		totalSlots int
+		retries    admission.RetryBudget
+		// capacity tracks the demand and the load of the servers.
+		capacity    capacity.Tracker
 		concurrency concurrencyState
 		// workByRoute estimates how long the requests of each route take, by route name.
 		workByRoute map[string]*workEstimate
