Shed less urgent requests where urgent ones would miss their targets

Long requests of low priority were admitted until the queues reached their own target of seconds.

admission.Shedder decides on a request now, from the load of the region and of the chosen server. Requests are shed for their own target as before, and those that are less urgent than others with 2% of the demand are shed from a wait of half the slack of the most urgent on, down to one in ten. They are never shed for that while the server reports free slots. The retry delay begins when the excess has been worked off and is spread over half of the time that the caller has left. The slack of a route is at least a quarter of its target: a proxy that starts during an overload learns its work estimates from late responses, took the urgent slack for negative, and never shed anything. The mechanism "priority-shedding" switches this part off. The reason "urgent-first", the expected wait and the limit are in the event, the log and `steering explain`.

QueuePressure is replaced by capacity.Queue, which averages the same ratio; its tests moved with it.

--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -157,8 +157,11 @@
 		Error            string  `json:"error,omitempty"`
 		// Limit is the rate limit that a server advertises for all proxies together.
 		Limit string `json:"limit,omitempty"`
-		// ExpectedWait is the part of Expected that is spent waiting for a slot.
+		// ExpectedWait is the part of Expected that is spent waiting for a slot. For a request that was
+		// rejected because of the queues it is the expected wait there, and WaitLimit the wait from
+		// which such requests are rejected.
 		ExpectedWait string `json:"wait,omitempty"`
+		WaitLimit    string `json:"wait-limit,omitempty"`
 		// ServerState is the state of the server when the request was last sent to it.
 		ServerState string `json:"server-state,omitempty"`
 		// Cause is the main cause of a late request's latency, Target the route's target latency.
@@ -174,7 +177,7 @@
 		Service: e.Service, Server: e.Server, Object: e.Object, Fingerprint: e.Fingerprint.String(), Domain: e.Domain, Region: e.Region, CallersElsewhere: e.CallersElsewhere, Attempt: e.Attempt,
 		Reason: string(e.Reason), Load: e.Load, Warm: e.Warm, Draining: e.Draining,
 		Expected: formatDuration(e.Expected), Duration: formatDuration(e.Duration), RetryAfter: formatDuration(e.RetryAfter), Pressure: e.Pressure,
-		ExpectedWait: formatDuration(e.ExpectedWait), ServerState: string(e.State), Cause: string(e.Cause), Target: formatDuration(e.Target), Limit: e.Limit.String(),
+		ExpectedWait: formatDuration(e.ExpectedWait), WaitLimit: formatDuration(e.WaitLimit), ServerState: string(e.State), Cause: string(e.Cause), Target: formatDuration(e.Target), Limit: e.Limit.String(),
 	}
 	if e.Result != 0 {
 		out.Result = e.Result.String()
--- a/internal/kernel/capacity/tracker.go
+++ b/internal/kernel/capacity/tracker.go
@@ -32,6 +32,9 @@
 		Running int
 		Waiting float64
 		Slots   int
+		// Room is how many requests may wait so that the last of them still meets the target of the
+		// request that brought the report. Zero means unknown.
+		Room float64
 	}
 
 	// Request is an arriving request as far as the demand depends on it.
@@ -50,6 +53,8 @@
 		Utilization float64
 		// WaitingPerSlot is the mean number of waiting requests per slot.
 		WaitingPerSlot float64
+		// Pressure is the mean number of waiting requests relative to the room for them.
+		Pressure float64
 		// MeanWork is the mean work of the requests of the service.
 		MeanWork time.Duration
 		// Wait is how long another request would wait for a slot.
@@ -69,8 +74,8 @@
 
 	// Queue is the moving average of the load reports of some servers. The zero value has no data.
 	Queue struct {
-		utilization, waitingPerSlot float64
-		reportedAt                  time.Time
+		utilization, waitingPerSlot, pressure float64
+		reportedAt                            time.Time
 	}
 
 	// demand is the decaying count of the requests of one route with one priority. The work and the
@@ -132,6 +137,18 @@
 	return time.Duration(seconds / total * float64(time.Second))
 }
 
+// RelativeWork returns the work of a route's requests relative to the mean work, or 1 if either is
+// unknown.
+func (t *Tracker) RelativeWork(route string) float64 {
+	mean := t.MeanWork()
+	for i := range t.demand {
+		if t.demand[i].Route == route && mean > 0 {
+			return float64(t.demand[i].Work) / float64(mean)
+		}
+	}
+	return 1
+}
+
 // Load returns the load of a region.
 func (t *Tracker) Load(now time.Time, region string) Load {
 	q := t.regions[region]
@@ -166,6 +183,9 @@
 	fresh, slots := q.freshness(now), float64(r.Slots)
 	q.utilization = average(q.utilization*fresh, min(1, float64(r.Running)/slots))
 	q.waitingPerSlot = average(q.waitingPerSlot*fresh, r.Waiting/slots)
+	if r.Room > 0 {
+		q.pressure = average(q.pressure*fresh, r.Waiting/r.Room)
+	}
 	q.reportedAt = now
 }
 
@@ -175,7 +195,7 @@
 		return Load{Age: -1}
 	}
 	fresh := q.freshness(now)
-	l := Load{Utilization: q.utilization * fresh, WaitingPerSlot: q.waitingPerSlot * fresh, MeanWork: meanWork, Age: now.Sub(q.reportedAt)}
+	l := Load{Utilization: q.utilization * fresh, WaitingPerSlot: q.waitingPerSlot * fresh, Pressure: q.pressure * fresh, MeanWork: meanWork, Age: now.Sub(q.reportedAt)}
 	l.Wait = time.Duration(l.WaitingPerSlot * float64(meanWork))
 	return l
 }
--- a/internal/kernel/routing/table.go
+++ b/internal/kernel/routing/table.go
@@ -124,6 +124,27 @@
 	return t
 }
 
+// LowestPriorities returns the priority of the least urgent requests of each service. The priority
+// of an account overrides that of a route.
+func (t *Table) LowestPriorities() map[string]int {
+	lowest := make(map[string]int)
+	accounts := t.Accounts.All()
+	for _, r := range t.Routes {
+		priority := r.Priority
+		for i, a := range accounts {
+			if r.Public || a.Priority == nil {
+				priority = max(priority, r.Priority)
+			} else if priority = max(priority, *a.Priority); i == 0 {
+				priority = *a.Priority
+			}
+		}
+		for _, part := range r.Parts {
+			lowest[part.Service] = max(lowest[part.Service], priority)
+		}
+	}
+	return lowest
+}
+
 // Match returns the host's route with the longest prefix of path, or nil if none matches.
 func (t *Table) Match(host, path string) *Route {
 	for _, r := range t.routesByHost[host] {
--- a/internal/kernel/steering/bench_test.go
+++ b/internal/kernel/steering/bench_test.go
@@ -141,3 +141,28 @@
 		sendRequest(k, now, n*37%objects)
 	}
 }
+
+// BenchmarkLoadedChoice measures one request of a service with four routes of different priorities,
+// whose servers report queues: the decision whether to shed it takes the demand of all routes into
+// account.
+func BenchmarkLoadedChoice(b *testing.B) {
+	now := time.Unix(1_000_000, 0)
+	k := largeKernel(now, 0)
+	var routes []*routing.Route
+	for priority := range 4 {
+		routes = append(routes, &routing.Route{
+			Name: fmt.Sprint(priority), Host: "host", Prefix: fmt.Sprintf("/%d/", priority), Sticky: true, Attempts: 2, Timeout: time.Second,
+			Target: time.Second, Priority: priority, Parts: []routing.WeightedService{{Service: "0", Weight: 1}},
+		})
+	}
+	k.SetTable(routing.NewTable(2, routes, nil, routing.Limits{}))
+	n := 0
+	for b.Loop() {
+		n++
+		at := now.Add(time.Duration(n) * time.Millisecond)
+		req, d := k.BeginRequest(at, Request{Host: "host", Path: fmt.Sprintf("/%d/x", n%4), Object: fmt.Sprintf("%x", n%largeObjects), Deadline: at.Add(time.Second)})
+		if d.Server != nil {
+			k.EndAttempt(at, req, Attempt{Result: ResultResponded, Loaded: true, Running: 4, Waiting: n % 3})
+		}
+	}
+}
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -100,9 +100,12 @@
 		Expected time.Duration
 		Load     float64
 		LoadAge  time.Duration
-		// ExpectedWait is the part of Expected until a slot is free. State is the state of the
+		// ExpectedWait is the part of Expected until a slot is free. For a request that was rejected
+		// because of the queues it is the expected wait there, and WaitLimit the wait from which
+		// such requests are rejected. State is the state of the
 		// server at that time.
 		ExpectedWait time.Duration
+		WaitLimit    time.Duration
 		State        ServerState
 		// Cause is where most of the time of a late request was spent.
 		Cause Cause
--- a/internal/kernel/steering/failover.go
+++ b/internal/kernel/steering/failover.go
@@ -6,15 +6,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
 )
 
-const (
-	// failoverMaxPressure is the queue pressure up to which a region takes over objects of another
-	// region. It is half of the pressure from which requests are shed.
-	failoverMaxPressure = 0.25
-)
-
 // failover returns the servers for an object, with another order if its home is ejected or takes
 // less than usual: for part of these objects, a server in another region comes first. Servers of a
 // lost failure domain stay registered for some seconds. If all their objects went to the remaining
@@ -46,7 +41,7 @@
 	}
 	for _, id := range k.placementOutside(req, svc, home.region).ServersFor(req.Object) {
 		s := svc.registered[id]
-		if p := svc.queuePressure[s.region]; s.isHealthy(now) && (p == nil || p.Level(now) <= failoverMaxPressure) {
+		if s.isHealthy(now) && admission.TakesOver(svc.capacity.Load(now, s.region)) {
 			return append([]string{id}, homes...)
 		}
 	}
--- a/internal/kernel/steering/failover_test.go
+++ b/internal/kernel/steering/failover_test.go
@@ -83,7 +83,7 @@
 	for _, id := range []string{"south-a-0", "west-a-0"} {
 		req, _ := k.BeginRequest(now, Request{ID: "r", Host: "host", Path: "/x", Object: "1"})
 		for range 10 {
-			k.recordQueue(now, req, k.servers[id], 12)
+			k.recordQueue(now, req, k.servers[id], 4, 12)
 		}
 	}
 	if after, _ := countByRegion(k, now); after["north"] < before["north"] {
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -217,7 +217,7 @@
 	for name, r := range t.Routes {
 		k.routeRegions[name] = k.regionSet(r.Regions)
 	}
-	k.lowestPriority = lowestPriorities(t)
+	k.lowestPriority = t.LowestPriorities()
 	k.setPinnedTarget(t)
 	k.splitter.Prune(t)
 	for _, svc := range k.services {
--- a/internal/kernel/steering/learn.go
+++ b/internal/kernel/steering/learn.go
@@ -10,7 +10,7 @@
 	k.recordBackpressure(now, req, s, a)
 	if a.Loaded {
 		s.recordLoad(now, a.Running, a.Waiting)
-		k.recordQueue(now, req, s, float64(a.Waiting))
+		k.recordQueue(now, req, s, a.Running, float64(a.Waiting))
 	}
 	svc := k.service(s.Service)
 	k.detectSlowdown(now, req, s, svc, a, elapsed)
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 )
 
@@ -84,8 +85,8 @@
 		return nil, k.noServerReason(now, req, svc, chosen.reason)
 	}
 	if len(req.steps) == 0 {
-		if k.shouldShed(now, req, svc, s) {
-			return nil, ReasonQueuesTooLong
+		if reason := k.shed(now, req, svc, s, chosen); reason != ReasonNone {
+			return nil, reason
 		}
 		svc.retries.RecordRequest(now)
 	}
@@ -254,7 +255,10 @@
 	e := Event{
 		At: now, Kind: EventRequestEnded, Request: req.ID, Service: req.Service, Object: req.Object, Fingerprint: req.Work, Version: k.Version(),
 		Outcome: d.Outcome(), Reason: d.Reason, Duration: now.Sub(req.startedAt), Attempt: (len(req.steps) + 1) / 2,
-		RetryAfter: d.RetryAfter, Pressure: req.queuePressure, Steps: req.steps,
+		RetryAfter: d.RetryAfter, Pressure: req.shedding.Pressure, Steps: req.steps,
+	}
+	if req.shedding.Cause != admission.ShedNone {
+		e.ExpectedWait, e.WaitLimit = req.shedding.Wait, req.shedding.Limit
 	}
 	if req.Route != nil {
 		e.Route, e.Target = req.Route.Name, req.Route.Target
@@ -270,15 +274,15 @@
 // retryAfter returns the retry delay for a rejected caller. It is randomized so that callers
 // rejected at the same time do not return at the same time.
 func (k *Kernel) retryAfter(now time.Time, req *ActiveRequest) time.Duration {
-	maxWait := maxRetryAfter
+	minWait, maxWait := max(minRetryAfter, req.shedding.MinRetryAfter), maxRetryAfter
 	if !req.Deadline.IsZero() {
 		maxWait = min(maxWait, req.Deadline.Sub(now)/3)
 	}
-	if req.maxRetryAfter > 0 {
-		maxWait = min(maxWait, req.maxRetryAfter)
+	if req.shedding.MaxRetryAfter > 0 {
+		maxWait = min(maxWait, req.shedding.MaxRetryAfter)
 	}
-	if maxWait <= minRetryAfter {
-		return minRetryAfter
+	if minWait = min(minWait, max(minRetryAfter, maxWait)); maxWait <= minWait {
+		return minWait
 	}
-	return minRetryAfter + time.Duration(k.random.Int64N(int64(maxWait-minRetryAfter)))
+	return minWait + time.Duration(k.random.Int64N(int64(maxWait-minWait)))
 }
--- a/internal/kernel/steering/mechanism.go
+++ b/internal/kernel/steering/mechanism.go
@@ -19,6 +19,9 @@
 	MechanismStrandedRegions Mechanism = "stranded-regions"
 	// MechanismLoadShedding rejects a share of the requests where queues are long.
 	MechanismLoadShedding Mechanism = "refusals-by-queues"
+	// MechanismPriorityShedding rejects less urgent requests where more urgent ones would miss
+	// their targets. Without it, each request is rejected only for its own target.
+	MechanismPriorityShedding Mechanism = "priority-shedding"
 	// MechanismQueueInference infers the queues of servers that do not report their load.
 	MechanismQueueInference Mechanism = "inferred-queues"
 	// MechanismOutlierDetection ejects servers that fail or reject several requests in a row.
@@ -42,7 +45,7 @@
 
 var (
 	mechanisms = []Mechanism{
-		MechanismHomes, MechanismRegionCapacity, MechanismFailover, MechanismStrandedRegions, MechanismLoadShedding, MechanismQueueInference,
+		MechanismHomes, MechanismRegionCapacity, MechanismFailover, MechanismStrandedRegions, MechanismLoadShedding, MechanismPriorityShedding, MechanismQueueInference,
 		MechanismOutlierDetection, MechanismServerSpeed, MechanismSharedConnections, MechanismUnseenRequests, MechanismRetries, MechanismReplicas, MechanismConcurrencyLimit,
 		MechanismQuarantine,
 	}
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/account"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
@@ -67,6 +68,9 @@
 	// ReasonQueuesTooLong means that the server queues are so long that responses would miss the
 	// target.
 	ReasonQueuesTooLong Reason = "queues-too-long"
+	// ReasonUrgentFirst means that the server queues are so long that more urgent requests would
+	// miss their targets.
+	ReasonUrgentFirst Reason = "urgent-first"
 	// ReasonRejected means that servers rejected the request.
 	ReasonRejected Reason = "refused-by-server"
 	// ReasonRetryBudget means that the retry budget was exhausted.
@@ -176,11 +180,8 @@
 		slotRank    int
 		// mayHaveRun is set once a server may have started to run the request.
 		mayHaveRun bool
-		// queuePressure is the queue pressure where the request would have run.
-		queuePressure float64
-		// maxRetryAfter is the longest retry delay after which a rejected request can still get a
-		// response within the target. It is zero if there is none.
-		maxRetryAfter time.Duration
+		// shedding is the decision whether to reject the request because of the queues.
+		shedding admission.ShedDecision
 		// backpressureWait is how long until a server that announced a limit or pause takes
 		// requests again.
 		backpressureWait time.Duration
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -5,6 +5,7 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/capacity"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
@@ -82,9 +83,8 @@
 		// limiter before skipOwnerUntil.
 		concurrencyLimit int
 		skipOwnerUntil   time.Time
-		// queuePressure is the recent queue pressure of the server, last updated at pressureAt.
-		queuePressure admission.QueuePressure
-		pressureAt    time.Time
+		// queue is the recent load of the server as reported or inferred.
+		queue capacity.Queue
 		// unqueuedWork estimates the duration of requests without queueing by route, for a server
 		// that does not report its load.
 		unqueuedWork map[string]*workEstimate
--- a/internal/kernel/steering/service.go
+++ b/internal/kernel/steering/service.go
@@ -39,8 +39,6 @@
 		demand placing.Demand
 		// regionDraws are the shares of the regions in requests without an object.
 		regionDraws map[placementScope]*regionDistribution
-		// queuePressure is the pressure of the server queues, by region of the servers.
-		queuePressure map[string]*admission.QueuePressure
 	}
 )
 
@@ -107,9 +105,8 @@
 	if s == nil {
 		s = &service{
 			name: name, placements: make(map[placementScope]*placing.Placement), regionDraws: make(map[placementScope]*regionDistribution), registered: make(map[string]*server),
-			workByRoute:   make(map[string]*workEstimate),
-			ranking:       placing.NewRanking(),
-			queuePressure: make(map[string]*admission.QueuePressure),
+			workByRoute: make(map[string]*workEstimate),
+			ranking:     placing.NewRanking(),
 			retries: admission.RetryBudget{
 				Ratio: k.config.Retry.Ratio, Slack: k.config.Retry.Slack, Window: k.config.Retry.Window,
 			},
--- a/internal/kernel/steering/shed_test.go
+++ b/internal/kernel/steering/shed_test.go
@@ -88,3 +88,26 @@
 		}
 	}
 }
+
+// Long requests of low priority wait in the queues in which urgent ones wait, too. Their rejection
+// must tell the operator why: the expected wait and the limit that it exceeded.
+func TestRejectionForUrgentRequestsNamesWaitAndLimit(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	k := shedKernel(now)
+	var rejected Event
+	k.config.Observe = func(e Event) {
+		if e.Reason == ReasonUrgentFirst {
+			rejected = e
+		}
+	}
+	k.sendMany(t, now, "/urgent/x", 0)
+	for i := range 400 {
+		at := now.Add(time.Second + time.Duration(i)*time.Millisecond)
+		if req, d := k.BeginRequest(at, Request{Host: "host", Path: "/plain/x"}); d.Server != nil {
+			k.EndAttempt(at, req, Attempt{Result: ResultResponded, Loaded: true, Running: 4, Waiting: 8})
+		}
+	}
+	if rejected.ExpectedWait <= rejected.WaitLimit || rejected.WaitLimit <= 0 || rejected.RetryAfter < rejected.ExpectedWait-rejected.WaitLimit {
+		t.Errorf("got wait %v, limit %v, retry delay %v; want a wait above a positive limit and a delay of at least the excess", rejected.ExpectedWait, rejected.WaitLimit, rejected.RetryAfter)
+	}
+}
--- a/internal/kernel/steering/slotrequest.go
+++ b/internal/kernel/steering/slotrequest.go
@@ -165,7 +165,7 @@
 // requests that run and wait there, so its figures count as a load report of the server.
 func (k *Kernel) learnFromSlotReply(now time.Time, req *ActiveRequest, s *server, svc *service, r SlotReply) {
 	s.recordLoad(now, r.Running, r.Waiting)
-	k.recordQueue(now, req, s, float64(r.Waiting))
+	k.recordQueue(now, req, s, r.Running, float64(r.Waiting))
 	s.concurrencyLimit = r.Limit.Max
 	svc.concurrency.adopt(r.Limit)
 	switch {
