Let the directory decide lookups

steering.Proxy is the directory's type, so it has the bandwidth of the link and the overflow level, and recordings of the list of proxies hold both. The kernel takes its own bandwidth from its settings and its own level from the list: a level takes effect once it is published, so that all lookups agree. The result per failure domain is kept until the list changes. The mechanism wide-links switches the preference off.

A new test replays a recording with links and a level: the lookups are the same, with the mechanism on and off.

--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/directory"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
@@ -28,6 +29,8 @@
 		Region string
 		// Address is the address at which callers reach this proxy.
 		Address netip.AddrPort
+		// LinkMbps is the bandwidth of this proxy's link in Mbit/s; zero if unknown.
+		LinkMbps int
 		// RegionOf maps each failure domain to its region.
 		RegionOf map[string]string
 		Bounds
@@ -91,6 +94,8 @@
 		// evacuatedDomains are the failure domains that take no requests.
 		evacuatedDomains map[string]bool
 		proxies          []Proxy
+		// directory decides which of the proxies lookups return.
+		directory *directory.Directory
 		// limitSharers are the proxies among which shared limits are divided: those that are alive
 		// and those that may still be.
 		limitSharers []limitSharer
@@ -127,15 +132,7 @@
 	}
 
 	// Proxy is a live proxy. This proxy is included in lists of them.
-	Proxy struct {
-		Name   string
-		Domain string
-		Region string
-		// Address is the address at which callers reach it.
-		Address netip.AddrPort
-		// Leaving marks a proxy that still serves requests but is no longer returned by lookups.
-		Leaving bool
-	}
+	Proxy = directory.Proxy
 )
 
 // New returns a kernel without a configuration.
@@ -238,6 +235,7 @@
 		}
 	}
 	k.shuttingDown, k.shutdownDeadline = true, deadline
+	k.resetDirectory()
 }
 
 // SetProxies sets the live proxies. This proxy is always one of them.
@@ -247,9 +245,19 @@
 }
 
 func (k *Kernel) setProxies(now time.Time, list []Proxy) {
-	self := Proxy{Name: k.config.Name, Domain: k.config.Domain, Region: k.config.Region, Address: k.config.Address, Leaving: k.shuttingDown}
+	self := Proxy{Name: k.config.Name, Domain: k.config.Domain, Region: k.config.Region, Address: k.config.Address, Leaving: k.shuttingDown, LinkMbps: k.config.LinkMbps}
+	if i := slices.IndexFunc(list, func(p Proxy) bool { return p.Name == self.Name }); i >= 0 {
+		// The level takes effect once it is published, so that all lookups agree.
+		self.Overflow = list[i].Overflow
+	}
 	list = slices.DeleteFunc(slices.Clone(list), func(p Proxy) bool { return p.Name == self.Name })
 	k.proxies = append(list, self)
 	slices.SortFunc(k.proxies, func(a, b Proxy) int { return strings.Compare(a.Name, b.Name) })
+	k.resetDirectory()
 	k.updateSharers(now, k.proxies)
 }
+
+// resetDirectory applies a change of the proxies to lookups.
+func (k *Kernel) resetDirectory() {
+	k.directory = directory.New(k.proxies, !k.isEnabled(MechanismWideLinks))
+}
--- a/internal/kernel/steering/lookup_test.go
+++ b/internal/kernel/steering/lookup_test.go
@@ -1,12 +1,15 @@
 package steering
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/directory"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
 
@@ -24,6 +27,7 @@
 	k.SetTable(routing.NewTable(1, []*routing.Route{anywhere, southOnly}, nil, routing.Limits{}))
 	k.SetProxies(time.Time{}, proxies)
 	k.proxies = slices.DeleteFunc(k.proxies, func(p Proxy) bool { return p.Name == "self" })
+	k.resetDirectory()
 	var names []string
 	for _, a := range k.Lookup(host, region, domain) {
 		names = append(names, nameByAddress[a])
@@ -70,7 +74,7 @@
 	others := make(map[string]bool)
 	for i := range 20 {
 		got := lookupProxies("north", fmt.Sprintf("north-%d", i), "anywhere", proxies...)
-		if len(got) != minLookupProxies || got[0] != "north-1" {
+		if len(got) != directory.MinProxies || got[0] != "north-1" {
 			t.Fatalf("got %v, want north-1 and one other", got)
 		}
 		others[got[1]] = true
@@ -79,3 +83,41 @@
 		t.Errorf("lookups of twenty failure domains return %d other proxies, want at least 4", len(others))
 	}
 }
+
+// A recording that lost the links or the overflow levels would replay other lookups than were
+// answered. The proxy's own level must take effect when it is published, and the mechanism must be
+// possible to disable.
+func TestReplayRepeatsLookupsByLinks(t *testing.T) {
+	for _, c := range []struct {
+		off  []Mechanism
+		want int
+	}{{nil, 4}, {[]Mechanism{MechanismWideLinks}, 5}} {
+		var recording bytes.Buffer
+		encoder := json.NewEncoder(&recording)
+		k := New(Config{
+			Name: "self", Domain: "north-a", Region: "north", LinkMbps: 200, Address: netip.MustParseAddrPort("10.0.0.9:80"), Off: c.off,
+			Record: func(c Call) { _ = encoder.Encode(c) },
+		})
+		proxies := []Proxy{{Name: "self", Domain: "north-a", Region: "north", Overflow: 1}}
+		for i, mbps := range []int{200, 10, 11, 12} {
+			proxies = append(proxies, Proxy{
+				Name: fmt.Sprintf("p-%d", i), Domain: "north-a", Region: "north", LinkMbps: mbps, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
+			})
+		}
+		k.SetProxies(time.Time{}, proxies)
+		r := &replayer{}
+		for decoder := json.NewDecoder(&recording); decoder.More(); {
+			var call Call
+			if err := decoder.Decode(&call); err != nil {
+				t.Fatal(err)
+			}
+			if err := r.replayCall(call); err != nil {
+				t.Fatal(err)
+			}
+		}
+		got, want := r.kernel.Lookup("host", "north", "north-a"), k.Lookup("host", "north", "north-a")
+		if !slices.Equal(got, want) || len(got) != c.want {
+			t.Errorf("off %v: replay returns %v, recorded were %v, want %d", c.off, got, want, c.want)
+		}
+	}
+}
--- a/internal/kernel/steering/mechanism.go
+++ b/internal/kernel/steering/mechanism.go
@@ -38,13 +38,16 @@
 	MechanismConcurrencyLimit Mechanism = "hold-back"
 	// MechanismQuarantine keeps requests that crash servers away from them.
 	MechanismQuarantine Mechanism = "quarantine"
+	// MechanismWideLinks directs callers to the proxies with wide links. Without it, callers use all
+	// proxies of their failure domain, and no proxy publishes an overflow level.
+	MechanismWideLinks Mechanism = "wide-links"
 )
 
 var (
 	mechanisms = []Mechanism{
 		MechanismHomes, MechanismRegionCapacity, MechanismFailover, MechanismStrandedRegions, MechanismLoadShedding, MechanismQueueInference,
 		MechanismOutlierDetection, MechanismServerSpeed, MechanismSharedConnections, MechanismUnseenRequests, MechanismRetries, MechanismReplicas, MechanismConcurrencyLimit,
-		MechanismQuarantine,
+		MechanismQuarantine, MechanismWideLinks,
 	}
 )
 
