Count the bytes sent to callers and servers

The utilization of a proxy's link was not known anywhere. The listener for callers and the client of servers report each write to a function. Tests with bodies of 90 KB: the counts are the body and at most 4 KB for the head.

--- a/internal/adapter/forwardhttp/listener.go
+++ b/internal/adapter/forwardhttp/listener.go
@@ -22,6 +22,7 @@
 		maxOpen   int64
 		openCount atomic.Int64
 		onReject  func()
+		onSent    func(int)
 		// newPipeline is nil if requests of a connection run one after the other.
 		newPipeline func(net.Conn) *pipeline
 
@@ -53,9 +54,13 @@
 // accepted they would use up the file descriptors that the proxy needs to connect to servers and
 // the store. onReject is called for each.
 func LimitConnections(l net.Listener, maxOpen int, onReject func()) *Listener {
-	return &Listener{Listener: l, maxOpen: int64(maxOpen), onReject: onReject, connections: make(map[*trackedConn]bool)}
+	return &Listener{Listener: l, maxOpen: int64(maxOpen), onReject: onReject, onSent: func(int) {}, connections: make(map[*trackedConn]bool)}
 }
 
+// CountSentBytes calls count with the number of bytes of each write to a caller. It must be called
+// before the first Accept.
+func (l *Listener) CountSentBytes(count func(int)) { l.onSent = count }
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
@@ -181,6 +186,13 @@
 	return c.pipeline.Read(b)
 }
 
+// Write implements net.Conn.
+func (c *trackedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.listener.onSent(n)
+	return n, err
+}
+
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
 	c.once.Do(func() { c.listener.untrack(c) })
--- a/internal/adapter/forwardhttp/listener_test.go
+++ b/internal/adapter/forwardhttp/listener_test.go
@@ -70,6 +70,35 @@
 	}
 }
 
+// The utilization of the link is computed from these counts. Bytes that are not counted would hide
+// that it is full.
+func TestBytesSentToCallersAreCounted(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := LimitConnections(inner, 10, func() {})
+	var sent atomic.Int64
+	l.CountSentBytes(func(n int) { sent.Add(int64(n)) })
+	const size = 90 << 10
+	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, size))
+	})}
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	response, err := http.Get("http://" + inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Fatal(err)
+	}
+	if got := sent.Load(); got < size || got > size+4<<10 {
+		t.Errorf("%d bytes counted, want the body of %d and its head", got, size)
+	}
+}
+
 // Guards against closing a connection, while the process shuts down, whose request has arrived but
 // was not read yet.
 func TestConnectionWithUnreadRequestIsNotClosed(t *testing.T) {
--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -154,6 +154,10 @@
 	return &Client{headers: h, memory: m, now: now, pool: newPool(now, onOpen)}
 }
 
+// CountSentBytes calls count with the number of bytes of each write to a server. It must be called
+// before the first Send.
+func (c *Client) CountSentBytes(count func(int)) { c.pool.onSent = count }
+
 // Send sends the request once. The response is nil unless a complete one arrived. A response that
 // was passed to OnStream must be released by its receiver, whether or not it is returned.
 func (c *Client) Send(ctx context.Context, r Request) (steering.Attempt, *Response) {
--- a/internal/adapter/serverhttp/client_test.go
+++ b/internal/adapter/serverhttp/client_test.go
@@ -110,6 +110,27 @@
 	}
 }
 
+// The utilization of the link is computed from these counts. Bytes that are not counted would hide
+// that it is full.
+func TestBytesSentToServersAreCounted(t *testing.T) {
+	s := startRawServer(t, func(_, _ int, r *http.Request, w net.Conn) bool {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, okResponse(r.Header.Get("Attempt"), ""))
+		return true
+	})
+	c := newTestClient()
+	var sent atomic.Int64
+	c.CountSentBytes(func(n int) { sent.Add(int64(n)) })
+	const size = 90 << 10
+	r := newRequest(s, "one")
+	r.Method, r.Body = http.MethodPost, make([]byte, size)
+	a, response := c.Send(context.Background(), r)
+	expectResult(t, a, response, steering.ResultResponded, "")
+	if got := sent.Load(); got < size || got > size+4<<10 {
+		t.Errorf("%d bytes counted, want the body of %d and its head", got, size)
+	}
+}
+
 // Guards against a duplicate response that is returned to the next request: a server responds
 // twice, and the second response has arrived when the connection is reused.
 func TestDuplicateResponseIsDiscarded(t *testing.T) {
--- a/internal/adapter/serverhttp/pool.go
+++ b/internal/adapter/serverhttp/pool.go
@@ -37,6 +37,7 @@
 		idle    map[netip.AddrPort][]*conn
 		now     func() time.Time
 		onOpen  func()
+		onSent  func(int)
 		dialer  net.Dialer
 		sweptAt time.Time
 	}
@@ -46,6 +47,7 @@
 		net.Conn
 		reader    *bufio.Reader
 		address   netip.AddrPort
+		onSent    func(int)
 		uses      int
 		expires   time.Time
 		keepAlive time.Duration
@@ -54,7 +56,7 @@
 
 func newPool(now func() time.Time, onOpen func()) *pool {
 	return &pool{
-		idle: make(map[netip.AddrPort][]*conn), now: now, onOpen: onOpen,
+		idle: make(map[netip.AddrPort][]*conn), now: now, onOpen: onOpen, onSent: func(int) {},
 		dialer: net.Dialer{Control: setTCPUserTimeout, KeepAlive: -1},
 	}
 }
@@ -92,7 +94,7 @@
 		return nil, 0, errors.Wrap(err, "connect")
 	}
 	p.onOpen()
-	c := &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferSize), address: address, uses: 1, keepAlive: defaultKeepAlive}
+	c := &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferSize), address: address, onSent: p.onSent, uses: 1, keepAlive: defaultKeepAlive}
 	return c, p.now().Sub(startedAt), nil
 }
 
@@ -164,6 +166,13 @@
 
 func (c *conn) isFirstUse() bool { return c.uses == 1 }
 
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.onSent(n)
+	return n, err
+}
+
 func (c *conn) abort() { _ = c.Close() }
 
 // isReusable reports whether an idle connection is open and has no unread data. No response is
