Publish an overflow level when a proxy is overloaded

Lookups can direct callers to the proxies with wide links only as long as these keep up. Each proxy measures once a second how much of its link and of its CPU share it uses (new optional settings Limits.CpuShare and Limits.CpuCores; the smaller one counts) and writes the level that follows from it with its entry, at most once in two seconds. The entries' bandwidth and level reach the kernel, the operators' status and "steering status"; a change is logged and counted, and the utilization and level are metrics.

--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -61,6 +61,10 @@
 		Region          string         `json:"region"`
 		OperatorAddress netip.AddrPort `json:"operators"`
 		Leaving         bool           `json:"leaving,omitempty"`
+		// LinkMbps is the bandwidth of its link in Mbit/s; zero if unknown.
+		LinkMbps int `json:"link-mbps,omitempty"`
+		// Overflow is the level at which lookups return further proxies beside the preferred ones.
+		Overflow int `json:"overflow,omitempty"`
 	}
 
 	// BackendServer is a backend server as the responding proxy sees it.
--- a/internal/client/command/steering.go
+++ b/internal/client/command/steering.go
@@ -189,6 +189,9 @@
 		if len(v.MechanismsOff) > 0 {
 			fmt.Fprintf(&text, "%24s switched off: %v\n", "", v.MechanismsOff)
 		}
+		if a.Proxy.Overflow > 0 {
+			fmt.Fprintf(&text, "%24s overflow level %d, link of %d Mbit/s\n", "", a.Proxy.Overflow, a.Proxy.LinkMbps)
+		}
 		for _, h := range v.ConcurrencyLimits {
 			fmt.Fprintf(&text, "%24s holding back: %s, %d of %d slots (%d answers)\n", "", h.Service, h.Max, h.Slots, h.Samples)
 		}
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -66,6 +66,7 @@
 		slots           *slotClient
 		quarantine      *quarantineStore
 		quotas          *quotaClient
+		overflow        *overflowMonitor
 
 		stopping chan struct{}
 		// suspicionsChanged wakes runCrashAlerts.
@@ -76,7 +77,7 @@
 // New creates a daemon from validated settings.
 func New(s *Settings, deps Dependencies) (*Daemon, error) {
 	config := steering.Config{
-		Name: s.Name, Domain: s.Domain, Region: s.Region, Address: s.Listen.Callers, RegionOf: s.RegionOf,
+		Name: s.Name, Domain: s.Domain, Region: s.Region, Address: s.Listen.Callers, LinkMbps: s.LinkMbps, RegionOf: s.RegionOf,
 		Bounds: kernelBounds(s), Joined: time.Now(), Off: s.DisabledMechanisms,
 	}
 	if _, err := rand.Read(config.Seed[:]); err != nil {
@@ -92,6 +93,7 @@
 	d.replica = newStoreReplica(d)
 	d.quarantine = newQuarantineStore(d, deps.Store)
 	d.quotas = newQuotaClient(d, deps.Store)
+	d.overflow = newOverflowMonitor(d)
 	d.peerClient = peerdrpc.NewClient(func() *tls.Config { return nil })
 	d.peerClient.CountBytes = func(to netip.AddrPort) (sent, received func(int)) {
 		return d.metrics.peerBytes(d.replica.borderTo(to))
@@ -103,6 +105,7 @@
 	d.registrar = &registrar{replica: d.replica, store: deps.Store}
 	memory := bodies.NewMemoryBudget(bodyMemoryLimit(s.MemoryBytes))
 	d.serverClient = serverhttp.NewClient(deps.Names.ServerHeaders, memory, d.now, d.metrics.serverConnectionsOpened.Inc)
+	d.serverClient.CountSentBytes(d.overflow.countSent)
 	d.forwarder = &forwardhttp.Server{
 		Headers: deps.Names.CallerHeaders, WithKernel: d.withKernel, BodyMemory: memory, Send: d.serverClient.Send, Now: d.now,
 		RequestSlot: d.slots.acquire, ReleaseSlot: d.slots.release, RequestPoolToken: d.quotas.takeToken,
@@ -193,6 +196,7 @@
 			if l.server == d.callerServer {
 				d.callerListener, d.callerServer.ConnState = limited, limited.RecordState
 				d.forwarder.EnablePipelining(limited)
+				limited.CountSentBytes(d.overflow.countSent)
 			}
 			listener = limited
 		}
@@ -209,6 +213,7 @@
 	go d.gossip.run(ctx)
 	go d.registrar.run(ctx)
 	go d.watchSettings(ctx, reload)
+	go d.overflow.run(ctx)
 	go d.runTicks(ctx)
 	go d.runCrashAlerts(ctx)
 	go d.quarantine.run(ctx)
--- a/internal/proxy/forward/members.go
+++ b/internal/proxy/forward/members.go
@@ -13,6 +13,7 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/peerdrpc"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/steeringhttp"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/directory"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/operator"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
@@ -29,8 +30,10 @@
 		// Operators is the address of the operators' API, used by the command line.
 		Operators netip.AddrPort `json:"operators"`
 		// LinkMbps is the bandwidth of the VM's link, in Mbit/s; zero if unknown.
-		LinkMbps int  `json:"link-mbps,omitempty"`
-		Leaving  bool `json:"leaving,omitempty"`
+		LinkMbps int `json:"link-mbps,omitempty"`
+		// Overflow is the level at which lookups return further proxies beside this one.
+		Overflow directory.Level `json:"overflow,omitempty"`
+		Leaving  bool            `json:"leaving,omitempty"`
 		// Held holds the concurrency limits learned for services whose servers slow down when
 		// full. The entry outlives the process by its lease, so that proxies that have all lost
 		// power need not learn them again while every queue is full.
@@ -130,7 +133,7 @@
 	f.proxiesSetAt, f.proxiesStale = f.daemon.now(), false
 	list := make([]steering.Proxy, 0, len(f.members))
 	for _, m := range f.members {
-		list = append(list, steering.Proxy{Name: m.Name, Domain: m.Domain, Region: m.Region, Address: m.Callers, Leaving: m.Leaving})
+		list = append(list, steering.Proxy{Name: m.Name, Domain: m.Domain, Region: m.Region, Address: m.Callers, Leaving: m.Leaving, LinkMbps: m.LinkMbps, Overflow: m.Overflow})
 	}
 	f.daemon.withKernel(func(k *steering.Kernel, now time.Time) { k.SetProxies(now, list) })
 }
@@ -167,7 +170,7 @@
 	defer f.mu.Unlock()
 	list := make([]steeringhttp.Proxy, 0, len(f.members))
 	for _, m := range f.members {
-		list = append(list, steeringhttp.Proxy{Name: m.Name, Domain: m.Domain, Region: m.Region, OperatorAddress: m.Operators, Leaving: m.Leaving})
+		list = append(list, steeringhttp.Proxy{Name: m.Name, Domain: m.Domain, Region: m.Region, OperatorAddress: m.Operators, Leaving: m.Leaving, LinkMbps: m.LinkMbps, Overflow: int(m.Overflow)})
 	}
 	slices.SortFunc(list, func(a, b steeringhttp.Proxy) int { return strings.Compare(a.Name, b.Name) })
 	return list
--- a/internal/proxy/forward/metrics.go
+++ b/internal/proxy/forward/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/directory"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
@@ -25,6 +26,10 @@
 		fullCopiesSent           *metrics.Counter
 		fullCopiesReceived       *metrics.Counter
 		replicaAge               *metrics.Histogram
+		linkUtilization          *metrics.Gauge
+		cpuUtilization           *metrics.Gauge
+		overflowLevel            *metrics.Gauge
+		overflowChanges          *metrics.Counter
 		requests                 map[requestLabels]*metrics.Counter
 		attempts                 map[attemptLabels]*metrics.Counter
 		durations                map[string]*metrics.Histogram
@@ -51,6 +56,10 @@
 		fullCopiesSent:           set.NewCounter(`gypsumquay_full_copies_total{direction="sent"}`),
 		fullCopiesReceived:       set.NewCounter(`gypsumquay_full_copies_total{direction="received"}`),
 		replicaAge:               set.NewHistogram("gypsumquay_store_copy_age_at_exchange_seconds"),
+		linkUtilization:          set.NewGauge(`gypsumquay_utilization_ratio{resource="link"}`, nil),
+		cpuUtilization:           set.NewGauge(`gypsumquay_utilization_ratio{resource="cpu"}`, nil),
+		overflowLevel:            set.NewGauge("gypsumquay_overflow_level", nil),
+		overflowChanges:          set.NewCounter("gypsumquay_overflow_level_changes_total"),
 		requests:                 make(map[requestLabels]*metrics.Counter),
 		attempts:                 make(map[attemptLabels]*metrics.Counter),
 		durations:                make(map[string]*metrics.Histogram),
@@ -97,6 +106,18 @@
 	counter.Inc()
 }
 
+// recordUtilization shows the utilization in the last second.
+func (m *proxyMetrics) recordUtilization(u utilization) {
+	m.linkUtilization.Set(u.link)
+	m.cpuUtilization.Set(u.cpu)
+}
+
+// recordOverflowLevel shows a change of this proxy's overflow level.
+func (m *proxyMetrics) recordOverflowLevel(l directory.Level) {
+	m.overflowLevel.Set(float64(l))
+	m.overflowChanges.Inc()
+}
+
 // peerBytes returns the functions that count the bytes of a connection to a peer across a border.
 func (m *proxyMetrics) peerBytes(b border) (sent, received func(int)) {
 	return m.set.GetOrCreateCounter(fmt.Sprintf("gypsumquay_peer_sent_bytes_total{border=%q}", string(b))).Add,
--- a/internal/proxy/forward/settings.go
+++ b/internal/proxy/forward/settings.go
@@ -43,7 +43,10 @@
 		MemoryBytes int64
 		// LinkMbps is the bandwidth of the VM's link, in Mbit/s; zero if unknown.
 		LinkMbps int
-		Bounds   Bounds
+		// CPUShare is the share of a core that the process gets, CPUCores the number of cores that
+		// it may use; zero if unknown. The smaller one bounds its CPU time.
+		CPUShare, CPUCores float64
+		Bounds             Bounds
 		// DisabledMechanisms lists the mechanisms that the command line switches off.
 		DisabledMechanisms []steering.Mechanism
 	}
