Measure the utilization four times a second over a sliding second

One measurement per second noticed a burst that began within one up to two seconds later, and the second level, two seconds after the first, came after up to four seconds. It should come within three. The meter now samples every 250 ms and looks back one second.

Test: a full link after an idle second publishes level 1 after 750 ms and level 2 after 2.75 s.

--- a/internal/proxy/forward/overflow.go
+++ b/internal/proxy/forward/overflow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,10 +14,13 @@
 )
 
 const (
-	// utilizationInterval is the time over which the utilization is measured.
-	utilizationInterval = time.Second
-	bitsPerByte         = 8
-	bitsPerMbit         = 1e6
+	// utilizationWindow is the time over which the utilization is measured. It is measured every
+	// sampleInterval: once per window, a burst that begins within one would be noticed up to two
+	// windows later.
+	utilizationWindow = time.Second
+	sampleInterval    = 250 * time.Millisecond
+	bitsPerByte       = 8
+	bitsPerMbit       = 1e6
 )
 
 type (
@@ -25,7 +29,14 @@
 		link, cpu float64
 	}
 
-	// utilizationMeter measures the utilization between two calls of measure.
+	// usage is what the process has used since its start.
+	usage struct {
+		at        time.Time
+		sentBytes uint64
+		cpuTime   time.Duration
+	}
+
+	// utilizationMeter measures the utilization in the last utilizationWindow.
 	utilizationMeter struct {
 		linkMbps int
 		// cpuCores is how many seconds of CPU time the process gets in a second; zero if unknown.
@@ -34,9 +45,8 @@
 		sentBytes func() uint64
 		cpuTime   func() time.Duration
 
-		measuredAt time.Time
-		lastBytes  uint64
-		lastCPU    time.Duration
+		// samples are those of the window and the last one before it, in order of time.
+		samples []usage
 	}
 
 	// overflowMonitor maintains the overflow level of this proxy, which its entry publishes.
@@ -85,8 +95,7 @@
 func (m *overflowMonitor) currentLevel() directory.Level { return directory.Level(m.level.Load()) }
 
 func (m *overflowMonitor) run(ctx context.Context) {
-	m.meter.measure(m.daemon.now())
-	ticker := time.NewTicker(utilizationInterval)
+	ticker := time.NewTicker(sampleInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -117,17 +126,24 @@
 	m.daemon.replica.requestRewrite()
 }
 
-// measure returns the utilization since the last call. The first call returns zero.
+// measure samples the usage and returns the utilization in the window, or zero until half a window
+// has been sampled.
 func (m *utilizationMeter) measure(now time.Time) (u utilization) {
-	bytes, cpu, elapsed := m.sentBytes(), m.cpuTime(), now.Sub(m.measuredAt).Seconds()
-	if !m.measuredAt.IsZero() && elapsed > 0 {
-		if m.linkMbps > 0 {
-			u.link = float64(bytes-m.lastBytes) * bitsPerByte / (float64(m.linkMbps) * bitsPerMbit * elapsed)
-		}
-		if m.cpuCores > 0 {
-			u.cpu = max(0, (cpu-m.lastCPU).Seconds()) / (m.cpuCores * elapsed)
-		}
+	current := usage{at: now, sentBytes: m.sentBytes(), cpuTime: m.cpuTime()}
+	m.samples = append(m.samples, current)
+	for len(m.samples) > 1 && now.Sub(m.samples[1].at) >= utilizationWindow {
+		m.samples = slices.Delete(m.samples, 0, 1)
+	}
+	first := m.samples[0]
+	elapsed := now.Sub(first.at)
+	if elapsed < utilizationWindow/2 {
+		return utilization{}
+	}
+	if m.linkMbps > 0 {
+		u.link = float64(current.sentBytes-first.sentBytes) * bitsPerByte / (float64(m.linkMbps) * bitsPerMbit * elapsed.Seconds())
+	}
+	if m.cpuCores > 0 {
+		u.cpu = max(0, (current.cpuTime-first.cpuTime).Seconds()) / (m.cpuCores * elapsed.Seconds())
 	}
-	m.measuredAt, m.lastBytes, m.lastCPU = now, bytes, cpu
 	return u
 }
--- a/internal/proxy/forward/overflow_test.go
+++ b/internal/proxy/forward/overflow_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"testing"
 	"time"
 
-	"github.com/gypsumquay/gypsumquay/internal/kernel/directory"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
@@ -55,6 +55,10 @@
 	if got, want := m.measure(now.Add(2*time.Second)), (utilization{link: 0.5, cpu: 0.25}); got != want {
 		t.Errorf("utilization is %+v, want %+v", got, want)
 	}
+	sent += 25_000_000 / 4
+	if got, want := m.measure(now.Add(2250*time.Millisecond)).link, 25.0/45; math.Abs(got-want) > 1e-9 {
+		t.Errorf("utilization of the link after a quarter of a second at its full bandwidth is %.2f, want %.2f", got, want)
+	}
 	m.linkMbps, m.cpuCores = 0, 0
 	sent, cpu = 50_000_000, time.Second
 	if got := m.measure(now.Add(3 * time.Second)); got != (utilization{}) {
@@ -82,33 +86,34 @@
 	var sent uint64
 	d.overflow.meter.sentBytes = func() uint64 { return sent }
 	d.overflow.meter.cpuTime = func() time.Duration { return 0 }
-	start := d.now()
-	d.overflow.meter.measure(start)
-	var levels []directory.Level
-	revision := uint64(1)
-	for second := range 4 {
-		sent += 25_000_000
-		d.overflow.update(start.Add(time.Duration(second+1) * time.Second))
+	burst := d.now().Add(time.Second)
+	var published []time.Duration
+	for after := -time.Second; after <= 4*time.Second; after += sampleInterval {
+		if after > 0 {
+			sent += 25_000_000 / 4
+		}
+		d.overflow.update(burst.Add(after))
 		select {
 		case <-d.replica.rewriteEntry:
-			before := d.lookupCount()
-			r.written = false
-			if !r.ensureRegistered(context.Background()) {
-				t.Fatal("the entry is not written")
-			}
-			data, _ := json.Marshal(entry)
-			revision++
-			d.replica.apply(replica.Delta{Base: revision - 1, Revision: revision, Entries: []replica.Entry{{Key: proxyKeyPrefix + entry.Name, Value: data, Revision: revision}}})
-			d.replica.flushProxies()
-			if after := d.lookupCount(); second == 0 && (before != 2 || after != 4) {
-				t.Errorf("%d proxies are returned before the level is published and %d after, want 2 and 4", before, after)
-			}
 		default:
+			continue
+		}
+		published = append(published, after)
+		before := d.lookupCount()
+		r.written = false
+		if !r.ensureRegistered(context.Background()) {
+			t.Fatal("the entry is not written")
+		}
+		data, _ := json.Marshal(entry)
+		revision := uint64(len(published))
+		d.replica.apply(replica.Delta{Base: revision, Revision: revision + 1, Entries: []replica.Entry{{Key: proxyKeyPrefix + entry.Name, Value: data, Revision: revision + 1}}})
+		d.replica.flushProxies()
+		if got := d.lookupCount(); len(published) == 1 && (before != 2 || got != 4) {
+			t.Errorf("%d proxies are returned before the level is published and %d after, want 2 and 4", before, got)
 		}
-		levels = append(levels, entry.Overflow)
 	}
-	if want := []directory.Level{1, 1, 2, 2}; !slices.Equal(levels, want) {
-		t.Errorf("published levels by second are %v, want %v", levels, want)
+	if want := []time.Duration{750 * time.Millisecond, 2750 * time.Millisecond}; !slices.Equal(published, want) {
+		t.Errorf("levels are published %v after the begin of the burst, want %v", published, want)
 	}
 	if got := d.replica.proxies()[2]; got.Overflow != 2 || got.LinkMbps != 200 {
 		t.Errorf("the status shows level %d and a link of %d Mbit/s, want 2 and 200", got.Overflow, got.LinkMbps)
