Use the slots and the speed that servers report

Servers that were slow for half a second got requests until their late responses were learned, and were avoided when they were fast again. Proxies read neither the slots nor the duration of work in the load report.

Attempts carry both. Reported slots replace registered ones for half a second, except for placement and concurrency limits. The work factor scales the expected work and wait. Its cost is kept apart and compared only among servers that are equally warm, and it is no reason to reject a request. Candidates, events, the log and the list of servers show the factor.

--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -24,6 +24,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/adapter/bodies"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/errs"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/serverload"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
@@ -66,7 +67,7 @@
 		Deadline string
 		// InstanceID is the ID of the intended server.
 		InstanceID string
-		// Load is the server's number of running requests, of waiting requests and of slots.
+		// Load is the server's load report, see serverload.Parse.
 		Load string
 		// NotRun marks a response to a request that the server did not run.
 		NotRun string
@@ -263,7 +264,9 @@
 		}
 		return a
 	}
-	a.Running, a.Waiting, a.Loaded = parseLoad(response.Header.Get(c.headers.Load))
+	if load, ok := serverload.Parse(response.Header.Get(c.headers.Load)); ok {
+		a.Loaded, a.Running, a.Waiting, a.Slots, a.WorkPercent = true, load.Running, load.Waiting, load.Slots, load.WorkPercent
+	}
 	switch {
 	case response.Status == http.StatusMisdirectedRequest:
 		a.Result = steering.ResultWrongServer
@@ -279,19 +282,6 @@
 	return a
 }
 
-func parseLoad(text string) (running, waiting int, ok bool) {
-	parts := strings.Split(text, ",")
-	if len(parts) < 2 {
-		return 0, 0, false
-	}
-	running, err := strconv.Atoi(strings.TrimSpace(parts[0]))
-	if err != nil {
-		return 0, 0, false
-	}
-	waiting, err = strconv.Atoi(strings.TrimSpace(parts[1]))
-	return max(0, running), max(0, waiting), err == nil
-}
-
 // run writes the request and reads its response. reusable is set if the connection can be used for
 // another request.
 func (e *exchange) run() (response *Response, reusable bool, err error) {
--- a/internal/adapter/serverhttp/client_test.go
+++ b/internal/adapter/serverhttp/client_test.go
@@ -313,13 +313,13 @@
 		{"HTTP/1.1 404 None\r\nSeal: s", steering.ResultResponded},
 	} {
 		s := startRawServer(t, func(_, _ int, _ *http.Request, w net.Conn) bool {
-			_, _ = io.WriteString(w, c.head+"\r\nAttempt: one\r\nLoad: 3,2,4\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.WriteString(w, c.head+"\r\nAttempt: one\r\nLoad: 3,2,4,250\r\nContent-Length: 0\r\n\r\n")
 			return true
 		})
 		a, response := send(newTestClient(), s, "one")
 		expectResult(t, a, response, c.want, "")
-		if !a.Loaded || a.Running != 3 || a.Waiting != 2 {
-			t.Errorf("load is %t %d %d, want 3 running and 2 waiting", a.Loaded, a.Running, a.Waiting)
+		if !a.Loaded || a.Running != 3 || a.Waiting != 2 || a.Slots != 4 || a.WorkPercent != 250 {
+			t.Errorf("got %+v, want a load of 3 running, 2 waiting, 4 slots and 250%% work", a)
 		}
 	}
 }
--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -74,6 +74,8 @@
 		Load         float64 `json:"load"`
 		Slowdown     float64 `json:"speed"`
 		FailureShare float64 `json:"failed-share"`
+		// WorkFactor is the duration of work, as a multiple of the usual, that the server reports.
+		WorkFactor float64 `json:"work-factor,omitempty"`
 		// Limit is the number of requests per second that the server accepts from all proxies
 		// together, or nil if it advertises no limit.
 		Limit *float64 `json:"limit-per-second,omitempty"`
@@ -149,6 +151,7 @@
 		Expected         string  `json:"expected,omitempty"`
 		Load             float64 `json:"load,omitempty"`
 		LoadAge          string  `json:"load-age,omitempty"`
+		WorkFactor       float64 `json:"work-factor,omitempty"`
 		Warm             bool    `json:"warm,omitempty"`
 		Draining         bool    `json:"draining,omitempty"`
 		Duration         string  `json:"took,omitempty"`
@@ -172,7 +175,7 @@
 	out := Event{
 		At: e.At, VM: vm, Kind: string(e.Kind), Request: e.Request, Route: e.Route, Account: e.Account, ConfigurationVersion: e.Version,
 		Service: e.Service, Server: e.Server, Object: e.Object, Fingerprint: e.Fingerprint.String(), Domain: e.Domain, Region: e.Region, CallersElsewhere: e.CallersElsewhere, Attempt: e.Attempt,
-		Reason: string(e.Reason), Load: e.Load, Warm: e.Warm, Draining: e.Draining,
+		Reason: string(e.Reason), Load: e.Load, WorkFactor: e.WorkFactor, Warm: e.Warm, Draining: e.Draining,
 		Expected: formatDuration(e.Expected), Duration: formatDuration(e.Duration), RetryAfter: formatDuration(e.RetryAfter), Pressure: e.Pressure,
 		ExpectedWait: formatDuration(e.ExpectedWait), ServerState: string(e.State), Cause: string(e.Cause), Target: formatDuration(e.Target), Limit: e.Limit.String(),
 	}
--- a/internal/client/command/replay.go
+++ b/internal/client/command/replay.go
@@ -39,15 +39,15 @@
 		fmt.Fprintf(&text, "%s request %s: recorded %s, now %s\n", d.At.Format("15:04:05.000"), d.Request, decisionText(d.Recorded), decisionText(d.Now))
 	}
 	if len(result.Candidates) > 0 {
-		fmt.Fprintf(&text, "%-12s %7s %-20s %6s %5s %5s %4s %6s %6s %9s %12s\n", "AT", "ATTEMPT", "SERVER", "USABLE", "COLD", "WARM", "HOME", "LOAD", "SPEED", "EXPECTED", "COST")
+		fmt.Fprintf(&text, "%-12s %7s %-20s %6s %5s %5s %4s %6s %6s %8s %9s %12s\n", "AT", "ATTEMPT", "SERVER", "USABLE", "COLD", "WARM", "HOME", "LOAD", "SPEED", "REPORTED", "EXPECTED", "COST")
 	}
 	for _, w := range result.Candidates {
 		mark := ""
 		if w.Chosen {
 			mark = " chosen"
 		}
-		fmt.Fprintf(&text, "%-12s %7d %-20s %6t %5t %5t %4d %6.1f %6.2f %9s %12s%s\n", w.At.Format("15:04:05.000"), w.Attempt, w.Server,
-			w.Usable, w.Cold, w.Warm, w.HomeRank, w.Load, w.Slowdown, roundDuration(w.Expected), roundDuration(w.Cost), mark)
+		fmt.Fprintf(&text, "%-12s %7d %-20s %6t %5t %5t %4d %6.1f %6.2f %8.2f %9s %12s%s\n", w.At.Format("15:04:05.000"), w.Attempt, w.Server,
+			w.Usable, w.Cold, w.Warm, w.HomeRank, w.Load, w.Slowdown, w.WorkFactor, roundDuration(w.Expected), roundDuration(w.Cost), mark)
 	}
 	return Result{Text: text.String(), Data: result}, nil
 }
--- a/internal/client/command/steering.go
+++ b/internal/client/command/steering.go
@@ -209,9 +209,9 @@
 	}
 	servers := slices.DeleteFunc(status.Servers, func(b steeringhttp.BackendServer) bool { return a.Service != "" && b.Service != a.Service })
 	var text strings.Builder
-	fmt.Fprintf(&text, "as %s sees them\n%-16s %-12s %-16s %-20s %9s %6s %6s %6s\n", status.VM, "SERVER", "SERVICE", "DOMAIN", "STATE", "IN-FLIGHT", "LOAD", "SPEED", "FAILED")
+	fmt.Fprintf(&text, "as %s sees them\n%-16s %-12s %-16s %-20s %9s %6s %6s %8s %6s\n", status.VM, "SERVER", "SERVICE", "DOMAIN", "STATE", "IN-FLIGHT", "LOAD", "SPEED", "REPORTED", "FAILED")
 	for _, b := range servers {
-		fmt.Fprintf(&text, "%-16s %-12s %-16s %-20s %5d/%-3d %6.1f %6.2f %6.2f\n", b.ID, b.Service, b.Domain, b.State, b.InFlight, b.Slots, b.Load, b.Slowdown, b.FailureShare)
+		fmt.Fprintf(&text, "%-16s %-12s %-16s %-20s %5d/%-3d %6.1f %6.2f %8.2f %6.2f\n", b.ID, b.Service, b.Domain, b.State, b.InFlight, b.Slots, b.Load, b.Slowdown, b.WorkFactor, b.FailureShare)
 	}
 	return Result{Text: text.String(), Data: servers}, nil
 }
@@ -267,7 +267,7 @@
 	for _, f := range []struct{ name, value string }{
 		{"request", e.Request}, {"route", e.Route}, {"account", e.Account}, {"service", e.Service}, {"server", e.Server}, {"object", e.Object},
 		{"failure-domain", e.Domain}, {"result", e.Result}, {"outcome", e.Outcome}, {"reason", e.Reason},
-		{"expected", e.Expected}, {"took", e.Duration}, {"load-age", e.LoadAge}, {"come-back", e.RetryAfter}, {"pressure", formatPressure(e.Pressure)},
+		{"expected", e.Expected}, {"took", e.Duration}, {"load-age", e.LoadAge}, {"work-factor", formatNonZero(e.WorkFactor)}, {"come-back", e.RetryAfter}, {"pressure", formatNonZero(e.Pressure)},
 		{"cause", e.Cause}, {"server-state", e.ServerState}, {"wait", e.ExpectedWait}, {"target", e.Target}, {"limit", e.Limit}, {"error", e.Error},
 	} {
 		if f.value != "" {
@@ -283,10 +283,10 @@
 	return strings.Join(parts, " ")
 }
 
-// formatPressure formats a queue length; zero yields an empty string.
-func formatPressure(pressure float64) string {
-	if pressure == 0 {
+// formatNonZero formats a queue length; zero yields an empty string.
+func formatNonZero(value float64) string {
+	if value == 0 {
 		return ""
 	}
-	return strconv.FormatFloat(pressure, 'f', 2, 64)
+	return strconv.FormatFloat(value, 'f', 2, 64)
 }
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -61,9 +61,16 @@
 		server   *server
 		expected time.Duration
 		// untilStart is the part of expected until a slot is free. The rest, the duration of the
-		// work, is only an estimate and no basis for rejecting a request.
+		// work, is only an estimate.
 		untilStart time.Duration
-		cost       time.Duration
+		// usualUntilStart is untilStart at the usual speed of the server. Only this part is a basis
+		// for rejecting a request, because a server is usually slow for less than a second.
+		usualUntilStart time.Duration
+		cost            time.Duration
+		// workFactor is the work factor that the server reports. expected and untilStart include
+		// it. speedCost is its cost, which is not part of cost.
+		workFactor float64
+		speedCost  time.Duration
 		warm       bool
 		// homeRank is the rank of the server among the object's homes.
 		homeRank int
@@ -92,7 +99,8 @@
 
 // chooseAmong chooses the server with the lowest cost among the given ones.
 func (k *Kernel) chooseAmong(now time.Time, req *ActiveRequest, svc *service, homes []string, servers []*server) choice {
-	best := choice{reason: ReasonNoServer}
+	reason := ReasonNoServer
+	var bestWarm, bestCold choice
 	remaining := req.ExpiresAt.Sub(now)
 	connectionLimit := k.maxConnections(svc)
 	homeFull := false
@@ -106,20 +114,29 @@
 		candidate := k.estimate(now, req, s, homes)
 		full := connectionLimit > 0 && s.inFlight >= connectionLimit
 		homeFull = homeFull || full && len(homes) > 0 && candidate.homeRank == 0 && now.Sub(s.respondedAt) < busyTargets*req.Route.Target
-		if full || candidate.untilStart > remaining {
-			if best.server == nil {
-				best.reason = ReasonOverload
-			}
+		if full || candidate.usualUntilStart > remaining {
+			reason = ReasonOverload
 			continue
 		}
 		candidate.cost = k.placer.cost(k, req, candidate)
-		if best.server != nil && candidate.cost >= best.cost {
+		best := &bestCold
+		if candidate.warm {
+			best = &bestWarm
+		}
+		if !candidate.betterThan(*best) {
 			continue
 		}
 		if s.isCold(now) && !k.coldRoom(now, svc, s) {
 			continue
 		}
-		best = candidate
+		*best = candidate
+	}
+	best := bestCold
+	if !bestCold.betterThan(bestWarm) {
+		best = bestWarm
+	}
+	if best.server == nil {
+		return choice{reason: reason}
 	}
 	if k.mustNotSpill(now, svc, homes, best) {
 		return choice{reason: ReasonOverload}
@@ -149,7 +166,8 @@
 	estimated := k.estimate(now, req, s, homes)
 	k.observeCandidate(Candidate{
 		Server: s.id, Usable: k.mayUse(now, req, s), Cold: s.isCold(now),
-		HomeRank: estimated.homeRank, Warm: estimated.warm, Load: s.load(now), Slowdown: s.slowdown, Expected: estimated.expected, Cost: k.placer.cost(k, req, estimated),
+		HomeRank: estimated.homeRank, Warm: estimated.warm, Load: s.load(now), Slowdown: s.slowdown, Expected: estimated.expected, Cost: k.placer.cost(k, req, estimated) + estimated.speedCost,
+		WorkFactor: estimated.workFactor,
 	})
 }
 
@@ -241,7 +259,7 @@
 		work *= coldWorkFactor
 	}
 	typical := float64(req.workEstimate.typical(req.Route)) * slowdown
-	slots := float64(s.usableSlots())
+	slots := float64(s.usableSlots(now))
 	wait := time.Duration(max(0, s.load(now)+1-slots) / slots * typical)
 	estimated := choice{server: s, warm: warm, homeRank: homeRank(homes, s.id), untilStart: s.rtt.roundTrip + wait, expected: s.rtt.roundTrip + wait + work}
 	estimated.cost = estimated.expected + time.Duration(s.failureShare*float64(req.Route.Target))
@@ -250,12 +268,13 @@
 			estimated.cost += otherRegionPenalty
 		}
 		if k.isEnabled(MechanismUnseenRequests) {
-			estimated.cost += time.Duration(unreportedWaitShare * float64(s.inFlight*k.sharersInRegion) / float64(s.Slots) * typical)
+			estimated.cost += time.Duration(unreportedWaitShare * float64(s.inFlight*k.sharersInRegion) / float64(s.currentSlots(now)) * typical * s.reported.Factor(now))
 		}
 	}
 	if len(homes) > 0 && !warm {
 		estimated.cost += time.Duration(coldRunPenalty * float64(estimated.homeRank) * float64(work))
 	}
+	estimated.applyWorkFactor(now)
 	return estimated
 }
 
--- a/internal/kernel/steering/concurrencylimit.go
+++ b/internal/kernel/steering/concurrencylimit.go
@@ -146,9 +146,10 @@
 	if !late && !responded || s.Slots < 2 || req.slotRank > 0 {
 		return
 	}
-	full := late || a.Running >= s.Slots
-	queued := max(float64(a.Waiting), req.loadAtSend+1-float64(s.Slots))
-	wait := time.Duration(max(0, queued) / float64(s.Slots) * float64(svc.workOf(req.Route).typical(req.Route)))
+	slots := a.slotsOr(s.Slots)
+	full := late || a.Running >= slots
+	queued := max(float64(a.Waiting), req.loadAtSend+1-float64(slots))
+	wait := time.Duration(max(0, queued) / float64(slots) * float64(svc.workOf(req.Route).typical(req.Route)))
 	state := &svc.concurrency
 	state.detector.Observe(now, s.id, full, elapsed-s.rtt.roundTrip, unqueued+wait)
 	if state.detector.Detected(now) {
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -100,6 +100,9 @@
 		Expected time.Duration
 		Load     float64
 		LoadAge  time.Duration
+		// WorkFactor is the duration of work, as a multiple of the usual, that the server reports:
+		// the factor that the choice used, or the one reported with the response.
+		WorkFactor float64
 		// ExpectedWait is the part of Expected until a slot is free. State is the state of the
 		// server at that time.
 		ExpectedWait time.Duration
--- a/internal/kernel/steering/learn.go
+++ b/internal/kernel/steering/learn.go
@@ -10,6 +10,7 @@
 	k.recordBackpressure(now, req, s, a)
 	if a.Loaded {
 		s.recordLoad(now, a.Running, a.Waiting)
+		s.reported.Record(now, a.loadReport())
 		k.recordQueue(now, req, s, float64(a.Waiting))
 	}
 	svc := k.service(s.Service)
@@ -18,7 +19,7 @@
 	switch a.Result {
 	case ResultResponded:
 		s.respondedAt = now
-		k.learnWork(now, req, s, svc, elapsed)
+		k.learnWork(now, req, s, svc, a, elapsed)
 		if !a.Loaded {
 			k.inferQueue(now, req, s, elapsed-s.rtt.roundTrip)
 		}
@@ -43,15 +44,16 @@
 	}
 }
 
-func (k *Kernel) learnWork(now time.Time, req *ActiveRequest, s *server, svc *service, elapsed time.Duration) {
+func (k *Kernel) learnWork(now time.Time, req *ActiveRequest, s *server, svc *service, a Attempt, elapsed time.Duration) {
 	work := elapsed - s.rtt.roundTrip
-	s.recordSuccess(work, req.expected-s.rtt.roundTrip)
+	s.recordSuccess(req.usualTime(work, a))
+	work = req.atUsualSpeed(work, a)
 	// The warm estimate follows the shortest times seen, so it needs no correction for slow
 	// servers, whose slowdown includes queueing.
 	if !req.warm {
 		work = time.Duration(float64(work) / max(1, s.slowdown))
 	}
-	idle := s.load(now) < float64(s.Slots)
+	idle := s.load(now) < float64(s.currentSlots(now))
 	model := svc.workOf(req.Route)
 	if work > 0 && (idle || req.warm && model.exceeds(work)) {
 		model.observe(req.warm, work, req.Route.Target)
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -9,7 +9,7 @@
 // BeginRequest starts a request: it matches the route and returns the first step.
 func (k *Kernel) BeginRequest(now time.Time, r Request) (*ActiveRequest, Decision) {
 	k.requestCount++
-	req := &ActiveRequest{Request: r, seq: k.requestCount, startedAt: now}
+	req := &ActiveRequest{Request: r, seq: k.requestCount, startedAt: now, workFactor: 1}
 	d := k.beginRequest(now, req)
 	if k.config.Record != nil {
 		recorded, decision := r, recordedDecisionOf(d)
@@ -90,6 +90,7 @@
 	}
 	k.quarantine.RecordStart(req.Work)
 	req.server, req.sentAt, req.expected, req.warm, req.loadAtSend = s, now, chosen.expected, chosen.warm, s.load(now)
+	req.workFactor = chosen.workFactor
 	state := s.state(now)
 	s.use()
 	s.inFlight++
@@ -98,7 +99,7 @@
 	req.addStep(Event{
 		At: now, Kind: EventRequestSent, Server: s.id, Domain: s.Domain, Attempt: len(req.steps)/2 + 1, Expected: chosen.expected,
 		Load: s.load(now), LoadAge: s.loadAge(now), HomeRank: chosen.homeRank, Warm: chosen.warm,
-		ExpectedWait: chosen.untilStart - s.rtt.roundTrip, State: state,
+		ExpectedWait: chosen.untilStart - s.rtt.roundTrip, State: state, WorkFactor: chosen.workFactor,
 	})
 	req.slotRequest, req.slotRank = k.newSlotRequest(now, req, svc, s, chosen), 0
 	return k.newTarget(svc, s), ReasonNone
@@ -143,8 +144,11 @@
 
 func (k *Kernel) endAttempt(now time.Time, req *ActiveRequest, a Attempt) Decision {
 	s := req.server
+	if !k.isEnabled(MechanismReportedSpeed) {
+		a = a.withoutSpeed()
+	}
 	s.inFlight--
-	if !a.rejectedWithFreeSlots(s.Slots) {
+	if !a.rejectedWithFreeSlots(a.slotsOr(s.Slots)) {
 		req.triedServers = append(req.triedServers, s)
 	}
 	elapsed := now.Sub(req.sentAt)
@@ -152,7 +156,7 @@
 	k.learnFromAttempt(now, req, s, a, elapsed)
 	req.addStep(Event{
 		At: now, Kind: EventAttemptEnded, Server: s.id, Attempt: len(req.steps)/2 + 1, Result: a.Result,
-		Expected: req.expected, Duration: elapsed, Load: float64(a.Running + a.Waiting), Err: a.Err,
+		Expected: req.expected, Duration: elapsed, Load: float64(a.Running + a.Waiting), WorkFactor: a.loadReport().Factor(), Err: a.Err,
 	})
 	switch a.Result {
 	case ResultResponded:
--- a/internal/kernel/steering/mechanism.go
+++ b/internal/kernel/steering/mechanism.go
@@ -25,6 +25,8 @@
 	MechanismOutlierDetection Mechanism = "outlier-verdicts"
 	// MechanismServerSpeed takes the slowdown of each server into account.
 	MechanismServerSpeed Mechanism = "server-speed"
+	// MechanismReportedSpeed takes the slots and the speed that servers report into account.
+	MechanismReportedSpeed Mechanism = "reported-speed"
 	// MechanismSharedConnections limits each proxy to its share of a server's connections.
 	MechanismSharedConnections Mechanism = "shared-connections"
 	// MechanismUnseenRequests takes unreported requests of other proxies into account on routes
@@ -43,7 +45,7 @@
 var (
 	mechanisms = []Mechanism{
 		MechanismHomes, MechanismRegionCapacity, MechanismFailover, MechanismStrandedRegions, MechanismLoadShedding, MechanismQueueInference,
-		MechanismOutlierDetection, MechanismServerSpeed, MechanismSharedConnections, MechanismUnseenRequests, MechanismRetries, MechanismReplicas, MechanismConcurrencyLimit,
+		MechanismOutlierDetection, MechanismServerSpeed, MechanismReportedSpeed, MechanismSharedConnections, MechanismUnseenRequests, MechanismRetries, MechanismReplicas, MechanismConcurrencyLimit,
 		MechanismQuarantine,
 	}
 )
--- a/internal/kernel/steering/replay.go
+++ b/internal/kernel/steering/replay.go
@@ -60,9 +60,11 @@
 		Warm     bool
 		Load     float64
 		Slowdown float64
-		Expected time.Duration
-		Cost     time.Duration
-		Chosen   bool
+		// WorkFactor is the work factor that the server reports.
+		WorkFactor float64
+		Expected   time.Duration
+		Cost       time.Duration
+		Chosen     bool
 	}
 
 	replayer struct {
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -150,6 +150,8 @@
 		sentAt        time.Time
 		expected      time.Duration
 		warm          bool
+		// workFactor is the reported work factor that expected includes.
+		workFactor float64
 		// workEstimate estimates how long requests of the route take at the service.
 		workEstimate *workEstimate
 		// loadAtSend is the estimated number of requests that ran and waited at the server when
@@ -226,6 +228,10 @@
 		// Loaded is set if the server reported its load.
 		Loaded           bool
 		Running, Waiting int
+		// Slots is the number of slots that the server reported, and WorkPercent the current
+		// duration of its work in percent of the usual. Zero means unknown.
+		Slots       int `json:"slots,omitempty"`
+		WorkPercent int `json:"work-percent,omitempty"`
 		// Rejected is set if a complete response reports an error in the request, unlike
 		// ResultRejected. The server may not have started to run it.
 		Rejected bool
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -7,6 +7,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/serverload"
 )
 
 const (
@@ -77,6 +78,8 @@
 		reportedLoad     int
 		inFlightAtReport int
 		reportedAt       time.Time
+		// reported holds the slots and the speed that the server last reported.
+		reported serverload.State
 		// concurrencyLimit is the number of requests that the server should run at once according
 		// to its limiter. Zero means all its slots. No slots are requested from the owner of the
 		// limiter before skipOwnerUntil.
@@ -177,11 +180,12 @@
 }
 
 // usableSlots is the number of requests that the server should run at once.
-func (s *server) usableSlots() int {
-	if s.concurrencyLimit > 0 && s.concurrencyLimit < s.Slots {
+func (s *server) usableSlots(now time.Time) int {
+	slots := s.currentSlots(now)
+	if s.concurrencyLimit > 0 && s.concurrencyLimit < slots {
 		return s.concurrencyLimit
 	}
-	return s.Slots
+	return slots
 }
 
 // load estimates the number of running and waiting requests of all proxies at the server.
@@ -243,8 +247,9 @@
 // its slots in use are not counted, because it is working.
 func (s *server) recordRejection(now time.Time, a Attempt) {
 	s.use()
-	free := a.rejectedWithFreeSlots(s.Slots)
-	if busy := a.Loaded && a.Running >= s.Slots; !busy {
+	slots := a.slotsOr(s.Slots)
+	free := a.rejectedWithFreeSlots(slots)
+	if busy := a.Loaded && a.Running >= slots; !busy {
 		s.rejectionsInRow++
 	}
 	switch {
--- a/internal/kernel/steering/serverstate.go
+++ b/internal/kernel/steering/serverstate.go
@@ -29,7 +29,7 @@
 		return StateCold
 	case s.ejections > 0:
 		return StateEjected
-	case s.load(now) >= float64(s.Slots):
+	case s.load(now) >= float64(s.currentSlots(now)):
 		return StateFull
 	}
 	return StateInUse
--- a/internal/kernel/steering/shed.go
+++ b/internal/kernel/steering/shed.go
@@ -16,13 +16,13 @@
 
 // queueRoom returns how many requests may wait at a server so that the last of them still gets a
 // response within the route's target, assuming that the server is warm for them.
-func (k *Kernel) queueRoom(req *ActiveRequest, svc *service, s *server) float64 {
+func (k *Kernel) queueRoom(now time.Time, req *ActiveRequest, svc *service, s *server) float64 {
 	work := svc.workOf(req.Route).typical(req.Route)
 	if work <= 0 {
 		return 0
 	}
 	available := req.Route.Target - s.rtt.roundTrip - work
-	return float64(s.usableSlots()) * max(1, float64(available)/float64(work))
+	return float64(s.usableSlots(now)) * max(1, float64(available)/float64(work))
 }
 
 // recordQueue records the number of requests that wait at a server, for the server itself and for
@@ -34,7 +34,7 @@
 		p = &admission.QueuePressure{}
 		svc.queuePressure[s.region] = p
 	}
-	room := k.queueRoom(req, svc, s)
+	room := k.queueRoom(now, req, svc, s)
 	p.Observe(now, waiting, room)
 	s.use()
 	s.queuePressure.Observe(now, waiting, room)
@@ -63,7 +63,7 @@
 	case unqueued.warm > available:
 		return
 	case work <= available:
-		waiting = min(waiting, admission.ShedThreshold*k.queueRoom(req, k.service(s.Service), s))
+		waiting = min(waiting, admission.ShedThreshold*k.queueRoom(now, req, k.service(s.Service), s))
 	}
 	k.recordQueue(now, req, s, waiting)
 }
--- a/internal/kernel/steering/slotrequest.go
+++ b/internal/kernel/steering/slotrequest.go
@@ -157,7 +157,8 @@
 		req.slotRequest = nil
 	}
 	req.slotRank, req.sentAt = r.Rank, now
-	req.expected = s.rtt.roundTrip + svc.workOf(req.Route).expected(req.warm, req.Route.Target)
+	req.workFactor = s.reported.Factor(now)
+	req.expected = s.rtt.roundTrip + time.Duration(req.workFactor*float64(svc.workOf(req.Route).expected(req.warm, req.Route.Target)))
 	return Decision{Server: k.newTarget(svc, s)}
 }
 
--- a/internal/kernel/steering/status.go
+++ b/internal/kernel/steering/status.go
@@ -79,6 +79,8 @@
 		// of failed attempts.
 		Slowdown     float64
 		FailureShare float64
+		// WorkFactor is the duration of work, as a multiple of the usual, that the server reports.
+		WorkFactor float64
 	}
 )
 
@@ -114,6 +116,7 @@
 			Draining: server.Draining || server.backpressure.Draining(), Absent: !server.absentUntil.IsZero(),
 			ColdFor: max(0, server.coldUntil.Sub(now)), EjectedFor: max(0, server.ejectedUntil.Sub(now)),
 			Load: server.load(now), LoadAge: server.loadAge(now), Limit: server.backpressure.Limit(now), PausedFor: server.backpressure.PauseRemaining(now), ReportsDraining: server.backpressure.Draining(), Slowdown: server.slowdown, FailureShare: server.failureShare,
+			WorkFactor: server.reported.Factor(now),
 		})
 	}
 	slices.SortFunc(s.Servers, func(a, b ServerStatus) int {
--- a/internal/kernel/steering/warmchoice.go
+++ b/internal/kernel/steering/warmchoice.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/serverload"
 )
 
 // chooseWarm chooses among the servers that are warm for the request's object, and reports whether
@@ -29,7 +31,12 @@
 	}
 	coldWork := req.workEstimate.expected(false, req.Route.Target)
 	minColdCost := coldWork + time.Duration(coldRunPenalty*float64(len(homes))*float64(coldWork))
-	return best, best.cost < minColdCost
+	if best.warm {
+		return best, best.cost < minColdCost
+	}
+	// Other servers that are not warm either may report that they are faster than usual.
+	minSpeedCost := time.Duration((serverload.MinFactor - 1) * float64(coldWork))
+	return best, best.cost+best.speedCost < minColdCost+minSpeedCost
 }
 
 // markWarm records that a server has handled an object.
--- a/internal/proxy/forward/decisionlog.go
+++ b/internal/proxy/forward/decisionlog.go
@@ -122,11 +122,11 @@
 	if s.Kind == steering.EventRequestSent {
 		klog.InfoS(string(s.Kind), "request", s.Request, "route", s.Route, "configuration", s.Version, "service", s.Service,
 			"server", s.Server, "failure-domain", s.Domain, "object", s.Object, "work", s.Fingerprint.String(), "home-rank", s.HomeRank, "warm", s.Warm, "attempt", s.Attempt,
-			"expected", s.Expected.String(), "load", s.Load, "wait", s.ExpectedWait.String(), "server-state", string(s.State), "load-age", formatAge(s.LoadAge), "ago", ago.String())
+			"expected", s.Expected.String(), "load", s.Load, "wait", s.ExpectedWait.String(), "server-state", string(s.State), "load-age", formatAge(s.LoadAge), "work-factor", s.WorkFactor, "ago", ago.String())
 		return
 	}
 	klog.InfoS(string(s.Kind), "request", s.Request, "work", s.Fingerprint.String(), "server", s.Server, "attempt", s.Attempt, "result", s.Result.String(),
-		"expected", s.Expected.String(), "took", s.Duration.String(), "server-load", s.Load, "ago", ago.String(), "error", errorText(s.Err))
+		"expected", s.Expected.String(), "took", s.Duration.String(), "server-load", s.Load, "work-factor", s.WorkFactor, "ago", ago.String(), "error", errorText(s.Err))
 }
 
 // formatFingerprints lists request fingerprints for the log, up to maxFingerprintsPerLine.
--- a/internal/proxy/forward/handlers.go
+++ b/internal/proxy/forward/handlers.go
@@ -102,7 +102,7 @@
 func serverStatus(b steering.ServerStatus) steeringhttp.BackendServer {
 	out := steeringhttp.BackendServer{
 		ID: b.ID, Service: b.Service, Domain: b.Domain, State: steeringhttp.ServerState(b), InFlight: b.InFlight,
-		Slots: b.Slots, Load: b.Load, Slowdown: b.Slowdown, FailureShare: b.FailureShare, ReportsDraining: b.ReportsDraining,
+		Slots: b.Slots, Load: b.Load, Slowdown: b.Slowdown, FailureShare: b.FailureShare, WorkFactor: b.WorkFactor, ReportsDraining: b.ReportsDraining,
 	}
 	if b.Limit.Set {
 		out.Limit = &b.Limit.PerSecond
