--- a/internal/fake/warmnet/replay_test.go
+++ b/internal/fake/warmnet/replay_test.go
@@ -27,7 +27,7 @@
 // Operators replay the recording of a proxy to find out why it placed requests badly. Guards
 // against a replay that decides any request differently from the recorded kernel.
 func TestReplayRepeatsAllDecisions(t *testing.T) {
-	for _, name := range []string{"refusals", "leave", "overload", "limited"} {
+	for _, name := range []string{"refusals", "leave", "overload", "limited", "slow-turns"} {
 		recording, _ := recorded(t, name)
 		got, err := steering.ReplayCalls(recording, "")
 		if err != nil {
--- a/internal/fake/warmnet/scenario.go
+++ b/internal/fake/warmnet/scenario.go
@@ -65,6 +65,8 @@
 		SlowServers int               `json:"slow-servers"`
 		SlowFrom    operator.Duration `json:"slow-from"`
 		SlowTo      operator.Duration `json:"slow-to"`
+		// SlowTurns makes servers slow in turn, which they report.
+		SlowTurns *SlowTurns `json:"slow-turns"`
 		// Knee is the fraction of its slots above which a server slows down: requests that start
 		// with more running take KneeFactor times as long. Zero disables it.
 		Knee       float64 `json:"knee"`
--- a/internal/fake/warmnet/simulation.go
+++ b/internal/fake/warmnet/simulation.go
@@ -55,6 +55,7 @@
 		// drainHeard holds the times at which proxies learned that servers are draining.
 		drainHeard firstHeard
 		backoffLog backoffLog
+		slowTurns  slowTurnState
 	}
 
 	request struct {
@@ -426,7 +427,7 @@
 	if s.index < max(1, w.scenario.SlowServers) && w.Now >= w.scenario.SlowFrom.Std() && w.Now < w.scenario.SlowTo.Std() {
 		return s.serviceTimeFactor * w.scenario.SlowFactor
 	}
-	return s.serviceTimeFactor
+	return s.serviceTimeFactor * w.slowTurnFactor(s)
 }
 
 // drawServiceTimeFactor draws the service time of one request as a multiple of the mean.
@@ -446,6 +447,7 @@
 			// The load in a response includes the request it belongs to.
 			attempt.Running++
 		}
+		w.reportSpeed(req.server, &attempt)
 	}
 	w.returnAttempt(req, attempt)
 }
