Bound what reported speeds change in the estimates of work

A response was divided by the reported work factor before it was learned. The factor now explains at most the difference from the estimate.

--- a/internal/kernel/steering/learn.go
+++ b/internal/kernel/steering/learn.go
@@ -47,14 +47,14 @@
 func (k *Kernel) learnWork(now time.Time, req *ActiveRequest, s *server, svc *service, a Attempt, elapsed time.Duration) {
 	work := elapsed - s.rtt.roundTrip
 	s.recordSuccess(req.usualTime(work, a))
-	work = req.atUsualSpeed(work, a)
 	// The warm estimate follows the shortest times seen, so it needs no correction for slow
 	// servers, whose slowdown includes queueing.
 	if !req.warm {
 		work = time.Duration(float64(work) / max(1, s.slowdown))
 	}
-	idle := s.load(now) < float64(s.currentSlots(now))
 	model := svc.workOf(req.Route)
+	work = req.atUsualSpeed(work, model.expected(req.warm, req.Route.Target), a)
+	idle := s.load(now) < float64(s.currentSlots(now))
 	if work > 0 && (idle || req.warm && model.exceeds(work)) {
 		model.observe(req.warm, work, req.Route.Target)
 	}
--- a/internal/kernel/steering/reportedspeed.go
+++ b/internal/kernel/steering/reportedspeed.go
@@ -70,7 +70,13 @@
 
 // atUsualSpeed returns how long work would have taken at the server's usual speed. It uses the
 // smaller factor of the reports before and after, because an estimate that is too short is
-// corrected more slowly than one that is too long.
-func (req *ActiveRequest) atUsualSpeed(work time.Duration, a Attempt) time.Duration {
-	return time.Duration(float64(work) / min(req.workFactor, a.loadReport().Factor()))
+// corrected more slowly than one that is too long. The factor explains at most the difference from
+// the estimate: that is the one of all servers of the service, and a server that reports a speed at
+// which it does not work must not change it.
+func (req *ActiveRequest) atUsualSpeed(work, estimate time.Duration, a Attempt) time.Duration {
+	corrected := time.Duration(float64(work) / min(req.workFactor, a.loadReport().Factor()))
+	if corrected < work {
+		return min(work, max(corrected, estimate))
+	}
+	return max(work, min(corrected, estimate))
 }
--- a/internal/kernel/steering/reportedspeed_test.go
+++ b/internal/kernel/steering/reportedspeed_test.go
@@ -109,3 +109,24 @@
 		t.Errorf("got %d slots and factor %v, want the registered 4 and 1", got, factor)
 	}
 }
+
+// One server reports a speed that has nothing to do with how long its work takes. The estimate of
+// the work is that of all servers of the service: a wrong one hides queues from load shedding and
+// makes the other servers look slow.
+func TestWrongSpeedReportsKeepWorkEstimate(t *testing.T) {
+	for _, percent := range []int{2000, 10} {
+		for _, sticky := range []bool{true, false} {
+			k, run := speedKernel(sticky, "a")
+			const work = 100 * time.Millisecond
+			for range 200 {
+				run(work+defaultRegionRTT, Attempt{WorkPercent: 100})
+			}
+			for range 200 {
+				run(work+defaultRegionRTT, Attempt{WorkPercent: percent})
+			}
+			if got := k.service("service").workByRoute["route"].expected(sticky, 300*time.Millisecond); got < work*9/10 || got > work*11/10 {
+				t.Errorf("sticky %t: work is estimated as %v after reports of %d%%, want about %v", sticky, got, percent, work)
+			}
+		}
+	}
+}
