Keep the order of maps out of the fair shares of accounts

An account was evicted among the first eight of a map, and loads were scaled down in its order. With more than 10,000 accounts, the same calls gave other ratios: a recording of a proxy would not replay to its decisions. Tracked accounts are in a list now, the map holds positions, and samples for an eviction go round the list. The new test failed before, at request 12,521 of 100,000.

--- a/internal/kernel/fairshare/tracker.go
+++ b/internal/kernel/fairshare/tracker.go
@@ -64,6 +64,12 @@
 		load, weight     float64
 	}
 
+	// account is the hash and the load of a tracked account.
+	account struct {
+		hash uint64
+		load float64
+	}
+
 	// Tracker tracks the load that accounts offer to one service with requests of one priority, as
 	// seen by one proxy. Priority takes precedence over share, so each priority that is shed needs
 	// a tracker of its own. The zero value has no data.
@@ -74,8 +80,13 @@
 		// origin is the time at which the weight is one. startedAt is the time of the first
 		// arrival.
 		origin, startedAt time.Time
-		// accounts holds the loads by the hash of the account.
-		accounts map[uint64]float64
+		// accounts holds the tracked accounts. Loops use it rather than index, whose random order
+		// would make a replay of the same calls decide differently.
+		accounts []account
+		// index holds the positions of the tracked accounts by their hashes.
+		index map[uint64]int32
+		// nextCandidate is the position at which the next sample for an eviction starts.
+		nextCandidate int
 		// buckets holds the summed loads of the accounts for which the map has no room.
 		buckets []float64
 		// bucketArrivals counts the arrivals of accounts in buckets.
@@ -90,8 +101,8 @@
 // RecordArrival adds a request that arrived, and returns what its account offers. The repetition of
 // a rejected request is not counted again.
 func (t *Tracker) RecordArrival(now time.Time, a Arrival) Offer {
-	if t.accounts == nil {
-		t.accounts, t.origin, t.startedAt = make(map[uint64]float64), now, now
+	if t.index == nil {
+		t.index, t.origin, t.startedAt = make(map[uint64]int32), now, now
 	}
 	if now.Sub(t.origin) >= rescaleAfter {
 		t.rescale(now)
@@ -154,28 +165,37 @@
 }
 
 // load returns the load of an account, or of the bucket that it is in.
-func (t *Tracker) load(account uint64) float64 {
-	if load, tracked := t.accounts[account]; tracked || t.buckets == nil {
-		return load
+func (t *Tracker) load(hash uint64) float64 {
+	if i, tracked := t.index[hash]; tracked {
+		return t.accounts[i].load
+	}
+	if t.buckets == nil {
+		return 0
 	}
-	return t.buckets[account%bucketCount]
+	return t.buckets[hash%bucketCount]
 }
 
 // add adds load to an account and returns its new load.
-func (t *Tracker) add(account uint64, load float64) float64 {
-	old, tracked := t.accounts[account]
-	if tracked || len(t.accounts) < maxAccounts {
-		t.accounts[account] = old + load
-		t.histogram.move(old, old+load)
-		return old + load
+func (t *Tracker) add(hash uint64, load float64) float64 {
+	i, tracked := t.index[hash]
+	if !tracked && len(t.accounts) < maxAccounts {
+		i, tracked = int32(len(t.accounts)), true
+		t.index[hash] = i
+		t.accounts = append(t.accounts, account{hash: hash})
+	}
+	if tracked {
+		a := &t.accounts[i]
+		t.histogram.move(a.load, a.load+load)
+		a.load += load
+		return a.load
 	}
 	if t.buckets == nil {
 		t.buckets = make([]float64, bucketCount)
 	}
-	bucket := &t.buckets[account%bucketCount]
+	bucket := &t.buckets[hash%bucketCount]
 	t.histogram.move(*bucket, *bucket+load)
 	*bucket += load
-	if t.bucketArrivals++; t.bucketArrivals%promoteEvery == 0 && t.promote(account, load) {
+	if t.bucketArrivals++; t.bucketArrivals%promoteEvery == 0 && t.promote(hash, load) {
 		return load
 	}
 	return *bucket
@@ -185,29 +205,28 @@
 // tracked accounts, which goes to its bucket instead. The account starts with the given load of its
 // last request. How much of the bucket's other load is its own is unknown, and it must not be
 // blamed for that of others; an account with much load has it again within seconds.
-func (t *Tracker) promote(account uint64, load float64) bool {
-	smallest, smallestLoad, n := uint64(0), math.Inf(1), 0
-	for other, l := range t.accounts {
-		if l < smallestLoad {
-			smallest, smallestLoad = other, l
-		}
-		if n++; n == evictionSample {
-			break
+func (t *Tracker) promote(hash uint64, load float64) bool {
+	position := t.nextCandidate % len(t.accounts)
+	for n := range evictionSample {
+		if i := (t.nextCandidate + n) % len(t.accounts); t.accounts[i].load < t.accounts[position].load {
+			position = i
 		}
 	}
-	from, to := &t.buckets[account%bucketCount], &t.buckets[smallest%bucketCount]
-	if smallestLoad >= *from {
+	t.nextCandidate = (t.nextCandidate + evictionSample) % len(t.accounts)
+	evicted := t.accounts[position]
+	from, to := &t.buckets[hash%bucketCount], &t.buckets[evicted.hash%bucketCount]
+	if evicted.load >= *from {
 		return false
 	}
-	delete(t.accounts, smallest)
-	t.histogram.move(smallestLoad, 0)
-	t.histogram.move(*to, *to+smallestLoad)
-	*to += smallestLoad
+	delete(t.index, evicted.hash)
+	t.histogram.move(evicted.load, 0)
+	t.histogram.move(*to, *to+evicted.load)
+	*to += evicted.load
 	rest := max(0, *from-load)
 	t.histogram.move(*from, rest)
 	*from = rest
 	t.histogram.move(0, load)
-	t.accounts[account] = load
+	t.accounts[position], t.index[hash] = account{hash: hash, load: load}, int32(position)
 	return true
 }
 
@@ -217,14 +236,17 @@
 	t.origin = now
 	t.requests *= factor
 	t.histogram = histogram{}
-	for account, load := range t.accounts {
-		if load *= factor; load < minLoad {
-			delete(t.accounts, account)
+	kept := t.accounts[:0]
+	for _, a := range t.accounts {
+		if a.load *= factor; a.load < minLoad {
+			delete(t.index, a.hash)
 			continue
 		}
-		t.accounts[account] = load
-		t.histogram.move(0, load)
+		t.index[a.hash] = int32(len(kept))
+		kept = append(kept, a)
+		t.histogram.move(0, a.load)
 	}
+	t.accounts = kept
 	for i, load := range t.buckets {
 		if load *= factor; load < minLoad {
 			load = 0
--- a/internal/kernel/fairshare/tracker_test.go
+++ b/internal/kernel/fairshare/tracker_test.go
@@ -193,6 +193,28 @@
 	}
 }
 
+// Recorded calls are replayed to explain decisions. Guards against ratios that depend on the random
+// order of a map, where accounts are evicted and where loads are scaled down.
+func TestSameCallsGiveSameRatios(t *testing.T) {
+	run := func() (ratios []float64) {
+		random := rand.New(rand.NewPCG(1, 2))
+		var tracker Tracker
+		now := start
+		for range 100_000 {
+			now = now.Add(time.Millisecond)
+			a := Arrival{Account: fmt.Sprint(random.IntN(30_000)), Work: time.Duration(random.ExpFloat64() * float64(time.Second))}
+			ratios = append(ratios, tracker.ShedRatio(tracker.RecordArrival(now, a), 0.3))
+		}
+		return ratios
+	}
+	first, second := run(), run()
+	for i := range first {
+		if first[i] != second[i] {
+			t.Fatalf("request %d: got a ratio of %v, and %v when repeated", i, first[i], second[i])
+		}
+	}
+}
+
 // BenchmarkRequest measures what one request costs during overload: its arrival, the question
 // whether to shed it, and its rejection.
 func BenchmarkRequest(b *testing.B) {
