Require fewer late responses of the speed simulation, not as many

Two comments said what the code does not do: a bound of 100,000 on slots does not keep a server from attracting requests, and formatNonZero formats any number.

--- a/internal/client/command/steering.go
+++ b/internal/client/command/steering.go
@@ -283,7 +283,7 @@
 	return strings.Join(parts, " ")
 }
 
-// formatNonZero formats a queue length; zero yields an empty string.
+// formatNonZero formats a number with two decimals; zero yields an empty string.
 func formatNonZero(value float64) string {
 	if value == 0 {
 		return ""
--- a/internal/fake/warmnet/slowturns_test.go
+++ b/internal/fake/warmnet/slowturns_test.go
@@ -38,8 +38,8 @@
 		scenario.MechanismsOff = []steering.Mechanism{steering.MechanismReportedSpeed}
 		lateOff, withinTargetOff := results(scenario, c.seeds)
 		t.Logf("plain %t, load %.1f: %.4f late and %.4f within the target, %.4f and %.4f without reported speeds", c.plain, c.load, late, withinTarget, lateOff, withinTargetOff)
-		if late > c.maxLateRatio*lateOff {
-			t.Errorf("plain %t, load %.1f: %.4f late, want at most %.2f of the %.4f without reported speeds", c.plain, c.load, late, c.maxLateRatio, lateOff)
+		if late >= c.maxLateRatio*lateOff {
+			t.Errorf("plain %t, load %.1f: %.4f late, want less than %.2f of the %.4f without reported speeds", c.plain, c.load, late, c.maxLateRatio, lateOff)
 		}
 		if withinTarget < withinTargetOff {
 			t.Errorf("plain %t, load %.1f: %.4f within the target, want at least the %.4f without reported speeds", c.plain, c.load, withinTarget, withinTargetOff)
--- a/internal/kernel/serverload/serverload.go
+++ b/internal/kernel/serverload/serverload.go
@@ -18,7 +18,7 @@
 	// hangs, which failures show better.
 	MaxFactor = 20.0
 	// maxCount limits the reported numbers of requests and of slots. It is far above what one
-	// server handles, so that a mistake cannot attract or repel all requests.
+	// server handles; a larger number is a mistake.
 	maxCount = 100_000
 	// usualPercent is the reported duration of work of a server at its usual speed.
 	usualPercent = 100
