--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -275,6 +275,9 @@
 		estimated.cost += time.Duration(coldRunPenalty * float64(estimated.homeRank) * float64(work))
 	}
 	estimated.applyWorkFactor(now)
+	if !k.placer.comparesSpeed {
+		estimated.speedCost = 0
+	}
 	return estimated
 }
 
--- a/internal/kernel/steering/placer.go
+++ b/internal/kernel/steering/placer.go
@@ -27,12 +27,15 @@
 		// set if servers other than an object's homes are charged for running it cold.
 		shedsLoad       bool
 		chargesColdRuns bool
+		// comparesSpeed is set if costs are durations, to which that of a server's reported speed
+		// can be added.
+		comparesSpeed bool
 	}
 )
 
 func init() {
 	registerPlacer(placer{
-		name: DefaultPlacer, shedsLoad: true, chargesColdRuns: true,
+		name: DefaultPlacer, shedsLoad: true, chargesColdRuns: true, comparesSpeed: true,
 		cost: func(_ *Kernel, _ *ActiveRequest, p choice) time.Duration { return p.cost },
 	})
 	registerPlacer(placer{name: "least-in-flight", cost: func(_ *Kernel, _ *ActiveRequest, p choice) time.Duration {
--- a/internal/kernel/steering/reportedspeed_test.go
+++ b/internal/kernel/steering/reportedspeed_test.go
@@ -130,3 +130,17 @@
 		}
 	}
 }
+
+// The baseline policies compare counts and hashes. Guards against measurements in which a reported
+// speed, which is a duration, decides instead.
+func TestBaselinePlacersIgnoreReportedSpeed(t *testing.T) {
+	k, run := speedKernel(false)
+	k.placer = placers["round-robin"]
+	sent := make(map[string]int)
+	for range 20 {
+		sent[run(time.Millisecond, Attempt{WorkPercent: 100 + 1900*(sent["a"]%2)})]++
+	}
+	if sent["a"] != 10 || sent["b"] != 10 {
+		t.Errorf("got %v requests, want 10 at each server", sent)
+	}
+}
