Choose the first of servers with equal cost, as before the reported speeds

The best warm and the best other server are kept apart, and of equal costs the warm one won. Before, the first in the list won, which is the home. The estimates are equal where a warm run takes as long as a cold one.

--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -74,6 +74,8 @@
 		warm       bool
 		// homeRank is the rank of the server among the object's homes.
 		homeRank int
+		// position is the position among the considered servers. Of equal costs, the first wins.
+		position int
 		reason   Reason
 	}
 )
@@ -104,7 +106,7 @@
 	remaining := req.ExpiresAt.Sub(now)
 	connectionLimit := k.maxConnections(svc)
 	homeFull := false
-	for _, s := range servers {
+	for position, s := range servers {
 		if k.observeCandidate != nil {
 			k.reportCandidate(now, req, s, homes)
 		}
@@ -118,7 +120,7 @@
 			reason = ReasonOverload
 			continue
 		}
-		candidate.cost = k.placer.cost(k, req, candidate)
+		candidate.cost, candidate.position = k.placer.cost(k, req, candidate), position
 		best := &bestCold
 		if candidate.warm {
 			best = &bestWarm
--- a/internal/kernel/steering/reportedspeed.go
+++ b/internal/kernel/steering/reportedspeed.go
@@ -50,10 +50,12 @@
 		return false
 	case other.server == nil:
 		return true
-	case c.warm == other.warm:
-		return c.cost+c.speedCost < other.cost+other.speedCost
 	}
-	return c.cost < other.cost
+	cost, otherCost := c.cost, other.cost
+	if c.warm == other.warm {
+		cost, otherCost = cost+c.speedCost, otherCost+other.speedCost
+	}
+	return cost < otherCost || cost == otherCost && c.position < other.position
 }
 
 // usualTime returns how long a response would have taken according to the expectation at its
--- a/internal/kernel/steering/reportedspeed_test.go
+++ b/internal/kernel/steering/reportedspeed_test.go
@@ -144,3 +144,16 @@
 		t.Errorf("got %v requests, want 10 at each server", sent)
 	}
 }
+
+// Without reported speeds, servers must be chosen as before: of equal costs, the first in the list
+// wins, which is the home, even if it is compared apart from servers that are warm.
+func TestHomeWinsAtEqualCost(t *testing.T) {
+	_, run := speedKernel(true)
+	home := run(time.Millisecond, Attempt{})
+	other := map[string]string{"a": "b", "b": "a"}[home]
+	k, run := speedKernel(true, other)
+	k.service("service").workByRoute["route"] = &workEstimate{warm: 100 * time.Millisecond, cold: 100 * time.Millisecond, coldSamples: 1}
+	if got := run(time.Millisecond, Attempt{}); got != home {
+		t.Errorf("request went to %s, want the home %s", got, home)
+	}
+}
