--- a/internal/kernel/steering/shed.go
+++ b/internal/kernel/steering/shed.go
@@ -38,20 +38,20 @@
 // service in the region. The room for waiting requests assumes that the server is warm for them.
 func (k *Kernel) recordQueue(now time.Time, req *ActiveRequest, s *server, running int, waiting float64) {
 	svc := k.service(s.Service)
-	r := capacity.Report{Running: running, Waiting: waiting, Slots: s.usableSlots(), Room: svc.queueRoom(req, s)}
+	r := capacity.Report{Running: running, Waiting: waiting, Slots: s.usableSlots(now), Room: svc.queueRoom(now, req, s)}
 	svc.capacity.ObserveReport(now, s.region, r)
 	s.use()
 	s.queue.Observe(now, r)
 }
 
 // queueRoom returns how many requests may wait at a server so that the last of them still gets a
-// response within the route's target.
-func (svc *service) queueRoom(req *ActiveRequest, s *server) float64 {
+// response within the route's target, assuming that the server is warm for them.
+func (svc *service) queueRoom(now time.Time, req *ActiveRequest, s *server) float64 {
 	work := svc.workOf(req.Route).typical(req.Route)
 	if work <= 0 {
 		return 0
 	}
-	return float64(s.usableSlots()) * max(1, float64(req.Route.Target-s.rtt.roundTrip-work)/float64(work))
+	return float64(s.usableSlots(now)) * max(1, float64(req.Route.Target-s.rtt.roundTrip-work)/float64(work))
 }
 
 // shed decides whether to reject a request that has not been sent yet because of the queues at its
@@ -73,7 +73,7 @@
 // hasFreeSlots reports whether slots are free according to a recent report and to the requests that
 // this proxy has sent since then.
 func (s *server) hasFreeSlots(now time.Time) bool {
-	return s.loadAge(now) >= 0 && s.loadAge(now) < loadReportTTL && s.reportedLoad+s.inFlight-s.inFlightAtReport < s.usableSlots()
+	return s.loadAge(now) >= 0 && s.loadAge(now) < loadReportTTL && s.reportedLoad+s.inFlight-s.inFlightAtReport < s.usableSlots(now)
 }
 
 // inferQueue infers the queue of a server that does not report its load from the duration of a
@@ -91,7 +91,7 @@
 		// better without an inferred load.
 		s.recordLoad(now, s.Slots, int(waiting))
 	}
-	evidence, known := admission.QueueEvidence(waiting, svc.queueRoom(req, s), work, unqueued.warm, req.Route.Target-s.rtt.roundTrip)
+	evidence, known := admission.QueueEvidence(waiting, svc.queueRoom(now, req, s), work, unqueued.warm, req.Route.Target-s.rtt.roundTrip)
 	if known {
 		// The queue holds requests of all routes, so the same wait means a different number of them.
 		k.recordQueue(now, req, s, s.inFlight, evidence*svc.capacity.RelativeWork(req.Route.Name))
