Reject the requests of accounts above their fair share first

Where load is shed, the share of requests to reject becomes that of the account, computed by fairshare from the requests that arrived for the service with the same priority. Configurations without accounts are not affected.

--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -169,6 +169,10 @@
 		// which such requests are rejected.
 		ExpectedWait string `json:"wait,omitempty"`
 		WaitLimit    string `json:"wait-limit,omitempty"`
+		// ShedRatio is the share of requests that were to be rejected because of the queues, and
+		// AccountShedRatio the share of those of the account.
+		ShedRatio        float64 `json:"shed-ratio,omitempty"`
+		AccountShedRatio float64 `json:"account-shed-ratio,omitempty"`
 		// ServerState is the state of the server when the request was last sent to it.
 		ServerState string `json:"server-state,omitempty"`
 		// Cause is the main cause of a late request's latency, Target the route's target latency.
@@ -184,7 +188,7 @@
 		Service: e.Service, Server: e.Server, Object: e.Object, Fingerprint: e.Fingerprint.String(), Domain: e.Domain, Region: e.Region, CallersElsewhere: e.CallersElsewhere, Attempt: e.Attempt,
 		Reason: string(e.Reason), Load: e.Load, WorkFactor: e.WorkFactor, Warm: e.Warm, Draining: e.Draining,
 		Expected: formatDuration(e.Expected), Duration: formatDuration(e.Duration), RetryAfter: formatDuration(e.RetryAfter), Pressure: e.Pressure,
-		ExpectedWait: formatDuration(e.ExpectedWait), WaitLimit: formatDuration(e.WaitLimit), ServerState: string(e.State), Cause: string(e.Cause), Target: formatDuration(e.Target), Limit: e.Limit.String(),
+		ExpectedWait: formatDuration(e.ExpectedWait), WaitLimit: formatDuration(e.WaitLimit), ShedRatio: e.ShedRatio, AccountShedRatio: e.AccountShedRatio, ServerState: string(e.State), Cause: string(e.Cause), Target: formatDuration(e.Target), Limit: e.Limit.String(),
 	}
 	if e.Result != 0 {
 		out.Result = e.Result.String()
--- a/internal/client/command/steering.go
+++ b/internal/client/command/steering.go
@@ -271,7 +271,7 @@
 		{"request", e.Request}, {"route", e.Route}, {"account", e.Account}, {"service", e.Service}, {"server", e.Server}, {"object", e.Object},
 		{"failure-domain", e.Domain}, {"result", e.Result}, {"outcome", e.Outcome}, {"reason", e.Reason},
 		{"expected", e.Expected}, {"took", e.Duration}, {"load-age", e.LoadAge}, {"work-factor", formatNonZero(e.WorkFactor)}, {"come-back", e.RetryAfter}, {"pressure", formatNonZero(e.Pressure)},
-		{"cause", e.Cause}, {"server-state", e.ServerState}, {"wait", e.ExpectedWait}, {"wait-limit", e.WaitLimit}, {"target", e.Target}, {"limit", e.Limit}, {"error", e.Error},
+		{"cause", e.Cause}, {"server-state", e.ServerState}, {"wait", e.ExpectedWait}, {"wait-limit", e.WaitLimit}, {"shed-ratio", formatNonZero(e.ShedRatio)}, {"account-shed-ratio", formatNonZero(e.AccountShedRatio)}, {"target", e.Target}, {"limit", e.Limit}, {"error", e.Error},
 	} {
 		if f.value != "" {
 			parts = append(parts, f.name+"="+f.value)
--- a/internal/kernel/admission/shedding.go
+++ b/internal/kernel/admission/shedding.go
@@ -75,6 +75,9 @@
 		// without the round trip. HasUrgent is set if there are any.
 		UrgentSlack time.Duration
 		HasUrgent   bool
+		// AccountRatio returns the share of requests to reject for the account of the request,
+		// given that for all requests. If it is nil, all accounts are treated alike.
+		AccountRatio func(overall float64) float64
 	}
 
 	// ShedDecision is the decision on one request.
@@ -84,6 +87,9 @@
 		Wait, Limit time.Duration
 		// Pressure is the wait relative to the slack of the request.
 		Pressure float64
+		// Ratio is the share of requests to reject, and AccountRatio that for the account of the
+		// request.
+		Ratio, AccountRatio float64
 		// MinRetryAfter and MaxRetryAfter bound the retry delay. Zero means the usual bound.
 		MinRetryAfter, MaxRetryAfter time.Duration
 	}
@@ -115,23 +121,27 @@
 	if r.Priority < r.LowestPriority {
 		ratio = max(0, 2*ratio-1)
 	}
-	if ratio == 0 || random.Float64() >= ratio {
+	d.Ratio, d.AccountRatio = ratio, ratio
+	if ratio > 0 && r.AccountRatio != nil {
+		d.AccountRatio = r.AccountRatio(ratio)
+	}
+	if d.AccountRatio == 0 || random.Float64() >= d.AccountRatio {
 		d.Cause = ShedNone
 		return d
 	}
-	d.MinRetryAfter, d.MaxRetryAfter = d.retryAfter(max(0, (slack-r.Elapsed)/2), ratio)
+	d.MinRetryAfter, d.MaxRetryAfter = d.retryAfter(max(0, (slack-r.Elapsed)/2))
 	return d
 }
 
 // retryAfter returns the range of the retry delay, given half of the time that the caller can wait
 // and still get a response in time. Requests that yield to urgent ones return when the servers have
 // worked off what exceeds the limit, spread over the time in which they still meet their target.
-func (d ShedDecision) retryAfter(early time.Duration, ratio float64) (shortest, longest time.Duration) {
+func (d ShedDecision) retryAfter(early time.Duration) (shortest, longest time.Duration) {
 	switch {
 	case d.Cause == ShedUrgentTarget:
 		excess := d.Wait - d.Limit
 		return excess, max(early, 2*excess)
-	case ratio <= maxShedRatioForEarlyRetry:
+	case d.AccountRatio <= maxShedRatioForEarlyRetry:
 		return 0, early
 	}
 	return 0, 0
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -123,7 +123,11 @@
 		// Pressure is the queue pressure where the request would have run: the queue length
 		// relative to the number of requests that can wait there and still meet the target.
 		Pressure float64
-		Err      error
+		// ShedRatio is the share of requests that was rejected for the queues when this one was, and
+		// AccountShedRatio the share of those of its account, which is larger for an account above
+		// its fair share. Both are zero where accounts are not distinguished.
+		ShedRatio, AccountShedRatio float64
+		Err                         error
 		// Target is the target response time of the route.
 		Target time.Duration
 		// Steps are the earlier decisions of a request that ends.
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -219,6 +219,9 @@
 	k.splitter.Prune(t)
 	for _, svc := range k.services {
 		svc.pruneWork(t)
+		if t.Accounts == nil {
+			svc.shares = shareTrackers{}
+		}
 	}
 	k.config.Observe(Event{Kind: EventConfigurationInForce, Version: t.Version})
 	return true
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -248,6 +248,9 @@
 		// The fingerprint does not run before its next trial, however early the caller retries.
 		d.RetryAfter = req.quarantinedFor
 	}
+	if d.NotRun {
+		req.offer.recordRejection(now, d.RetryAfter)
+	}
 	return k.finish(now, req, d)
 }
 
@@ -263,6 +266,9 @@
 	}
 	if req.shedding.Cause != admission.ShedNone {
 		e.ExpectedWait, e.WaitLimit = req.shedding.Wait, req.shedding.Limit
+		if req.offer.tracker != nil {
+			e.ShedRatio, e.AccountShedRatio = req.shedding.Ratio, req.shedding.AccountRatio
+		}
 	}
 	if req.Route != nil {
 		e.Route, e.Target = req.Route.Name, req.Route.Target
--- a/internal/kernel/steering/mechanism.go
+++ b/internal/kernel/steering/mechanism.go
@@ -22,6 +22,9 @@
 	// MechanismPriorityShedding rejects less urgent requests where more urgent ones would miss
 	// their targets. Without it, each request is rejected only for its own target.
 	MechanismPriorityShedding Mechanism = "priority-shedding"
+	// MechanismFairShares rejects the requests of accounts above their fair share first where load
+	// is shed. Without it, all accounts are treated alike.
+	MechanismFairShares Mechanism = "fair-shares"
 	// MechanismQueueInference infers the queues of servers that do not report their load.
 	MechanismQueueInference Mechanism = "inferred-queues"
 	// MechanismOutlierDetection ejects servers that fail or reject several requests in a row.
@@ -56,6 +59,7 @@
 		MechanismStrandedRegions,
 		MechanismLoadShedding,
 		MechanismPriorityShedding,
+		MechanismFairShares,
 		MechanismQueueInference,
 		MechanismOutlierDetection,
 		MechanismServerSpeed,
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -184,6 +184,8 @@
 		mayHaveRun bool
 		// shedding is the decision whether to reject the request because of the queues.
 		shedding admission.ShedDecision
+		// offer is what the account asked for when the request arrived.
+		offer accountOffer
 		// backpressureWait is how long until a server that announced a limit or pause takes
 		// requests again.
 		backpressureWait time.Duration
--- a/internal/kernel/steering/service.go
+++ b/internal/kernel/steering/service.go
@@ -26,7 +26,9 @@
 		totalSlots int
 		retries    admission.RetryBudget
 		// capacity tracks the demand and the load of the servers.
-		capacity    capacity.Tracker
+		capacity capacity.Tracker
+		// shares tracks what accounts ask for, by priority.
+		shares      shareTrackers
 		concurrency concurrencyState
 		// workByRoute estimates how long the requests of each route take, by route name.
 		workByRoute map[string]*workEstimate
--- a/internal/kernel/steering/shed.go
+++ b/internal/kernel/steering/shed.go
@@ -18,11 +18,12 @@
 	shedReasons = map[admission.ShedCause]Reason{admission.ShedOwnTarget: ReasonQueuesTooLong, admission.ShedUrgentTarget: ReasonUrgentFirst}
 )
 
-// observeArrival counts an arriving request in the demand of its service.
+// observeArrival counts an arriving request in the demand of its service and of its account.
 func (k *Kernel) observeArrival(now time.Time, req *ActiveRequest) {
 	svc := k.service(req.Service)
 	work := svc.workOf(req.Route).typical(req.Route)
 	svc.capacity.ObserveRequest(now, capacity.Request{Route: req.Route.Name, Priority: req.priority(), Work: work, Slack: max(req.Route.Target-work, time.Duration(minSlackShare*float64(req.Route.Target)))})
+	k.recordOffer(now, req, svc, work)
 }
 
 // queuedWork returns how long the requests in the queues of a service take in the mean, whatever
@@ -63,6 +64,7 @@
 	r := admission.ShedRequest{
 		Priority: req.priority(), LowestPriority: k.lowestPriority[svc.name], Target: req.Route.Target, RoundTrip: s.rtt.roundTrip,
 		Work: svc.workOf(req.Route).typical(req.Route), Elapsed: now.Sub(req.startedAt), Wait: chosen.untilStart - s.rtt.roundTrip, FreeSlots: s.hasFreeSlots(now),
+		AccountRatio: req.offer.shedRatio,
 	}
 	r.UrgentSlack, r.HasUrgent = svc.capacity.UrgentSlack(r.Priority)
 	region, single := svc.capacity.Load(now, s.region), s.queue.Load(now, svc.capacity.MeanWork())
--- a/internal/proxy/forward/decisionlog.go
+++ b/internal/proxy/forward/decisionlog.go
@@ -103,7 +103,7 @@
 	j.record(e)
 	klog.InfoS(string(e.Kind), "request", e.Request, "route", e.Route, "account", e.Account, "work", e.Fingerprint.String(), "configuration", e.Version,
 		"outcome", e.Outcome.String(), "reason", string(e.Reason), "took", e.Duration.String(), "attempts", e.Attempt, "tried", attemptedServers(e.Steps),
-		"come-back", e.RetryAfter.String(), "pressure", e.Pressure, "wait", e.ExpectedWait.String(), "wait-limit", e.WaitLimit.String(), "target", e.Target.String(), "cause", string(e.Cause), "server-state", string(e.State))
+		"come-back", e.RetryAfter.String(), "pressure", e.Pressure, "wait", e.ExpectedWait.String(), "wait-limit", e.WaitLimit.String(), "shed-ratio", e.ShedRatio, "account-shed-ratio", e.AccountShedRatio, "target", e.Target.String(), "cause", string(e.Cause), "server-state", string(e.State))
 }
 
 // attemptedServers lists the servers that a request was sent to, with the result of each attempt.
