--- a/internal/kernel/admission/shedding.go
+++ b/internal/kernel/admission/shedding.go
@@ -110,7 +110,10 @@
 		d.Pressure = pressure(l, slack)
 	}
 	ratio := ShedRatio(d.Pressure)
-	if s.ByPriority && r.HasUrgent && !r.FreeSlots {
+	if s.ByPriority && r.FreeSlots {
+		// The figures of the region, and the mean of those of the server, lag behind.
+		ratio = 0
+	} else if s.ByPriority && r.HasUrgent {
 		// Callers near the server have more slack than this proxy's.
 		urgentSlack := max(r.UrgentSlack-r.RoundTrip, r.UrgentSlack/2)
 		wait := max(l.Wait, r.Wait)
--- a/internal/kernel/admission/shedding_test.go
+++ b/internal/kernel/admission/shedding_test.go
@@ -129,6 +129,18 @@
 	}
 }
 
+// A server has just reported free slots. Guards against rejecting its requests because of the means
+// of recent reports, which lag behind when a queue has drained.
+func TestNothingIsShedWhileSlotsAreFree(t *testing.T) {
+	r := ShedRequest{LowestPriority: 2, Target: time.Second, Work: 100 * time.Millisecond, FreeSlots: true, HasUrgent: true, UrgentSlack: 100 * time.Millisecond}
+	l := capacity.Load{Pressure: 3, WaitingPerSlot: 12, MeanWork: 400 * time.Millisecond, Wait: 5 * time.Second}
+	for r.Priority = range 3 {
+		if got, d := rejectedShare(Shedder{ByPriority: true}, l, l, r); got > 0 {
+			t.Errorf("priority %d: got %.2f rejected, %+v, want none", r.Priority, got, d)
+		}
+	}
+}
+
 // The queue of one server is short while those of the others are long. Guards against rejecting its
 // requests because of the others, and against using the figures of a server that no longer reports.
 func TestFreshLoadOfTheServerTakesPrecedence(t *testing.T) {
--- a/internal/kernel/steering/fairshares_test.go
+++ b/internal/kernel/steering/fairshares_test.go
@@ -178,3 +178,29 @@
 		t.Errorf("got %d decisions, %d of them different, error %v, want none different", got.Decisions, got.DifferenceCount, err)
 	}
 }
+
+// Callers repeat rejected requests. Guards against rejections that the kernel does not record: the
+// account would seem to ask for twice as much.
+func TestRepetitionOfRejectedRequestsIsNoDemand(t *testing.T) {
+	const n = 64
+	k, start := kernelWithAccount(t, account.Account{}, Config{})
+	k.RemoveServer(start, "s")
+	now := start
+	for range 2 {
+		for i := range n {
+			work := quarantine.NewFingerprint("GET", "host", fmt.Sprint("/", i), "anna", nil)
+			request := Request{Host: "host", Path: "/", Work: work, Credential: account.Credential{State: account.CredentialPresent, Key: accountKey(t, testAccountKey)}}
+			if _, d := k.BeginRequest(now, request); d.Reason != ReasonNoServer || d.RetryAfter <= 0 {
+				t.Fatalf("got %+v, want a rejection with a retry delay", d)
+			}
+		}
+		now = start.Add(maxRetryAfter)
+	}
+	svc, route := k.service("service"), k.table.Routes["route"]
+	tracker := svc.shares.forPriority(route.Priority)
+	// The requests, spread over the two seconds, are four times the capacity.
+	capacity := n * svc.workOf(route).typical(route).Seconds() / maxRetryAfter.Seconds() / 4
+	if got := tracker.Excess(now, "anna", capacity); got < 0.6 || got > 0.8 {
+		t.Errorf("the account exceeds its share by %.2f, want about 0.7, the excess without the repetitions", got)
+	}
+}
