Keep warmth, demand, replicas and homes by route and object

Objects of different routes of a service were identified by their name alone. The server that was home of wage pack 15 was also home of archive object 15, an archive read made it look warm for the wage pack, and the requests of both counted as demand for one object.

placing.Object names an object by route and name. placing.RouteGroups divides the sticky routes of a service by priority, from the configuration alone. A placement assigns the windows of the groups in turn: each group stays spread evenly, and servers get no more than their share of all objects as far as there are enough, so that the first objects of all groups are on different servers. Rankings are shared by the groups and computed only where an object needs them. Events and logs still name the object as the caller sent it.

--- a/internal/kernel/placing/assign.go
+++ b/internal/kernel/placing/assign.go
@@ -45,7 +45,11 @@
 		placement *Placement
 		// shortListLen is how many servers of a class are considered before all are.
 		shortListLen int
-		firstObject  int
+		// group is the group of the window's objects, firstObject the index of its first object and
+		// position that object's position in the order of assignment.
+		group, firstObject, position int
+		// excess is how many objects more than its share of all objects a server may get.
+		excess int
 		// candidates holds the lists of all classes for the first object of the window, then
 		// those for the second, and so on.
 		candidates []candidateList
@@ -64,13 +68,15 @@
 	return &assigner{placement: h, shortListLen: shortListLen, candidates: make([]candidateList, windowSize*len(h.classes))}
 }
 
-// assign assigns servers to each object of the window that begins at firstObject. It goes through
+// assign assigns servers to each object of the window that begins at a position. It goes through
 // the pairs of object and server in order of distance, as far as the servers have capacity. When
 // one server changes, every proxy recomputes the assignment of every object of the service while
 // requests wait, so distances are computed only as far as they are needed: the nearest pair of
 // all is the nearest among each object's next candidate.
-func (d *assigner) assign(firstObject int) (choices [windowSize][ChoicesPerObject]int32) {
-	d.firstObject = firstObject
+func (d *assigner) assign(position int) (choices [windowSize][ChoicesPerObject]int32) {
+	groups := len(d.placement.assignedByGroup)
+	window := position / windowSize
+	d.group, d.firstObject, d.position, d.excess = window%groups, window/groups*windowSize, position, 0
 	for n := range windowSize {
 		d.initCandidates(n)
 		d.nearest[n] = d.takeNearest(n)
@@ -79,8 +85,13 @@
 	for left := windowSize; left > 0; {
 		n := d.bestObject(&assigned)
 		server := d.nearest[n].server
-		if d.placement.assigned[server] < d.placement.capacity(server, firstObject) {
+		if server < 0 {
+			d.allowExcess(&assigned)
+			continue
+		}
+		if d.hasCapacity(server) {
 			d.placement.assigned[server]++
+			d.placement.assignedByGroup[d.group][server]++
 			choices[n][0] = server
 			assigned[n] = true
 			left--
@@ -94,6 +105,25 @@
 	return choices
 }
 
+// hasCapacity reports whether a server may get another object of the window.
+func (d *assigner) hasCapacity(server int32) bool {
+	h := d.placement
+	return h.assignedByGroup[d.group][server] < h.capacity(server, d.firstObject) && h.assigned[server] < h.capacity(server, d.position)+d.excess
+}
+
+// allowExcess lets servers get one object more than their share of all objects. It is called when
+// an object found no server: the servers with capacity for another group's objects may have none
+// left for this group. There is always a server with capacity for the group alone.
+func (d *assigner) allowExcess(assigned *[windowSize]bool) {
+	d.excess++
+	for n := range windowSize {
+		if !assigned[n] {
+			d.rewindCandidates(n)
+			d.nearest[n] = d.takeNearest(n)
+		}
+	}
+}
+
 // bestObject returns the unassigned object whose next candidate is nearest.
 func (d *assigner) bestObject(assigned *[windowSize]bool) int {
 	best := -1
@@ -130,9 +160,9 @@
 		c := &d.placement.classes[i]
 		l := candidateList{}
 		if c.ranking != nil && d.shortListLen <= shortListSize {
-			l.servers, l.indexes = c.ranking.nearestTo(d.firstObject+n), c.indexes
+			l.servers, l.indexes = c.ranking.nearestTo(d.rankingIndex(n)), c.indexes
 		} else {
-			l.servers = d.placement.allServers(c, d.firstObject+n)
+			l.servers = d.placement.allServers(c, d.rankingIndex(n))
 		}
 		l.servers = l.servers[:min(d.shortListLen, len(l.servers))]
 		l.complete = len(l.servers) == len(c.servers)
@@ -141,6 +171,9 @@
 	}
 }
 
+// rankingIndex returns the number by which servers are ranked for object n of the window.
+func (d *assigner) rankingIndex(n int) int { return rankingIndex(d.group, d.firstObject+n) }
+
 func (d *assigner) rewindCandidates(n int) {
 	lists := d.candidatesOf(n)
 	for i := range lists {
@@ -172,7 +205,7 @@
 func (d *assigner) loadNext(n, class int) {
 	l, c := &d.candidatesOf(n)[class], &d.placement.classes[class]
 	if l.next == len(l.servers) && !l.complete {
-		l.servers, l.indexes, l.complete = d.placement.allServers(c, d.firstObject+n), nil, true
+		l.servers, l.indexes, l.complete = d.placement.allServers(c, d.rankingIndex(n)), nil, true
 		d.shortListExhausted = true
 	}
 	l.hasNext = l.next < len(l.servers)
@@ -199,11 +232,11 @@
 	return list
 }
 
-// capacity returns how many objects a server may hold at the end of a window: its share, by
-// weight, of all objects assigned by then. It is rounded up, so that there is always room for
-// each object.
-func (h *Placement) capacity(server int32, firstObject int) int {
-	return (h.servers[server].Weight*(firstObject+windowSize) + h.totalWeight - 1) / h.totalWeight
+// capacity returns how many objects a server may hold at the end of a window before which the given
+// number of objects were assigned: its share, by weight, of all objects assigned by then. It is
+// rounded up, so that there is always room for each object.
+func (h *Placement) capacity(server int32, objects int) int {
+	return (h.servers[server].Weight*(objects+windowSize) + h.totalWeight - 1) / h.totalWeight
 }
 
 func compareCandidates(a, b candidate) int {
--- a/internal/kernel/placing/demand.go
+++ b/internal/kernel/placing/demand.go
@@ -24,7 +24,7 @@
 	// Demand estimates how often objects are requested, as seen by one proxy.
 	Demand struct {
 		startedAt time.Time
-		objects   map[string]decayingCount
+		objects   map[Object]decayingCount
 	}
 
 	// decayingCount is an exponentially decaying count and the time at which it had this value.
@@ -35,9 +35,9 @@
 )
 
 // Record counts one request for an object.
-func (d *Demand) Record(now time.Time, object string) {
+func (d *Demand) Record(now time.Time, object Object) {
 	if d.objects == nil {
-		d.startedAt, d.objects = now, make(map[string]decayingCount)
+		d.startedAt, d.objects = now, make(map[Object]decayingCount)
 	}
 	a, known := d.objects[object]
 	if !known && len(d.objects) >= maxDemandObjects && !d.sweep(now) {
@@ -49,7 +49,7 @@
 // LowerBound returns a lower estimate of an object's request rate, per second: the count less its
 // standard deviation. Without this margin, a single chance request at one of a hundred proxies
 // would be taken for a hundred requests in the fleet.
-func (d *Demand) LowerBound(now time.Time, object string) float64 {
+func (d *Demand) LowerBound(now time.Time, object Object) float64 {
 	count := d.objects[object].decayed(now)
 	if count <= 1 {
 		return 0
--- a/internal/kernel/placing/placement.go
+++ b/internal/kernel/placing/placement.go
@@ -7,7 +7,6 @@
 	"cmp"
 	"encoding/binary"
 	"slices"
-	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -38,27 +37,35 @@
 		Class string
 	}
 
-	// Placement chooses the servers of each object for one list of servers. The same list gives
-	// the same choices in every process.
+	// Placement chooses the servers of each object for one list of servers. The same list and
+	// groups of routes give the same choices in every process.
 	Placement struct {
 		servers     []Server
 		hashes      []uint64
 		totalWeight int
 		classes     []serverClass
-		// assigned counts the objects assigned to each server so far.
-		assigned []int
-		// choices holds the choices by object index.
+		groups      *RouteGroups
+		// assigned counts the objects assigned to each server so far, assignedByGroup those of each
+		// group.
+		assigned        []int
+		assignedByGroup [][]int
+		// choices holds the choices by position in the order of assignment: a window of each group,
+		// then the next window of each group, and so on.
 		choices  [][ChoicesPerObject]int32
 		assigner *assigner
 	}
 )
 
 // NewPlacement returns a placement over servers. A ranking of the same servers makes it cheaper
-// but doesn't change the result; it may be nil.
-func NewPlacement(servers []Server, r *Ranking) *Placement {
-	h := &Placement{servers: slices.Clone(servers)}
+// but doesn't change the result; it may be nil. Nil groups give all routes the same homes.
+func NewPlacement(servers []Server, r *Ranking, g *RouteGroups) *Placement {
+	h := &Placement{servers: slices.Clone(servers), groups: g}
 	slices.SortFunc(h.servers, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
 	h.assigned = make([]int, len(h.servers))
+	h.assignedByGroup = make([][]int, g.groupCount())
+	for i := range h.assignedByGroup {
+		h.assignedByGroup[i] = make([]int, len(h.servers))
+	}
 	for _, s := range h.servers {
 		h.hashes = append(h.hashes, xxhash.Sum64String(s.ID))
 		h.totalWeight += s.Weight
@@ -101,11 +108,11 @@
 }
 
 // ServersFor returns the servers of an object, best first.
-func (h *Placement) ServersFor(object string) []string {
+func (h *Placement) ServersFor(o Object) []string {
 	if len(h.servers) == 0 {
 		return nil
 	}
-	index := ObjectIndex(object)
+	index := h.position(o)
 	for len(h.choices) <= index {
 		h.placeWindow(len(h.choices))
 	}
@@ -118,26 +125,24 @@
 	return ids
 }
 
-// ObjectIndex returns an object's position in the order of assignment. Objects that are numbered
-// densely, in decimal or hexadecimal digits, keep their numbers and are spread evenly; hashing a
-// few dozen names wouldn't spread them evenly.
-func ObjectIndex(object string) int {
-	n, err := strconv.ParseUint(object, 16, 63)
-	if err == nil && n < objectIndexCount {
-		return int(n)
-	}
-	return int(xxhash.Sum64String(object) % objectIndexCount)
+// position returns the position of an object in the order of assignment. The windows of the groups
+// alternate, because the lowest numbers of each group are usually the most frequently requested.
+func (h *Placement) position(o Object) int {
+	index := ObjectIndex(o.Name)
+	window := index/windowSize*len(h.assignedByGroup) + h.groups.groupOf(o.Route)
+	return window*windowSize + index%windowSize
 }
 
-// placeWindow assigns the objects of the next window. No server gets more than its share of all
-// objects assigned so far, rounded up; the pairs of object and server with the best weighted
-// rendezvous hashing scores come first. When a server joins or leaves, the objects that it takes
-// or gives up move and few others do.
-func (h *Placement) placeWindow(firstObject int) {
+// placeWindow assigns the objects of the next window, which begins at the given position. No
+// server gets more than its share of the group's objects assigned so far, rounded up, nor, if
+// possible, of all objects; the pairs of object and server with the best weighted rendezvous
+// hashing scores come first. When a server joins or leaves, the objects that it takes or gives up
+// move and few others do.
+func (h *Placement) placeWindow(position int) {
 	if h.assigner == nil {
 		h.assigner = newAssigner(h, shortListSize)
 	}
-	choices := h.assigner.assign(firstObject)
+	choices := h.assigner.assign(position)
 	h.choices = append(h.choices, choices[:]...)
 }
 
--- a/internal/kernel/placing/placement_test.go
+++ b/internal/kernel/placing/placement_test.go
@@ -20,11 +20,11 @@
 // plain hash, one of twelve servers got twice the mean; its callers waited while other servers
 // were idle.
 func TestDenselyNumberedObjectsAreSpreadEvenly(t *testing.T) {
-	h := NewPlacement(servers(12), nil)
+	h := NewPlacement(servers(12), nil, nil)
 	for first := 0; first < 72; first += 24 {
 		count := make(map[string]int)
 		for n := first; n < first+24; n++ {
-			count[h.ServersFor(strconv.FormatInt(int64(n), 16))[0]]++
+			count[h.ServersFor(Object{Name: strconv.FormatInt(int64(n), 16)})[0]]++
 		}
 		for id, got := range count {
 			if got > 3 {
@@ -41,16 +41,16 @@
 // object would run cold on two of them.
 func TestPlacementDoesNotDependOnServerOrder(t *testing.T) {
 	list := servers(12)
-	a := NewPlacement(list, nil)
+	a := NewPlacement(list, nil, nil)
 	slices.Reverse(list)
-	b := NewPlacement(list, nil)
+	b := NewPlacement(list, nil, nil)
 	for n := range 200 {
 		object := strconv.FormatInt(int64(n), 16)
-		if got, want := b.ServersFor(object), a.ServersFor(object); !slices.Equal(got, want) {
+		if got, want := b.ServersFor(Object{Name: object}), a.ServersFor(Object{Name: object}); !slices.Equal(got, want) {
 			t.Fatalf("object %s: got %v, want %v", object, got, want)
 		}
 	}
-	if got, want := a.ServersFor("7"), b.ServersFor("7"); !slices.Equal(got, want) {
+	if got, want := a.ServersFor(Object{Name: "7"}), b.ServersFor(Object{Name: "7"}); !slices.Equal(got, want) {
 		t.Errorf("object 7, placed early: got %v, want %v", got, want)
 	}
 }
@@ -59,12 +59,12 @@
 // would be cold at once.
 func TestFewObjectsMoveWhenAServerLeaves(t *testing.T) {
 	list := servers(12)
-	before := NewPlacement(list, nil)
-	after := NewPlacement(list[:11], nil)
+	before := NewPlacement(list, nil, nil)
+	after := NewPlacement(list[:11], nil, nil)
 	moved, lost := 0, 0
 	for n := range 72 {
 		object := strconv.FormatInt(int64(n), 16)
-		was, is := before.ServersFor(object)[0], after.ServersFor(object)[0]
+		was, is := before.ServersFor(Object{Name: object})[0], after.ServersFor(Object{Name: object})[0]
 		switch {
 		case was == list[11].ID:
 			lost++
@@ -121,7 +121,7 @@
 		for i := range list {
 			list[i].Weight = 1 + i%5*i%7
 		}
-		h, shortListOfTwo := NewPlacement(list, nil), NewPlacement(list, nil)
+		h, shortListOfTwo := NewPlacement(list, nil, nil), NewPlacement(list, nil, nil)
 		shortListOfTwo.assigner = newAssigner(shortListOfTwo, 2)
 		for first := 0; first < 10*windowSize; first += windowSize {
 			want := assignAllPairs(h, first)
@@ -147,10 +147,10 @@
 }
 
 func TestServersGetObjectsByWeight(t *testing.T) {
-	h := NewPlacement([]Server{{ID: "large", Weight: 30}, {ID: "small", Weight: 10}}, nil)
+	h := NewPlacement([]Server{{ID: "large", Weight: 30}, {ID: "small", Weight: 10}}, nil, nil)
 	count := make(map[string]int)
 	for n := range 3 * windowSize {
-		count[h.ServersFor(strconv.FormatInt(int64(n), 16))[0]]++
+		count[h.ServersFor(Object{Name: strconv.FormatInt(int64(n), 16)})[0]]++
 	}
 	if got, want := count["large"], 54; got != want {
 		t.Errorf("the server with three quarters of the weight is the home of %d, want %d", got, want)
@@ -171,14 +171,14 @@
 			t.Errorf("ObjectIndex(%q) = %d, want within %d", object, got, objectIndexCount)
 		}
 	}
-	if got := NewPlacement(nil, nil).ServersFor("1"); got != nil {
+	if got := NewPlacement(nil, nil, nil).ServersFor(Object{Name: "1"}); got != nil {
 		t.Errorf("placement without servers: got %v, want none", got)
 	}
 }
 
 func ExamplePlacement() {
-	h := NewPlacement([]Server{{ID: "a", Weight: 1}, {ID: "b", Weight: 1}}, nil)
-	fmt.Println(len(h.ServersFor("1f")))
+	h := NewPlacement([]Server{{ID: "a", Weight: 1}, {ID: "b", Weight: 1}}, nil, nil)
+	fmt.Println(len(h.ServersFor(Object{Name: "1f"})))
 	// Output: 2
 }
 
@@ -249,10 +249,10 @@
 }
 
 func BenchmarkServersFor(b *testing.B) {
-	h := NewPlacement(servers(138), nil)
-	h.ServersFor("fff")
+	h := NewPlacement(servers(138), nil, nil)
+	h.ServersFor(Object{Name: "fff"})
 	b.ReportAllocs()
 	for b.Loop() {
-		h.ServersFor("1b")
+		h.ServersFor(Object{Name: "1b"})
 	}
 }
--- a/internal/kernel/placing/ranking.go
+++ b/internal/kernel/placing/ranking.go
@@ -34,7 +34,8 @@
 		free    []int32
 		// listedIn is the last update that listed each server, by number.
 		listedIn []uint64
-		// nearest holds for each object the servers with the largest hashes, largest first.
+		// nearest holds for each ranking index the servers with the largest hashes, largest first. It
+		// is nil where it has not been needed yet.
 		nearest [][]serverHash
 	}
 )
@@ -67,13 +68,13 @@
 }
 
 // Nearest returns the servers of a class that are nearest to an object, at most shortListSize.
-// The result is the same at all proxies that know the same servers.
-func (r *Ranking) Nearest(class, object string) []string {
+// The result is the same at all proxies that know the same servers and groups.
+func (r *Ranking) Nearest(class string, g *RouteGroups, o Object) []string {
 	c := r.classes[class]
 	if c == nil {
 		return nil
 	}
-	list := c.nearestTo(ObjectIndex(object))
+	list := c.nearestTo(rankingIndex(g.groupOf(o.Route), ObjectIndex(o.Name)))
 	ids := make([]string, 0, len(list))
 	for _, s := range list {
 		ids = append(ids, c.ids[s.server])
@@ -93,6 +94,9 @@
 	c.numbers[id] = number
 	for object := range c.nearest {
 		list := c.nearest[object]
+		if list == nil {
+			continue
+		}
 		hash := hashPair(c.hashes[number], object) >> droppedHashBits
 		if len(list) == previousCount || hash > list[len(list)-1].hash {
 			c.nearest[object] = insertRanked(list, serverHash{hash, number}, rankedPerObject)
@@ -121,8 +125,11 @@
 
 // nearestTo returns the short list of servers nearest to an object, by server number.
 func (c *classRanking) nearestTo(object int) []serverHash {
-	for len(c.nearest) <= object {
-		c.nearest = append(c.nearest, c.rank(len(c.nearest)))
+	if missing := object + 1 - len(c.nearest); missing > 0 {
+		c.nearest = append(c.nearest, make([][]serverHash, missing)...)
+	}
+	if c.nearest[object] == nil {
+		c.nearest[object] = c.rank(object)
 	}
 	list := c.nearest[object]
 	return list[:min(len(list), shortListSize)]
--- a/internal/kernel/placing/ranking_test.go
+++ b/internal/kernel/placing/ranking_test.go
@@ -23,10 +23,10 @@
 	r := NewRanking()
 	for step := range 60 {
 		r.Update(list)
-		ranked, plain := NewPlacement(list, r), NewPlacement(list, nil)
+		ranked, plain := NewPlacement(list, r, nil), NewPlacement(list, nil, nil)
 		for n := 0; n < 8*windowSize; n += 5 {
 			object := fmt.Sprintf("%x", n)
-			if got, want := ranked.ServersFor(object), plain.ServersFor(object); !slices.Equal(got, want) {
+			if got, want := ranked.ServersFor(Object{Name: object}), plain.ServersFor(Object{Name: object}); !slices.Equal(got, want) {
 				t.Fatalf("after %d changes of %d servers, object %s: got %v, want %v", step, len(list), object, got, want)
 			}
 		}
@@ -46,10 +46,10 @@
 	list := servers(30)
 	r := NewRanking()
 	r.Update(list[:20])
-	got, want := NewPlacement(list, r), NewPlacement(list, nil)
+	got, want := NewPlacement(list, r, nil), NewPlacement(list, nil, nil)
 	for n := range 3 * windowSize {
-		if object := fmt.Sprintf("%x", n); !slices.Equal(got.ServersFor(object), want.ServersFor(object)) {
-			t.Fatalf("object %s: got %v, want %v", object, got.ServersFor(object), want.ServersFor(object))
+		if object := fmt.Sprintf("%x", n); !slices.Equal(got.ServersFor(Object{Name: object}), want.ServersFor(Object{Name: object})) {
+			t.Fatalf("object %s: got %v, want %v", object, got.ServersFor(Object{Name: object}), want.ServersFor(Object{Name: object}))
 		}
 	}
 }
--- a/internal/kernel/placing/replica_test.go
+++ b/internal/kernel/placing/replica_test.go
@@ -41,10 +41,10 @@
 		object := fmt.Sprintf("%x", n)
 		r := NewRanking()
 		r.Update(list)
-		before := r.Nearest("", object)[:5]
+		before := r.Nearest("", nil, Object{Name: object})[:5]
 		gone := before[n%5]
 		r.Update(slices.DeleteFunc(slices.Clone(list), func(s Server) bool { return s.ID == gone }))
-		after := r.Nearest("", object)[:5]
+		after := r.Nearest("", nil, Object{Name: object})[:5]
 		kept := 0
 		for _, id := range after {
 			if slices.Contains(before, id) {
@@ -57,10 +57,10 @@
 	}
 	r := NewRanking()
 	r.Update(list[:2])
-	if got := r.Nearest("", "1"); len(got) != 2 {
+	if got := r.Nearest("", nil, Object{Name: "1"}); len(got) != 2 {
 		t.Errorf("two servers: got %v, want both", got)
 	}
-	if got := r.Nearest("other", "1"); got != nil {
+	if got := r.Nearest("other", nil, Object{Name: "1"}); got != nil {
 		t.Errorf("a class without servers: got %v, want none", got)
 	}
 }
@@ -70,21 +70,21 @@
 func TestSingleRequestGivesNoDemand(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	var d Demand
-	d.Record(now, "rare")
+	d.Record(now, Object{Name: "rare"})
 	for i := range 40 {
-		d.Record(now.Add(time.Duration(i)*250*time.Millisecond), "often")
+		d.Record(now.Add(time.Duration(i)*250*time.Millisecond), Object{Name: "often"})
 	}
 	now = now.Add(10 * time.Second)
-	if got := d.LowerBound(now, "rare"); got != 0 {
+	if got := d.LowerBound(now, Object{Name: "rare"}); got != 0 {
 		t.Errorf("an object requested once: %v per second, want 0", got)
 	}
-	if got := d.LowerBound(now, "often"); got < 2.5 || got > 4 {
+	if got := d.LowerBound(now, Object{Name: "often"}); got < 2.5 || got > 4 {
 		t.Errorf("an object requested four times a second: lower bound %.2f, want 2.5 to 4", got)
 	}
-	if got := d.LowerBound(now.Add(time.Minute), "often"); got != 0 {
+	if got := d.LowerBound(now.Add(time.Minute), Object{Name: "often"}); got != 0 {
 		t.Errorf("a minute after its last request: %v per second, want 0", got)
 	}
-	if got := d.LowerBound(now, "never"); got != 0 {
+	if got := d.LowerBound(now, Object{Name: "never"}); got != 0 {
 		t.Errorf("an object never requested: %v per second, want 0", got)
 	}
 }
@@ -96,15 +96,15 @@
 	var d Demand
 	for i := range 3 * maxDemandObjects {
 		now = now.Add(10 * time.Millisecond)
-		d.Record(now, fmt.Sprint("object-", i))
+		d.Record(now, Object{Name: fmt.Sprint("object-", i)})
 		if i%25 == 0 {
-			d.Record(now, "often")
+			d.Record(now, Object{Name: "often"})
 		}
 	}
 	if got := len(d.objects); got > maxDemandObjects {
 		t.Errorf("%d objects are tracked, want at most %d", got, maxDemandObjects)
 	}
-	if got := d.LowerBound(now, "often"); got < 2 {
+	if got := d.LowerBound(now, Object{Name: "often"}); got < 2 {
 		t.Errorf("the object requested four times a second: lower bound %.2f, want at least 2", got)
 	}
 }
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -164,7 +164,7 @@
 		placement = k.newPlacement(req, svc, scope)
 		svc.placements[scope] = placement
 	}
-	return placement.ServersFor(req.Object)
+	return placement.ServersFor(req.objectKey())
 }
 
 // newPlacement assigns the objects of this region's callers to servers.
@@ -176,7 +176,7 @@
 			list = append(list, placing.Server{ID: s.id, Weight: weight, Class: s.class})
 		}
 	}
-	return placing.NewPlacement(list, svc.ranking)
+	return placing.NewPlacement(list, svc.ranking, k.routeGroups[svc.name])
 }
 
 // regionWeights lists the servers that callers of this region may use, and the weight of one slot
@@ -231,7 +231,7 @@
 
 // estimate estimates the time until the response from one server, and its cost.
 func (k *Kernel) estimate(now time.Time, req *ActiveRequest, s *server, homes []string) choice {
-	warm := s.isWarm(req.Object, now)
+	warm := s.isWarm(req.objectKey(), now)
 	slowdown := 1.0
 	if k.useSlowdown {
 		slowdown = max(1, s.slowdown)
@@ -268,18 +268,18 @@
 }
 
 // isWarm reports whether this proxy has recently seen the server handle the object.
-func (s *server) isWarm(object string, now time.Time) bool {
+func (s *server) isWarm(object placing.Object, now time.Time) bool {
 	at, seen := s.warmObjects[object]
 	return seen && now.Sub(at) < objectMemory
 }
 
-func (s *server) recordObject(object string, now time.Time) {
-	if object == "" {
+func (s *server) recordObject(object placing.Object, now time.Time) {
+	if object.Name == "" {
 		return
 	}
 	s.use()
 	if s.warmObjects == nil {
-		s.warmObjects = make(map[string]time.Time)
+		s.warmObjects = make(map[placing.Object]time.Time)
 	}
 	if len(s.warmObjects) >= maxObjectsPerServer {
 		for o, at := range s.warmObjects {
--- a/internal/kernel/steering/failover.go
+++ b/internal/kernel/steering/failover.go
@@ -44,7 +44,7 @@
 	if k.scopeOf(req).ownRegionOnly || objectFraction(req.Object) >= k.displacedShare(now, req, svc, home.region) {
 		return homes
 	}
-	for _, id := range k.placementOutside(req, svc, home.region).ServersFor(req.Object) {
+	for _, id := range k.placementOutside(req, svc, home.region).ServersFor(req.objectKey()) {
 		s := svc.registered[id]
 		if p := svc.queuePressure[s.region]; s.isHealthy(now) && (p == nil || p.Level(now) <= failoverMaxPressure) {
 			return append([]string{id}, homes...)
@@ -109,7 +109,7 @@
 			list = append(list, placing.Server{ID: s.id, Weight: s.Slots, Class: s.class})
 		}
 	}
-	svc.placements[key] = placing.NewPlacement(list, svc.ranking)
+	svc.placements[key] = placing.NewPlacement(list, svc.ranking, k.routeGroups[svc.name])
 	return svc.placements[key]
 }
 
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
@@ -82,9 +83,11 @@
 		routeRegions map[string]regionSet
 		// lowestPriority is the priority of the least urgent requests of each service.
 		lowestPriority map[string]int
-		quotas         *quotas
-		pinnedShares   pinnedShares
-		servers        map[string]*server
+		// routeGroups divides the sticky routes of each service by priority.
+		routeGroups  map[string]*placing.RouteGroups
+		quotas       *quotas
+		pinnedShares pinnedShares
+		servers      map[string]*server
 		// absentServers are the servers whose registration is missing.
 		absentServers map[string]*server
 		services      map[string]*service
@@ -218,6 +221,7 @@
 		k.routeRegions[name] = k.regionSet(r.Regions)
 	}
 	k.lowestPriority = lowestPriorities(t)
+	k.setRouteGroups(t)
 	k.setPinnedTarget(t)
 	k.splitter.Prune(t)
 	for _, svc := range k.services {
--- a/internal/kernel/steering/learn.go
+++ b/internal/kernel/steering/learn.go
@@ -56,6 +56,6 @@
 	if work > 0 && (idle || req.warm && model.exceeds(work)) {
 		model.observe(req.warm, work, req.Route.Target)
 	}
-	s.recordObject(req.Object, now)
-	svc.markWarm(now, s, req.Object)
+	s.recordObject(req.objectKey(), now)
+	svc.markWarm(now, s, req.objectKey())
 }
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -52,7 +52,7 @@
 func (k *Kernel) dispatch(now time.Time, req *ActiveRequest) Decision {
 	req.Service = k.splitter.Next(req.Route)
 	if req.Object != "" {
-		k.service(req.Service).demand.Record(now, req.Object)
+		k.service(req.Service).demand.Record(now, req.objectKey())
 	}
 	return k.send(now, req)
 }
--- a/internal/kernel/steering/replicas.go
+++ b/internal/kernel/steering/replicas.go
@@ -28,7 +28,7 @@
 	}
 	// The nearest servers of the home's class are the same at all proxies. They usually include the
 	// home itself.
-	nearest := slices.DeleteFunc(svc.ranking.Nearest(home.class, req.Object), func(id string) bool { return id == home.id })
+	nearest := slices.DeleteFunc(svc.ranking.Nearest(home.class, k.routeGroups[svc.name], req.objectKey()), func(id string) bool { return id == home.id })
 	if i > len(nearest) {
 		return homes
 	}
@@ -49,6 +49,6 @@
 // replicasNeeded returns how many servers the object of a request needs, including its home. The
 // other proxies of the region are assumed to have the same request rate as this one.
 func (k *Kernel) replicasNeeded(req *ActiveRequest, svc *service, slots int) int {
-	rate := svc.demand.LowerBound(req.startedAt, req.Object) * float64(max(1, k.sharersInRegion))
+	rate := svc.demand.LowerBound(req.startedAt, req.objectKey()) * float64(max(1, k.sharersInRegion))
 	return placing.ReplicaCount(rate, svc.workOf(req.Route).typical(req.Route), slots)
 }
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -5,6 +5,7 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
@@ -104,7 +105,7 @@
 
 		coldRate admission.ColdStartLimiter
 		// warmObjects are the objects handled recently, with the time of the last response.
-		warmObjects map[string]time.Time
+		warmObjects map[placing.Object]time.Time
 	}
 
 	// rttEstimate is the measured round-trip time to a failure domain.
--- a/internal/kernel/steering/service.go
+++ b/internal/kernel/steering/service.go
@@ -29,7 +29,7 @@
 		workByRoute map[string]*workEstimate
 		placements  map[placementScope]*placing.Placement
 		// warmServers are the servers that have recently handled each object.
-		warmServers map[string][]*server
+		warmServers map[placing.Object][]*server
 		// ranking holds the server rankings from which objects are assigned to servers.
 		ranking *placing.Ranking
 		// demand measures how often objects are requested.
--- a/internal/kernel/steering/warmchoice.go
+++ b/internal/kernel/steering/warmchoice.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
 )
 
 // chooseWarm chooses among the servers that are warm for the request's object, and reports whether
@@ -12,13 +14,13 @@
 	if len(homes) == 0 || !k.placer.chargesColdRuns || k.observeCandidate != nil {
 		return choice{}, false
 	}
-	candidates := make([]*server, 0, len(homes)+len(svc.warmServers[req.Object]))
+	candidates := make([]*server, 0, len(homes)+len(svc.warmServers[req.objectKey()]))
 	for _, id := range homes {
 		if s := svc.registered[id]; s != nil {
 			candidates = append(candidates, s)
 		}
 	}
-	for _, s := range svc.warmServers[req.Object] {
+	for _, s := range svc.warmServers[req.objectKey()] {
 		if svc.registered[s.id] == s && !k.evacuatedDomains[s.Domain] && !slices.Contains(candidates, s) {
 			candidates = append(candidates, s)
 		}
@@ -33,12 +35,12 @@
 }
 
 // markWarm records that a server has handled an object.
-func (svc *service) markWarm(now time.Time, s *server, object string) {
-	if object == "" {
+func (svc *service) markWarm(now time.Time, s *server, object placing.Object) {
+	if object.Name == "" {
 		return
 	}
 	if svc.warmServers == nil {
-		svc.warmServers = make(map[string][]*server)
+		svc.warmServers = make(map[placing.Object][]*server)
 	}
 	warm := slices.DeleteFunc(svc.warmServers[object], func(other *server) bool { return other == s || !other.isWarm(object, now) })
 	svc.warmServers[object] = append(warm, s)
