Divide the capacity of the callers' region by the targets of routes

Where a region has less capacity than its callers demand, RegionWeights places the same fraction of the objects of every route in other regions, also of those whose target is three round trips.

--- a/internal/kernel/placing/assign.go
+++ b/internal/kernel/placing/assign.go
@@ -10,6 +10,7 @@
 	// serverClass is the servers with the same class and weight, in order.
 	serverClass struct {
 		weight  int
+		local   bool
 		servers []int32
 		// ranking ranks the same servers, nil without a ranking. indexes maps a server's number
 		// in the ranking to its index in Placement.servers.
--- a/internal/kernel/placing/placement.go
+++ b/internal/kernel/placing/placement.go
@@ -35,6 +35,8 @@
 		Weight int
 		// Class groups servers for a Ranking. All servers of a class always have the same weight.
 		Class string
+		// Local is set if the server is in the region of the callers.
+		Local bool
 	}
 
 	// Placement chooses the servers of each object for one list of servers. The same list and
@@ -53,6 +55,8 @@
 		// then the next window of each group, and so on.
 		choices  [][ChoicesPerObject]int32
 		assigner *assigner
+		// move changes the share of the objects with local homes, nil if it is that of the weights.
+		move *localMove
 	}
 )
 
@@ -74,19 +78,21 @@
 	return h
 }
 
-// groupServers groups the servers by class and weight.
+// groupServers groups the servers by class, weight and whether they are local.
 func (h *Placement) groupServers(r *Ranking) {
 	type classKey struct {
 		class  string
 		weight int
+		local  bool
 	}
 	known := make(map[classKey]int)
 	for i, s := range h.servers {
-		n, found := known[classKey{s.Class, s.Weight}]
+		key := classKey{s.Class, s.Weight, s.Local}
+		n, found := known[key]
 		if !found {
 			n = len(h.classes)
-			known[classKey{s.Class, s.Weight}] = n
-			h.classes = append(h.classes, serverClass{weight: s.Weight})
+			known[key] = n
+			h.classes = append(h.classes, serverClass{weight: s.Weight, local: s.Local})
 			if r != nil && r.classes[s.Class] != nil {
 				h.classes[n].ranking = r.classes[s.Class]
 				h.classes[n].indexes = make([]int32, len(r.classes[s.Class].ids))
@@ -143,6 +149,9 @@
 		h.assigner = newAssigner(h, shortListSize)
 	}
 	choices := h.assigner.assign(position)
+	if h.move != nil {
+		h.assigner.moveObjects(&choices)
+	}
 	h.choices = append(h.choices, choices[:]...)
 }
 
