Keep urgent requests in a region that is short of capacity

Callers of a region with a ninth of the servers and a third of the demand got 0.62 of their urgent responses from other regions, a round trip away, while reads of an archive without hurry used the servers of the region.

Steering counts the work of its requests by route and, every two seconds, moves the local shares of the routes of each service. Requests without objects draw their region by the same shares. Requests that are restricted to regions are placed as before.

--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
 
 const (
@@ -54,6 +55,8 @@
 		ownRegionOnly  bool
 		regions        regionSet
 		excludedRegion string
+		// route is set if the route has a local share of its own.
+		route string
 	}
 
 	// choice is a chosen server with the estimates that led to the choice.
@@ -173,10 +176,14 @@
 	list := make([]placing.Server, 0, len(candidates))
 	for _, s := range candidates {
 		if weight := weights[s.region] * s.Slots; weight > 0 {
-			list = append(list, placing.Server{ID: s.id, Weight: weight, Class: s.class})
+			list = append(list, placing.Server{ID: s.id, Weight: weight, Class: s.class, Local: s.region == k.config.Region})
 		}
 	}
-	return placing.NewPlacement(list, svc.ranking, k.routeGroups[svc.name])
+	placement := placing.NewPlacement(list, svc.ranking, k.routeGroups[svc.name])
+	if scope.route != "" {
+		placement.SetLocalShare(k.localShares.Of(placing.ServiceRoute{Service: svc.name, Route: scope.route}, placement.LocalShare()))
+	}
+	return placement
 }
 
 // regionWeights lists the servers that callers of this region may use, and the weight of one slot
@@ -217,16 +224,26 @@
 
 // scopeOf returns the regions in which requests of a route may be placed.
 func (k *Kernel) scopeOf(req *ActiveRequest) placementScope {
+	if k.staysLocal(req.Route) {
+		return placementScope{ownRegionOnly: true, regions: req.allowedRegions}
+	}
+	return placementScope{regions: req.allowedRegions, route: k.routeWithLocalShare(req)}
+}
+
+// staysLocal reports whether all requests of a route are placed in this region.
+func (k *Kernel) staysLocal(r *routing.Route) bool {
+	return k.farthestRoundTrip() > time.Duration(maxRemoteRTTShare*float64(r.Target)) || !k.isEnabled(MechanismRegionCapacity)
+}
+
+// farthestRoundTrip returns the longest round-trip time to another region.
+func (k *Kernel) farthestRoundTrip() time.Duration {
 	farthest := time.Duration(0)
 	for domain, d := range k.roundTrips {
 		if k.config.RegionOf[domain] != k.config.Region {
 			farthest = max(farthest, d.roundTrip)
 		}
 	}
-	if farthest > time.Duration(maxRemoteRTTShare*float64(req.Route.Target)) || !k.isEnabled(MechanismRegionCapacity) {
-		return placementScope{ownRegionOnly: true, regions: req.allowedRegions}
-	}
-	return placementScope{regions: req.allowedRegions}
+	return farthest
 }
 
 // estimate estimates the time until the response from one server, and its cost.
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -36,6 +36,9 @@
 	// EventRegionWithoutProxies reports that a region has lost all its proxies, so that its callers
 	// are counted in other regions, or that it has some again.
 	EventRegionWithoutProxies EventKind = "region-without-proxies"
+	// EventLocalShareChanged reports that another share of a route's objects is placed in the region
+	// of the callers.
+	EventLocalShareChanged EventKind = "local-share-changed"
 	// EventServerCrashed reports that a server crashed or stopped while it had requests of this
 	// proxy.
 	EventServerCrashed EventKind = EventKind(quarantine.EventServerCrashed)
@@ -84,6 +87,8 @@
 		Address netip.AddrPort
 		// CallersElsewhere is set if the callers of the region are counted in other regions.
 		CallersElsewhere bool
+		// Share is the share that changed: the part of a route's objects that are placed in Region.
+		Share float64
 		// Version is the version of the configuration.
 		Version uint64
 		// Attempt is the number of the attempt, starting at 1.
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -87,7 +87,11 @@
 		routeGroups  map[string]*placing.RouteGroups
 		quotas       *quotas
 		pinnedShares pinnedShares
-		servers      map[string]*server
+		// localShares divides the capacity of this region between routes. placementMoves bounds how
+		// many requests that moves.
+		localShares    placing.LocalShares
+		placementMoves placing.MoveBudget
+		servers        map[string]*server
 		// absentServers are the servers whose registration is missing.
 		absentServers map[string]*server
 		services      map[string]*service
@@ -222,6 +226,7 @@
 	}
 	k.lowestPriority = lowestPriorities(t)
 	k.setRouteGroups(t)
+	k.localShares.Prune(func(r placing.ServiceRoute) bool { return t.Routes[r.Route] != nil })
 	k.setPinnedTarget(t)
 	k.splitter.Prune(t)
 	for _, svc := range k.services {
--- a/internal/kernel/steering/mechanism.go
+++ b/internal/kernel/steering/mechanism.go
@@ -38,13 +38,16 @@
 	MechanismConcurrencyLimit Mechanism = "hold-back"
 	// MechanismQuarantine keeps requests that crash servers away from them.
 	MechanismQuarantine Mechanism = "quarantine"
+	// MechanismLocalCapacity gives the capacity of this region first to the routes for which the
+	// round trip to another region is the largest part of the target.
+	MechanismLocalCapacity Mechanism = "local-room"
 )
 
 var (
 	mechanisms = []Mechanism{
 		MechanismHomes, MechanismRegionCapacity, MechanismFailover, MechanismStrandedRegions, MechanismLoadShedding, MechanismQueueInference,
 		MechanismOutlierDetection, MechanismServerSpeed, MechanismSharedConnections, MechanismUnseenRequests, MechanismRetries, MechanismReplicas, MechanismConcurrencyLimit,
-		MechanismQuarantine,
+		MechanismQuarantine, MechanismLocalCapacity,
 	}
 )
 
--- a/internal/kernel/steering/regiondraw.go
+++ b/internal/kernel/steering/regiondraw.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"slices"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
 )
 
 type (
@@ -40,6 +42,9 @@
 	for _, s := range candidates {
 		weightByRegion[s.region] += float64(weights[s.region] * s.Slots)
 	}
+	if scope.route != "" {
+		k.applyLocalShare(placing.ServiceRoute{Service: svc.name, Route: scope.route}, weightByRegion)
+	}
 	distribution := &regionDistribution{}
 	sum := 0.0
 	for _, region := range slices.Sorted(maps.Keys(weightByRegion)) {
--- a/internal/kernel/steering/servers.go
+++ b/internal/kernel/steering/servers.go
@@ -111,6 +111,7 @@
 	k.expireLimiters(now)
 	k.quotas.tick(now)
 	k.movePinnedShares(now)
+	k.movePlacement(now)
 	for id, s := range k.absentServers {
 		if now.After(s.absentUntil) {
 			k.remove(now, id)
