--- a/internal/kernel/placing/assign.go
+++ b/internal/kernel/placing/assign.go
@@ -9,9 +9,11 @@
 type (
 	// serverClass is the servers with the same class and weight, in order.
 	serverClass struct {
-		weight  int
-		local   bool
-		servers []int32
+		weight int
+		// moveWeight and local are those of the servers.
+		moveWeight int
+		local      bool
+		servers    []int32
 		// ranking ranks the same servers, nil without a ranking. indexes maps a server's number
 		// in the ranking to its index in Placement.servers.
 		ranking *classRanking
@@ -214,7 +216,7 @@
 		return
 	}
 	s := l.servers[l.next]
-	l.distance, l.server = weightedDistance(s.hash, c.weight), s.server
+	l.distance, l.server = c.distance(s.hash), s.server
 	if l.indexes != nil {
 		l.server = l.indexes[s.server]
 	}
@@ -247,6 +249,15 @@
 	return cmp.Compare(a.server, b.server)
 }
 
+// distance returns the distance of a server of the class. Servers that get only moved objects are
+// farther than all others.
+func (c *serverClass) distance(hash uint64) float64 {
+	if c.weight == 0 {
+		return maxDistance + weightedDistance(hash, max(1, c.moveWeight))
+	}
+	return weightedDistance(hash, c.weight)
+}
+
 // weightedDistance turns a uniform hash, without the dropped bits, into a distance. The
 // probability that a server has the smallest distance of all is proportional to its weight.
 func weightedDistance(hash uint64, weight int) float64 {
--- a/internal/kernel/placing/demand.go
+++ b/internal/kernel/placing/demand.go
@@ -70,9 +70,17 @@
 }
 
 // decayed returns the count at now.
-func (a decayingCount) decayed(now time.Time) float64 {
+func (a decayingCount) decayed(now time.Time) float64 { return a.decayedOver(now, demandTimeConstant) }
+
+// decayedOver returns the count at now with another time constant.
+func (a decayingCount) decayedOver(now time.Time, timeConstant time.Duration) float64 {
 	if a.count == 0 {
 		return 0
 	}
-	return a.count * math.Exp(-now.Sub(a.at).Seconds()/demandTimeConstant.Seconds())
+	return a.count * math.Exp(-now.Sub(a.at).Seconds()/timeConstant.Seconds())
+}
+
+// addOver adds to a count that decays with the given time constant.
+func (a *decayingCount) addOver(now time.Time, n float64, timeConstant time.Duration) {
+	a.count, a.at = a.decayedOver(now, timeConstant)+n, now
 }
--- a/internal/kernel/placing/localmove.go
+++ b/internal/kernel/placing/localmove.go
@@ -19,7 +19,7 @@
 		// if they move into the region.
 		part   float64
 		inward bool
-		// weight is the total weight of the servers on the side that objects move to.
+		// weight is the total MoveWeight of the servers on the side that objects move to.
 		weight int
 		// assigned counts the objects that each of these servers would have if all objects moved,
 		// assignedByGroup those of each group. New homes don't depend on how many objects move.
@@ -32,30 +32,32 @@
 
 // LocalShare returns the share of the objects that the weights of the servers give the local ones.
 func (h *Placement) LocalShare() float64 {
-	return float64(h.localWeight()) / float64(max(1, h.totalWeight))
-}
-
-func (h *Placement) localWeight() int {
 	local := 0
 	for _, s := range h.servers {
 		if s.Local {
 			local += s.Weight
 		}
 	}
-	return local
+	return float64(local) / float64(max(1, h.totalWeight))
 }
 
-// SetLocalShare changes the share of the objects whose homes are local. It must be called before
-// the first call of ServersFor.
+// SetLocalShare changes the share of the objects whose homes are local, if there are servers that
+// they can move to. It must be called before the first call of ServersFor.
 func (h *Placement) SetLocalShare(share float64) {
-	local := h.localWeight()
-	if local == 0 || local == h.totalWeight {
-		return
-	}
 	before := h.LocalShare()
-	m := &localMove{part: (before - share) / before, weight: h.totalWeight - local, assigned: make([]int, len(h.servers))}
-	if share > before {
-		m.part, m.weight, m.inward = (share-before)/(1-before), local, true
+	m := &localMove{inward: share > before, assigned: make([]int, len(h.servers))}
+	if m.inward {
+		m.part = (share - before) / (1 - before)
+	} else {
+		m.part = (before - share) / before
+	}
+	for _, s := range h.servers {
+		if s.Local == m.inward {
+			m.weight += s.MoveWeight
+		}
+	}
+	if m.weight == 0 || share == before {
+		return
 	}
 	for range h.assignedByGroup {
 		m.assignedByGroup = append(m.assignedByGroup, make([]int, len(h.servers)))
@@ -116,8 +118,8 @@
 			lists[i].hasNext = lists[i].hasNext && d.placement.classes[i].local == m.inward
 		}
 		for p := d.takeNearest(n); p.server >= 0; p = d.takeNearest(n) {
-			weight := d.placement.servers[p.server].Weight
-			if m.assigned[p.server] < m.capacity(weight, d.position)+excess && m.assignedByGroup[d.group][p.server] < m.capacity(weight, d.firstObject)+excess {
+			weight := d.placement.servers[p.server].MoveWeight
+			if weight > 0 && m.assigned[p.server] < m.capacity(weight, d.position)+excess && m.assignedByGroup[d.group][p.server] < m.capacity(weight, d.firstObject)+excess {
 				return p.server
 			}
 		}
--- a/internal/kernel/placing/localmove_test.go
+++ b/internal/kernel/placing/localmove_test.go
@@ -16,7 +16,7 @@
 	var list []Server
 	for _, r := range rooms {
 		for i := range r.Slots / 3 {
-			s := Server{ID: fmt.Sprint(r.Region, "-", i), Weight: 3 * weights[r.Region], Class: r.Region, Local: r.Region == "few"}
+			s := Server{ID: fmt.Sprint(r.Region, "-", i), Weight: 3 * weights[r.Region], Class: r.Region, Local: r.Region == "few", MoveWeight: 3 * weights[r.Region]}
 			byID[s.ID] = s
 			list = append(list, s)
 		}
@@ -101,6 +101,7 @@
 // Without servers on one side there is nowhere to move objects to.
 func TestLocalShareNeedsServersOnBothSides(t *testing.T) {
 	list := servers(2)
+	list[0].MoveWeight, list[1].MoveWeight = 1, 1
 	h := NewPlacement(list, nil, nil)
 	h.SetLocalShare(1)
 	if got := h.ServersFor(Object{Name: "1"}); len(got) != 2 {
--- a/internal/kernel/placing/localshare.go
+++ b/internal/kernel/placing/localshare.go
@@ -40,6 +40,9 @@
 		// Uniform is the fraction of the route's objects that RegionWeights places in the callers'
 		// region.
 		Uniform float64
+		// Capacity is the fraction for which the region has capacity: Uniform, or another one where
+		// demand is measured.
+		Capacity float64
 		// Fixed marks a route all whose objects are placed there.
 		Fixed bool
 	}
@@ -53,7 +56,7 @@
 	// LocalShares divides the capacity of the callers' region between the routes of each service,
 	// as seen by one proxy. The most urgent routes, those for which the round trip to another
 	// region is the largest part of the target, get it first. The sum over the routes remains what
-	// RegionWeights gives all of them.
+	// the region has capacity for.
 	LocalShares struct {
 		total  decayingCount
 		routes map[ServiceRoute]*localRoute
@@ -92,12 +95,12 @@
 		r = &localRoute{}
 		l.routes[key] = r
 	}
-	r.requests.add(now, 1)
-	r.work.add(now, work.Seconds())
+	r.requests.addOver(now, 1, demandTimeConstant)
+	r.work.addOver(now, work.Seconds(), demandTimeConstant)
 }
 
 // RecordRestricted counts a request that is restricted to regions. Its placement doesn't change.
-func (l *LocalShares) RecordRestricted(now time.Time) { l.total.add(now, 1) }
+func (l *LocalShares) RecordRestricted(now time.Time) { l.total.addOver(now, 1, demandTimeConstant) }
 
 // Prune removes the routes that are not kept.
 func (l *LocalShares) Prune(keep func(ServiceRoute) bool) {
@@ -130,7 +133,7 @@
 // their sum remains what the region has capacity for.
 func (r *localRoute) at(uniform float64) float64 {
 	switch {
-	case !r.set || uniform <= 0 || uniform >= 1:
+	case !r.set || uniform <= 0:
 		return uniform
 	case uniform < r.uniform:
 		return r.share * uniform / r.uniform
@@ -205,17 +208,18 @@
 	return plans
 }
 
-// assignLocal sets the target of each route and reports whether there are any. The local capacity,
-// as a share of the service's work, is that of the uniform shares.
+// assignLocal sets the target of each route and reports whether there are any. Where the round trip
+// to the other regions is short, all routes are equally urgent.
 func assignLocal(plans []localPlan, roundTrip time.Duration) bool {
-	capacity := 0.0
+	capacity, uniform := 0.0, true
 	var open []*localPlan
 	for i := range plans {
 		p := &plans[i]
 		p.target = p.current
-		capacity += p.work * p.Uniform
+		capacity += p.work * p.Capacity
+		uniform = uniform && p.Capacity == p.Uniform
 		switch {
-		case p.Fixed || p.Uniform >= 1:
+		case p.Fixed:
 			capacity -= p.work
 		case p.work < minWorkShare:
 			capacity -= p.work * p.current
@@ -226,14 +230,15 @@
 	if len(open) == 0 {
 		return false
 	}
-	if len(plans) < 2 || roundTrip < time.Duration(minRoundTripShare*float64(plans[0].Target)) {
+	near := roundTrip < time.Duration(minRoundTripShare*float64(plans[0].Target))
+	if uniform && (near || len(plans) < 2) {
 		for _, p := range open {
 			p.target = p.Uniform
 		}
 		return true
 	}
 	for len(open) > 0 {
-		end := slices.IndexFunc(open, func(p *localPlan) bool { return p.Target != open[0].Target })
+		end := slices.IndexFunc(open, func(p *localPlan) bool { return p.Target != open[0].Target && !near })
 		if end < 0 {
 			end = len(open)
 		}
@@ -259,6 +264,3 @@
 	}
 	return float64(r.target) / localSteps
 }
-
-// add adds to the count.
-func (a *decayingCount) add(now time.Time, n float64) { a.count, a.at = a.decayed(now)+n, now }
--- a/internal/kernel/placing/localshare_test.go
+++ b/internal/kernel/placing/localshare_test.go
@@ -22,7 +22,7 @@
 
 func newLocalProxy(seed uint64) *localProxy {
 	return &localProxy{random: rand.New(rand.NewPCG(seed, 1)), routes: []LocalRoute{
-		{Name: "archive", Target: 2 * time.Second, Uniform: 0.4}, {Name: "urgent", Target: 250 * time.Millisecond, Uniform: 0.4},
+		{Name: "archive", Target: 2 * time.Second, Uniform: 0.4, Capacity: 0.4}, {Name: "urgent", Target: 250 * time.Millisecond, Uniform: 0.4, Capacity: 0.4},
 	}}
 }
 
@@ -47,6 +47,13 @@
 	return (math.Abs(after[0]-before[0])*14 + math.Abs(after[1]-before[1])*30) / 44
 }
 
+// setCapacity sets the fraction of the work for which the region has servers.
+func (p *localProxy) setCapacity(fraction float64) {
+	for i := range p.routes {
+		p.routes[i].Uniform, p.routes[i].Capacity = fraction, fraction
+	}
+}
+
 // localShares returns the local shares of archive and urgent.
 func (p *localProxy) localShares() [2]float64 {
 	var shares [2]float64
@@ -100,7 +107,7 @@
 func TestLocalSharesStayUniformWithoutNeed(t *testing.T) {
 	for name, change := range map[string]func(*localProxy) time.Duration{
 		"capacity": func(p *localProxy) time.Duration {
-			p.routes[0].Uniform, p.routes[1].Uniform = 1, 1
+			p.setCapacity(1)
 			return testRoundTrip
 		},
 		"targets": func(p *localProxy) time.Duration { p.routes[0].Target = p.routes[1].Target; return testRoundTrip },
@@ -133,7 +140,7 @@
 	}
 	before := p.localShares()
 	for _, uniform := range []float64{0, 0.2, 0.7, 1, 0.4} {
-		p.routes[0].Uniform, p.routes[1].Uniform = uniform, uniform
+		p.setCapacity(uniform)
 		got := p.localShares()
 		if sum := 0.7*got[0] + 0.3*got[1]; math.Abs(sum-uniform) > 0.1*uniform+0.02 {
 			t.Errorf("capacity for %.1f: local shares %v are %.2f of the work", uniform, got, sum)
--- a/internal/kernel/placing/placement.go
+++ b/internal/kernel/placing/placement.go
@@ -25,6 +25,8 @@
 	// droppedHashBits is how many low bits of a hash are dropped so that the rest converts
 	// exactly to a floating-point number.
 	droppedHashBits = 11
+	// maxDistance exceeds the distance of the smallest hash without the dropped bits, at weight 1.
+	maxDistance = 64
 )
 
 type (
@@ -37,6 +39,9 @@
 		Class string
 		// Local is set if the server is in the region of the callers.
 		Local bool
+		// MoveWeight determines the server's share of the objects that SetLocalShare moves into the
+		// region of the callers or out of it. A server may have a MoveWeight only.
+		MoveWeight int
 	}
 
 	// Placement chooses the servers of each object for one list of servers. The same list and
@@ -78,21 +83,22 @@
 	return h
 }
 
-// groupServers groups the servers by class, weight and whether they are local.
+// groupServers groups the servers by class, weights and whether they are local.
 func (h *Placement) groupServers(r *Ranking) {
 	type classKey struct {
 		class  string
 		weight int
+		move   int
 		local  bool
 	}
 	known := make(map[classKey]int)
 	for i, s := range h.servers {
-		key := classKey{s.Class, s.Weight, s.Local}
+		key := classKey{s.Class, s.Weight, s.MoveWeight, s.Local}
 		n, found := known[key]
 		if !found {
 			n = len(h.classes)
 			known[key] = n
-			h.classes = append(h.classes, serverClass{weight: s.Weight, local: s.Local})
+			h.classes = append(h.classes, serverClass{weight: s.Weight, moveWeight: s.MoveWeight, local: s.Local})
 			if r != nil && r.classes[s.Class] != nil {
 				h.classes[n].ranking = r.classes[s.Class]
 				h.classes[n].indexes = make([]int32, len(r.classes[s.Class].ids))
--- a/internal/kernel/placing/region_weights.go
+++ b/internal/kernel/placing/region_weights.go
@@ -80,3 +80,28 @@
 	}
 	return weights
 }
+
+// SpareWeights returns how objects that move out of the region from are divided between the others,
+// as a weight per slot: in proportion to their spare capacity, or to their slots if none has any.
+func SpareWeights(regions []RegionCapacity, from string, maxLoad float64) map[string]int {
+	weights := make(map[string]int)
+	slots, demand, pinned := 0.0, 0.0, 0.0
+	for _, r := range regions {
+		slots, demand, pinned = slots+float64(r.Slots), demand+r.Demand, pinned+r.Pinned
+	}
+	spareAnywhere := false
+	for _, r := range regions {
+		if r.Region == from || r.Slots == 0 || demand == 0 {
+			continue
+		}
+		spare := maxLoad*float64(r.Slots)/slots - r.Pinned - max(0, 1-pinned)*r.Demand/demand
+		weights[r.Region] = max(0, int(math.Round(weightScale*spare/float64(r.Slots))))
+		spareAnywhere = spareAnywhere || weights[r.Region] > 0
+	}
+	for region := range weights {
+		if !spareAnywhere {
+			weights[region] = 1
+		}
+	}
+	return weights
+}
