Use the measured demand of regions where servers are busy

Steering measures the demand of this region's callers with the requests that it counts and takes the figures of peers by ApplyRegionDemand, which is recorded and replayed. Where the servers of this region are busy by their load reports, the local shares of the routes follow the measured demand. Without figures of at least two regions, demand is counted as before.

RegionDemand and ApplyRegionDemand are what the exchange has to call.

--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -155,8 +155,11 @@
 		RetryAfter       string  `json:"come-back,omitempty"`
 		Pressure         float64 `json:"pressure,omitempty"`
 		Error            string  `json:"error,omitempty"`
-		// Share is the share that changed: the part of a route's objects that are placed in Region.
+		// Share is the share that changed: the part of a route's objects that are placed in Region,
+		// or of the slots there that are in use.
 		Share float64 `json:"share,omitempty"`
+		// Measured is set if the demand of the regions is measured from now on.
+		Measured bool `json:"measured,omitempty"`
 		// Limit is the rate limit that a server advertises for all proxies together.
 		Limit string `json:"limit,omitempty"`
 		// ExpectedWait is the part of Expected that is spent waiting for a slot.
@@ -173,7 +176,7 @@
 func NewEvent(vm string, e steering.Event) Event {
 	out := Event{
 		At: e.At, VM: vm, Kind: string(e.Kind), Request: e.Request, Route: e.Route, Account: e.Account, ConfigurationVersion: e.Version,
-		Service: e.Service, Server: e.Server, Object: e.Object, Fingerprint: e.Fingerprint.String(), Domain: e.Domain, Region: e.Region, CallersElsewhere: e.CallersElsewhere, Share: e.Share, Attempt: e.Attempt,
+		Service: e.Service, Server: e.Server, Object: e.Object, Fingerprint: e.Fingerprint.String(), Domain: e.Domain, Region: e.Region, CallersElsewhere: e.CallersElsewhere, Share: e.Share, Measured: e.Measured, Attempt: e.Attempt,
 		Reason: string(e.Reason), Load: e.Load, Warm: e.Warm, Draining: e.Draining,
 		Expected: formatDuration(e.Expected), Duration: formatDuration(e.Duration), RetryAfter: formatDuration(e.RetryAfter), Pressure: e.Pressure,
 		ExpectedWait: formatDuration(e.ExpectedWait), ServerState: string(e.State), Cause: string(e.Cause), Target: formatDuration(e.Target), Limit: e.Limit.String(),
--- a/internal/kernel/steering/call.go
+++ b/internal/kernel/steering/call.go
@@ -5,6 +5,7 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/account"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
@@ -45,6 +46,7 @@
 	callQuotaLoan            = "hear-loan"
 	callFleetSize            = "fleet"
 	callResume               = "resumed"
+	callRegionDemand         = "region-demand"
 )
 
 type (
@@ -76,6 +78,8 @@
 		QuarantineReports []quarantine.Report `json:"suspicions,omitempty"`
 		// BackpressureReports are a peer's reports on the backpressure of servers.
 		BackpressureReports []backpressure.Report `json:"signals,omitempty"`
+		// DemandFigures are the measured demand of regions that a peer knows.
+		DemandFigures []placing.DemandFigure `json:"region-demand,omitempty"`
 		// Accounts are the client accounts of a table. The fields that follow belong to calls about
 		// their limits.
 		Accounts    []*account.Account    `json:"accounts,omitempty"`
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -173,17 +173,16 @@
 // newPlacement assigns the objects of this region's callers to servers.
 func (k *Kernel) newPlacement(req *ActiveRequest, svc *service, scope placementScope) *placing.Placement {
 	candidates, weights := k.regionWeights(req, svc, scope)
+	if scope.route != "" {
+		return k.newLocalPlacement(req, svc, candidates, weights)
+	}
 	list := make([]placing.Server, 0, len(candidates))
 	for _, s := range candidates {
 		if weight := weights[s.region] * s.Slots; weight > 0 {
-			list = append(list, placing.Server{ID: s.id, Weight: weight, Class: s.class, Local: s.region == k.config.Region})
+			list = append(list, placing.Server{ID: s.id, Weight: weight, Class: s.class})
 		}
 	}
-	placement := placing.NewPlacement(list, svc.ranking, k.routeGroups[svc.name])
-	if scope.route != "" {
-		placement.SetLocalShare(k.localShares.Of(placing.ServiceRoute{Service: svc.name, Route: scope.route}, placement.LocalShare()))
-	}
-	return placement
+	return placing.NewPlacement(list, svc.ranking, k.routeGroups[svc.name])
 }
 
 // regionWeights lists the servers that callers of this region may use, and the weight of one slot
@@ -194,11 +193,15 @@
 			candidates = append(candidates, s)
 		}
 	}
-	share := placing.MaxLoadFactor
+	return candidates, placing.RegionWeights(k.regionCapacities(req, candidates), k.config.Region, req.maxLoadFactor())
+}
+
+// maxLoadFactor bounds the load of a region's servers before the request's route uses others.
+func (req *ActiveRequest) maxLoadFactor() float64 {
 	if req.Object == "" {
-		share = objectlessLoadFactor
+		return objectlessLoadFactor
 	}
-	return candidates, placing.RegionWeights(k.regionCapacities(req, candidates), k.config.Region, share)
+	return placing.MaxLoadFactor
 }
 
 // regionCapacities lists the regions that may serve the route. The demand of each region is assumed
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -39,6 +39,9 @@
 	// EventLocalShareChanged reports that another share of a route's objects is placed in the region
 	// of the callers.
 	EventLocalShareChanged EventKind = "local-share-changed"
+	// EventRegionDemand reports that the demand of the regions for a service is measured from now on,
+	// or that it no longer is.
+	EventRegionDemand EventKind = "region-demand"
 	// EventServerCrashed reports that a server crashed or stopped while it had requests of this
 	// proxy.
 	EventServerCrashed EventKind = EventKind(quarantine.EventServerCrashed)
@@ -87,8 +90,11 @@
 		Address netip.AddrPort
 		// CallersElsewhere is set if the callers of the region are counted in other regions.
 		CallersElsewhere bool
-		// Share is the share that changed: the part of a route's objects that are placed in Region.
+		// Share is the share that changed: the part of a route's objects that are placed in Region,
+		// or of the slots there that are in use.
 		Share float64
+		// Measured is set if measured demand is used from now on.
+		Measured bool
 		// Version is the version of the configuration.
 		Version uint64
 		// Attempt is the number of the attempt, starting at 1.
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -87,9 +87,10 @@
 		routeGroups  map[string]*placing.RouteGroups
 		quotas       *quotas
 		pinnedShares pinnedShares
-		// localShares divides the capacity of this region between routes. placementMoves bounds how
-		// many requests that moves.
+		// localShares divides the capacity of this region between routes, regionDemands is the
+		// measured demand of the regions. placementMoves bounds how many requests they move.
 		localShares    placing.LocalShares
+		regionDemands  placing.RegionDemand
 		placementMoves placing.MoveBudget
 		servers        map[string]*server
 		// absentServers are the servers whose registration is missing.
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -54,7 +54,7 @@
 	if req.Object != "" {
 		k.service(req.Service).demand.Record(now, req.objectKey())
 	}
-	k.recordLocalDemand(now, req)
+	k.recordDemand(now, req)
 	return k.send(now, req)
 }
 
--- a/internal/kernel/steering/localshares_test.go
+++ b/internal/kernel/steering/localshares_test.go
@@ -125,7 +125,7 @@
 			t.Errorf("sticky %v: at first %.2f of the urgent requests are local, want about 0.36", sticky, first["urgent"])
 		}
 		urgent, archive := meanOf(local, "urgent"), meanOf(local, "archive")
-		if urgent < 0.7 || archive > 0.25 {
+		if urgent < 0.85 || archive > 0.05 {
 			t.Errorf("sticky %v: %.2f of the urgent requests and %.2f of the archive are local, want nearly all and few", sticky, urgent, archive)
 		}
 		if maxShift == 0 || maxShift > 0.1 {
--- a/internal/kernel/steering/mechanism.go
+++ b/internal/kernel/steering/mechanism.go
@@ -41,13 +41,16 @@
 	// MechanismLocalCapacity gives the capacity of this region first to the routes for which the
 	// round trip to another region is the largest part of the target.
 	MechanismLocalCapacity Mechanism = "local-room"
+	// MechanismRegionDemand measures the demand of the regions where servers are busy. Without it,
+	// each region counts by its number of failure domains.
+	MechanismRegionDemand Mechanism = "regional-demand"
 )
 
 var (
 	mechanisms = []Mechanism{
 		MechanismHomes, MechanismRegionCapacity, MechanismFailover, MechanismStrandedRegions, MechanismLoadShedding, MechanismQueueInference,
 		MechanismOutlierDetection, MechanismServerSpeed, MechanismSharedConnections, MechanismUnseenRequests, MechanismRetries, MechanismReplicas, MechanismConcurrencyLimit,
-		MechanismQuarantine, MechanismLocalCapacity,
+		MechanismQuarantine, MechanismLocalCapacity, MechanismRegionDemand,
 	}
 )
 
--- a/internal/kernel/steering/regiondraw.go
+++ b/internal/kernel/steering/regiondraw.go
@@ -3,8 +3,6 @@
 import (
 	"maps"
 	"slices"
-
-	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
 )
 
 type (
@@ -43,7 +41,7 @@
 		weightByRegion[s.region] += float64(weights[s.region] * s.Slots)
 	}
 	if scope.route != "" {
-		k.applyLocalShare(placing.ServiceRoute{Service: svc.name, Route: scope.route}, weightByRegion)
+		k.applyLocalShare(req, candidates, weightByRegion)
 	}
 	distribution := &regionDistribution{}
 	sum := 0.0
--- a/internal/kernel/steering/replay.go
+++ b/internal/kernel/steering/replay.go
@@ -140,6 +140,8 @@
 		k.ApplyQuarantineReports(c.At, c.QuarantineReports)
 	case callBackpressureReports:
 		k.ApplyBackpressureReports(c.At, c.BackpressureReports)
+	case callRegionDemand:
+		k.ApplyRegionDemand(c.At, c.DemandFigures)
 	case callConcurrencyLimits:
 		k.ApplyConcurrencyLimits(c.At, c.ServiceLimits)
 	case callQuotaReport:
--- a/internal/proxy/forward/decisionlog.go
+++ b/internal/proxy/forward/decisionlog.go
@@ -85,7 +85,7 @@
 	}
 	if e.Kind != steering.EventRequestEnded {
 		j.record(e)
-		klog.InfoS(string(e.Kind), "service", e.Service, "server", e.Server, "failure-domain", e.Domain, "region", e.Region, "elsewhere", e.CallersElsewhere, "route", e.Route, "share", e.Share,
+		klog.InfoS(string(e.Kind), "service", e.Service, "server", e.Server, "failure-domain", e.Domain, "region", e.Region, "elsewhere", e.CallersElsewhere, "route", e.Route, "share", e.Share, "measured", e.Measured,
 			"configuration", e.Version, "draining", e.Draining, "cause", e.Result.String(), "for", e.Duration.String(), "limit", e.Limit.String(), "work", e.Fingerprint.String(), "ends", e.Crashes, "works", formatFingerprints(e.RunningFingerprints))
 		return
 	}
