Give objects of services with several groups of routes more replicas

With demand counted by route, an object of a service with routes of two priorities had fewer replicas than before, when the requests of all equally named objects were added up.

The part of the slots that one object may use is divided by the number of groups. Services with one group keep their replicas.

--- a/internal/kernel/placing/replica.go
+++ b/internal/kernel/placing/replica.go
@@ -11,18 +11,19 @@
 	MaxReplicas = 12
 	// replicaSlotShare is the fraction of a server's slots that one object may use before it gets
 	// another replica. The rest is for the server's other objects and for bursts of requests;
-	// with a larger fraction those wait.
+	// with a larger fraction those wait. Groups of routes share it, because a server is the home of
+	// objects of each: two objects with much work on one server made its other requests wait.
 	replicaSlotShare = 0.6
 )
 
 // ReplicaCount returns how many servers an object needs at the given request rate, work per
-// request and slots per server. It prevents hot spots: a few objects account for most of the
+// request, slots per server and groups of routes. It prevents hot spots: a few objects account for most of the
 // requests, and with a single home server each would be rejected there while hundreds of other
 // servers are idle.
-func ReplicaCount(perSecond float64, work time.Duration, slots int) int {
+func ReplicaCount(perSecond float64, work time.Duration, slots int, g *RouteGroups) int {
 	if slots < 1 {
 		return 1
 	}
-	need := math.Ceil(perSecond * work.Seconds() / (replicaSlotShare * float64(slots)))
+	need := math.Ceil(perSecond * work.Seconds() / (replicaSlotShare * float64(slots) / float64(g.groupCount())))
 	return int(min(max(need, 1), MaxReplicas))
 }
--- a/internal/kernel/placing/replica_test.go
+++ b/internal/kernel/placing/replica_test.go
@@ -27,10 +27,13 @@
 		{16, 0, 4, 1},
 		{16, work, 0, 1},
 	} {
-		if got := ReplicaCount(c.perSecond, c.work, c.slots); got != c.want {
+		if got := ReplicaCount(c.perSecond, c.work, c.slots, nil); got != c.want {
 			t.Errorf("ReplicaCount(%v, %v, %d) = %d, want %d", c.perSecond, c.work, c.slots, got, c.want)
 		}
 	}
+	if got := ReplicaCount(7, work, 4, threePriorities); got != 3 {
+		t.Errorf("with three groups of routes, %d servers, want 3: an object may use a fifth of the slots", got)
+	}
 }
 
 // When a server leaves, the other nearest servers of an object, which are its replicas, must stay
