Measure the cost of a decision with several routes, and count demand in one step

Each request decayed its count and its work separately and looked for a local share also where no route has one.

--- a/internal/kernel/placing/demand.go
+++ b/internal/kernel/placing/demand.go
@@ -32,6 +32,12 @@
 		count float64
 		at    time.Time
 	}
+
+	// workCount is the exponentially decaying sums of requests and of the work they need.
+	workCount struct {
+		requests, seconds float64
+		at                time.Time
+	}
 )
 
 // Record counts one request for an object.
@@ -80,7 +86,15 @@
 	return a.count * math.Exp(-now.Sub(a.at).Seconds()/timeConstant.Seconds())
 }
 
-// addOver adds to a count that decays with the given time constant.
-func (a *decayingCount) addOver(now time.Time, n float64, timeConstant time.Duration) {
-	a.count, a.at = a.decayedOver(now, timeConstant)+n, now
+// decayedOver returns the sums at now.
+func (w workCount) decayedOver(now time.Time, timeConstant time.Duration) workCount {
+	keep := decayingCount{count: 1, at: w.at}.decayedOver(now, timeConstant)
+	return workCount{requests: w.requests * keep, seconds: w.seconds * keep, at: now}
+}
+
+// add counts a request in sums that decay with the given time constant.
+func (w *workCount) add(now time.Time, work, timeConstant time.Duration) {
+	*w = w.decayedOver(now, timeConstant)
+	w.requests++
+	w.seconds += work.Seconds()
 }
--- a/internal/kernel/placing/localshare.go
+++ b/internal/kernel/placing/localshare.go
@@ -58,12 +58,14 @@
 	// region is the largest part of the target, get it first. The sum over the routes remains what
 	// the region has capacity for.
 	LocalShares struct {
-		total  decayingCount
+		total  workCount
 		routes map[ServiceRoute]*localRoute
+		// anySet is set once a route had a local share of its own.
+		anySet bool
 	}
 
 	localRoute struct {
-		requests, work decayingCount
+		demand workCount
 		// set is set if the route has a local share of its own: share, when its uniform share was
 		// uniform.
 		set            bool
@@ -95,12 +97,11 @@
 		r = &localRoute{}
 		l.routes[key] = r
 	}
-	r.requests.addOver(now, 1, demandTimeConstant)
-	r.work.addOver(now, work.Seconds(), demandTimeConstant)
+	r.demand.add(now, work, demandTimeConstant)
 }
 
 // RecordRestricted counts a request that is restricted to regions. Its placement doesn't change.
-func (l *LocalShares) RecordRestricted(now time.Time) { l.total.addOver(now, 1, demandTimeConstant) }
+func (l *LocalShares) RecordRestricted(now time.Time) { l.total.add(now, 0, demandTimeConstant) }
 
 // Prune removes the routes that are not kept.
 func (l *LocalShares) Prune(keep func(ServiceRoute) bool) {
@@ -116,8 +117,7 @@
 
 // Has reports whether a route has a local share of its own.
 func (l *LocalShares) Has(key ServiceRoute) bool {
-	r := l.routes[key]
-	return r != nil && r.set
+	return l.anySet && l.routes[key] != nil && l.routes[key].set
 }
 
 // Of returns the local share of a route whose uniform share is given.
@@ -177,6 +177,7 @@
 		}
 		share := p.current + part*(p.target-p.current)
 		p.state.set, p.state.share, p.state.uniform = share != p.Uniform, share, p.Uniform
+		l.anySet = l.anySet || p.state.set
 		changes = append(changes, LocalShareChange{Route: p.Name, Share: share})
 	}
 	return changes
@@ -192,14 +193,15 @@
 		if state == nil {
 			continue
 		}
-		p := localPlan{LocalRoute: r, state: state, work: state.work.decayed(now), requests: state.requests.decayed(now), current: state.at(r.Uniform)}
+		demand := state.demand.decayedOver(now, demandTimeConstant)
+		p := localPlan{LocalRoute: r, state: state, work: demand.seconds, requests: demand.requests, current: state.at(r.Uniform)}
 		work, requests = work+p.work, requests+p.requests
 		plans = append(plans, p)
 	}
 	if requests < minServiceRequests || work <= 0 {
 		return nil
 	}
-	total := l.total.decayed(now)
+	total := l.total.decayedOver(now, demandTimeConstant).requests
 	for i := range plans {
 		plans[i].work /= work
 		plans[i].requests /= total
--- a/internal/kernel/placing/regiondemand.go
+++ b/internal/kernel/placing/regiondemand.go
@@ -63,8 +63,8 @@
 
 	// demandRate is what this proxy counts for one service.
 	demandRate struct {
-		startedAt      time.Time
-		requests, work decayingCount
+		startedAt time.Time
+		count     workCount
 	}
 
 	// demandUse is whether measured demand is used for a service.
@@ -84,8 +84,7 @@
 		r = &demandRate{startedAt: now}
 		d.rates[service] = r
 	}
-	r.requests.addOver(now, 1, rateTimeConstant)
-	r.work.addOver(now, work.Seconds(), rateTimeConstant)
+	r.count.add(now, work, rateTimeConstant)
 }
 
 // Measure updates the figures of this proxy's region. Its callers choose one of the given number of
@@ -96,10 +95,11 @@
 	}
 	d.measuredAt = now
 	for service, r := range d.rates {
-		if now.Sub(r.startedAt) < minRateTime || r.requests.decayedOver(now, rateTimeConstant) < minRateRequests {
+		count := r.count.decayedOver(now, rateTimeConstant)
+		if now.Sub(r.startedAt) < minRateTime || count.requests < minRateRequests {
 			continue
 		}
-		busy := r.work.decayedOver(now, rateTimeConstant) / rateTimeConstant.Seconds() * float64(proxies)
+		busy := count.seconds / rateTimeConstant.Seconds() * float64(proxies)
 		d.merge(now, DemandFigure{Service: service, Region: region, BusySlots: busy})
 	}
 	for key, f := range d.figures {
--- a/internal/kernel/steering/bench_test.go
+++ b/internal/kernel/steering/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
 
@@ -141,3 +142,33 @@
 		sendRequest(k, now, n*37%objects)
 	}
 }
+
+// BenchmarkChoiceOfRoutes measures one request of a service with one route and of one with two
+// routes of different priorities, of which each has a local share of its own after some windows.
+func BenchmarkChoiceOfRoutes(b *testing.B) {
+	now := time.Unix(1_000_000, 0)
+	for name, routes := range map[string][]string{"one": {"urgent"}, "two": {"urgent", "archive"}} {
+		b.Run(name, func(b *testing.B) {
+			k := smallRegionKernel(now, true, Config{})
+			at, n := now, 0
+			send := func() {
+				n++
+				at = at.Add(10 * time.Millisecond)
+				req, d := k.BeginRequest(at, Request{Host: "host", Path: "/" + routes[n%len(routes)] + "/x", Object: fmt.Sprintf("%x", n%200)})
+				if d.Server != nil {
+					k.EndAttempt(at.Add(90*time.Millisecond), req, Attempt{Result: ResultResponded})
+				}
+			}
+			for range 4000 {
+				k.Tick(at)
+				send()
+			}
+			if has := k.localShares.Has(placing.ServiceRoute{Service: "service", Route: "urgent"}); has != (name == "two") {
+				b.Fatalf("the urgent route has a local share: %v", has)
+			}
+			for b.Loop() {
+				send()
+			}
+		})
+	}
+}
