--- a/internal/kernel/placing/localshare.go
+++ b/internal/kernel/placing/localshare.go
@@ -210,8 +210,9 @@
 	return plans
 }
 
-// assignLocal sets the target of each route and reports whether there are any. Where the round trip
-// to the other regions is short, all routes are equally urgent.
+// assignLocal sets the target of each route, given in order of their latency targets, and reports
+// whether there are any. Where the round trip to the other regions is short, all routes are equally
+// urgent.
 func assignLocal(plans []localPlan, roundTrip time.Duration) bool {
 	capacity, uniform := 0.0, true
 	var open []*localPlan
@@ -233,7 +234,7 @@
 		return false
 	}
 	near := roundTrip < time.Duration(minRoundTripShare*float64(plans[0].Target))
-	if uniform && (near || len(plans) < 2) {
+	if uniform && (near || plans[0].Target == plans[len(plans)-1].Target) {
 		for _, p := range open {
 			p.target = p.Uniform
 		}
--- a/internal/kernel/placing/localshare_test.go
+++ b/internal/kernel/placing/localshare_test.go
@@ -176,3 +176,26 @@
 		}
 	}
 }
+
+// When measured demand is no longer used, routes of equal urgency must return to the uniform share.
+// They stayed at the nearest eighth.
+func TestEquallyUrgentRoutesReturnToUniformShare(t *testing.T) {
+	p := newLocalProxy(1)
+	now := time.Unix(1_000_000, 0)
+	run := func(capacity float64) [2]float64 {
+		for i := range p.routes {
+			p.routes[i].Target, p.routes[i].Uniform, p.routes[i].Capacity = time.Second, 0.44, capacity
+		}
+		for range 600 {
+			now = now.Add(100 * time.Millisecond)
+			p.step(now)
+		}
+		return p.localShares()
+	}
+	if got := run(0.2); got[0] != 0.25 || got[1] != 0.25 {
+		t.Fatalf("with less capacity, the local shares are %v, want a quarter", got)
+	}
+	if got := run(0.44); got != [2]float64{0.44, 0.44} || p.shares.Has(ServiceRoute{"service", "urgent"}) {
+		t.Errorf("afterwards, the local shares are %v, want the uniform 0.44", got)
+	}
+}
