--- a/internal/kernel/placing/regiondemand.go
+++ b/internal/kernel/placing/regiondemand.go
@@ -18,6 +18,9 @@
 	minRateTime = 2 * rateTimeConstant
 	// measureInterval is the interval in which a proxy measures demand.
 	measureInterval = time.Second
+	// maxBusySlots is the highest figure that is accepted from a peer. The sums of larger ones would
+	// not be finite, and the weights of the regions undefined.
+	maxBusySlots = 1e9
 	// figureTTL is the age from which a figure is ignored.
 	figureTTL = 5 * time.Second
 	// figureWeight is the weight of a new figure. The figures of one region come from all of its
@@ -112,7 +115,7 @@
 // Apply merges the figures of a peer.
 func (d *RegionDemand) Apply(now time.Time, list []DemandFigure) {
 	for _, f := range list {
-		if f.Age >= 0 && f.Age < figureTTL && f.BusySlots >= 0 && !math.IsInf(f.BusySlots, 0) {
+		if f.Age >= 0 && f.Age < figureTTL && f.BusySlots >= 0 && f.BusySlots <= maxBusySlots {
 			d.merge(now, f)
 		}
 	}
--- a/internal/kernel/placing/regiondemand_test.go
+++ b/internal/kernel/placing/regiondemand_test.go
@@ -87,6 +87,7 @@
 		"older":           {[]DemandFigure{a, b, {"s", "b", 90, 3 * time.Second}}, [4]float64{3, 1, 1, 0}},
 		"too old":         {[]DemandFigure{a, {"s", "b", 10, 5 * time.Second}}, counted},
 		"from the future": {[]DemandFigure{a, {"s", "b", 10, -time.Hour}}, counted},
+		"too large":       {[]DemandFigure{{"s", "a", math.MaxFloat64, 0}, {"s", "b", math.MaxFloat64, 0}}, counted},
 		"not a number":    {[]DemandFigure{a, {"s", "b", math.NaN(), 0}, {"s", "b", math.Inf(1), 0}, {"s", "b", -1, 0}}, counted},
 	} {
 		if got := demandOf(c.figures...); got != c.want {
