--- a/internal/kernel/placing/localmove_test.go
+++ b/internal/kernel/placing/localmove_test.go
@@ -114,3 +114,21 @@
 		t.Errorf("one local server: got %v, want %s first", got, list[0].ID)
 	}
 }
+
+// Objects that leave a region must go to the others in proportion to their spare capacity at any
+// size of the fleet. With 200,000 slots, all weights were rounded to equal ones.
+func TestSpareWeightsFollowSpareCapacity(t *testing.T) {
+	for _, scale := range []int{1, 10_000} {
+		rooms := []RegionCapacity{{"few", scale, 1, 0}, {"full", 9 * scale, 1.2, 0}, {"idle", 10 * scale, 0.2, 0}}
+		got := SpareWeights(rooms, "few", MaxLoadFactor)
+		// As shares of all requests; the weights are per slot.
+		spareOfFull, spareOfIdle := MaxLoadFactor*9/20-1.2/2.4, MaxLoadFactor*10/20-0.2/2.4
+		want := spareOfFull / 9 / (spareOfIdle / 10)
+		if ratio := float64(got["full"]) / float64(got["idle"]); len(got) != 2 || math.Abs(ratio-want) > 0.001 {
+			t.Errorf("scale %d: got weights %v with ratio %.4f, want %.4f", scale, got, ratio, want)
+		}
+		if weights := SpareWeights(rooms[:2], "few", 0); weights["full"] != 1 {
+			t.Errorf("scale %d: without spare capacity, got weights %v, want 1", scale, weights)
+		}
+	}
+}
--- a/internal/kernel/placing/region_weights.go
+++ b/internal/kernel/placing/region_weights.go
@@ -95,7 +95,8 @@
 			continue
 		}
 		spare := maxLoad*float64(r.Slots)/slots - r.Pinned - max(0, 1-pinned)*r.Demand/demand
-		weights[r.Region] = max(0, int(math.Round(weightScale*spare/float64(r.Slots))))
+		// Relative to all slots, so that the weights of large fleets don't round to zero.
+		weights[r.Region] = max(0, int(math.Round(weightScale*spare*slots/float64(r.Slots))))
 		spareAnywhere = spareAnywhere || weights[r.Region] > 0
 	}
 	for region := range weights {
