--- a/internal/kernel/placing/localmove_test.go
+++ b/internal/kernel/placing/localmove_test.go
@@ -132,3 +132,13 @@
 		}
 	}
 }
+
+// Servers may have no weight, but a weight for objects that move to them. Without any that have
+// one, there are no homes; the division by their sum caused a panic.
+func TestPlacementWithoutWeights(t *testing.T) {
+	h := NewPlacement([]Server{{ID: "a", Local: true, MoveWeight: 1}}, nil, nil)
+	h.SetLocalShare(1)
+	if got := h.ServersFor(Object{Name: "1"}); got != nil {
+		t.Errorf("got %v, want none", got)
+	}
+}
--- a/internal/kernel/placing/placement.go
+++ b/internal/kernel/placing/placement.go
@@ -121,7 +121,7 @@
 
 // ServersFor returns the servers of an object, best first.
 func (h *Placement) ServersFor(o Object) []string {
-	if len(h.servers) == 0 {
+	if h.totalWeight == 0 {
 		return nil
 	}
 	index := h.position(o)
