--- a/internal/kernel/steering/mechanism.go
+++ b/internal/kernel/steering/mechanism.go
@@ -40,7 +40,7 @@
 	MechanismQuarantine Mechanism = "quarantine"
 	// MechanismLocalCapacity gives the capacity of this region first to the routes for which the
 	// round trip to another region is the largest part of the target.
-	MechanismLocalCapacity Mechanism = "local-room"
+	MechanismLocalCapacity Mechanism = "local-capacity"
 	// MechanismRegionDemand measures the demand of the regions where servers are busy. Without it,
 	// each region counts by its number of failure domains.
 	MechanismRegionDemand Mechanism = "regional-demand"
