--- a/internal/kernel/steering/localshares_test.go
+++ b/internal/kernel/steering/localshares_test.go
@@ -128,8 +128,14 @@
 		if urgent < 0.85 || archive > 0.05 {
 			t.Errorf("sticky %v: %.2f of the urgent requests and %.2f of the archive are local, want nearly all and few", sticky, urgent, archive)
 		}
-		if maxShift == 0 || maxShift > 0.1 {
-			t.Errorf("sticky %v: %.3f of the requests changed their region within two seconds, want some and at most two thirds of the 0.15 that operators permit", sticky, maxShift)
+		// Placement may move 0.05. Objects are counted in whole ones; a random number whose region
+		// changes may also draw the other of the two remote regions.
+		most := 0.06
+		if !sticky {
+			most = 0.08
+		}
+		if maxShift == 0 || maxShift > most {
+			t.Errorf("sticky %v: %.3f of the requests changed their region within two seconds, want some and at most %.2f", sticky, maxShift, most)
 		}
 		if events == 0 {
 			t.Errorf("sticky %v: no event reports the changes", sticky)
