--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -16,6 +16,7 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/directory"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
@@ -85,8 +86,15 @@
 		routeRegions map[string]regionSet
 		// lowestPriority is the priority of the least urgent requests of each service.
 		lowestPriority map[string]int
-		quotas         *quotas
-		pinnedShares   pinnedShares
+		// routeGroups divides the sticky routes of each service by priority.
+		routeGroups  map[string]*placing.RouteGroups
+		quotas       *quotas
+		pinnedShares pinnedShares
+		// localShares divides the capacity of this region between routes, regionDemands is the
+		// measured demand of the regions. placementMoves bounds how many requests they move.
+		localShares    placing.LocalShares
+		regionDemands  placing.RegionDemand
+		placementMoves placing.MoveBudget
 		servers        map[string]*server
 		// absentServers are the servers whose registration is missing.
 		absentServers map[string]*server
@@ -101,7 +109,9 @@
 		limitSharers []limitSharer
 		// sharersInRegion counts the limit sharers in this region, including this proxy.
 		sharersInRegion int
-		roundTrips      map[string]*rttEstimate
+		// returnedInRegion is Directory.CountReturned for this region, or negative until it is needed.
+		returnedInRegion int
+		roundTrips       map[string]*rttEstimate
 		// regions lists all regions in order. regionStates holds for each region whether its
 		// callers are redirected to other regions.
 		regions      []string
@@ -215,6 +225,8 @@
 		k.routeRegions[name] = k.regionSet(r.Regions)
 	}
 	k.lowestPriority = lowestPriorities(t)
+	k.setRouteGroups(t)
+	k.localShares.Prune(func(r placing.ServiceRoute) bool { return t.Routes[r.Route] != nil })
 	k.setPinnedTarget(t)
 	k.splitter.Prune(t)
 	for _, svc := range k.services {
@@ -260,4 +272,5 @@
 // resetDirectory applies a change of the proxies to lookups.
 func (k *Kernel) resetDirectory() {
 	k.directory = directory.New(k.proxies, !k.isEnabled(MechanismWideLinks))
+	k.returnedInRegion = -1
 }
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -52,8 +52,9 @@
 func (k *Kernel) dispatch(now time.Time, req *ActiveRequest) Decision {
 	req.Service = k.splitter.Next(req.Route)
 	if req.Object != "" {
-		k.service(req.Service).demand.Record(now, req.Object)
+		k.service(req.Service).demand.Record(now, req.objectKey())
 	}
+	k.recordDemand(now, req)
 	return k.send(now, req)
 }
 
--- a/internal/kernel/steering/lookup.go
+++ b/internal/kernel/steering/lookup.go
@@ -22,6 +22,19 @@
 	return k.directory.Growth(k.config.Name, l)
 }
 
+// proxiesOfRegion returns the number of proxies between which the callers of this region are
+// divided, including this one. Where lookups return a few proxies with wide links, these get all
+// requests: an estimate by all proxies of the region would be several times too high.
+func (k *Kernel) proxiesOfRegion() int {
+	if k.returnedInRegion < 0 {
+		k.returnedInRegion = k.directory.CountReturned(k.config.Region)
+	}
+	if k.returnedInRegion > 0 {
+		return k.returnedInRegion
+	}
+	return k.sharersInRegion
+}
+
 // mayServeHost reports whether a host may be served in a region.
 func (k *Kernel) mayServeHost(host, region string) bool {
 	if k.table == nil {
--- a/internal/kernel/steering/mechanism.go
+++ b/internal/kernel/steering/mechanism.go
@@ -43,12 +43,34 @@
 	// MechanismWideLinks directs callers to the proxies with wide links. Without it, callers use all
 	// proxies of their failure domain, and no proxy publishes an overflow level.
 	MechanismWideLinks Mechanism = "wide-links"
+	// MechanismLocalCapacity gives the capacity of this region first to the routes for which the
+	// round trip to another region is the largest part of the target.
+	MechanismLocalCapacity Mechanism = "local-capacity"
+	// MechanismRegionDemand measures the demand of the regions where servers are busy. Without it,
+	// each region counts by its number of failure domains.
+	MechanismRegionDemand Mechanism = "regional-demand"
 )
 
 var (
 	mechanisms = []Mechanism{
-		MechanismHomes, MechanismRegionCapacity, MechanismFailover, MechanismStrandedRegions, MechanismLoadShedding, MechanismQueueInference,
-		MechanismOutlierDetection, MechanismServerSpeed, MechanismSharedConnections, MechanismUnseenRequests, MechanismRetries, MechanismReplicas, MechanismConcurrencyLimit, MechanismQuarantine, MechanismWideLinks, MechanismReportedSpeed,
+		MechanismHomes,
+		MechanismRegionCapacity,
+		MechanismFailover,
+		MechanismStrandedRegions,
+		MechanismLoadShedding,
+		MechanismQueueInference,
+		MechanismOutlierDetection,
+		MechanismServerSpeed,
+		MechanismSharedConnections,
+		MechanismUnseenRequests,
+		MechanismRetries,
+		MechanismReplicas,
+		MechanismConcurrencyLimit,
+		MechanismQuarantine,
+		MechanismWideLinks,
+		MechanismReportedSpeed,
+		MechanismLocalCapacity,
+		MechanismRegionDemand,
 	}
 )
 
