--- a/internal/kernel/placing/replica.go
+++ b/internal/kernel/placing/replica.go
@@ -11,19 +11,18 @@
 	MaxReplicas = 12
 	// replicaSlotShare is the fraction of a server's slots that one object may use before it gets
 	// another replica. The rest is for the server's other objects and for bursts of requests;
-	// with a larger fraction those wait. Groups of routes share it, because a server is the home of
-	// objects of each: two objects with much work on one server made its other requests wait.
+	// with a larger fraction those wait.
 	replicaSlotShare = 0.6
 )
 
 // ReplicaCount returns how many servers an object needs at the given request rate, work per
-// request, slots per server and groups of routes. It prevents hot spots: a few objects account for most of the
+// request and slots per server. It prevents hot spots: a few objects account for most of the
 // requests, and with a single home server each would be rejected there while hundreds of other
 // servers are idle.
-func ReplicaCount(perSecond float64, work time.Duration, slots int, g *RouteGroups) int {
+func ReplicaCount(perSecond float64, work time.Duration, slots int) int {
 	if slots < 1 {
 		return 1
 	}
-	need := math.Ceil(perSecond * work.Seconds() / (replicaSlotShare * float64(slots) / float64(g.groupCount())))
+	need := math.Ceil(perSecond * work.Seconds() / (replicaSlotShare * float64(slots)))
 	return int(min(max(need, 1), MaxReplicas))
 }
--- a/internal/kernel/steering/replicas.go
+++ b/internal/kernel/steering/replicas.go
@@ -50,5 +50,5 @@
 // other proxies of the region are assumed to have the same request rate as this one.
 func (k *Kernel) replicasNeeded(req *ActiveRequest, svc *service, slots int) int {
 	rate := svc.demand.LowerBound(req.startedAt, req.objectKey()) * float64(max(1, k.proxiesOfRegion()))
-	return placing.ReplicaCount(rate, svc.workOf(req.Route).typical(req.Route), slots, k.routeGroups[svc.name])
+	return placing.ReplicaCount(rate, svc.workOf(req.Route).typical(req.Route), slots)
 }
