--- a/internal/kernel/placing/demand.go
+++ b/internal/kernel/placing/demand.go
@@ -24,7 +24,7 @@
 	// Demand estimates how often objects are requested, as seen by one proxy.
 	Demand struct {
 		startedAt time.Time
-		objects   map[string]decayingCount
+		objects   map[Object]decayingCount
 	}
 
 	// decayingCount is an exponentially decaying count and the time at which it had this value.
@@ -32,12 +32,18 @@
 		count float64
 		at    time.Time
 	}
+
+	// workCount is the exponentially decaying sums of requests and of the work they need.
+	workCount struct {
+		requests, seconds float64
+		at                time.Time
+	}
 )
 
 // Record counts one request for an object.
-func (d *Demand) Record(now time.Time, object string) {
+func (d *Demand) Record(now time.Time, object Object) {
 	if d.objects == nil {
-		d.startedAt, d.objects = now, make(map[string]decayingCount)
+		d.startedAt, d.objects = now, make(map[Object]decayingCount)
 	}
 	a, known := d.objects[object]
 	if !known && len(d.objects) >= maxDemandObjects && !d.sweep(now) {
@@ -49,7 +55,7 @@
 // LowerBound returns a lower estimate of an object's request rate, per second: the count less its
 // standard deviation. Without this margin, a single chance request at one of a hundred proxies
 // would be taken for a hundred requests in the fleet.
-func (d *Demand) LowerBound(now time.Time, object string) float64 {
+func (d *Demand) LowerBound(now time.Time, object Object) float64 {
 	count := d.objects[object].decayed(now)
 	if count <= 1 {
 		return 0
@@ -70,9 +76,25 @@
 }
 
 // decayed returns the count at now.
-func (a decayingCount) decayed(now time.Time) float64 {
+func (a decayingCount) decayed(now time.Time) float64 { return a.decayedOver(now, demandTimeConstant) }
+
+// decayedOver returns the count at now with another time constant.
+func (a decayingCount) decayedOver(now time.Time, timeConstant time.Duration) float64 {
 	if a.count == 0 {
 		return 0
 	}
-	return a.count * math.Exp(-now.Sub(a.at).Seconds()/demandTimeConstant.Seconds())
+	return a.count * math.Exp(-now.Sub(a.at).Seconds()/timeConstant.Seconds())
+}
+
+// decayedOver returns the sums at now.
+func (w workCount) decayedOver(now time.Time, timeConstant time.Duration) workCount {
+	keep := decayingCount{count: 1, at: w.at}.decayedOver(now, timeConstant)
+	return workCount{requests: w.requests * keep, seconds: w.seconds * keep, at: now}
+}
+
+// add counts a request in sums that decay with the given time constant.
+func (w *workCount) add(now time.Time, work, timeConstant time.Duration) {
+	*w = w.decayedOver(now, timeConstant)
+	w.requests++
+	w.seconds += work.Seconds()
 }
