--- a/internal/kernel/directory/lookup.go
+++ b/internal/kernel/directory/lookup.go
@@ -87,6 +87,21 @@
 	return truncate(slices.Concat(own, others))
 }
 
+// CountReturned returns how many proxies lookups return to the callers of a region, or zero if they
+// return all of its proxies.
+func (d *Directory) CountReturned(region string) int {
+	returned := make(map[string]bool)
+	for _, c := range d.callersOf(region) {
+		for _, p := range d.currentProxies(c) {
+			returned[p.Name] = true
+		}
+	}
+	if len(returned) >= len(d.accepting(func(p *Proxy) bool { return p.Region == region })) {
+		return 0
+	}
+	return len(returned)
+}
+
 // currentProxies returns the result of domainProxies at the current levels.
 func (d *Directory) currentProxies(c Caller) []Proxy {
 	list, cached := d.lists[c]
--- a/internal/kernel/steering/choose.go
+++ b/internal/kernel/steering/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
 
 const (
@@ -54,6 +55,8 @@
 		ownRegionOnly  bool
 		regions        regionSet
 		excludedRegion string
+		// route is set if the route has a local share of its own.
+		route string
 	}
 
 	// choice is a chosen server with the estimates that led to the choice.
@@ -184,19 +187,22 @@
 		placement = k.newPlacement(req, svc, scope)
 		svc.placements[scope] = placement
 	}
-	return placement.ServersFor(req.Object)
+	return placement.ServersFor(req.objectKey())
 }
 
 // newPlacement assigns the objects of this region's callers to servers.
 func (k *Kernel) newPlacement(req *ActiveRequest, svc *service, scope placementScope) *placing.Placement {
 	candidates, weights := k.regionWeights(req, svc, scope)
+	if scope.route != "" {
+		return k.newLocalPlacement(req, svc, candidates, weights)
+	}
 	list := make([]placing.Server, 0, len(candidates))
 	for _, s := range candidates {
 		if weight := weights[s.region] * s.Slots; weight > 0 {
 			list = append(list, placing.Server{ID: s.id, Weight: weight, Class: s.class})
 		}
 	}
-	return placing.NewPlacement(list, svc.ranking)
+	return placing.NewPlacement(list, svc.ranking, k.routeGroups[svc.name])
 }
 
 // regionWeights lists the servers that callers of this region may use, and the weight of one slot
@@ -207,11 +213,15 @@
 			candidates = append(candidates, s)
 		}
 	}
-	share := placing.MaxLoadFactor
+	return candidates, placing.RegionWeights(k.regionCapacities(req, candidates), k.config.Region, req.maxLoadFactor())
+}
+
+// maxLoadFactor bounds the load of a region's servers before the request's route uses others.
+func (req *ActiveRequest) maxLoadFactor() float64 {
 	if req.Object == "" {
-		share = objectlessLoadFactor
+		return objectlessLoadFactor
 	}
-	return candidates, placing.RegionWeights(k.regionCapacities(req, candidates), k.config.Region, share)
+	return placing.MaxLoadFactor
 }
 
 // regionCapacities lists the regions that may serve the route. The demand of each region is assumed
@@ -237,21 +247,31 @@
 
 // scopeOf returns the regions in which requests of a route may be placed.
 func (k *Kernel) scopeOf(req *ActiveRequest) placementScope {
+	if k.staysLocal(req.Route) {
+		return placementScope{ownRegionOnly: true, regions: req.allowedRegions}
+	}
+	return placementScope{regions: req.allowedRegions, route: k.routeWithLocalShare(req)}
+}
+
+// staysLocal reports whether all requests of a route are placed in this region.
+func (k *Kernel) staysLocal(r *routing.Route) bool {
+	return k.farthestRoundTrip() > time.Duration(maxRemoteRTTShare*float64(r.Target)) || !k.isEnabled(MechanismRegionCapacity)
+}
+
+// farthestRoundTrip returns the longest round-trip time to another region.
+func (k *Kernel) farthestRoundTrip() time.Duration {
 	farthest := time.Duration(0)
 	for domain, d := range k.roundTrips {
 		if k.config.RegionOf[domain] != k.config.Region {
 			farthest = max(farthest, d.roundTrip)
 		}
 	}
-	if farthest > time.Duration(maxRemoteRTTShare*float64(req.Route.Target)) || !k.isEnabled(MechanismRegionCapacity) {
-		return placementScope{ownRegionOnly: true, regions: req.allowedRegions}
-	}
-	return placementScope{regions: req.allowedRegions}
+	return farthest
 }
 
 // estimate estimates the time until the response from one server, and its cost.
 func (k *Kernel) estimate(now time.Time, req *ActiveRequest, s *server, homes []string) choice {
-	warm := s.isWarm(req.Object, now)
+	warm := s.isWarm(req.objectKey(), now)
 	slowdown := 1.0
 	if k.useSlowdown {
 		slowdown = max(1, s.slowdown)
@@ -270,7 +290,7 @@
 			estimated.cost += otherRegionPenalty
 		}
 		if k.isEnabled(MechanismUnseenRequests) {
-			estimated.cost += time.Duration(unreportedWaitShare * float64(s.inFlight*k.sharersInRegion) / float64(s.currentSlots(now)) * queuedWork * s.reported.Factor(now))
+			estimated.cost += time.Duration(unreportedWaitShare * float64(s.inFlight*k.proxiesOfRegion()) / float64(s.currentSlots(now)) * queuedWork * s.reported.Factor(now))
 		}
 	}
 	if len(homes) > 0 && !warm {
@@ -292,18 +312,18 @@
 }
 
 // isWarm reports whether this proxy has recently seen the server handle the object.
-func (s *server) isWarm(object string, now time.Time) bool {
+func (s *server) isWarm(object placing.Object, now time.Time) bool {
 	at, seen := s.warmObjects[object]
 	return seen && now.Sub(at) < objectMemory
 }
 
-func (s *server) recordObject(object string, now time.Time) {
-	if object == "" {
+func (s *server) recordObject(object placing.Object, now time.Time) {
+	if object.Name == "" {
 		return
 	}
 	s.use()
 	if s.warmObjects == nil {
-		s.warmObjects = make(map[string]time.Time)
+		s.warmObjects = make(map[placing.Object]time.Time)
 	}
 	if len(s.warmObjects) >= maxObjectsPerServer {
 		for o, at := range s.warmObjects {
--- a/internal/kernel/steering/failover.go
+++ b/internal/kernel/steering/failover.go
@@ -39,7 +39,7 @@
 	if k.scopeOf(req).ownRegionOnly || objectFraction(req.Object) >= k.displacedShare(now, req, svc, home.region) {
 		return homes
 	}
-	for _, id := range k.placementOutside(req, svc, home.region).ServersFor(req.Object) {
+	for _, id := range k.placementOutside(req, svc, home.region).ServersFor(req.objectKey()) {
 		s := svc.registered[id]
 		if s.isHealthy(now) && admission.TakesOver(svc.capacity.Load(now, s.region)) {
 			return append([]string{id}, homes...)
@@ -104,7 +104,7 @@
 			list = append(list, placing.Server{ID: s.id, Weight: s.Slots, Class: s.class})
 		}
 	}
-	svc.placements[key] = placing.NewPlacement(list, svc.ranking)
+	svc.placements[key] = placing.NewPlacement(list, svc.ranking, k.routeGroups[svc.name])
 	return svc.placements[key]
 }
 
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -54,8 +54,9 @@
 	req.Service = k.splitter.Next(req.Route)
 	k.observeArrival(now, req)
 	if req.Object != "" {
-		k.service(req.Service).demand.Record(now, req.Object)
+		k.service(req.Service).demand.Record(now, req.objectKey())
 	}
+	k.recordDemand(now, req)
 	return k.send(now, req)
 }
 
--- a/internal/kernel/steering/reportedspeed_test.go
+++ b/internal/kernel/steering/reportedspeed_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
 
@@ -20,8 +21,8 @@
 		k.RegisterServer(now, routing.Server{ID: id, Service: "service", Domain: "north-a", Slots: 4})
 	}
 	for _, id := range warm {
-		k.servers[id].recordObject("o", now)
-		k.service("service").markWarm(now, k.servers[id], "o")
+		k.servers[id].recordObject(placing.Object{Route: "route", Name: "o"}, now)
+		k.service("service").markWarm(now, k.servers[id], placing.Object{Route: "route", Name: "o"})
 	}
 	return k, func(elapsed time.Duration, a Attempt) string {
 		req, d := k.BeginRequest(now, Request{ID: "r", Host: "host", Path: "/", Object: "o"})
