--- a/internal/kernel/steering/bench_test.go
+++ b/internal/kernel/steering/bench_test.go
@@ -143,6 +143,32 @@
 	}
 }
 
+// BenchmarkLoadedChoice measures one request of a service with four routes of different priorities,
+// whose servers report queues: the decision whether to shed it takes the demand of all routes into
+// account. It takes 8.1 us, and took 8.4 us when each request was shed for its own target only
+// (medians of six runs each, one processor, other load on the machine).
+func BenchmarkLoadedChoice(b *testing.B) {
+	now := time.Unix(1_000_000, 0)
+	k := largeKernel(now, 0)
+	var routes []*routing.Route
+	for priority := range 4 {
+		routes = append(routes, &routing.Route{
+			Name: fmt.Sprint(priority), Host: "host", Prefix: fmt.Sprintf("/%d/", priority), Sticky: true, Attempts: 2, Timeout: time.Second,
+			Target: time.Second, Priority: priority, Parts: []routing.WeightedService{{Service: "0", Weight: 1}},
+		})
+	}
+	k.SetTable(routing.NewTable(2, routes, nil, routing.Limits{}))
+	n := 0
+	for b.Loop() {
+		n++
+		at := now.Add(time.Duration(n) * time.Millisecond)
+		req, d := k.BeginRequest(at, Request{Host: "host", Path: fmt.Sprintf("/%d/x", n%4), Object: fmt.Sprintf("%x", n%largeObjects), Deadline: at.Add(time.Second)})
+		if d.Server != nil {
+			k.EndAttempt(at, req, Attempt{Result: ResultResponded, Loaded: true, Running: 4, Waiting: n % 3})
+		}
+	}
+}
+
 // BenchmarkChoiceOfRoutes measures one request of a service with one route and of one with two
 // routes of different priorities, of which each has a local share of its own after some windows.
 func BenchmarkChoiceOfRoutes(b *testing.B) {
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -114,9 +114,12 @@
 		// WorkFactor is the duration of work, as a multiple of the usual, that the server reports:
 		// the factor that the choice used, or the one reported with the response.
 		WorkFactor float64
-		// ExpectedWait is the part of Expected until a slot is free. State is the state of the
+		// ExpectedWait is the part of Expected until a slot is free. For a request that was rejected
+		// because of the queues it is the expected wait there, and WaitLimit the wait from which
+		// such requests are rejected. State is the state of the
 		// server at that time.
 		ExpectedWait time.Duration
+		WaitLimit    time.Duration
 		State        ServerState
 		// Cause is where most of the time of a late request was spent.
 		Cause Cause
@@ -131,7 +134,11 @@
 		// Pressure is the queue pressure where the request would have run: the queue length
 		// relative to the number of requests that can wait there and still meet the target.
 		Pressure float64
-		Err      error
+		// ShedRatio is the share of requests that was rejected for the queues when this one was, and
+		// AccountShedRatio the share of those of its account, which is larger for an account above
+		// its fair share. Both are zero where accounts are not distinguished.
+		ShedRatio, AccountShedRatio float64
+		Err                         error
 		// Target is the target response time of the route.
 		Target time.Duration
 		// Steps are the earlier decisions of a request that ends.
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -224,13 +224,16 @@
 	for name, r := range t.Routes {
 		k.routeRegions[name] = k.regionSet(r.Regions)
 	}
-	k.lowestPriority = lowestPriorities(t)
+	k.lowestPriority = t.LowestPriorities()
 	k.setRouteGroups(t)
 	k.localShares.Prune(func(r placing.ServiceRoute) bool { return t.Routes[r.Route] != nil })
 	k.setPinnedTarget(t)
 	k.splitter.Prune(t)
 	for _, svc := range k.services {
 		svc.pruneWork(t)
+		if t.Accounts == nil {
+			svc.shares = shareTrackers{}
+		}
 	}
 	k.config.Observe(Event{Kind: EventConfigurationInForce, Version: t.Version})
 	return true
--- a/internal/kernel/steering/mechanism.go
+++ b/internal/kernel/steering/mechanism.go
@@ -19,6 +19,12 @@
 	MechanismStrandedRegions Mechanism = "stranded-regions"
 	// MechanismLoadShedding rejects a share of the requests where queues are long.
 	MechanismLoadShedding Mechanism = "refusals-by-queues"
+	// MechanismPriorityShedding rejects less urgent requests where more urgent ones would miss
+	// their targets. Without it, each request is rejected only for its own target.
+	MechanismPriorityShedding Mechanism = "priority-shedding"
+	// MechanismFairShares rejects the requests of accounts above their fair share first where load
+	// is shed. Without it, all accounts are treated alike.
+	MechanismFairShares Mechanism = "fair-shares"
 	// MechanismQueueInference infers the queues of servers that do not report their load.
 	MechanismQueueInference Mechanism = "inferred-queues"
 	// MechanismOutlierDetection ejects servers that fail or reject several requests in a row.
@@ -58,9 +64,12 @@
 		MechanismFailover,
 		MechanismStrandedRegions,
 		MechanismLoadShedding,
+		MechanismPriorityShedding,
+		MechanismFairShares,
 		MechanismQueueInference,
 		MechanismOutlierDetection,
 		MechanismServerSpeed,
+		MechanismReportedSpeed,
 		MechanismSharedConnections,
 		MechanismUnseenRequests,
 		MechanismRetries,
@@ -68,7 +77,6 @@
 		MechanismConcurrencyLimit,
 		MechanismQuarantine,
 		MechanismWideLinks,
-		MechanismReportedSpeed,
 		MechanismLocalCapacity,
 		MechanismRegionDemand,
 	}
--- a/internal/kernel/steering/service.go
+++ b/internal/kernel/steering/service.go
@@ -7,6 +7,7 @@
 	"unique"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/capacity"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
 )
 
@@ -22,8 +23,12 @@
 		// ranked is a buffer for the servers that are passed to ranking.
 		ranked []placing.Server
 		// totalSlots is the number of slots of all eligible servers.
-		totalSlots  int
-		retries     admission.RetryBudget
+		totalSlots int
+		retries    admission.RetryBudget
+		// capacity tracks the demand and the load of the servers.
+		capacity capacity.Tracker
+		// shares tracks what accounts ask for, by priority.
+		shares      shareTrackers
 		concurrency concurrencyState
 		// workByRoute estimates how long the requests of each route take, by route name.
 		workByRoute map[string]*workEstimate
@@ -36,8 +41,6 @@
 		demand placing.Demand
 		// regionDraws are the shares of the regions in requests without an object.
 		regionDraws map[placementScope]*regionDistribution
-		// queuePressure is the pressure of the server queues, by region of the servers.
-		queuePressure map[string]*admission.QueuePressure
 	}
 )
 
@@ -104,9 +107,8 @@
 	if s == nil {
 		s = &service{
 			name: name, placements: make(map[placementScope]*placing.Placement), regionDraws: make(map[placementScope]*regionDistribution), registered: make(map[string]*server),
-			workByRoute:   make(map[string]*workEstimate),
-			ranking:       placing.NewRanking(),
-			queuePressure: make(map[string]*admission.QueuePressure),
+			workByRoute: make(map[string]*workEstimate),
+			ranking:     placing.NewRanking(),
 			retries: admission.RetryBudget{
 				Ratio: k.config.Retry.Ratio, Slack: k.config.Retry.Slack, Window: k.config.Retry.Window,
 			},
