--- a/internal/kernel/admission/admission_test.go
+++ b/internal/kernel/admission/admission_test.go
@@ -52,6 +52,27 @@
 	}
 }
 
+// Guards against hedges that use up the budget, so that no failed request can be retried.
+func TestHedgesUseAQuarterOfTheRetryBudget(t *testing.T) {
+	budget := RetryBudget{Ratio: 0.2, Window: 10 * time.Second}
+	for range 1000 {
+		budget.RecordRequest(start)
+	}
+	hedges, retries := 0, 0
+	for budget.TrySpendHedge(start, 1) {
+		hedges++
+	}
+	for budget.TrySpend(start, 1) {
+		retries++
+	}
+	if hedges != 40 || retries != 120 {
+		t.Errorf("%d hedges and %d retries were allowed, want 40 and 120", hedges, retries)
+	}
+	if later := start.Add(12 * time.Second); budget.TrySpendHedge(later, 1) {
+		t.Error("a hedge was allowed without requests in the window")
+	}
+}
+
 // Guards against a budget that is spent twice because the clock of a suspended VM goes back and the
 // retries counted so far are dropped.
 func TestRetryBudgetSurvivesClockGoingBack(t *testing.T) {
--- a/internal/kernel/admission/retrybudget.go
+++ b/internal/kernel/admission/retrybudget.go
@@ -11,6 +11,9 @@
 	// budgetUtilization is the part of the budget that is used. The rest is a margin for requests
 	// that fall into another proxy's window and for proxies that have just joined.
 	budgetUtilization = 0.8
+	// maxHedgeShare is the part of the budget that hedges may use. The rest is left for retries of
+	// failed attempts, without which requests are lost.
+	maxHedgeShare = 0.25
 )
 
 type (
@@ -23,7 +26,9 @@
 
 		requests [bucketCount + 1]int
 		retries  [bucketCount + 1]int
-		bucket   int64
+		// hedges are the retries that were sent while the first attempt was in flight.
+		hedges [bucketCount + 1]int
+		bucket int64
 	}
 )
 
@@ -47,17 +52,31 @@
 // TrySpend takes one retry from the budget, or returns false if the budget is exhausted. proxies is
 // the number of proxies that share Slack.
 func (r *RetryBudget) TrySpend(now time.Time, proxies int) bool {
+	return r.trySpend(now, proxies, false)
+}
+
+// TrySpendHedge takes one hedge from the budget, or returns false if the hedges have used their
+// part of it or the budget is exhausted.
+func (r *RetryBudget) TrySpendHedge(now time.Time, proxies int) bool {
+	return r.trySpend(now, proxies, true)
+}
+
+func (r *RetryBudget) trySpend(now time.Time, proxies int, isHedge bool) bool {
 	r.advance(now)
-	requests, retries := 0, 0
+	requests, retries, hedges := 0, 0, 0
 	for i := range r.requests {
 		requests += r.requests[i]
 		retries += r.retries[i]
+		hedges += r.hedges[i]
 	}
 	allowed := budgetUtilization * (r.Ratio*float64(requests) + r.Slack/float64(max(1, proxies)))
-	if float64(retries+1) > allowed {
+	if float64(retries+1) > allowed || isHedge && float64(hedges+1) > maxHedgeShare*allowed {
 		return false
 	}
 	r.retries[r.bucketIndex()]++
+	if isHedge {
+		r.hedges[r.bucketIndex()]++
+	}
 	return true
 }
 
@@ -71,7 +90,7 @@
 	}
 	for i := 0; r.bucket < bucket && i < len(r.requests); i++ {
 		r.bucket++
-		r.requests[r.bucketIndex()], r.retries[r.bucketIndex()] = 0, 0
+		r.requests[r.bucketIndex()], r.retries[r.bucketIndex()], r.hedges[r.bucketIndex()] = 0, 0, 0
 	}
 	r.bucket = bucket
 }
