Let a kernel begin a second attempt of a request in flight

Decision.HedgeAfter tells when, BeginHedge begins the attempt, and Attempt.Hedge tells EndAttempt which of the two has ended. If one fails, the other continues; the usual decision follows when both have failed. The attempt that is cancelled counts as neither a failure nor a success of its server, and its run so far is learned, because otherwise the delay would shrink with each hedge.

A hedge counts as a retry: for Route.Attempts, the retry budget, the account's charge, backpressure and the quarantine. Calls are recorded and replayed; recordings without hedges replay as before. The mechanism hedged-requests switches it off.

The state of an attempt moves into sentAttempt, which is embedded, so that uses of it stay as they are.

--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -249,7 +249,7 @@
 // serverStoppedAccepting reports whether the server of an attempt has stopped accepting requests
 // since it was chosen.
 func (s *Server) serverStoppedAccepting(active *steering.ActiveRequest) (stopped bool) {
-	s.WithKernel(func(k *steering.Kernel, now time.Time) { stopped = !k.ServerStillAccepts(now, active) })
+	s.WithKernel(func(k *steering.Kernel, now time.Time) { stopped = !k.ServerStillAccepts(now, active, false) })
 	return stopped
 }
 
--- a/internal/kernel/steering/backpressure_test.go
+++ b/internal/kernel/steering/backpressure_test.go
@@ -83,11 +83,11 @@
 		k := quarantineKernel(now, false)
 		firstReq, d := beginPoisonRequest(k, now)
 		secondReq, d2 := beginPoisonRequest(k, now)
-		if d.Server == nil || d2.Server == nil || d.Server.ID != d2.Server.ID || !k.ServerStillAccepts(now, secondReq) {
+		if d.Server == nil || d2.Server == nil || d.Server.ID != d2.Server.ID || !k.ServerStillAccepts(now, secondReq, false) {
 			t.Fatalf("%s: got %+v and %+v, want the same server for both requests", name, d, d2)
 		}
 		k.EndAttempt(now.Add(50*time.Millisecond), firstReq, Attempt{Result: ResultRejected, Signal: signal})
-		if k.ServerStillAccepts(now.Add(60*time.Millisecond), secondReq) {
+		if k.ServerStillAccepts(now.Add(60*time.Millisecond), secondReq, false) {
 			t.Errorf("%s: the second request may still be sent to the server", name)
 		}
 		if d = k.EndAttempt(now.Add(60*time.Millisecond), secondReq, Attempt{Result: ResultNotSent}); d.Server == nil || d.Server.ID == d2.Server.ID {
--- a/internal/kernel/steering/call.go
+++ b/internal/kernel/steering/call.go
@@ -31,6 +31,7 @@
 	callIgnoreMissingProxies = "doubt-proxies"
 	callBegin                = "begin"
 	callEnded                = "ended"
+	callBeginHedge           = "begin-hedge"
 	callServersToProbe       = "doubted"
 	callConnectionRefused    = "server-refusing"
 	callQuarantineReports    = "suspicions"
--- a/internal/kernel/steering/cause.go
+++ b/internal/kernel/steering/cause.go
@@ -39,7 +39,7 @@
 func (req *ActiveRequest) latencyCause(now time.Time) (cause Cause, state ServerState) {
 	var sent Event
 	for _, e := range req.steps {
-		if e.Kind == EventRequestSent {
+		if e.Kind == EventRequestSent && !e.IsHedge {
 			sent = e
 		}
 	}
--- a/internal/kernel/steering/concurrencylimit_test.go
+++ b/internal/kernel/steering/concurrencylimit_test.go
@@ -250,7 +250,7 @@
 		k := New(config)
 		k.ApplyConcurrencyLimits(now, []ServiceLimit{{Service: "service", Limit: admission.Limit{Slots: 3, Max: 2, Samples: 100}}})
 		svc := k.service("slow")
-		req := &ActiveRequest{Route: &routing.Route{Name: "route", Sticky: true, Target: 100 * time.Millisecond}, Service: "slow", warm: true}
+		req := &ActiveRequest{Route: &routing.Route{Name: "route", Sticky: true, Target: 100 * time.Millisecond}, Service: "slow", sentAttempt: sentAttempt{warm: true}}
 		for n := range 40 {
 			s := &server{id: fmt.Sprint(n % 4), Server: routing.Server{Slots: 3}, rtt: &rttEstimate{}, serverUse: newServerUse()}
 			k.detectSlowdown(now, req, s, svc, Attempt{Result: ResultResponded, Loaded: true, Running: 3}, time.Second)
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -88,6 +88,10 @@
 		Version uint64
 		// Attempt is the number of the attempt, starting at 1.
 		Attempt int
+		// IsHedge is set if the attempt was begun by BeginHedge. Hedge is the outcome of the hedge
+		// of a request that ends.
+		IsHedge bool
+		Hedge   HedgeOutcome
 		Result  Result
 		Outcome Outcome
 		Reason  Reason
--- a/internal/kernel/steering/learn.go
+++ b/internal/kernel/steering/learn.go
@@ -19,6 +19,9 @@
 	case ResultResponded:
 		s.respondedAt = now
 		k.learnWork(now, req, s, svc, elapsed)
+		if !a.Rejected && !req.isHedge {
+			k.learnRunTime(req, &req.sentAttempt, elapsed)
+		}
 		if !a.Loaded {
 			k.inferQueue(now, req, s, elapsed-s.rtt.roundTrip)
 		}
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -63,7 +63,7 @@
 	if target == nil {
 		return k.fail(now, req, reason)
 	}
-	return Decision{Server: target, SlotRequest: req.slotRequest}
+	return k.sendDecision(now, req, target)
 }
 
 // place chooses a server and counts the request as in flight there.
@@ -88,20 +88,28 @@
 		}
 		svc.retries.RecordRequest(now)
 	}
+	k.startAttempt(now, req, s, chosen, false)
+	req.slotRequest, req.slotRank = k.newSlotRequest(now, req, svc, s, chosen), 0
+	return k.newTarget(svc, s), ReasonNone
+}
+
+// startAttempt makes an attempt at a server the current one and counts it as in flight there.
+func (k *Kernel) startAttempt(now time.Time, req *ActiveRequest, s *server, chosen choice, isHedge bool) {
 	k.quarantine.RecordStart(req.Work)
-	req.server, req.sentAt, req.expected, req.warm, req.loadAtSend = s, now, chosen.expected, chosen.warm, s.load(now)
+	req.sentAttempt = sentAttempt{
+		server: s, sentAt: now, expected: chosen.expected, expectedWait: chosen.untilStart - s.rtt.roundTrip, warm: chosen.warm,
+		loadAtSend: s.load(now), number: (len(req.steps)+1)/2 + 1, isHedge: isHedge,
+	}
 	state := s.state(now)
 	s.use()
 	s.inFlight++
 	s.sentCount++
 	s.backpressure.RecordSent(now)
 	req.addStep(Event{
-		At: now, Kind: EventRequestSent, Server: s.id, Domain: s.Domain, Attempt: len(req.steps)/2 + 1, Expected: chosen.expected,
+		At: now, Kind: EventRequestSent, Server: s.id, Domain: s.Domain, Attempt: req.number, IsHedge: isHedge, Expected: chosen.expected,
 		Load: s.load(now), LoadAge: s.loadAge(now), HomeRank: chosen.homeRank, Warm: chosen.warm,
-		ExpectedWait: chosen.untilStart - s.rtt.roundTrip, State: state,
+		ExpectedWait: req.expectedWait, State: state,
 	})
-	req.slotRequest, req.slotRank = k.newSlotRequest(now, req, svc, s, chosen), 0
-	return k.newTarget(svc, s), ReasonNone
 }
 
 // chooseServer chooses the server for a request. Requests that are suspected of crashing servers go
@@ -118,7 +126,8 @@
 }
 
 // EndAttempt records how an attempt ended and returns the next step. If the request held a slot,
-// the decision contains its release.
+// the decision contains its release. If two attempts were in flight and the decision does not say
+// that the other one continues, that one must be cancelled and its end not be reported.
 func (k *Kernel) EndAttempt(now time.Time, req *ActiveRequest, a Attempt) Decision {
 	release := req.takeSlotRelease(req.latencyRatio(now, a))
 	d := k.endAttempt(now, req, a)
@@ -142,6 +151,7 @@
 }
 
 func (k *Kernel) endAttempt(now time.Time, req *ActiveRequest, a Attempt) Decision {
+	other := req.selectEnded(a.Hedge)
 	s := req.server
 	s.inFlight--
 	if !a.rejectedWithFreeSlots(s.Slots) {
@@ -151,31 +161,30 @@
 	k.recordCrashEvidence(now, req, s, a)
 	k.learnFromAttempt(now, req, s, a, elapsed)
 	req.addStep(Event{
-		At: now, Kind: EventAttemptEnded, Server: s.id, Attempt: len(req.steps)/2 + 1, Result: a.Result,
+		At: now, Kind: EventAttemptEnded, Server: s.id, Attempt: req.number, IsHedge: req.isHedge, Result: a.Result,
 		Expected: req.expected, Duration: elapsed, Load: float64(a.Running + a.Waiting), Err: a.Err,
 	})
+	req.countAttempt(a)
+	if other != nil {
+		if !a.endsRequest() {
+			req.sentAttempt = *other
+			return Decision{OtherContinues: true}
+		}
+		k.cancelAttempt(now, req, other, a.Result)
+	}
 	switch a.Result {
 	case ResultResponded:
 		return k.finish(now, req, Decision{ReturnResponse: true})
 	case ResultCallerGone:
 		return k.finish(now, req, Decision{Reason: ReasonCallerGone})
 	case ResultTimeout:
-		req.mayHaveRun = true
 		return k.fail(now, req, ReasonTimeout)
 	case ResultUnreachable, ResultNotSent:
-		req.sendAttempts++
 		if req.sendAttempts >= maxSends {
 			return k.fail(now, req, ReasonNoServer)
 		}
 		return k.send(now, req)
 	}
-	if a.Result != ResultWrongServer {
-		// With ResultWrongServer another server has the address, so no server of the service has
-		// received the request yet.
-		req.reachedServers++
-	}
-	req.sendAttempts++
-	req.mayHaveRun = req.mayHaveRun || a.Result == ResultConnectionLost || a.Result == ResultServerError
 	reason := reasonOf(a.Result)
 	if a.ResponseStarted {
 		// Another response can't follow the part that the caller has.
@@ -184,7 +193,7 @@
 	if k.mayRetry(now, req) {
 		var target *Target
 		if target, reason = k.place(now, req); target != nil {
-			return Decision{Server: target, SlotRequest: req.slotRequest}
+			return k.sendDecision(now, req, target)
 		}
 	}
 	if a.Result == ResultServerError {
@@ -195,6 +204,19 @@
 	return k.fail(now, req, reason)
 }
 
+// countAttempt counts an attempt that ended.
+func (req *ActiveRequest) countAttempt(a Attempt) {
+	req.sendAttempts++
+	switch a.Result {
+	case ResultUnreachable, ResultNotSent, ResultWrongServer:
+		// With ResultWrongServer another server has the address, so no server of the service has
+		// received the request.
+		return
+	}
+	req.reachedServers++
+	req.mayHaveRun = req.mayHaveRun || a.Result == ResultConnectionLost || a.Result == ResultServerError || a.Result == ResultTimeout
+}
+
 // rejectedWithFreeSlots reports whether the server rejected the request while it had free slots.
 // Such a server rejects at random and may well accept the next request. It is warm for the object,
 // whereas any other server would run it cold.
@@ -253,7 +275,7 @@
 	e := Event{
 		At: now, Kind: EventRequestEnded, Request: req.ID, Service: req.Service, Object: req.Object, Fingerprint: req.Work, Version: k.Version(),
 		Outcome: d.Outcome(), Reason: d.Reason, Duration: now.Sub(req.startedAt), Attempt: (len(req.steps) + 1) / 2,
-		RetryAfter: d.RetryAfter, Pressure: req.queuePressure, Steps: req.steps,
+		RetryAfter: d.RetryAfter, Pressure: req.queuePressure, Steps: req.steps, Hedge: req.hedgeOutcome(d),
 	}
 	if req.Route != nil {
 		e.Route, e.Target = req.Route.Name, req.Route.Target
--- a/internal/kernel/steering/mechanism.go
+++ b/internal/kernel/steering/mechanism.go
@@ -38,13 +38,15 @@
 	MechanismConcurrencyLimit Mechanism = "hold-back"
 	// MechanismQuarantine keeps requests that crash servers away from them.
 	MechanismQuarantine Mechanism = "quarantine"
+	// MechanismHedging sends idempotent requests that run much longer than usual a second time.
+	MechanismHedging Mechanism = "hedged-requests"
 )
 
 var (
 	mechanisms = []Mechanism{
 		MechanismHomes, MechanismRegionCapacity, MechanismFailover, MechanismStrandedRegions, MechanismLoadShedding, MechanismQueueInference,
 		MechanismOutlierDetection, MechanismServerSpeed, MechanismSharedConnections, MechanismUnseenRequests, MechanismRetries, MechanismReplicas, MechanismConcurrencyLimit,
-		MechanismQuarantine,
+		MechanismQuarantine, MechanismHedging,
 	}
 )
 
--- a/internal/kernel/steering/replay.go
+++ b/internal/kernel/steering/replay.go
@@ -164,7 +164,7 @@
 		k.HandleSlotRequest(c.At, *c.SlotRequest)
 	case callSlotRelease:
 		k.HandleSlotRelease(c.At, *c.SlotRelease)
-	case callBegin, callEnded, callSlotReply, callPoolToken:
+	case callBegin, callEnded, callBeginHedge, callSlotReply, callPoolToken:
 		return r.replayRequest(c)
 	default:
 		return errors.Errorf("do: unknown call %q", c.Method)
@@ -201,6 +201,8 @@
 			d = r.kernel.HandleSlotReply(c.At, req, *c.SlotReply, c.Flag)
 		case callPoolToken:
 			d = r.kernel.ApplyPoolToken(c.At, req, *c.Token, c.Flag)
+		case callBeginHedge:
+			d = r.kernel.BeginHedge(c.At, req)
 		default:
 			d = r.kernel.EndAttempt(c.At, req, *c.Attempt)
 		}
@@ -238,6 +240,10 @@
 			Call: r.result.Calls, At: c.At, Request: req.ID, Recorded: *c.Decision, Now: replayed,
 		})
 	}
+	if c.Method == callBeginHedge {
+		r.moveHedgeToRecorded(c.At, req, c.Decision.Server)
+		return
+	}
 	r.moveToRecorded(req, c.Decision.Server)
 }
 
@@ -247,13 +253,30 @@
 	if req.server != nil && req.server.id != id && req.server.inFlight > 0 {
 		req.server.inFlight--
 	}
-	s := r.kernel.servers[id]
-	if s == nil {
-		s = &server{id: id, serverUse: unused, rtt: &rttEstimate{}}
-	}
+	s := r.recordedServer(id)
 	if s != req.server {
 		s.use()
 		s.inFlight++
 	}
 	req.server = s
 }
+
+// moveHedgeToRecorded replaces the hedge of a request by the recorded one, or removes it if none
+// was recorded.
+func (r *replayer) moveHedgeToRecorded(now time.Time, req *ActiveRequest, id string) {
+	if req.hedge != nil {
+		r.kernel.cancelAttempt(now, req, req.hedge, ResultCancelled)
+		req.hedge = nil
+	}
+	if id != "" {
+		r.kernel.startHedge(now, req, r.recordedServer(id))
+	}
+}
+
+// recordedServer returns the server with a recorded ID, or a stand-in if it is not known.
+func (r *replayer) recordedServer(id string) *server {
+	if s := r.kernel.servers[id]; s != nil {
+		return s
+	}
+	return &server{id: id, serverUse: unused, rtt: &rttEstimate{}}
+}
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -32,6 +32,9 @@
 	// ResultNotSent means that nothing was sent: while the connection was being opened, the server
 	// announced that it takes no more requests.
 	ResultNotSent
+	// ResultCancelled means that the attempt was cancelled because the other of two attempts ended
+	// the request. It says nothing about the server.
+	ResultCancelled
 )
 
 const (
@@ -146,15 +149,14 @@
 		// quotaDecision is the pending decision for which a token is requested from a quota pool.
 		quotaDecision ratelimit.Decision
 		startedAt     time.Time
-		server        *server
-		sentAt        time.Time
-		expected      time.Duration
-		warm          bool
+		// sentAttempt is the attempt in flight. hedge is the second one, or nil if there are not
+		// two in flight. If one of two ends, the other becomes the sentAttempt.
+		sentAttempt
+		hedge *sentAttempt
+		// hedged is set once the request has been hedged.
+		hedged bool
 		// workEstimate estimates how long requests of the route take at the service.
 		workEstimate *workEstimate
-		// loadAtSend is the estimated number of requests that ran and waited at the server when
-		// this one was sent.
-		loadAtSend float64
 		// drawnRegion is the region drawn for a request without an object.
 		drawnRegion  string
 		triedServers []*server
@@ -185,11 +187,32 @@
 		steps            []Event
 	}
 
+	// sentAttempt is the state of one attempt.
+	sentAttempt struct {
+		server   *server
+		sentAt   time.Time
+		expected time.Duration
+		// expectedWait is the part of expected until a slot is free.
+		expectedWait time.Duration
+		warm         bool
+		// loadAtSend is the estimated number of requests that ran and waited at the server when
+		// this one was sent.
+		loadAtSend float64
+		// number is the number of the attempt, starting at 1.
+		number  int
+		isHedge bool
+	}
+
 	// Decision is the next step of a request.
 	Decision struct {
-		// Server is the server to send the request to. If it and QuotaPool are empty, the request
-		// ends.
+		// Server is the server to send the request to. If it and QuotaPool are empty and
+		// OtherContinues is not set, the request ends.
 		Server *Target
+		// HedgeAfter is the delay after which BeginHedge must be called if no response has begun to
+		// arrive by then. Zero means never.
+		HedgeAfter time.Duration
+		// OtherContinues is set if one of two attempts has failed and the other one decides.
+		OtherContinues bool
 		// SlotRequest is set if a slot must be requested before the request is sent. SlotRelease is
 		// set if a slot must be released.
 		SlotRequest *SlotRequest
@@ -221,6 +244,8 @@
 	// Attempt reports how an attempt ended.
 	Attempt struct {
 		Result Result
+		// Hedge is set if the attempt was begun by BeginHedge.
+		Hedge bool `json:",omitempty"`
 		// RoundTrip is the round-trip time measured on a new connection, or zero if there was none.
 		RoundTrip time.Duration
 		// Loaded is set if the server reported its load.
@@ -242,7 +267,7 @@
 
 // String returns the result as it appears in logs.
 func (r Result) String() string {
-	names := [...]string{"none", "answered", "failed", "refused", "mistaken", "unreachable", "broken", "late", "left", "withheld"}
+	names := [...]string{"none", "answered", "failed", "refused", "mistaken", "unreachable", "broken", "late", "left", "withheld", "cancelled"}
 	return names[min(int(r), len(names)-1)]
 }
 
--- a/internal/kernel/steering/slotrequest.go
+++ b/internal/kernel/steering/slotrequest.go
@@ -127,7 +127,7 @@
 		s.inFlight--
 		k.quarantine.RecordStop(req.Work)
 		req.addStep(Event{
-			At: now, Kind: EventAttemptEnded, Server: s.id, Attempt: len(req.steps)/2 + 1, Result: ResultRejected,
+			At: now, Kind: EventAttemptEnded, Server: s.id, Attempt: req.number, Result: ResultRejected,
 			Expected: req.expected, Duration: now.Sub(req.sentAt), Load: float64(r.Running + r.Waiting),
 		})
 		d := k.fail(now, req, ReasonQueuesTooLong)
@@ -143,7 +143,7 @@
 		d.SlotRelease = release
 		return d
 	}
-	if !s.isEligible() || k.evacuatedDomains[s.Domain] || s.isCold(now) || !req.allowedRegions.has(s.regionBit) || !k.ServerStillAccepts(now, req) {
+	if !s.isEligible() || k.evacuatedDomains[s.Domain] || s.isCold(now) || !req.allowedRegions.has(s.regionBit) || !k.ServerStillAccepts(now, req, false) {
 		// The server started to drain, was paused or became cold while the request waited.
 		release := req.takeSlotRelease(0)
 		s.inFlight--
@@ -156,7 +156,7 @@
 	if r.Unknown {
 		req.slotRequest = nil
 	}
-	req.slotRank, req.sentAt = r.Rank, now
+	req.slotRank, req.sentAt, req.expectedWait = r.Rank, now, 0
 	req.expected = s.rtt.roundTrip + svc.workOf(req.Route).expected(req.warm, req.Route.Target)
 	return Decision{Server: k.newTarget(svc, s)}
 }
--- a/internal/kernel/steering/workestimate.go
+++ b/internal/kernel/steering/workestimate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/hedging"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
 
@@ -29,6 +30,8 @@
 		// coldSamples counts the cold runs that the cold estimate is based on, up to
 		// maxColdSamples.
 		coldSamples int
+		// warmRuns are the recent warm runs, from which the delay of hedges is learned.
+		warmRuns hedging.RunTimes
 	}
 )
 
