Simulate slow runs and hedges

Runs of the warmnet simulation can take several times as long at random. Proxies hedge them, and servers drop cancelled requests. Second runs draw from a random source of their own, so that one hedge does not change all later arrivals.

--- a/internal/fake/warmnet/scenario.go
+++ b/internal/fake/warmnet/scenario.go
@@ -65,6 +65,8 @@
 		SlowServers int               `json:"slow-servers"`
 		SlowFrom    operator.Duration `json:"slow-from"`
 		SlowTo      operator.Duration `json:"slow-to"`
+		// SlowRuns are runs that take several times as long as usual for reasons of their own.
+		SlowRuns *SlowRuns `json:"slow-runs"`
 		// Knee is the fraction of its slots above which a server slows down: requests that start
 		// with more running take KneeFactor times as long. Zero disables it.
 		Knee       float64 `json:"knee"`
@@ -159,6 +161,7 @@
 		RateLimits     RateLimitStats
 		Draining       DrainStats
 		Backoffs       BackoffStats
+		Hedges         HedgeStats
 		Latencies      []time.Duration
 	}
 )
--- a/internal/fake/warmnet/simulation.go
+++ b/internal/fake/warmnet/simulation.go
@@ -34,9 +34,13 @@
 		schedule.Schedule
 		scenario Scenario
 		random   *rand.Rand
-		servers  []*server
-		byID     map[string]*server
-		proxies  map[string][]*steering.Kernel
+		// hedgeRandom is used for the runs of second attempts. With one source for all, a single
+		// hedge would change all later arrivals, and results with and without hedges could hardly
+		// be compared.
+		hedgeRandom *rand.Rand
+		servers     []*server
+		byID        map[string]*server
+		proxies     map[string][]*steering.Kernel
 		// proxyList are the proxies that know each other.
 		proxyList            []steering.Proxy
 		result               Result
@@ -73,6 +77,7 @@
 		credential account.Credential
 		// crashing requests crash the server that runs them.
 		crashing bool
+		hedgeState
 	}
 )
 
@@ -85,7 +90,7 @@
 func simulate(scenario Scenario, placer string, seed uint64, record func(steering.Call)) Result {
 	w := &simulation{
 		record:   record,
-		scenario: scenario, random: rand.New(rand.NewPCG(seed, 1)), byID: make(map[string]*server),
+		scenario: scenario, random: rand.New(rand.NewPCG(seed, 1)), hedgeRandom: rand.New(rand.NewPCG(seed, 2)), byID: make(map[string]*server),
 		proxies: make(map[string][]*steering.Kernel), withinTargetByRegion: make(map[string]int), sentByRegion: make(map[string]int),
 		regionCounts: make(regionCounts),
 		oracle:       placer == Oracle,
@@ -300,6 +305,7 @@
 	w.recordQuarantineRejection(req, d)
 	w.scheduleAlert(req.kernel)
 	switch {
+	case d.OtherContinues:
 	case d.SlotRequest != nil && !w.oracle:
 		w.sendSlotRequest(req, *d.SlotRequest)
 	case d.Server != nil:
@@ -308,6 +314,7 @@
 			s = w.oracleServer(req)
 		}
 		req.server = s
+		w.scheduleHedge(req, d)
 		w.regionCounts.record(w.Now, req.region, s.region)
 		w.After(w.roundTrip(req.proxyRegion, s.region)/2, func() { w.arriveAtServer(req) })
 	case d.ReturnResponse && req.proxyRegion != req.region:
@@ -392,7 +399,7 @@
 		w.After(w.scenario.CrashingRequests.Delay.Std(), func() { w.crashFromRequest(req, s) })
 		return
 	}
-	serviceTime := float64(w.scenario.ServiceTime.Std()) * w.slowdown(s) * w.drawServiceTimeFactor()
+	serviceTime := float64(w.scenario.ServiceTime.Std()) * w.slowdown(s) * w.drawRun(req)
 	if w.scenario.Knee > 0 && float64(s.running) > w.scenario.Knee*float64(w.scenario.SlotsPerServer) {
 		serviceTime *= w.scenario.KneeFactor
 	}
@@ -403,24 +410,30 @@
 	}
 	s.addToCache(req.activeRequest.Object, w.scenario.CacheCapacity)
 	w.After(time.Duration(serviceTime), func() {
-		if s.crashed {
+		if !slices.Contains(s.activeRequests, req) {
+			// The server has crashed, or the request was cancelled.
 			return
 		}
 		s.running--
 		s.activeRequests = slices.DeleteFunc(s.activeRequests, func(other *request) bool { return other == req })
 		w.endAttempt(req, steering.ResultResponded)
-		for len(s.queue) > 0 && s.running < w.scenario.SlotsPerServer {
-			next := s.queue[0]
-			s.queue = s.queue[1:]
-			if w.clock().After(next.activeRequest.ExpiresAt) {
-				w.endAttempt(next, steering.ResultTimeout)
-				continue
-			}
-			w.startRun(next)
-		}
+		w.startQueued(s)
 	})
 }
 
+// startQueued starts the queued requests for which a server has free slots.
+func (w *simulation) startQueued(s *server) {
+	for len(s.queue) > 0 && s.running < w.scenario.SlotsPerServer {
+		next := s.queue[0]
+		s.queue = s.queue[1:]
+		if w.clock().After(next.activeRequest.ExpiresAt) {
+			w.endAttempt(next, steering.ResultTimeout)
+			continue
+		}
+		w.startRun(next)
+	}
+}
+
 // slowdown returns the current factor on a server's service time.
 func (w *simulation) slowdown(s *server) float64 {
 	if s.index < max(1, w.scenario.SlowServers) && w.Now >= w.scenario.SlowFrom.Std() && w.Now < w.scenario.SlowTo.Std() {
@@ -454,11 +467,16 @@
 func (w *simulation) returnAttempt(req *request, attempt steering.Attempt) {
 	attempt.Signal = w.signal(req.server, attempt.Result)
 	w.After(w.roundTrip(req.proxyRegion, req.server.region)/2, func() {
+		if req.cancelled {
+			return
+		}
 		w.recordSignal(req, attempt.Signal)
 		if attempt.Result == steering.ResultResponded && w.clock().After(req.activeRequest.ExpiresAt) {
 			// The request timed out at the proxy before the response arrived.
 			attempt = steering.Attempt{Result: steering.ResultTimeout}
 		}
-		w.applyDecision(req, req.kernel.EndAttempt(w.clock(), req.activeRequest, attempt))
+		attempt.Hedge = req.first != nil
+		d := req.kernel.EndAttempt(w.clock(), req.activeRequest, attempt)
+		w.applyDecision(w.concludeAttempt(req, d), d)
 	})
 }
