Send a request a second time while a slow run is in flight

Callers waited for runs that take several times as long as usual. forwardhttp now waits for the response or for Decision.HedgeAfter and then has two attempts in flight. The first complete response that is not a failure wins, or the first one that begins to be passed on; the other attempt is cancelled and its memory is released when it has ended. There is no hedge once a response has begun to arrive, for which serverhttp reports the begin of each response.

--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -173,15 +173,22 @@
 	for decision.QuotaPool != "" {
 		decision = s.acquireToken(ctx, active, decision.QuotaPool)
 	}
+	newRequest := func(target *steering.Target, isHedge bool) serverhttp.Request {
+		return s.newServerRequest(r, o, request, active, target, isHedge)
+	}
 	var response *serverhttp.Response
 	for decision.Server != nil {
 		if decision.SlotRequest != nil {
 			decision = s.acquireSlot(ctx, active, *decision.SlotRequest)
 			continue
 		}
-		var attempt steering.Attempt
 		response.Release()
-		attempt, response = s.Send(ctx, s.newServerRequest(r, o.body.Bytes, request, active, decision.Server, o.onStream))
+		if decision.HedgeAfter > 0 {
+			decision, response = s.sendHedged(ctx, active, decision, newRequest)
+			continue
+		}
+		var attempt steering.Attempt
+		attempt, response = s.Send(ctx, newRequest(decision.Server, false))
 		decision = s.endAttempt(active, attempt)
 	}
 	return result{decision: decision, response: response}, true
@@ -231,7 +238,7 @@
 	}
 }
 
-func (s *Server) newServerRequest(r *http.Request, body []byte, request steering.Request, active *steering.ActiveRequest, target *steering.Target, onStream func(*serverhttp.Response)) serverhttp.Request {
+func (s *Server) newServerRequest(r *http.Request, o forwardOptions, request steering.Request, active *steering.ActiveRequest, target *steering.Target, isHedge bool) serverhttp.Request {
 	account := ""
 	if active.Account != nil {
 		account = active.Account.Name
@@ -239,17 +246,17 @@
 	return serverhttp.Request{
 		HasAccounts: active.HasAccounts, Account: account,
 		Address: target.Address, InstanceID: target.ID, Method: r.Method, Host: r.Host, Target: r.RequestURI,
-		Header: r.Header, Body: body, AttemptID: request.ID, Deadline: active.ExpiresAt,
+		Header: r.Header, Body: o.body.Bytes, AttemptID: request.ID, Deadline: active.ExpiresAt,
 		DialTimeout:        min(dialBaseTimeout+dialRoundTrips*target.RoundTrip, active.ExpiresAt.Sub(s.Now())),
-		MaxIdleConnections: target.MaxConnections, StoppedAccepting: func() bool { return s.serverStoppedAccepting(active) },
-		OnStream: onStream,
+		MaxIdleConnections: target.MaxConnections, StoppedAccepting: func() bool { return s.serverStoppedAccepting(active, isHedge) },
+		OnStream: o.onStream,
 	}
 }
 
 // serverStoppedAccepting reports whether the server of an attempt has stopped accepting requests
 // since it was chosen.
-func (s *Server) serverStoppedAccepting(active *steering.ActiveRequest) (stopped bool) {
-	s.WithKernel(func(k *steering.Kernel, now time.Time) { stopped = !k.ServerStillAccepts(now, active, false) })
+func (s *Server) serverStoppedAccepting(active *steering.ActiveRequest, isHedge bool) (stopped bool) {
+	s.WithKernel(func(k *steering.Kernel, now time.Time) { stopped = !k.ServerStillAccepts(now, active, isHedge) })
 	return stopped
 }
 
--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -115,6 +115,9 @@
 		// OnStream is called with a long response whose body has not arrived yet. It must not
 		// block. If it is nil, all responses are buffered.
 		OnStream func(*Response)
+		// OnBegin is called when a response to this request has begun to arrive. It must not block.
+		// It may be nil.
+		OnBegin func()
 	}
 
 	// Response is a response of a server. It must be released.
@@ -370,6 +373,9 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	e.recordSignal(response)
+	if id := response.Header.Get(e.client.headers.AttemptID); e.request.OnBegin != nil && (id == "" || id == e.request.AttemptID) {
+		e.request.OnBegin()
+	}
 	contentLength := response.ContentLength
 	if e.request.Method == http.MethodHead {
 		// Content-Length is that of the response to a GET; there is no body.
