Count hedges, and show them in events and logs

gypsumquay_hedges_total counts hedges sent, won and lost by service. Hedged requests are not logged as noteworthy for that alone: they are as frequent as slow runs and would fill the log.

--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -164,6 +164,10 @@
 		// Cause is the main cause of a late request's latency, Target the route's target latency.
 		Cause  string `json:"cause,omitempty"`
 		Target string `json:"target,omitempty"`
+		// IsHedge marks the second of two attempts that were in flight together. Hedge is what the
+		// second attempt of a request that ended achieved: won or lost.
+		IsHedge bool   `json:"is-hedge,omitempty"`
+		Hedge   string `json:"hedge,omitempty"`
 	}
 )
 
@@ -174,7 +178,7 @@
 		Service: e.Service, Server: e.Server, Object: e.Object, Fingerprint: e.Fingerprint.String(), Domain: e.Domain, Region: e.Region, CallersElsewhere: e.CallersElsewhere, Attempt: e.Attempt,
 		Reason: string(e.Reason), Load: e.Load, Warm: e.Warm, Draining: e.Draining,
 		Expected: formatDuration(e.Expected), Duration: formatDuration(e.Duration), RetryAfter: formatDuration(e.RetryAfter), Pressure: e.Pressure,
-		ExpectedWait: formatDuration(e.ExpectedWait), ServerState: string(e.State), Cause: string(e.Cause), Target: formatDuration(e.Target), Limit: e.Limit.String(),
+		ExpectedWait: formatDuration(e.ExpectedWait), ServerState: string(e.State), Cause: string(e.Cause), Target: formatDuration(e.Target), Limit: e.Limit.String(), IsHedge: e.IsHedge, Hedge: string(e.Hedge),
 	}
 	if e.Result != 0 {
 		out.Result = e.Result.String()
--- a/internal/proxy/forward/decisionlog.go
+++ b/internal/proxy/forward/decisionlog.go
@@ -102,7 +102,7 @@
 	}
 	j.record(e)
 	klog.InfoS(string(e.Kind), "request", e.Request, "route", e.Route, "account", e.Account, "work", e.Fingerprint.String(), "configuration", e.Version,
-		"outcome", e.Outcome.String(), "reason", string(e.Reason), "took", e.Duration.String(), "attempts", e.Attempt, "tried", attemptedServers(e.Steps),
+		"outcome", e.Outcome.String(), "reason", string(e.Reason), "took", e.Duration.String(), "attempts", e.Attempt, "tried", attemptedServers(e.Steps), "hedge", string(e.Hedge),
 		"come-back", e.RetryAfter.String(), "pressure", e.Pressure, "target", e.Target.String(), "cause", string(e.Cause), "server-state", string(e.State))
 }
 
@@ -121,11 +121,11 @@
 func (j *decisionLog) writeStep(s steering.Event, ago time.Duration) {
 	if s.Kind == steering.EventRequestSent {
 		klog.InfoS(string(s.Kind), "request", s.Request, "route", s.Route, "configuration", s.Version, "service", s.Service,
-			"server", s.Server, "failure-domain", s.Domain, "object", s.Object, "work", s.Fingerprint.String(), "home-rank", s.HomeRank, "warm", s.Warm, "attempt", s.Attempt,
+			"server", s.Server, "failure-domain", s.Domain, "object", s.Object, "work", s.Fingerprint.String(), "home-rank", s.HomeRank, "warm", s.Warm, "attempt", s.Attempt, "hedge", s.IsHedge,
 			"expected", s.Expected.String(), "load", s.Load, "wait", s.ExpectedWait.String(), "server-state", string(s.State), "load-age", formatAge(s.LoadAge), "ago", ago.String())
 		return
 	}
-	klog.InfoS(string(s.Kind), "request", s.Request, "work", s.Fingerprint.String(), "server", s.Server, "attempt", s.Attempt, "result", s.Result.String(),
+	klog.InfoS(string(s.Kind), "request", s.Request, "work", s.Fingerprint.String(), "server", s.Server, "attempt", s.Attempt, "hedge", s.IsHedge, "result", s.Result.String(),
 		"expected", s.Expected.String(), "took", s.Duration.String(), "server-load", s.Load, "ago", ago.String(), "error", errorText(s.Err))
 }
 
@@ -143,7 +143,9 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.startWindow()
-	noteworthy := e.Reason != steering.ReasonNone || e.Attempt > 1 || isLate(e)
+	// Hedges are as frequent as slow runs. They are counted and would fill the log.
+	retried := e.Attempt > 1 && e.Hedge == steering.HedgeNone
+	noteworthy := e.Reason != steering.ReasonNone || retried || isLate(e)
 	j.served++
 	switch {
 	case !noteworthy && j.served%sampleEveryNth != 0:
--- a/internal/proxy/forward/metrics.go
+++ b/internal/proxy/forward/metrics.go
@@ -64,6 +64,7 @@
 		return
 	}
 	m.recordRequest(e)
+	m.recordHedge(e)
 	for _, s := range e.Steps {
 		if s.Kind == steering.EventAttemptEnded {
 			m.recordAttempt(attemptLabels{e.Service, s.Result})
@@ -97,6 +98,16 @@
 	counter.Inc()
 }
 
+// recordHedge counts the hedge of a request. Hedges are rare, so the counters are looked up by name.
+func (m *proxyMetrics) recordHedge(e steering.Event) {
+	if e.Hedge == steering.HedgeNone {
+		return
+	}
+	for _, outcome := range []string{"sent", string(e.Hedge)} {
+		m.set.GetOrCreateCounter(fmt.Sprintf("gypsumquay_hedges_total{service=%q,outcome=%q}", e.Service, outcome)).Inc()
+	}
+}
+
 // peerBytes returns the functions that count the bytes of a connection to a peer across a border.
 func (m *proxyMetrics) peerBytes(b border) (sent, received func(int)) {
 	return m.set.GetOrCreateCounter(fmt.Sprintf("gypsumquay_peer_sent_bytes_total{border=%q}", string(b))).Add,
