--- a/internal/fake/warmnet/scenario.go
+++ b/internal/fake/warmnet/scenario.go
@@ -67,6 +67,8 @@
 		SlowTo      operator.Duration `json:"slow-to"`
 		// SlowRuns are runs that take several times as long as usual for reasons of their own.
 		SlowRuns *SlowRuns `json:"slow-runs"`
+		// SlowTurns makes servers slow in turn, which they report.
+		SlowTurns *SlowTurns `json:"slow-turns"`
 		// Knee is the fraction of its slots above which a server slows down: requests that start
 		// with more running take KneeFactor times as long. Zero disables it.
 		Knee       float64 `json:"knee"`
--- a/internal/kernel/hedging/decision.go
+++ b/internal/kernel/hedging/decision.go
@@ -12,6 +12,11 @@
 	// Without it, nearly half of the hedges were sent for runs at the end of the usual range, and
 	// the budget was used up before the slow runs.
 	delayMargin = 1.15
+	// maxDelayRuns limits the delay, as a multiple of a usual run. Servers that are slow for less than
+	// a second often report their usual speed again when they respond, and proxies seldom have a
+	// fresh report from before. If 15% of the servers are slow at a time, such runs determine the
+	// quantile, and a hedge after 2.5 usual runs is rarely in time.
+	maxDelayRuns = 1.5
 	// maxWaitShare is the longest expected wait at the server of a hedge, relative to a usual run.
 	// Where only servers with a free slot got hedges, 0.8 of the capacity left most slow runs
 	// without one.
@@ -58,6 +63,9 @@
 		// RoundTrip and ExpectedWait are the round trip to the server of the attempt and the wait
 		// there that was expected when the attempt was sent.
 		RoundTrip, ExpectedWait time.Duration
+		// WorkFactor is the duration of runs that the server of the attempt reports now, as a
+		// multiple of the usual.
+		WorkFactor float64
 		// UntilTarget and UntilTimeout are the remaining times until the request misses its latency
 		// target and until it times out.
 		UntilTarget, UntilTimeout time.Duration
@@ -95,9 +103,10 @@
 	if !known {
 		return 0, NotWarm
 	}
-	delay := r.RoundTrip + r.ExpectedWait + time.Duration(delayMargin*float64(long))
-	// The fastest second attempt is one without a wait at the same server.
-	if !r.endsInTime(delay + r.RoundTrip + runs.Usual()) {
+	longest := min(delayMargin*float64(long), maxDelayRuns*float64(runs.Usual()))
+	delay := r.RoundTrip + r.ExpectedWait + time.Duration(r.WorkFactor*longest)
+	// The fastest second attempt is one without a wait at the same server, or at one as near.
+	if !r.endsInTime(delay + r.RoundTrip + time.Duration(min(1, r.WorkFactor)*float64(runs.Usual()))) {
 		return 0, TooLate
 	}
 	return delay, Allowed
--- a/internal/kernel/hedging/hedging_test.go
+++ b/internal/kernel/hedging/hedging_test.go
@@ -14,14 +14,14 @@
 func usualRuns(n int) *RunTimes {
 	r, random := &RunTimes{}, rand.New(rand.NewPCG(1, 1))
 	for range n {
-		r.Record(90*ms + time.Duration(random.Int64N(int64(20*ms))))
+		r.Record(90*ms+time.Duration(random.Int64N(int64(20*ms))), 1, 1)
 	}
 	return r
 }
 
 // usualRequest is a request that may be hedged.
 func usualRequest() Request {
-	return Request{Repeatable: true, Warm: true, RoundTrip: 2 * ms, ExpectedWait: 5 * ms, UntilTarget: 400 * ms, UntilTimeout: time.Second}
+	return Request{Repeatable: true, Warm: true, RoundTrip: 2 * ms, ExpectedWait: 5 * ms, WorkFactor: 1, UntilTarget: 400 * ms, UntilTimeout: time.Second}
 }
 
 // Guards against a delay that follows the few slow runs, so that none of them is hedged, or that is
@@ -32,9 +32,9 @@
 		t.Errorf("after %d runs: got delay %s, verdict %d, want none", MinSamples-1, got, verdict)
 	}
 	for i := range 1000 {
-		runs.Record(100 * ms)
+		runs.Record(100*ms, 1, 1)
 		if i%33 == 0 {
-			runs.Record(700 * ms)
+			runs.Record(700*ms, 1, 1)
 		}
 	}
 	if got, verdict := Delay(usualRequest(), runs); got < 107*ms || got > 140*ms || verdict != Allowed {
@@ -47,7 +47,7 @@
 func TestDelayFollowsSlowerRuns(t *testing.T) {
 	runs := usualRuns(1000)
 	for range maxSamples {
-		runs.Record(200 * ms)
+		runs.Record(200*ms, 1, 1)
 	}
 	if got, _ := runs.Long(); got != 200*ms {
 		t.Errorf("got %s, want 200ms", got)
--- a/internal/kernel/hedging/runtimes.go
+++ b/internal/kernel/hedging/runtimes.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/serverload"
 )
 
 const (
@@ -31,9 +33,10 @@
 // Record records a warm run: the time until the response without the round trip and the expected
 // wait for a slot. The run of an attempt that was cancelled because its hedge won is recorded with
 // the time until then. Without it, only short runs would be seen and the delay would shrink with
-// each hedge.
-func (r *RunTimes) Record(run time.Duration) {
-	run = max(0, run)
+// each hedge. before and after are the work factors that the server reported before and after the
+// run, whose effect on the duration is removed.
+func (r *RunTimes) Record(run time.Duration, before, after float64) {
+	run = r.atUsualSpeed(max(0, run), before, after)
 	if len(r.recent) < maxSamples {
 		r.recent = append(r.recent, run)
 	} else {
@@ -46,6 +49,16 @@
 	r.sorted = slices.Insert(r.sorted, i, run)
 }
 
+// atUsualSpeed returns how long a run would have taken at the usual speed of its server. A duration
+// between those at the two factors says nothing but that the speed changed, so it counts as usual.
+func (r *RunTimes) atUsualSpeed(run time.Duration, before, after float64) time.Duration {
+	usual := r.Usual()
+	if usual <= 0 || before == after {
+		return time.Duration(float64(run) / min(before, after))
+	}
+	return time.Duration(serverload.Unexplained(float64(run)/float64(usual), before, after) * float64(usual))
+}
+
 // Long returns the duration that few warm runs exceed. It reports false while too few runs are
 // known.
 func (r *RunTimes) Long() (time.Duration, bool) {
--- a/internal/kernel/steering/hedge.go
+++ b/internal/kernel/steering/hedge.go
@@ -86,7 +86,7 @@
 		Warm:       req.warm,
 		HoldsSlot:  req.slotRequest != nil || k.isLimited(now, k.service(req.Service)),
 		Suspected:  req.workSuspected || status != quarantine.Clear || req.connectionsLost > 0,
-		RoundTrip:  req.server.rtt.roundTrip, ExpectedWait: req.expectedWait,
+		RoundTrip:  req.server.rtt.roundTrip, ExpectedWait: req.expectedWait, WorkFactor: req.server.reported.Factor(now),
 		UntilTarget:  req.startedAt.Add(req.Route.Target).Sub(now),
 		UntilTimeout: req.ExpiresAt.Sub(now) - minAttemptTime,
 	}
@@ -105,8 +105,10 @@
 }
 
 func (k *Kernel) hedgeServer(now time.Time, req *ActiveRequest, svc *service, s *server) hedging.Server {
-	slowdown, connectionLimit := 1.0, k.maxConnections(svc)
-	if k.useSlowdown {
+	slowdown, connectionLimit := s.reported.Factor(now), k.maxConnections(svc)
+	if k.useSlowdown && !s.reported.ReportsSpeed() {
+		// What a proxy learns from durations exceeds the limit for several responses after a single
+		// slow run, and hedges are sent for slow runs. Reports have no such effect.
 		slowdown = max(1, s.slowdown)
 	}
 	return hedging.Server{
@@ -148,7 +150,7 @@
 	s.inFlight--
 	k.quarantine.RecordStop(req.Work)
 	if !cancelled.isHedge && result == ResultResponded {
-		k.learnRunTime(req, cancelled, elapsed)
+		k.learnRunTime(req, cancelled, s.reported.Factor(now), elapsed)
 	}
 	req.addStep(Event{
 		At: now, Kind: EventAttemptEnded, Server: s.id, Attempt: cancelled.number, IsHedge: cancelled.isHedge, Result: ResultCancelled,
@@ -157,9 +159,10 @@
 }
 
 // learnRunTime records how long a warm run took, or has taken so far if it was cancelled.
-func (k *Kernel) learnRunTime(req *ActiveRequest, a *sentAttempt, elapsed time.Duration) {
+// factorAfter is the work factor of its server at its end.
+func (k *Kernel) learnRunTime(req *ActiveRequest, a *sentAttempt, factorAfter float64, elapsed time.Duration) {
 	if a.warm && req.Route.Idempotent {
-		req.workEstimate.warmRuns.Record(elapsed - a.server.rtt.roundTrip - a.expectedWait)
+		req.workEstimate.warmRuns.Record(elapsed-a.server.rtt.roundTrip-a.expectedWait, a.workFactor, factorAfter)
 	}
 }
 
--- a/internal/kernel/steering/learn.go
+++ b/internal/kernel/steering/learn.go
@@ -10,6 +10,7 @@
 	k.recordBackpressure(now, req, s, a)
 	if a.Loaded {
 		s.recordLoad(now, a.Running, a.Waiting)
+		s.reported.Record(now, a.loadReport())
 		k.recordQueue(now, req, s, float64(a.Waiting))
 	}
 	svc := k.service(s.Service)
@@ -18,9 +19,9 @@
 	switch a.Result {
 	case ResultResponded:
 		s.respondedAt = now
-		k.learnWork(now, req, s, svc, elapsed)
+		k.learnWork(now, req, s, svc, a, elapsed)
 		if !a.Rejected && !req.isHedge {
-			k.learnRunTime(req, &req.sentAttempt, elapsed)
+			k.learnRunTime(req, &req.sentAttempt, a.loadReport().Factor(), elapsed)
 		}
 		if !a.Loaded {
 			k.inferQueue(now, req, s, elapsed-s.rtt.roundTrip)
@@ -46,16 +47,17 @@
 	}
 }
 
-func (k *Kernel) learnWork(now time.Time, req *ActiveRequest, s *server, svc *service, elapsed time.Duration) {
+func (k *Kernel) learnWork(now time.Time, req *ActiveRequest, s *server, svc *service, a Attempt, elapsed time.Duration) {
 	work := elapsed - s.rtt.roundTrip
-	s.recordSuccess(work, req.expected-s.rtt.roundTrip)
+	s.recordSuccess(req.usualTime(work, a))
 	// The warm estimate follows the shortest times seen, so it needs no correction for slow
 	// servers, whose slowdown includes queueing.
 	if !req.warm {
 		work = time.Duration(float64(work) / max(1, s.slowdown))
 	}
-	idle := s.load(now) < float64(s.Slots)
 	model := svc.workOf(req.Route)
+	work = req.atUsualSpeed(work, model.expected(req.warm, req.Route.Target), a)
+	idle := s.load(now) < float64(s.currentSlots(now))
 	if work > 0 && (idle || req.warm && model.exceeds(work)) {
 		model.observe(req.warm, work, req.Route.Target)
 	}
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -9,7 +9,7 @@
 // BeginRequest starts a request: it matches the route and returns the first step.
 func (k *Kernel) BeginRequest(now time.Time, r Request) (*ActiveRequest, Decision) {
 	k.requestCount++
-	req := &ActiveRequest{Request: r, seq: k.requestCount, startedAt: now}
+	req := &ActiveRequest{Request: r, seq: k.requestCount, startedAt: now, sentAttempt: sentAttempt{workFactor: 1}}
 	d := k.beginRequest(now, req)
 	if k.config.Record != nil {
 		recorded, decision := r, recordedDecisionOf(d)
@@ -97,7 +97,7 @@
 func (k *Kernel) startAttempt(now time.Time, req *ActiveRequest, s *server, chosen choice, isHedge bool) {
 	k.quarantine.RecordStart(req.Work)
 	req.sentAttempt = sentAttempt{
-		server: s, sentAt: now, expected: chosen.expected, expectedWait: chosen.untilStart - s.rtt.roundTrip, warm: chosen.warm,
+		server: s, sentAt: now, expected: chosen.expected, expectedWait: chosen.untilStart - s.rtt.roundTrip, warm: chosen.warm, workFactor: chosen.workFactor,
 		loadAtSend: s.load(now), number: (len(req.steps)+1)/2 + 1, isHedge: isHedge,
 	}
 	state := s.state(now)
@@ -108,7 +108,7 @@
 	req.addStep(Event{
 		At: now, Kind: EventRequestSent, Server: s.id, Domain: s.Domain, Attempt: req.number, IsHedge: isHedge, Expected: chosen.expected,
 		Load: s.load(now), LoadAge: s.loadAge(now), HomeRank: chosen.homeRank, Warm: chosen.warm,
-		ExpectedWait: req.expectedWait, State: state,
+		ExpectedWait: req.expectedWait, State: state, WorkFactor: chosen.workFactor,
 	})
 }
 
@@ -153,8 +153,11 @@
 func (k *Kernel) endAttempt(now time.Time, req *ActiveRequest, a Attempt) Decision {
 	other := req.selectEnded(a.Hedge)
 	s := req.server
+	if !k.isEnabled(MechanismReportedSpeed) {
+		a = a.withoutSpeed()
+	}
 	s.inFlight--
-	if !a.rejectedWithFreeSlots(s.Slots) {
+	if !a.rejectedWithFreeSlots(a.slotsOr(s.Slots)) {
 		req.triedServers = append(req.triedServers, s)
 	}
 	elapsed := now.Sub(req.sentAt)
@@ -162,7 +165,7 @@
 	k.learnFromAttempt(now, req, s, a, elapsed)
 	req.addStep(Event{
 		At: now, Kind: EventAttemptEnded, Server: s.id, Attempt: req.number, IsHedge: req.isHedge, Result: a.Result,
-		Expected: req.expected, Duration: elapsed, Load: float64(a.Running + a.Waiting), Err: a.Err,
+		Expected: req.expected, Duration: elapsed, Load: float64(a.Running + a.Waiting), WorkFactor: a.loadReport().Factor(), Err: a.Err,
 	})
 	req.countAttempt(a)
 	if other != nil {
--- a/internal/kernel/steering/mechanism.go
+++ b/internal/kernel/steering/mechanism.go
@@ -25,6 +25,8 @@
 	MechanismOutlierDetection Mechanism = "outlier-verdicts"
 	// MechanismServerSpeed takes the slowdown of each server into account.
 	MechanismServerSpeed Mechanism = "server-speed"
+	// MechanismReportedSpeed takes the slots and the speed that servers report into account.
+	MechanismReportedSpeed Mechanism = "reported-speed"
 	// MechanismSharedConnections limits each proxy to its share of a server's connections.
 	MechanismSharedConnections Mechanism = "shared-connections"
 	// MechanismUnseenRequests takes unreported requests of other proxies into account on routes
@@ -40,13 +42,30 @@
 	MechanismQuarantine Mechanism = "quarantine"
 	// MechanismHedging sends idempotent requests that run much longer than usual a second time.
 	MechanismHedging Mechanism = "hedged-requests"
+	// MechanismWideLinks directs callers to the proxies with wide links. Without it, callers use all
+	// proxies of their failure domain, and no proxy publishes an overflow level.
+	MechanismWideLinks Mechanism = "wide-links"
 )
 
 var (
 	mechanisms = []Mechanism{
-		MechanismHomes, MechanismRegionCapacity, MechanismFailover, MechanismStrandedRegions, MechanismLoadShedding, MechanismQueueInference,
-		MechanismOutlierDetection, MechanismServerSpeed, MechanismSharedConnections, MechanismUnseenRequests, MechanismRetries, MechanismReplicas, MechanismConcurrencyLimit,
-		MechanismQuarantine, MechanismHedging,
+		MechanismHomes,
+		MechanismRegionCapacity,
+		MechanismFailover,
+		MechanismStrandedRegions,
+		MechanismLoadShedding,
+		MechanismQueueInference,
+		MechanismOutlierDetection,
+		MechanismServerSpeed,
+		MechanismSharedConnections,
+		MechanismUnseenRequests,
+		MechanismRetries,
+		MechanismReplicas,
+		MechanismConcurrencyLimit,
+		MechanismQuarantine,
+		MechanismWideLinks,
+		MechanismReportedSpeed,
+		MechanismHedging,
 	}
 )
 
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -198,6 +198,8 @@
 		// loadAtSend is the estimated number of requests that ran and waited at the server when
 		// this one was sent.
 		loadAtSend float64
+		// workFactor is the reported work factor that expected and expectedWait include.
+		workFactor float64
 		// number is the number of the attempt, starting at 1.
 		number  int
 		isHedge bool
@@ -251,6 +253,10 @@
 		// Loaded is set if the server reported its load.
 		Loaded           bool
 		Running, Waiting int
+		// Slots is the number of slots that the server reported, and WorkPercent the current
+		// duration of its work in percent of the usual. Zero means unknown.
+		Slots       int `json:"slots,omitempty"`
+		WorkPercent int `json:"work-percent,omitempty"`
 		// Rejected is set if a complete response reports an error in the request, unlike
 		// ResultRejected. The server may not have started to run it.
 		Rejected bool
