Hedge in time beside servers that are slow for a moment

With 15% of the servers 2.5 times slower for 600 ms, runs that no report explains made up the quantile, so nearly all hedges would have been too late. The delay is now reduced to what the latency target leaves, but not below 1.3 usual runs. Where a server reports its speed, the slowdown learned from durations no longer denies hedges: a single slow run raises it above the limit for several responses. Requests that are never hedged skip the decision.

--- a/internal/fake/warmnet/hedges_test.go
+++ b/internal/fake/warmnet/hedges_test.go
@@ -75,6 +75,34 @@
 	}
 }
 
+// Many servers, of which each proxy seldom has a fresh report: 15% of them take 2.5 times as long
+// for 600 ms at a time, and three runs in a hundred take seven times as long. Guards against slow
+// servers that make the proxies wait too long for any hedge to be in time: 0.0016 of the requests
+// were hedged then.
+func TestHedgesBesideSlowServers(t *testing.T) {
+	for _, c := range []struct {
+		load, minHedgeShare, minWonShare float64
+	}{
+		{1, 0.025, 0.006}, {1.7, 0.025, 0.004},
+	} {
+		// At load 1, nearly half of the slots are in use.
+		scenario := readScenario(t, "slow-runs-and-servers")
+		for i := range scenario.Regions {
+			scenario.Regions[i].PerSecond *= c.load
+		}
+		with, without := hedgingTotals(scenario), hedgingTotals(scenario, steering.MechanismHedging)
+		late, lateWithout := float64(with.Late)/float64(with.Sent), float64(without.Late)/float64(without.Sent)
+		hedged, won := float64(with.Hedges.Sent)/float64(with.Sent), float64(with.Hedges.Won)/float64(with.Sent)
+		t.Logf("load %.1f: %.4f of the requests hedged, %.4f won; late %.4f, without hedges %.4f; within the target %.4f, without hedges %.4f", c.load, hedged, won, late, lateWithout, with.ShareWithinTarget(), without.ShareWithinTarget())
+		if hedged < c.minHedgeShare || hedged > 0.05 || won < c.minWonShare || with.Hedges.ColdRuns > with.Hedges.Sent/200 {
+			t.Errorf("load %.1f: %.4f of the requests were hedged and %.4f won, want %.3f to 0.05 and at least %.3f; %d of %d hedges ran cold", c.load, hedged, won, c.minHedgeShare, c.minWonShare, with.Hedges.ColdRuns, with.Hedges.Sent)
+		}
+		if late >= lateWithout || with.ShareWithinTarget() <= without.ShareWithinTarget() {
+			t.Errorf("load %.1f: %.4f late and %.4f within the target, want better than %.4f and %.4f without hedges", c.load, late, with.ShareWithinTarget(), lateWithout, without.ShareWithinTarget())
+		}
+	}
+}
+
 // Guards against hedges that a replay decides differently, or whose ends it assigns to the wrong
 // attempt; against recordings of earlier versions, which have none, that differ in a replay; and
 // against a replay that does not report hedges that another version does not send.
--- a/internal/kernel/hedging/decision.go
+++ b/internal/kernel/hedging/decision.go
@@ -12,11 +12,14 @@
 	// Without it, nearly half of the hedges were sent for runs at the end of the usual range, and
 	// the budget was used up before the slow runs.
 	delayMargin = 1.15
-	// maxDelayRuns limits the delay, as a multiple of a usual run. Servers that are slow for less than
-	// a second often report their usual speed again when they respond, and proxies seldom have a
-	// fresh report from before. If 15% of the servers are slow at a time, such runs determine the
-	// quantile, and a hedge after 2.5 usual runs is rarely in time.
-	maxDelayRuns = 1.5
+	// minDelayRuns and targetReserve are multiples of a usual run. If a hedge for a run that exceeds
+	// the long duration would miss the latency target, the delay is reduced so that targetReserve is
+	// left for a wait and for a second run that is longer than usual, but not below minDelayRuns.
+	// The long duration includes runs at servers that were slow for less than a second: proxies
+	// seldom have a fresh report from before such a run, and the report after it is usual again. With
+	// 15% of the servers 2.5 times slower, all hedges would be too late for a target of three runs.
+	minDelayRuns  = 1.3
+	targetReserve = 0.3
 	// maxWaitShare is the longest expected wait at the server of a hedge, relative to a usual run.
 	// Where only servers with a free slot got hedges, 0.8 of the capacity left most slow runs
 	// without one.
@@ -103,13 +106,21 @@
 	if !known {
 		return 0, NotWarm
 	}
-	longest := min(delayMargin*float64(long), maxDelayRuns*float64(runs.Usual()))
-	delay := r.RoundTrip + r.ExpectedWait + time.Duration(r.WorkFactor*longest)
+	usual := float64(runs.Usual())
 	// The fastest second attempt is one without a wait at the same server, or at one as near.
-	if !r.endsInTime(delay + r.RoundTrip + time.Duration(min(1, r.WorkFactor)*float64(runs.Usual()))) {
+	latest := min(r.UntilTarget, r.UntilTimeout) - r.RoundTrip - time.Duration(min(1, r.WorkFactor)*usual)
+	longRun := delayMargin * float64(long)
+	shortest := r.delayOf(min(longRun, minDelayRuns*usual))
+	if shortest > latest {
 		return 0, TooLate
 	}
-	return delay, Allowed
+	return max(shortest, min(r.delayOf(longRun), latest-time.Duration(targetReserve*usual))), Allowed
+}
+
+// delayOf returns the time from the start of the attempt until the response of a run that takes the
+// given time at the usual speed.
+func (r Request) delayOf(run float64) time.Duration {
+	return r.RoundTrip + r.ExpectedWait + time.Duration(r.WorkFactor*run)
 }
 
 // Choose returns the index of the server for a second attempt that begins now. servers[0] is the
--- a/internal/kernel/hedging/hedging_test.go
+++ b/internal/kernel/hedging/hedging_test.go
@@ -57,6 +57,48 @@
 	}
 }
 
+// 15% of the servers take 2.5 times as long for less than a second. Guards against such runs in the
+// quantile where reports explain them, and against a delay after which no hedge is in time where
+// they do not, because the server reported its usual speed before and after.
+func TestSlowServersLeaveDelayShort(t *testing.T) {
+	for name, c := range map[string]struct{ before, after float64 }{
+		"slow throughout": {2.5, 2.5}, "reported before": {2.5, 1}, "reported after": {1, 2.5}, "not reported": {1, 1},
+	} {
+		runs := usualRuns(0)
+		for i := range 1000 {
+			if i%100 < 15 {
+				runs.Record(250*ms, c.before, c.after)
+			} else {
+				runs.Record(time.Duration(90+i%21)*ms, 1, 1)
+			}
+		}
+		if long, _ := runs.Long(); long > 110*ms && c != struct{ before, after float64 }{1, 1} {
+			t.Errorf("%s: got a long duration of %s, want at most 110ms", name, long)
+		}
+		for _, roundTrip := range []time.Duration{ms, 20 * ms} {
+			r := Request{Repeatable: true, Warm: true, RoundTrip: roundTrip, WorkFactor: 1, UntilTarget: 290 * ms, UntilTimeout: 900 * ms}
+			delay, verdict := Delay(r, runs)
+			if runs := float64(delay-roundTrip) / float64(100*ms); runs < 1.15 || runs > 1.65 || verdict != Allowed {
+				t.Errorf("%s, round trip %s: got a delay of %.2f runs, verdict %d, want 1.15 to 1.65 runs, allowed", name, roundTrip, runs, verdict)
+			}
+		}
+	}
+}
+
+// Guards against a hedge of each run at a server that reports that it is slow.
+func TestDelayFollowsReportedSpeed(t *testing.T) {
+	r, runs := usualRequest(), usualRuns(100)
+	usual, _ := Delay(r, runs)
+	r.WorkFactor = 2
+	if got, verdict := Delay(r, runs); (got-2*usual+r.RoundTrip+r.ExpectedWait).Abs() > time.Microsecond || verdict != Allowed {
+		t.Errorf("got %s, verdict %d, want twice the run in the delay of %s", got, verdict, usual)
+	}
+	r.WorkFactor = 4
+	if got, verdict := Delay(r, runs); got != 0 || verdict != TooLate {
+		t.Errorf("got %s, verdict %d at a quarter of the speed, want none, too late", got, verdict)
+	}
+}
+
 // Guards against hedges of requests that must not run twice, that can't be answered in time, or
 // that would make an overload or a series of crashes worse.
 func TestHedgesAreDenied(t *testing.T) {
--- a/internal/kernel/serverload/serverload_test.go
+++ b/internal/kernel/serverload/serverload_test.go
@@ -67,8 +67,11 @@
 	if got, old := s.Slots(start.Add(TTL/2), 3), s.Slots(start.Add(TTL), 3); got != 8 || old != 3 {
 		t.Errorf("got %d slots while the report is fresh and %d later, want 8 and 3", got, old)
 	}
+	if !s.ReportsSpeed() {
+		t.Error("after a report of the speed: it is not known that the server reports it")
+	}
 	s.Record(start, Report{Running: 1})
-	if got := s.Factor(start); got != 1 || s.Slots(start, 3) != 3 {
+	if got := s.Factor(start); got != 1 || s.Slots(start, 3) != 3 || s.ReportsSpeed() {
 		t.Errorf("after a report without them: got factor %v and %d slots, want 1 and 3", got, s.Slots(start, 3))
 	}
 }
--- a/internal/kernel/steering/hedge.go
+++ b/internal/kernel/steering/hedge.go
@@ -24,7 +24,7 @@
 // sendDecision returns the decision to send a request to the server that place has chosen.
 func (k *Kernel) sendDecision(now time.Time, req *ActiveRequest, target *Target) Decision {
 	d := Decision{Server: target, SlotRequest: req.slotRequest}
-	if k.mayHedge(req) {
+	if req.Route.Idempotent && req.warm && k.mayHedge(req) {
 		d.HedgeAfter, _ = hedging.Delay(k.hedgeRequest(now, req), &req.workEstimate.warmRuns)
 	}
 	return d
--- a/internal/kernel/steering/hedge_test.go
+++ b/internal/kernel/steering/hedge_test.go
@@ -10,6 +10,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/serverload"
 )
 
 const (
@@ -194,7 +195,7 @@
 }
 
 // Guards against hedges that the state at the end of the delay forbids: a request holds a slot of a
-// limiter or may crash servers, the home drains or has queues, or the configuration has changed.
+// limiter or may crash servers, the home drains, is slow or has queues, or the configuration has changed.
 func TestHedgeIsDeniedWhenDelayHasPassed(t *testing.T) {
 	for name, change := range map[string]func(*hedgeRun){
 		"limiter":       func(r *hedgeRun) { r.kernel.service("service").concurrency.limitedUntil = r.now.Add(time.Minute) },
@@ -202,6 +203,7 @@
 		"evacuated":     func(r *hedgeRun) { r.kernel.SetDomainEvacuated(r.now, "north-a", true) },
 		"gone":          func(r *hedgeRun) { r.kernel.RemoveServer(r.now, r.first.Server.ID) },
 		"queues":        func(r *hedgeRun) { r.kernel.recordQueue(r.now, r.req, r.kernel.servers[r.first.Server.ID], 1000) },
+		"slow":          func(r *hedgeRun) { r.kernel.servers[r.first.Server.ID].reported.Record(r.now, serverload.Report{WorkPercent: 250}) },
 		"shutdown":      func(r *hedgeRun) { r.kernel.BeginShutdown(r.now.Add(time.Second)) },
 		"configuration": func(r *hedgeRun) { r.kernel.SetTable(routing.NewTable(2, nil, nil, routing.Limits{})) },
 		"suspected":     func(r *hedgeRun) { r.suspect() },
@@ -236,6 +238,45 @@
 	r.expectIdle()
 }
 
+// Guards against hedges that follow the speed of servers instead of slow runs: a delay that grows
+// because runs at slow servers are learned, and one that ignores that the server is slow now.
+func TestDelayOfHedgeFollowsReportedSpeed(t *testing.T) {
+	r := newHedgeRun(t, func(_ *Config, route *routing.Route) { route.Target = time.Second })
+	usual := r.first.HedgeAfter
+	finish := func(factor int) {
+		r.now = r.now.Add(time.Duration(factor) * usualRun)
+		r.end(Attempt{Result: ResultResponded, Loaded: true, Running: 1, WorkPercent: 100 * factor})
+		r.begin()
+	}
+	for range 3 * hedging.MinSamples {
+		finish(2)
+	}
+	if got, want := r.first.HedgeAfter, 2*usual; got < want-usual/10 || got > want+usual/10 {
+		t.Errorf("got delay %s at half the speed, want about %s", got, want)
+	}
+	finish(1)
+	finish(1)
+	if got := r.first.HedgeAfter; got < usual-usual/10 || got > usual+usual/10 {
+		t.Errorf("got delay %s at the usual speed after slow runs, want about %s", got, usual)
+	}
+}
+
+// Guards against a home that gets no hedges for several responses after a slow run, because proxies
+// expect that its runs take longer, although it reports its usual speed.
+func TestSlowRunLeavesHomeOpenToHedges(t *testing.T) {
+	for _, percent := range []int{100, 0} {
+		r := newHedgeRun(t, nil)
+		r.now = r.now.Add(7 * usualRun)
+		r.end(Attempt{Result: ResultResponded, Loaded: true, Running: 1, WorkPercent: percent})
+		r.now = r.now.Add(time.Second)
+		r.begin()
+		r.now = r.now.Add(r.first.HedgeAfter)
+		if d := r.kernel.BeginHedge(r.now, r.req); (d.Server != nil) != (percent > 0) {
+			t.Errorf("reported work of %d%%: got second attempt %t, want %t", percent, d.Server != nil, percent > 0)
+		}
+	}
+}
+
 // Guards against hedges beyond their part of the retry budget: without slack, 0.04 of the requests.
 func TestHedgesAreBudgeted(t *testing.T) {
 	r := newHedgeRun(t, func(c *Config, _ *routing.Route) { c.Retry.Slack = 0 })
