--- a/internal/kernel/steering/hedge_test.go
+++ b/internal/kernel/steering/hedge_test.go
@@ -198,12 +198,14 @@
 // limiter or may crash servers, the home drains, is slow or has queues, or the configuration has changed.
 func TestHedgeIsDeniedWhenDelayHasPassed(t *testing.T) {
 	for name, change := range map[string]func(*hedgeRun){
-		"limiter":       func(r *hedgeRun) { r.kernel.service("service").concurrency.limitedUntil = r.now.Add(time.Minute) },
-		"draining":      func(r *hedgeRun) { r.kernel.servers[r.first.Server.ID].Draining = true },
-		"evacuated":     func(r *hedgeRun) { r.kernel.SetDomainEvacuated(r.now, "north-a", true) },
-		"gone":          func(r *hedgeRun) { r.kernel.RemoveServer(r.now, r.first.Server.ID) },
-		"queues":        func(r *hedgeRun) { r.kernel.recordQueue(r.now, r.req, r.kernel.servers[r.first.Server.ID], 1000) },
-		"slow":          func(r *hedgeRun) { r.kernel.servers[r.first.Server.ID].reported.Record(r.now, serverload.Report{WorkPercent: 250}) },
+		"limiter":   func(r *hedgeRun) { r.kernel.service("service").concurrency.limitedUntil = r.now.Add(time.Minute) },
+		"draining":  func(r *hedgeRun) { r.kernel.servers[r.first.Server.ID].Draining = true },
+		"evacuated": func(r *hedgeRun) { r.kernel.SetDomainEvacuated(r.now, "north-a", true) },
+		"gone":      func(r *hedgeRun) { r.kernel.RemoveServer(r.now, r.first.Server.ID) },
+		"queues":    func(r *hedgeRun) { r.kernel.recordQueue(r.now, r.req, r.kernel.servers[r.first.Server.ID], 1000) },
+		"slow": func(r *hedgeRun) {
+			r.kernel.servers[r.first.Server.ID].reported.Record(r.now, serverload.Report{WorkPercent: 250})
+		},
 		"shutdown":      func(r *hedgeRun) { r.kernel.BeginShutdown(r.now.Add(time.Second)) },
 		"configuration": func(r *hedgeRun) { r.kernel.SetTable(routing.NewTable(2, nil, nil, routing.Limits{})) },
 		"suspected":     func(r *hedgeRun) { r.suspect() },
