--- a/internal/kernel/hedging/decision.go
+++ b/internal/kernel/hedging/decision.go
@@ -118,9 +118,10 @@
 }
 
 // delayOf returns the time from the start of the attempt until the response of a run that takes the
-// given time at the usual speed.
+// given time at the usual speed. A server that reports that it is faster than usual gets the usual
+// delay: if the report is wrong, all its runs would be hedged and use up the budget.
 func (r Request) delayOf(run float64) time.Duration {
-	return r.RoundTrip + r.ExpectedWait + time.Duration(r.WorkFactor*run)
+	return r.RoundTrip + r.ExpectedWait + time.Duration(max(1, r.WorkFactor)*run)
 }
 
 // Choose returns the index of the server for a second attempt that begins now. servers[0] is the
--- a/internal/kernel/hedging/hedging_test.go
+++ b/internal/kernel/hedging/hedging_test.go
@@ -85,6 +85,27 @@
 	}
 }
 
+// A tenth of the runs are at a server that reports a speed at which it does not work. Guards against
+// a delay of the other servers that follows such reports, and against hedges of all its runs.
+func TestWrongReportsLeaveDelay(t *testing.T) {
+	want, _ := Delay(usualRequest(), usualRuns(1000))
+	for _, factor := range []float64{0.1, 20} {
+		runs, random := &RunTimes{}, rand.New(rand.NewPCG(1, 1))
+		for i := range 1000 {
+			reported := 1.0
+			if i%10 == 9 {
+				reported = factor
+			}
+			runs.Record(90*ms+time.Duration(random.Int64N(int64(20*ms))), reported, reported)
+		}
+		r := usualRequest()
+		r.WorkFactor = min(1, factor)
+		if got, verdict := Delay(r, runs); (got-want).Abs() > 5*ms || verdict != Allowed {
+			t.Errorf("factor %v: got delay %s, verdict %d, want about %s", factor, got, verdict, want)
+		}
+	}
+}
+
 // Guards against a hedge of each run at a server that reports that it is slow.
 func TestDelayFollowsReportedSpeed(t *testing.T) {
 	r, runs := usualRequest(), usualRuns(100)
--- a/internal/kernel/hedging/runtimes.go
+++ b/internal/kernel/hedging/runtimes.go
@@ -51,12 +51,18 @@
 
 // atUsualSpeed returns how long a run would have taken at the usual speed of its server. A duration
 // between those at the two factors says nothing but that the speed changed, so it counts as usual.
+// The factors explain at most the difference from a usual run, so that a server that reports a speed
+// at which it does not work does not change the delay of the others.
 func (r *RunTimes) atUsualSpeed(run time.Duration, before, after float64) time.Duration {
 	usual := r.Usual()
-	if usual <= 0 || before == after {
+	if usual <= 0 {
 		return time.Duration(float64(run) / min(before, after))
 	}
-	return time.Duration(serverload.Unexplained(float64(run)/float64(usual), before, after) * float64(usual))
+	corrected := time.Duration(serverload.Unexplained(float64(run)/float64(usual), before, after) * float64(usual))
+	if corrected < run {
+		return min(run, max(corrected, usual))
+	}
+	return max(run, min(corrected, usual))
 }
 
 // Long returns the duration that few warm runs exceed. It reports false while too few runs are
