--- a/internal/adapter/forwardhttp/hedge_test.go
+++ b/internal/adapter/forwardhttp/hedge_test.go
@@ -284,3 +284,37 @@
 	expectClosed(t, "hedge", hedge)
 	p.expectIdle(t)
 }
+
+// Guards against a request body whose memory is released while the losing attempt still sends it,
+// and against a second attempt without the body.
+func TestBodyIsKeptWhileLosingAttemptSendsIt(t *testing.T) {
+	p := newHedgeProxy(t)
+	var sent atomic.Int32
+	released := make(chan bool, 1)
+	p.server.Send = func(ctx context.Context, r serverhttp.Request) (steering.Attempt, *serverhttp.Response) {
+		if string(r.Body) != "hello" {
+			t.Errorf("got body %q, want that of the request", r.Body)
+		}
+		if sent.Add(1) == 2 {
+			body, _ := p.memory.Read(strings.NewReader("w"), 1, 1)
+			return steering.Attempt{Result: steering.ResultResponded}, &serverhttp.Response{Status: http.StatusOK, Header: http.Header{}, Body: body}
+		}
+		<-ctx.Done()
+		time.Sleep(usualRun)
+		// Of the budget, the response of the other attempt takes one byte.
+		b, err := p.memory.Read(strings.NewReader(strings.Repeat("x", streamMemory-1)), streamMemory-1, streamMemory)
+		if err == nil {
+			b.Release()
+		}
+		released <- err == nil
+		return steering.Attempt{Result: steering.ResultCallerGone, Err: ctx.Err()}, nil
+	}
+	p.caller.write(t, "PUT /r/1 HTTP/1.1\r\nHost: h\r\nAttempt: id-1\r\nCookie: Object=o\r\nContent-Length: 5\r\n\r\nhello")
+	if body, ok := p.readBody(t); !ok || body != "w" {
+		t.Errorf("got %q, complete %t, want the response of the second attempt", body, ok)
+	}
+	if <-released {
+		t.Error("the body is released while an attempt still uses it")
+	}
+	p.expectIdle(t)
+}
