--- a/internal/kernel/steering/hedge.go
+++ b/internal/kernel/steering/hedge.go
@@ -96,8 +96,8 @@
 // that its attempt is in flight at.
 func (k *Kernel) hedgeServers(now time.Time, req *ActiveRequest, svc *service) []*server {
 	list := []*server{req.server}
-	for _, s := range svc.warmServers[req.Object] {
-		if s != req.server && s.isWarm(req.Object, now) {
+	for _, s := range svc.warmServers[req.objectKey()] {
+		if s != req.server && s.isWarm(req.objectKey(), now) {
 			list = append(list, s)
 		}
 	}
@@ -113,7 +113,7 @@
 	}
 	return hedging.Server{
 		Usable: svc.registered[s.id] == s && !k.evacuatedDomains[s.Domain] && k.mayUse(now, req, s) && (connectionLimit == 0 || s.inFlight < connectionLimit),
-		Warm:   s.isWarm(req.Object, now), Cold: s.isCold(now), Wait: k.estimate(now, req, s, nil).untilStart - s.rtt.roundTrip, Slowdown: slowdown, RoundTrip: s.rtt.roundTrip,
+		Warm:   s.isWarm(req.objectKey(), now), Cold: s.isCold(now), Wait: k.estimate(now, req, s, nil).untilStart - s.rtt.roundTrip, Slowdown: slowdown, RoundTrip: s.rtt.roundTrip,
 	}
 }
 
--- a/internal/kernel/steering/regiondraw.go
+++ b/internal/kernel/steering/regiondraw.go
@@ -40,6 +40,9 @@
 	for _, s := range candidates {
 		weightByRegion[s.region] += float64(weights[s.region] * s.Slots)
 	}
+	if scope.route != "" {
+		k.applyLocalShare(req, candidates, weightByRegion)
+	}
 	distribution := &regionDistribution{}
 	sum := 0.0
 	for _, region := range slices.Sorted(maps.Keys(weightByRegion)) {
