--- a/internal/fake/warmnet/scenario.go
+++ b/internal/fake/warmnet/scenario.go
@@ -68,6 +68,8 @@
 		SlowServers int               `json:"slow-servers"`
 		SlowFrom    operator.Duration `json:"slow-from"`
 		SlowTo      operator.Duration `json:"slow-to"`
+		// SlowRuns are runs that take several times as long as usual for reasons of their own.
+		SlowRuns *SlowRuns `json:"slow-runs"`
 		// SlowTurns makes servers slow in turn, which they report.
 		SlowTurns *SlowTurns `json:"slow-turns"`
 		// Knee is the fraction of its slots above which a server slows down: requests that start
@@ -165,6 +167,7 @@
 		RateLimits     RateLimitStats
 		Draining       DrainStats
 		Backoffs       BackoffStats
+		Hedges         HedgeStats
 		// Routes holds the counts of each route, by name.
 		Routes    map[string]*RouteStats
 		Latencies []time.Duration
--- a/internal/kernel/serverload/serverload.go
+++ b/internal/kernel/serverload/serverload.go
@@ -42,6 +42,8 @@
 		slots  int
 		factor float64
 		at     time.Time
+		// reportsSpeed is set if the latest report contained the duration of work.
+		reportsSpeed bool
 	}
 )
 
@@ -88,9 +90,12 @@
 
 // Record replaces the latest report.
 func (s *State) Record(now time.Time, r Report) {
-	s.slots, s.factor, s.at = r.Slots, r.Factor(), now
+	s.slots, s.factor, s.at, s.reportsSpeed = r.Slots, r.Factor(), now, r.WorkPercent > 0
 }
 
+// ReportsSpeed returns whether the latest report, however old, contained the duration of work.
+func (s *State) ReportsSpeed() bool { return s.reportsSpeed }
+
 // Slots returns the reported slots while the report is fresh, otherwise the registered ones.
 func (s *State) Slots(now time.Time, registered int) int {
 	if s.slots == 0 || now.Sub(s.at) >= TTL {
--- a/internal/kernel/steering/learn.go
+++ b/internal/kernel/steering/learn.go
@@ -20,6 +20,9 @@
 	case ResultResponded:
 		s.respondedAt = now
 		k.learnWork(now, req, s, svc, a, elapsed)
+		if !a.Rejected && !req.isHedge {
+			k.learnRunTime(req, &req.sentAttempt, a.loadReport().Factor(), elapsed)
+		}
 		if !a.Loaded {
 			k.inferQueue(now, req, s, elapsed-s.rtt.roundTrip)
 		}
--- a/internal/kernel/steering/mechanism.go
+++ b/internal/kernel/steering/mechanism.go
@@ -46,6 +46,8 @@
 	MechanismConcurrencyLimit Mechanism = "hold-back"
 	// MechanismQuarantine keeps requests that crash servers away from them.
 	MechanismQuarantine Mechanism = "quarantine"
+	// MechanismHedging sends idempotent requests that run much longer than usual a second time.
+	MechanismHedging Mechanism = "hedged-requests"
 	// MechanismWideLinks directs callers to the proxies with wide links. Without it, callers use all
 	// proxies of their failure domain, and no proxy publishes an overflow level.
 	MechanismWideLinks Mechanism = "wide-links"
@@ -79,6 +81,7 @@
 		MechanismWideLinks,
 		MechanismLocalCapacity,
 		MechanismRegionDemand,
+		MechanismHedging,
 	}
 )
 
--- a/internal/proxy/forward/metrics.go
+++ b/internal/proxy/forward/metrics.go
@@ -73,6 +73,7 @@
 		return
 	}
 	m.recordRequest(e)
+	m.recordHedge(e)
 	for _, s := range e.Steps {
 		if s.Kind == steering.EventAttemptEnded {
 			m.recordAttempt(attemptLabels{e.Service, s.Result})
@@ -106,6 +107,16 @@
 	counter.Inc()
 }
 
+// recordHedge counts the hedge of a request. Hedges are rare, so the counters are looked up by name.
+func (m *proxyMetrics) recordHedge(e steering.Event) {
+	if e.Hedge == steering.HedgeNone {
+		return
+	}
+	for _, outcome := range []string{"sent", string(e.Hedge)} {
+		m.set.GetOrCreateCounter(fmt.Sprintf("gypsumquay_hedges_total{service=%q,outcome=%q}", e.Service, outcome)).Inc()
+	}
+}
+
 // recordUtilization shows the utilization in the last second.
 func (m *proxyMetrics) recordUtilization(u utilization) {
 	m.linkUtilization.Set(u.link)
