Take the utilization of a region from the capacity tracker

The decision to use measured demand kept an estimate of its own, from the load reports of half a second, beside the one that admission uses. Its tests pass unchanged.

--- a/internal/kernel/steering/regiondemand.go
+++ b/internal/kernel/steering/regiondemand.go
@@ -29,14 +29,8 @@
 // chooseDemand decides from the utilization of a service's servers in this region whether measured
 // demand is used. While there is capacity, homes that follow the demand would only run cold.
 func (k *Kernel) chooseDemand(now time.Time, svc *service) {
-	used, slots := 0.0, 0.0
-	for _, s := range svc.eligible {
-		if s.region == k.config.Region && now.Sub(s.reportedAt) < loadReportTTL {
-			used += float64(min(s.reportedLoad, s.Slots))
-			slots += float64(s.Slots)
-		}
-	}
-	if k.regionDemands.ObserveUtilization(svc.name, used/max(1, slots)) && k.isEnabled(MechanismRegionDemand) {
-		k.config.Observe(Event{Kind: EventRegionDemand, At: now, Service: svc.name, Region: k.config.Region, Share: used / max(1, slots), Measured: k.regionDemands.Measured(svc.name)})
+	utilization := svc.capacity.Load(now, k.config.Region).Utilization
+	if k.regionDemands.ObserveUtilization(svc.name, utilization) && k.isEnabled(MechanismRegionDemand) {
+		k.config.Observe(Event{Kind: EventRegionDemand, At: now, Service: svc.name, Region: k.config.Region, Share: utilization, Measured: k.regionDemands.Measured(svc.name)})
 	}
 }
