--- a/internal/fake/warmnet/routes_test.go
+++ b/internal/fake/warmnet/routes_test.go
@@ -109,6 +109,25 @@
 	}
 }
 
+// What urgent requests are to get beside long ones: at least 0.95 of what they get alone while the
+// servers could do all of the long ones, and 0.9 at one and a half times that. Guards against
+// shedding that begins when the queues are long already, at proxies that see each server seldom.
+func TestUrgentRequestsGetNearlyWhatTheyGetAlone(t *testing.T) {
+	for _, c := range []struct {
+		proxies, slots int
+		target         time.Duration
+	}{{1, 3, 400 * time.Millisecond}, {3, 8, 250 * time.Millisecond}} {
+		scenario := priorityScenario(t, c.proxies, c.slots, c.target)
+		alone, _ := sharesWithinTarget(scenario.withLoad(0.1, 0))
+		for i, want := range []float64{0.95, 0.95, 0.9} {
+			load := []float64{0.5, 1, 1.5}[i]
+			if urgent, _ := sharesWithinTarget(scenario.withLoad(0.1, load)); urgent < want*alone {
+				t.Errorf("%d proxies, long requests at %.1f: %.3f urgent responses within the target, want at least %.2f of the %.3f alone", c.proxies, load, urgent, want, alone)
+			}
+		}
+	}
+}
+
 // The load is 1.4 of the capacity for eight seconds and 0.7 before and after. Guards against
 // shedding and queues that outlast the overload: two seconds after its end, 0.6 of the responses
 // were in time.
