--- a/internal/proxy/forward/members_test.go
+++ b/internal/proxy/forward/members_test.go
@@ -43,6 +43,26 @@
 	}
 }
 
+// While a fleet is upgraded, proxies of two versions read each other's entries. A field that one of
+// them doesn't know must not make it reject the entry: it would count the proxy as gone.
+func TestEntriesOfOtherVersionsAreRead(t *testing.T) {
+	d := newTwoRegionDaemon(t)
+	var fields map[string]any
+	if err := json.Unmarshal(remoteEntry(t, func(m *proxyEntry) { m.LinkMbps, m.Overflow = 10, 1 }), &fields); err != nil {
+		t.Fatal(err)
+	}
+	delete(fields, "overflow")
+	fields["field-of-a-later-version"] = map[string]any{"level": 3}
+	data, err := json.Marshal(fields)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := d.replica.decodeMember("far", data)
+	if err != nil || m.LinkMbps != 10 || m.Overflow != 0 {
+		t.Errorf("got %+v, %v, want a link of 10 Mbit/s and no overflow level", m, err)
+	}
+}
+
 // newTwoRegionDaemon creates a daemon that isn't run and knows two regions.
 func newTwoRegionDaemon(t *testing.T) *Daemon {
 	t.Helper()
