Name the attempts of a hedged request by their number

winner, nobody and who had to be deciphered: the type is the number of an attempt, and neither attempt has won at first. No behavior changes; forwardhttp passes with the race detector.

--- a/internal/adapter/forwardhttp/hedge.go
+++ b/internal/adapter/forwardhttp/hedge.go
@@ -10,14 +10,15 @@
 )
 
 const (
-	// nobody, firstAttempt and hedgeAttempt are the attempts whose response the caller may get.
-	nobody winner = iota
+	// firstAttempt and hedgeAttempt are the attempts whose response the caller may get; noAttempt
+	// means that it gets neither yet.
+	noAttempt attemptNumber = iota
 	firstAttempt
 	hedgeAttempt
 )
 
 type (
-	winner uint8
+	attemptNumber uint8
 
 	// hedgedSend sends a request that may have two attempts in flight. The caller gets the response
 	// of one of them.
@@ -32,12 +33,12 @@
 		// begun is set once a response has begun to arrive.
 		begun bool
 		// winner is the attempt whose response the caller gets. cancel cancels the attempts.
-		winner winner
+		winner attemptNumber
 		cancel [hedgeAttempt + 1]context.CancelFunc
 	}
 
 	endedAttempt struct {
-		who      winner
+		number   attemptNumber
 		attempt  steering.Attempt
 		response *serverhttp.Response
 	}
@@ -75,7 +76,7 @@
 			response = e.response
 			if d := s.endAttempt(active, e.attempt); !d.OtherContinues {
 				cancel()
-				h.abandon(e.who, len(request.Body) > 0)
+				h.abandon(e.number, len(request.Body) > 0)
 				return d, response
 			}
 		}
@@ -88,11 +89,11 @@
 }
 
 // start sends the request of an attempt.
-func (h *hedgedSend) start(ctx context.Context, who winner, request serverhttp.Request) {
+func (h *hedgedSend) start(ctx context.Context, number attemptNumber, request serverhttp.Request) {
 	ctx, cancel := context.WithCancel(ctx)
 	h.mu.Lock()
-	h.cancel[who] = cancel
-	if h.winner != nobody {
+	h.cancel[number] = cancel
+	if h.winner != noAttempt {
 		// The response of the first attempt has begun while the kernel decided on the hedge.
 		cancel()
 	}
@@ -101,7 +102,7 @@
 	var refused *serverhttp.Response
 	if onStream := request.OnStream; onStream != nil {
 		request.OnStream = func(response *serverhttp.Response) {
-			if h.claim(who) {
+			if h.claim(number) {
 				onStream(response)
 				return
 			}
@@ -119,34 +120,34 @@
 			refused.Release()
 			response = nil
 		}
-		attempt.Hedge = who == hedgeAttempt
-		h.ended <- endedAttempt{who, attempt, response}
+		attempt.Hedge = number == hedgeAttempt
+		h.ended <- endedAttempt{number, attempt, response}
 	}()
 }
 
 // claim reports whether the caller gets the response of an attempt, and cancels the other attempt
 // then. It reports true for one of the attempts only.
-func (h *hedgedSend) claim(who winner) bool {
+func (h *hedgedSend) claim(number attemptNumber) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.winner == nobody {
-		h.winner = who
-		if cancel := h.cancel[firstAttempt+hedgeAttempt-who]; cancel != nil {
+	if h.winner == noAttempt {
+		h.winner = number
+		if cancel := h.cancel[firstAttempt+hedgeAttempt-number]; cancel != nil {
 			cancel()
 		}
 	}
-	return h.winner == who
+	return h.winner == number
 }
 
 // counts reports whether the end of an attempt is reported to the kernel. Once the caller gets the
 // response of the other attempt, it is not.
 func (h *hedgedSend) counts(e endedAttempt) bool {
 	if e.attempt.Result == steering.ResultResponded {
-		return h.claim(e.who)
+		return h.claim(e.number)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.winner == nobody || h.winner == e.who
+	return h.winner == noAttempt || h.winner == e.number
 }
 
 func (h *hedgedSend) setBegun() {
@@ -164,7 +165,7 @@
 // abandon releases the response of an attempt that is still in flight after the other one ended the
 // request, once that attempt has ended. It must have been cancelled. The caller does not wait for
 // it, unless it still reads a body that is about to be released.
-func (h *hedgedSend) abandon(ended winner, readsBody bool) {
+func (h *hedgedSend) abandon(ended attemptNumber, readsBody bool) {
 	if h.inFlight == 0 {
 		return
 	}
