Use shares of a cold server's rate only while the other proxies count this one

What callers saw: servers that had just come back cold got 10 or 11 requests within half a second, 9.5 a second are borne. A server that gets more ends, and the callers of all its requests see closed connections.

Cause: each proxy divides the rate among the proxies that it knows and itself. A proxy whose entry was missing, or that had been registered a moment ago, used a share that the others had already divided among themselves.

Why the fix works: a proxy uses its share only after its entry has been listed for 4.2 s and while its own list is at most 3 s old, so that no list without it can be in use within the same second. Shares shrink when a list grows, so the shares in use add up to the rate at most, whatever else the lists hold.

The cost: nothing is sent to cold servers for 4.2 s after a registration (2 s after a start before) and while the store's news is older than 3 s.

--- a/internal/kernel/replica/copy.go
+++ b/internal/kernel/replica/copy.go
@@ -96,6 +96,9 @@
 	return now.Sub(c.confirmedAt)
 }
 
+// ConfirmedAt returns when the copy was last known to be the store's state.
+func (c *Copy) ConfirmedAt() time.Time { return c.confirmedAt }
+
 // Apply applies a delta and returns the entries that changed, removals last. It rejects a delta
 // that begins after the copy's revision, because that leaves a gap, and one with missing
 // removals.
--- a/internal/kernel/steering/call.go
+++ b/internal/kernel/steering/call.go
@@ -29,6 +29,8 @@
 	callEvacuated            = "evacuated"
 	callLeave                = "leave"
 	callProxies              = "proxies"
+	callListing              = "listing"
+	callRegistered           = "registered"
 	callIgnoreMissingProxies = "doubt-proxies"
 	callBegin                = "begin"
 	callEnded                = "ended"
--- a/internal/kernel/steering/coldstart.go
+++ b/internal/kernel/steering/coldstart.go
@@ -24,9 +24,11 @@
 	proximityRemote
 )
 
-// coldRoom reports whether this proxy may send a cold server one more request in this second.
+// coldRoom reports whether this proxy may send a cold server one more request in this second. The
+// shares of all proxies add up to the server's rate only while each proxy that uses its share is
+// counted by the others.
 func (k *Kernel) coldRoom(now time.Time, svc *service, s *server) bool {
-	if now.Sub(k.config.Joined) < startupGrace {
+	if now.Sub(k.config.Joined) < startupGrace || !k.listing.countedByAll(now) {
 		return false
 	}
 	return s.coldRate.HasRoom(now, k.coldShare(svc, s))
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -107,6 +107,7 @@
 		// limitSharers are the proxies among which shared limits are divided: those that are alive
 		// and those that may still be.
 		limitSharers []limitSharer
+		listing      listing
 		// sharersInRegion counts the limit sharers in this region, including this proxy.
 		sharersInRegion int
 		// returnedInRegion is Directory.CountReturned for this region, or negative until it is needed.
--- a/internal/kernel/steering/limitsharers.go
+++ b/internal/kernel/steering/limitsharers.go
@@ -13,6 +13,13 @@
 	// stays away longer is gone for good. Until then its share is unavailable to the others, which
 	// slows down the warm-up of servers.
 	sharerGrace = 30 * time.Second
+	// maxListAge is how old this proxy's list of proxies may be while it uses its share of a cold
+	// server's rate.
+	maxListAge = 3 * time.Second
+	// listingGrace is how long a proxy must be listed before it uses its share of a cold server's
+	// rate. Until then others may have used shares computed without it: their lists may be
+	// maxListAge old, and their requests count for another second.
+	listingGrace = maxListAge + 1200*time.Millisecond
 )
 
 type (
@@ -23,6 +30,19 @@
 		// proxy is listed.
 		expiresAt time.Time
 	}
+
+	// listing records whether the list of proxies in the store contains this proxy, so that others
+	// count it when limits are divided. The zero value is that of a proxy whose kernel is not told.
+	listing struct {
+		tracked, listed bool
+		// since is when this proxy was last added to the list.
+		since time.Time
+		// confirmedAt is when the list was last known to be current.
+		confirmedAt time.Time
+		// resumedAt is when this process was last suspended or its clock jumped. The age of a list
+		// from before is not known.
+		resumedAt time.Time
+	}
 )
 
 // updateSharers updates the limit sharers from the listed proxies. Proxies that are no longer
@@ -50,6 +70,34 @@
 	k.applySharers()
 }
 
+// RecordRegistration records that this proxy was registered anew. Lists from before may contain it
+// because of an earlier registration that has ended since.
+func (k *Kernel) RecordRegistration(now time.Time) {
+	k.record(Call{Method: callRegistered, At: now})
+	k.listing.tracked, k.listing.since = true, now
+}
+
+// ConfirmListing records whether the list of proxies contains this one, and when the list was last
+// known to be current.
+func (k *Kernel) ConfirmListing(now, confirmedAt time.Time, listed bool) {
+	k.record(Call{Method: callListing, At: now, RequestedAt: confirmedAt, Flag: listed})
+	l := &k.listing
+	if listed && !l.listed {
+		l.since = now
+	}
+	l.tracked, l.listed, l.confirmedAt = true, listed, confirmedAt
+}
+
+// countedByAll reports whether all proxies that may use shares of a cold server's rate now count
+// this one: it has been listed for longer than their lists may be old, and its own list is current.
+func (l *listing) countedByAll(now time.Time) bool {
+	if !l.tracked {
+		return true
+	}
+	current := now.Sub(l.confirmedAt) <= maxListAge && !l.confirmedAt.Before(l.resumedAt)
+	return l.listed && current && now.Sub(l.since) >= listingGrace
+}
+
 // expireSharers removes sharers whose grace period has passed.
 func (k *Kernel) expireSharers(now time.Time) {
 	count := len(k.limitSharers)
--- a/internal/kernel/steering/quotas.go
+++ b/internal/kernel/steering/quotas.go
@@ -216,4 +216,5 @@
 	k.record(Call{Method: callResume, At: now})
 	k.quotas.limiter.ResetAfterPause(now)
 	k.quotas.pool.Reset(now)
+	k.listing.resumedAt = now
 }
--- a/internal/kernel/steering/replay.go
+++ b/internal/kernel/steering/replay.go
@@ -132,6 +132,10 @@
 		k.BeginShutdown(c.Until)
 	case callProxies:
 		k.SetProxies(c.At, c.Proxies)
+	case callListing:
+		k.ConfirmListing(c.At, c.RequestedAt, c.Flag)
+	case callRegistered:
+		k.RecordRegistration(c.At)
 	case callIgnoreMissingProxies:
 		k.IgnoreMissingProxiesUntil(c.Until)
 	case callServersToProbe:
--- a/internal/proxy/forward/members.go
+++ b/internal/proxy/forward/members.go
@@ -65,13 +65,21 @@
 	}
 }
 
-// flushProxies passes changes of the proxies that were deferred to the kernel.
+// flushProxies passes changes of the proxies that were deferred to the kernel. It also tells the
+// kernel whether the list contains this proxy, and when it was last known to be current.
 func (f *storeReplica) flushProxies() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.proxiesStale {
 		f.setProxies()
 	}
+	_, listed := f.members[f.daemon.settings.Name]
+	if listed != f.listed {
+		f.listed = listed
+		klog.InfoS("own entry in the list of proxies changed", "listed", listed, "revision", f.copy.Revision(), "age", f.copy.Age(f.daemon.now()))
+	}
+	confirmedAt := f.copy.ConfirmedAt()
+	f.daemon.withKernel(func(k *steering.Kernel, now time.Time) { k.ConfirmListing(now, confirmedAt, listed) })
 }
 
 func (f *storeReplica) dispatchProxyEntry(name string, e replica.Entry) {
--- a/internal/proxy/forward/registrar.go
+++ b/internal/proxy/forward/registrar.go
@@ -38,8 +38,10 @@
 		lease atomic.Uint64
 		// writtenLimits are the learned limits in the entry.
 		writtenLimits []steering.ServiceLimit
-		// written is set while the entry is believed to be in the store.
-		written bool
+		// written is set while the entry is believed to be in the store. writtenLease is the lease
+		// under which it was last written.
+		written      bool
+		writtenLease uint64
 	}
 )
 
@@ -120,8 +122,13 @@
 	if err != nil {
 		return errors.Wrap(err, "encode own proxy entry")
 	}
-	err = k.store.Put(ctx, proxyKeyPrefix+s.Name, data, k.lease.Load())
+	lease := k.lease.Load()
+	err = k.store.Put(ctx, proxyKeyPrefix+s.Name, data, lease)
 	k.written = err == nil
+	if k.written && lease != k.writtenLease {
+		k.writtenLease = lease
+		k.replica.daemon.withKernel(func(k *steering.Kernel, now time.Time) { k.RecordRegistration(now) })
+	}
 	return err
 }
 
--- a/internal/proxy/forward/storereplica.go
+++ b/internal/proxy/forward/storereplica.go
@@ -45,6 +45,8 @@
 		// if members have changed since.
 		proxiesSetAt time.Time
 		proxiesStale bool
+		// listed is set while the list of live proxies contains this one.
+		listed bool
 		// peerFreshAt is when a peer of this region last had a copy so fresh that no other proxy
 		// needs to query the store; followsAlone is set while this proxy queries the store because
 		// no peer has one.
