Let one proxy grant the slots of a server to less urgent requests

Cause: each proxy shed long requests by what a server said in answers to its own requests. That is two long runs old, and the queue, which all proxies fill, changes faster.

Why the fix works: a request that is less urgent than others of its service asks the owner of its server's limiter for a slot. The owner knows all of them, so it keeps the server's own queue empty and, on servers with six slots or more, one slot in eight free; urgent requests go there at once. A request waits for a quarter of its slack at most, then runs elsewhere while the region has room, or its caller is told at once to return in time.

--- a/internal/kernel/admission/shedding.go
+++ b/internal/kernel/admission/shedding.go
@@ -75,6 +75,9 @@
 		// without the round trip. HasUrgent is set if there are any.
 		UrgentSlack time.Duration
 		HasUrgent   bool
+		// SlotsReserved is set if slots are reserved for the more urgent requests, so that they need
+		// not wait behind this one.
+		SlotsReserved bool
 		// AccountRatio returns the share of requests to reject for the account of the request,
 		// given that for all requests. If it is nil, all accounts are treated alike.
 		AccountRatio func(overall float64) float64
@@ -113,7 +116,7 @@
 	if s.ByPriority && r.FreeSlots {
 		// The figures of the region, and the mean of those of the server, lag behind.
 		ratio = 0
-	} else if s.ByPriority && r.HasUrgent {
+	} else if s.ByPriority && r.HasUrgent && !r.SlotsReserved {
 		// Callers near the server have more slack than this proxy's.
 		urgentSlack := max(r.UrgentSlack-r.RoundTrip, r.UrgentSlack/2)
 		wait := max(l.Wait, r.Wait)
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -85,6 +85,7 @@
 	if s == nil {
 		return nil, k.noServerReason(now, req, svc, chosen.reason)
 	}
+	req.yieldsToUrgent = k.yieldsSlots(now, svc, s, req.priority())
 	if len(req.steps) == 0 {
 		if reason := k.shed(now, req, svc, s, chosen); reason != ReasonNone {
 			return nil, reason
@@ -147,7 +148,7 @@
 // from different times and proxies are comparable. For a request that timed out, the time so far is
 // a lower bound.
 func (req *ActiveRequest) latencyRatio(now time.Time, a Attempt) float64 {
-	if req.slotRequest == nil || !req.warm || req.Route.Target <= 0 || a.Result != ResultResponded && a.Result != ResultTimeout {
+	if req.slotRequest == nil || req.yieldsToUrgent || !req.warm || req.Route.Target <= 0 || a.Result != ResultResponded && a.Result != ResultTimeout {
 		return 0
 	}
 	return float64(now.Sub(req.sentAt)-req.server.rtt.roundTrip) / float64(req.Route.Target)
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -179,7 +179,9 @@
 		// released. slotRank is how many requests ran at the server including this one, or zero if
 		// no slot was requested.
 		slotRequest *SlotRequest
-		slotRank    int
+		// yieldsToUrgent is set if slots of the server are reserved for more urgent requests.
+		yieldsToUrgent bool
+		slotRank       int
 		// mayHaveRun is set once a server may have started to run the request.
 		mayHaveRun bool
 		// shedding is the decision whether to reject the request because of the queues.
--- a/internal/kernel/steering/serverlimiter.go
+++ b/internal/kernel/steering/serverlimiter.go
@@ -14,6 +14,9 @@
 		adaptiveLimit *admission.AdaptiveLimit
 		// lastUsedAt is the time of the last slot request.
 		lastUsedAt time.Time
+		// unreserved is how many slots may be used while others are reserved for more urgent
+		// requests. Zero means that none are, and that adaptiveLimit applies.
+		unreserved int
 	}
 )
 
@@ -38,6 +41,11 @@
 		k.limiters[request.Server] = limiter
 	}
 	limiter.adaptiveLimit, limiter.lastUsedAt = state.adaptiveLimitFor(s.Slots), now
+	limiter.unreserved = 0
+	if k.yieldsSlots(now, k.service(s.Service), s, request.Priority) {
+		limiter.unreserved = s.Slots - admission.ReservedSlots(s.Slots)
+		return limiter.newReply(limiter.Acquire(now, request.Ticket, limiter.unreserved, request.Work))
+	}
 	limit := limiter.adaptiveLimit.NextLimit(now)
 	grant := limiter.Acquire(now, request.Ticket, limit, request.Work)
 	if grant.Rank > limiter.adaptiveLimit.Limit() {
@@ -54,8 +62,12 @@
 
 // grantNext grants free slots to waiting requests.
 func (q *serverLimiter) grantNext(now time.Time) []SlotReply {
+	limit := q.adaptiveLimit.Limit()
+	if q.unreserved > 0 {
+		limit = q.unreserved
+	}
 	var replies []SlotReply
-	for _, grant := range q.Dispatch(now, q.adaptiveLimit.Limit()) {
+	for _, grant := range q.Dispatch(now, limit) {
 		replies = append(replies, q.newReply(grant))
 	}
 	return replies
--- a/internal/kernel/steering/shed.go
+++ b/internal/kernel/steering/shed.go
@@ -67,6 +67,7 @@
 		AccountRatio: req.offer.shedRatio,
 	}
 	r.UrgentSlack, r.HasUrgent = svc.capacity.UrgentSlack(r.Priority)
+	r.SlotsReserved = req.yieldsToUrgent && admission.ReservedSlots(s.Slots) > 0
 	region, single := svc.capacity.Load(now, s.region), s.queue.Load(now, svc.capacity.MeanWork())
 	req.shedding = admission.Shedder{ByPriority: k.isEnabled(MechanismPriorityShedding)}.Decide(region, single, r, k.random)
 	return shedReasons[req.shedding.Cause]
--- a/internal/kernel/steering/slotrequest.go
+++ b/internal/kernel/steering/slotrequest.go
@@ -58,7 +58,7 @@
 
 // newSlotRequest returns the slot request that must precede the request, or nil if none is needed.
 func (k *Kernel) newSlotRequest(now time.Time, req *ActiveRequest, svc *service, s *server, chosen choice) *SlotRequest {
-	if !k.isLimited(now, svc) || now.Before(s.skipOwnerUntil) || s.isCold(now) {
+	if !k.isLimited(now, svc) && !req.yieldsToUrgent || now.Before(s.skipOwnerUntil) || s.isCold(now) {
 		// A cold server gets the requests that its rate allows within the same second, without a
 		// wait for slots.
 		return nil
@@ -73,13 +73,18 @@
 	// is its target, and denying on that basis would keep routes with short timeouts from ever
 	// being served.
 	minWork := svc.workOf(req.Route).warm
-	return &SlotRequest{
+	r := &SlotRequest{
 		Owner: owner, Server: s.id, Limit: svc.concurrency.learnedLimits[s.Slots], Work: minWork,
 		Ticket: admission.Ticket{
 			ID: req.seq, From: k.config.Name, Priority: req.priority(),
 			Good: req.startedAt.Add(req.Route.Target - work - roundTrip), Last: req.ExpiresAt.Add(-minWork - roundTrip), Until: req.ExpiresAt,
 		},
 	}
+	if req.yieldsToUrgent {
+		// The grant takes a round trip, and so does the request.
+		r.Last = req.startedAt.Add(admission.MaxYieldWait(req.Route.Target - minWork - 2*roundTrip))
+	}
+	return r
 }
 
 // limiterOwner returns the proxy that owns the limiter of a server. All proxies that know the same
@@ -118,10 +123,10 @@
 	switch {
 	case !replied:
 		s.skipOwnerUntil = now.Add(unresponsiveOwnerBackoff)
-	case !r.Unknown:
+	case !r.Unknown && !req.yieldsToUrgent:
 		k.learnFromSlotReply(now, req, s, svc, r)
 	}
-	if replied && r.Verdict == admission.Denied || now.After(req.slotRequest.Last) {
+	if replied && r.Verdict == admission.Denied || !req.yieldsToUrgent && now.After(req.slotRequest.Last) {
 		// Any slot is released, since the owner's grant may have been lost.
 		release := req.takeSlotRelease(0)
 		s.inFlight--
@@ -130,7 +135,7 @@
 			At: now, Kind: EventAttemptEnded, Server: s.id, Attempt: req.number, Result: ResultRejected,
 			Expected: req.expected, Duration: now.Sub(req.sentAt), Load: float64(r.Running + r.Waiting),
 		})
-		d := k.fail(now, req, ReasonQueuesTooLong)
+		d := k.slotDenied(now, req, svc, s)
 		d.SlotRelease = release
 		return d
 	}
@@ -162,6 +167,32 @@
 	return Decision{Server: k.newTarget(svc, s)}
 }
 
+// slotDenied returns the next step of a request that got no slot. One that yields to more urgent
+// requests may run at another server while the region has room; otherwise its caller returns while
+// it can still get a response in time.
+func (k *Kernel) slotDenied(now time.Time, req *ActiveRequest, svc *service, s *server) Decision {
+	if !req.yieldsToUrgent {
+		return k.fail(now, req, ReasonQueuesTooLong)
+	}
+	if admission.AllowsElsewhere(svc.capacity.Load(now, s.region).Utilization) {
+		req.triedServers = append(req.triedServers, s)
+		return k.send(now, req)
+	}
+	slack := req.Route.Target - s.rtt.roundTrip - svc.workOf(req.Route).typical(req.Route)
+	req.shedding.MaxRetryAfter = max(0, (slack-now.Sub(req.startedAt))/2)
+	return k.fail(now, req, ReasonUrgentFirst)
+}
+
+// yieldsSlots reports whether a request must leave slots of a server to more urgent requests.
+// Concurrency limiters, which all requests pass, order them by priority themselves.
+func (k *Kernel) yieldsSlots(now time.Time, svc *service, s *server, priority int) bool {
+	if !k.isEnabled(MechanismPriorityShedding) || k.isLimited(now, svc) {
+		return false
+	}
+	_, hasUrgent := svc.capacity.UrgentSlack(priority)
+	return hasUrgent
+}
+
 // learnFromSlotReply records what a limiter reports about its server. The limiter knows all
 // requests that run and wait there, so its figures count as a load report of the server.
 func (k *Kernel) learnFromSlotReply(now time.Time, req *ActiveRequest, s *server, svc *service, r SlotReply) {
