--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -85,7 +85,7 @@
 	if s == nil {
 		return nil, k.noServerReason(now, req, svc, chosen.reason)
 	}
-	req.yieldsToUrgent = k.yieldsSlots(now, svc, s, req.priority())
+	req.yieldsToUrgent = k.yieldsSlots(now, svc, req.priority())
 	if len(req.steps) == 0 {
 		if reason := k.shed(now, req, svc, s, chosen); reason != ReasonNone {
 			return nil, reason
--- a/internal/kernel/steering/serverlimiter.go
+++ b/internal/kernel/steering/serverlimiter.go
@@ -42,7 +42,7 @@
 	}
 	limiter.adaptiveLimit, limiter.lastUsedAt = state.adaptiveLimitFor(s.Slots), now
 	limiter.unreserved = 0
-	if k.yieldsSlots(now, k.service(s.Service), s, request.Priority) {
+	if k.yieldsSlots(now, k.service(s.Service), request.Priority) {
 		limiter.unreserved = s.Slots - admission.ReservedSlots(s.Slots)
 		return limiter.newReply(limiter.Acquire(now, request.Ticket, limiter.unreserved, request.Work))
 	}
--- a/internal/kernel/steering/slotrequest.go
+++ b/internal/kernel/steering/slotrequest.go
@@ -185,7 +185,7 @@
 
 // yieldsSlots reports whether a request must leave slots of a server to more urgent requests.
 // Concurrency limiters, which all requests pass, order them by priority themselves.
-func (k *Kernel) yieldsSlots(now time.Time, svc *service, s *server, priority int) bool {
+func (k *Kernel) yieldsSlots(now time.Time, svc *service, priority int) bool {
 	if !k.isEnabled(MechanismPriorityShedding) || k.isLimited(now, svc) {
 		return false
 	}
