Give no share of a server's rate limit to a proxy that was never registered

What callers saw: nothing yet; found by looking for the fault of cold servers elsewhere. A server that names a rate limit would get more than it allows.

Cause: the share of a limit that servers name is computed from the proxies that this one knows, and used from two seconds after the start. A proxy that the store refuses from its start on is not counted by the others.

Evidence: TestUnregisteredProxyHasNoBackpressureShare, three proxies of which the store refuses one: shares of 36 for a limit of 26 before, 26 after.

Why the fix works: a proxy uses no share before it has been registered for two seconds. One that loses its registration later is still counted for 30 s, so it keeps its share.

--- a/internal/kernel/steering/backpressure.go
+++ b/internal/kernel/steering/backpressure.go
@@ -57,9 +57,10 @@
 }
 
 // backpressureShare returns this proxy's share of the requests that a server accepts in a window. A
-// proxy that has just started knows too few others and gets no share.
+// proxy that has just started knows too few others and gets no share. Neither does one that is not
+// registered yet: the others divide the whole among themselves.
 func (k *Kernel) backpressureShare(now time.Time, s *server, window int) int {
-	if now.Sub(k.config.Joined) < startupGrace {
+	if now.Sub(k.config.Joined) < startupGrace || !k.listing.wasRegistered(now) {
 		return 0
 	}
 	return k.rankAt(s).Share(window)
--- a/internal/kernel/steering/backpressure_test.go
+++ b/internal/kernel/steering/backpressure_test.go
@@ -42,6 +42,41 @@
 	}
 }
 
+// The store refuses a proxy from its start on, and the others divide a server's limit without it.
+// Guards against shares that add up to more than the limit.
+func TestUnregisteredProxyHasNoBackpressureShare(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	const window = 26
+	fleet, proxies := newFleet(now, now, 3, []string{"north-a", "north-b", "south-a"})
+	unregistered := fleet[0]
+	unregistered.ConfirmListing(now, now, false)
+	for _, k := range fleet[1:] {
+		k.limitSharers = nil
+		k.SetProxies(now, proxies[1:])
+		k.RecordRegistration(now)
+	}
+	sum := func(at time.Time) (n int) {
+		for _, k := range fleet {
+			n += k.backpressureShare(at, k.servers["cold"], window)
+		}
+		return n
+	}
+	if got := sum(now.Add(10 * time.Second)); got != window {
+		t.Errorf("the shares add up to %d without the unregistered proxy, want %d", got, window)
+	}
+	registeredAt := now.Add(10 * time.Second)
+	unregistered.RecordRegistration(registeredAt)
+	if got := sum(registeredAt.Add(time.Second)); got != window {
+		t.Errorf("the shares add up to %d one second after it was registered, want %d", got, window)
+	}
+	for _, k := range fleet[1:] {
+		k.SetProxies(registeredAt, proxies)
+	}
+	if got := sum(registeredAt.Add(startupGrace)); got != window {
+		t.Errorf("the shares add up to %d once all know it, want %d", got, window)
+	}
+}
+
 // Guards against a server that registers again after a store outage and gets more requests than its
 // announced limit, because the limit was dropped with its entry.
 func TestBackpressureLimitSurvivesReregistration(t *testing.T) {
--- a/internal/kernel/steering/limitsharers.go
+++ b/internal/kernel/steering/limitsharers.go
@@ -35,8 +35,9 @@
 	// count it when limits are divided. The zero value is that of a proxy whose kernel is not told.
 	listing struct {
 		tracked, listed bool
-		// since is when this proxy was last added to the list.
-		since time.Time
+		// registeredAt is when this proxy was first registered after its start, since when it was
+		// last added to the list.
+		registeredAt, since time.Time
 		// confirmedAt is when the list was last known to be current.
 		confirmedAt time.Time
 		// resumedAt is when this process was last suspended or its clock jumped. The age of a list
@@ -74,7 +75,11 @@
 // because of an earlier registration that has ended since.
 func (k *Kernel) RecordRegistration(now time.Time) {
 	k.record(Call{Method: callRegistered, At: now})
-	k.listing.tracked, k.listing.since = true, now
+	l := &k.listing
+	l.tracked, l.since = true, now
+	if l.registeredAt.IsZero() {
+		l.registeredAt = now
+	}
 }
 
 // ConfirmListing records whether the list of proxies contains this one, and when the list was last
@@ -98,6 +103,12 @@
 	return l.listed && current && now.Sub(l.since) >= listingGrace
 }
 
+// wasRegistered reports whether this proxy has been registered for long enough since its start that
+// the others have heard of it. They count a proxy for sharerGrace after its registration has ended.
+func (l *listing) wasRegistered(now time.Time) bool {
+	return !l.tracked || !l.registeredAt.IsZero() && now.Sub(l.registeredAt) >= startupGrace
+}
+
 // expireSharers removes sharers whose grace period has passed.
 func (k *Kernel) expireSharers(now time.Time) {
 	count := len(k.limitSharers)
