Bound the servers that a yielding request asks in turn, and its latest start

A slot that is granted after the request's deadline could still be used; it is not any more. Comments say what the state is for.

--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -179,7 +179,8 @@
 		// released. slotRank is how many requests ran at the server including this one, or zero if
 		// no slot was requested.
 		slotRequest *SlotRequest
-		// yieldsToUrgent is set if slots of the server are reserved for more urgent requests.
+		// yieldsToUrgent is set if the request waits for a slot so that more urgent requests of its
+		// service need not wait behind it.
 		yieldsToUrgent bool
 		slotRank       int
 		// mayHaveRun is set once a server may have started to run the request.
--- a/internal/kernel/steering/serverlimiter.go
+++ b/internal/kernel/steering/serverlimiter.go
@@ -14,8 +14,8 @@
 		adaptiveLimit *admission.AdaptiveLimit
 		// lastUsedAt is the time of the last slot request.
 		lastUsedAt time.Time
-		// unreserved is how many slots may be used while others are reserved for more urgent
-		// requests. Zero means that none are, and that adaptiveLimit applies.
+		// unreserved is how many slots requests may use that yield to more urgent ones. If it is
+		// zero, adaptiveLimit applies.
 		unreserved int
 	}
 )
--- a/internal/kernel/steering/slotrequest.go
+++ b/internal/kernel/steering/slotrequest.go
@@ -126,7 +126,7 @@
 	case !r.Unknown && !req.yieldsToUrgent:
 		k.learnFromSlotReply(now, req, s, svc, r)
 	}
-	if replied && r.Verdict == admission.Denied || !req.yieldsToUrgent && now.After(req.slotRequest.Last) {
+	if replied && r.Verdict == admission.Denied || now.After(req.latestStart()) {
 		// Any slot is released, since the owner's grant may have been lost.
 		release := req.takeSlotRelease(0)
 		s.inFlight--
@@ -174,7 +174,7 @@
 	if !req.yieldsToUrgent {
 		return k.fail(now, req, ReasonQueuesTooLong)
 	}
-	if admission.AllowsElsewhere(svc.capacity.Load(now, s.region).Utilization) {
+	if req.sendAttempts++; req.sendAttempts < maxSends && admission.AllowsElsewhere(svc.capacity.Load(now, s.region).Utilization) {
 		req.triedServers = append(req.triedServers, s)
 		return k.send(now, req)
 	}
@@ -183,8 +183,18 @@
 	return k.fail(now, req, ReasonUrgentFirst)
 }
 
-// yieldsSlots reports whether a request must leave slots of a server to more urgent requests.
-// Concurrency limiters, which all requests pass, order them by priority themselves.
+// latestStart returns until when the request may start to run once it has a slot. One that yields to
+// more urgent requests waits for a slot only for a part of that time.
+func (req *ActiveRequest) latestStart() time.Time {
+	if req.yieldsToUrgent {
+		return req.ExpiresAt.Add(-minAttemptTime)
+	}
+	return req.slotRequest.Last
+}
+
+// yieldsSlots reports whether a request must ask for a slot because its service has more urgent
+// requests. If the service is subject to concurrency limits, all its requests ask, and the limiters
+// order them by priority.
 func (k *Kernel) yieldsSlots(now time.Time, svc *service, priority int) bool {
 	if !k.isEnabled(MechanismPriorityShedding) || k.isLimited(now, svc) {
 		return false
