--- a/internal/kernel/admission/reservedslots.go
+++ b/internal/kernel/admission/reservedslots.go
@@ -10,8 +10,8 @@
 	// of their capacity.
 	slotsPerReserved = 8
 	reservedRounding = 2
-	// maxYieldWaitShare is the largest part of its slack that a request waits for a slot while others
-	// are reserved. The queue of a server never runs empty, and a rejected caller has time to return.
+	// maxYieldWaitShare is the largest part of its slack that a request waits for a slot. After a
+	// longer wait, a rejected caller would have no time left to return.
 	maxYieldWaitShare = 0.25
 	// maxUtilizationElsewhere is the utilization of a region up to which a request that gets no slot
 	// at one server may go to another, where it runs cold.
