--- /dev/null
+++ b/internal/adapter/forwardhttp/handover.go
@@ -0,0 +1,112 @@
+package forwardhttp
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+)
+
+const (
+	// Header fields between two proxies. The first two are those of a request that is handed over:
+	// the proxy that received it from its caller, and the number of attempts that were used there.
+	// The others are those of the response: the server that sent it or, if it is the proxy's own,
+	// why the request ended, and whether it has not run.
+	handoverFromHeader     = "Gypsumquay-Handover-From"
+	handoverAttemptsHeader = "Gypsumquay-Handover-Attempts"
+	handoverServerHeader   = "Gypsumquay-Handover-Server"
+	handoverReasonHeader   = "Gypsumquay-Handover-Reason"
+	handoverNotRunHeader   = "Gypsumquay-Handover-Not-Run"
+)
+
+type (
+	handoverKey struct{}
+
+	// receivedHandover describes a request that another proxy handed over.
+	receivedHandover struct {
+		from         string
+		attemptsUsed int
+	}
+)
+
+// HandoverServer returns an HTTP server for the requests that other proxies hand over.
+func (s *Server) HandoverServer() *http.Server {
+	server := s.HTTPServer()
+	server.Handler = http.HandlerFunc(s.serveHandover)
+	return server
+}
+
+// serveHandover serves a request of another proxy like one of a caller, but never hands it over.
+func (s *Server) serveHandover(w http.ResponseWriter, r *http.Request) {
+	h := receivedHandover{from: r.Header.Get(handoverFromHeader)}
+	attempts, err := strconv.Atoi(r.Header.Get(handoverAttemptsHeader))
+	if h.from == "" || err != nil || attempts < 0 {
+		w.Header().Set("Connection", "close")
+		http.Error(w, "not a request of a proxy: "+handoverFromHeader+" and "+handoverAttemptsHeader+" are required", http.StatusBadRequest)
+		return
+	}
+	h.attemptsUsed = attempts
+	r.Header.Del(handoverFromHeader)
+	r.Header.Del(handoverAttemptsHeader)
+	s.serve(w, r.WithContext(context.WithValue(r.Context(), handoverKey{}, h)))
+}
+
+// handoverOf returns the handover that a request came by.
+func handoverOf(ctx context.Context) (receivedHandover, bool) {
+	h, ok := ctx.Value(handoverKey{}).(receivedHandover)
+	return h, ok
+}
+
+// describeToPeer adds how a request ended to the response to a proxy that handed it over. response
+// is nil if the response is this proxy's own.
+func describeToPeer(w http.ResponseWriter, r *http.Request, d steering.Decision, response *serverhttp.Response) {
+	if _, ok := handoverOf(r.Context()); !ok {
+		return
+	}
+	if response != nil {
+		w.Header().Set(handoverServerHeader, response.Server)
+		return
+	}
+	w.Header().Set(handoverReasonHeader, string(d.Reason))
+	w.Header().Set(handoverNotRunHeader, strconv.FormatBool(d.NotRun))
+}
+
+// handOver hands a request over to another proxy and returns the kernel's next step.
+func (s *Server) handOver(ctx context.Context, r *http.Request, o forwardOptions, active *steering.ActiveRequest, h *steering.Handover) (steering.Decision, *serverhttp.Response) {
+	header := r.Header.Clone()
+	header.Set(handoverFromHeader, s.Name)
+	header.Set(handoverAttemptsHeader, strconv.Itoa(h.AttemptsUsed))
+	request := serverhttp.Request{
+		Address: h.Address, Method: r.Method, Host: r.Host, Target: r.RequestURI, Header: header, Body: o.body.Bytes,
+		AttemptID: r.Header.Get(s.Headers.AttemptID), Deadline: active.ExpiresAt, DialTimeout: min(dialBaseTimeout, active.ExpiresAt.Sub(s.Now())),
+	}
+	if o.onStream != nil {
+		request.OnStream = func(response *serverhttp.Response) {
+			takeHandoverResult(response)
+			o.onStream(response)
+		}
+	}
+	attempt, response := s.SendToPeer(ctx, request)
+	result := steering.HandoverResult{Result: attempt.Result, ResponseStarted: attempt.ResponseStarted, Signal: attempt.Signal, Err: attempt.Err}
+	if response != nil {
+		result.Result = steering.ResultResponded
+		result.Server, result.Reason, result.NotRun = takeHandoverResult(response)
+		result.ServerFailed = response.Status >= http.StatusInternalServerError
+	}
+	var d steering.Decision
+	s.WithKernel(func(k *steering.Kernel, now time.Time) { d = k.EndHandover(now, active, result) })
+	return d, response
+}
+
+// takeHandoverResult removes the header fields between proxies from a response and returns them.
+func takeHandoverResult(response *serverhttp.Response) (server string, reason steering.Reason, notRun bool) {
+	h := response.Header
+	server, reason, notRun = h.Get(handoverServerHeader), steering.Reason(h.Get(handoverReasonHeader)), h.Get(handoverNotRunHeader) == "true"
+	for _, name := range []string{handoverServerHeader, handoverReasonHeader, handoverNotRunHeader} {
+		h.Del(name)
+	}
+	return server, reason, notRun
+}
--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -84,11 +84,15 @@
 
 	// Server serves the requests of callers.
 	Server struct {
+		// Name is the name of this proxy.
+		Name       string
 		Headers    Headers
 		WithKernel Executor
 		// BodyMemory limits the memory of all request bodies and responses together.
 		BodyMemory *bodies.MemoryBudget
 		Send       func(context.Context, serverhttp.Request) (steering.Attempt, *serverhttp.Response)
+		// SendToPeer sends a request to another proxy.
+		SendToPeer func(context.Context, serverhttp.Request) (steering.Attempt, *serverhttp.Response)
 		Now        func() time.Time
 		// RequestSlot waits for a slot of a server; it reports false if there is no response.
 		// ReleaseSlot returns a slot.
@@ -157,6 +161,9 @@
 		request.Object = c.Value
 	}
 	request.Work = quarantine.NewFingerprint(r.Method, request.Host, r.RequestURI, r.Header.Get(bearer.Header), o.body.Bytes)
+	if h, ok := handoverOf(r.Context()); ok {
+		request.IsHandover, request.HandoverFrom, request.AttemptsUsed = true, h.from, h.attemptsUsed
+	}
 	if timeout, ok := parseTimeout(r.Header.Get(s.Headers.Deadline)); ok {
 		request.Deadline = o.receivedAt.Add(timeout)
 	}
@@ -177,7 +184,12 @@
 		return s.newServerRequest(r, o, request, active, target, isHedge)
 	}
 	var response *serverhttp.Response
-	for decision.Server != nil {
+	for decision.Server != nil || decision.Handover != nil {
+		if decision.Handover != nil {
+			response.Release()
+			decision, response = s.handOver(ctx, r, o, active, decision.Handover)
+			continue
+		}
 		if decision.SlotRequest != nil {
 			decision = s.acquireSlot(ctx, active, *decision.SlotRequest)
 			continue
@@ -304,6 +316,7 @@
 		return
 	}
 	copyResponseHeader(w, response)
+	describeToPeer(w, r, d, response)
 	header := w.Header()
 	if r.Method != http.MethodHead && bodyAllowed(response.Status) {
 		header.Set("Content-Length", strconv.Itoa(len(response.Body.Bytes)))
@@ -351,6 +364,7 @@
 	case d.Reason == steering.ReasonTimeout:
 		status = http.StatusGatewayTimeout
 	}
+	describeToPeer(w, r, d, nil)
 	if id := r.Header.Get(s.Headers.AttemptID); id != "" {
 		w.Header().Set(s.Headers.AttemptID, id)
 	}
--- a/internal/adapter/forwardhttp/server_test.go
+++ b/internal/adapter/forwardhttp/server_test.go
@@ -30,6 +30,8 @@
 		mu       sync.Mutex
 		kernel   *steering.Kernel
 		stopping bool
+		// forwarder is the server under test.
+		forwarder *Server
 	}
 
 	sender func(context.Context, serverhttp.Request) (steering.Attempt, *serverhttp.Response)
@@ -46,7 +48,7 @@
 	t.Helper()
 	p := &testProxy{kernel: steering.New(steering.Config{Name: "p", Domain: "a", Region: "r", RegionOf: map[string]string{"a": "r"}})}
 	s := &Server{
-		Headers: Headers{AttemptID: "Attempt", Deadline: "Wait", ObjectCookie: "Object"},
+		Name: "p", Headers: Headers{AttemptID: "Attempt", Deadline: "Wait", ObjectCookie: "Object"},
 		WithKernel: func(do func(*steering.Kernel, time.Time)) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
@@ -55,6 +57,7 @@
 		BodyMemory: bodies.NewMemoryBudget(testBodyMemory), Send: send, Now: time.Now, IsStopping: func() bool { return p.stopping },
 		Configured: configurationLoaded, StartedAt: started,
 	}
+	p.forwarder = s
 	if configured {
 		p.configure()
 	}
--- a/internal/adapter/forwardhttp/stream.go
+++ b/internal/adapter/forwardhttp/stream.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
 type (
@@ -24,6 +25,7 @@
 	t.response, t.done = response, make(chan error, 1)
 	s.closeConnectionIf(s.IsStopping(), w, r)
 	copyResponseHeader(w, response)
+	describeToPeer(w, r, steering.Decision{}, response)
 	w.Header().Set("Content-Length", strconv.Itoa(response.Stream.Len()))
 	go func() {
 		w.WriteHeader(response.Status)
--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -42,6 +42,8 @@
 	// one is buffered first, so that another server can respond if this one breaks off: at
 	// 10 Mbit/s that delays it by 26 ms at most.
 	minStreamBytes = 32 << 10
+	// probedInstance is the instance ID of probes. No server has it.
+	probedInstance = "probe"
 	// bufferSize is the size in bytes of a connection's read and write buffers.
 	bufferSize = 4 << 10
 )
@@ -65,7 +67,7 @@
 		AttemptID string
 		// Deadline is the remaining time in milliseconds.
 		Deadline string
-		// InstanceID is the ID of the intended server.
+		// InstanceID is the ID of the intended server. It is empty if the requests go to proxies.
 		InstanceID string
 		// Load is the server's load report, see serverload.Parse.
 		Load string
@@ -123,6 +125,8 @@
 
 	// Response is a response of a server. It must be released.
 	Response struct {
+		// Server is the ID of the server that the request was sent to.
+		Server string
 		Status int
 		Header http.Header
 		// Body is the complete body. It is nil if the response has a Stream.
@@ -206,6 +210,30 @@
 	return roundTrip, nil
 }
 
+// Probe reports whether a server responds on a new connection. The request names no server, so that
+// it is rejected immediately and takes no slot.
+func (c *Client) Probe(ctx context.Context, address netip.AddrPort, host, path string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	connection, _, err := c.pool.open(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = connection.Close() }()
+	if err := connection.SetDeadline(c.now().Add(timeout)); err != nil {
+		return errors.Wrap(err, "set deadline")
+	}
+	m := c.newMessage(Request{Method: http.MethodGet, Host: host, Target: path, InstanceID: probedInstance, Deadline: c.now().Add(timeout)})
+	if err := m.Write(connection); err != nil {
+		return errors.Wrap(err, "write probe")
+	}
+	response, err := http.ReadResponse(connection.reader, m)
+	if err != nil {
+		return errors.Wrap(err, "read response to probe")
+	}
+	return response.Body.Close()
+}
+
 // IsConnectionRefused reports whether a connection failed because no process listens on the
 // address, so the server has exited. A server that is unreachable or overloaded does not respond at
 // all.
@@ -224,7 +252,9 @@
 	}
 	timeLeft := max(1, r.Deadline.Sub(c.now()).Milliseconds())
 	header.Set(c.headers.Deadline, strconv.FormatInt(timeLeft, 10))
-	header.Set(c.headers.InstanceID, r.InstanceID)
+	if c.headers.InstanceID != "" {
+		header.Set(c.headers.InstanceID, r.InstanceID)
+	}
 	if r.HasAccounts {
 		c.setAccount(header, r.Account)
 	}
@@ -378,7 +408,7 @@
 	e.conn.applyKeepAlive(response.Header.Get("Keep-Alive"))
 	header := make(http.Header, len(response.Header))
 	CopyHeader(header, response.Header)
-	received := &Response{Status: response.StatusCode, Header: header}
+	received := &Response{Server: e.request.InstanceID, Status: response.StatusCode, Header: header}
 	if contentLength <= maxResponseBytes && e.mayStream(received, contentLength) {
 		return received, response.Close, e.stream(received, response.Body, contentLength)
 	}
@@ -403,7 +433,7 @@
 		return errors.Wrap(err, "read response body")
 	}
 	e.streamed = true
-	forwarded := &Response{Status: r.Status, Header: r.Header.Clone(), Stream: r.Stream}
+	forwarded := &Response{Server: r.Server, Status: r.Status, Header: r.Header.Clone(), Stream: r.Stream}
 	forwarded.Header.Del(e.client.headers.Load)
 	e.request.OnStream(forwarded)
 	return errs.Wrap(r.Stream.Fill(body), "read response body")
--- a/internal/adapter/serverhttp/pool.go
+++ b/internal/adapter/serverhttp/pool.go
@@ -88,6 +88,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	return p.open(ctx, address)
+}
+
+// open opens a new connection and returns the time that this took.
+func (p *pool) open(ctx context.Context, address netip.AddrPort) (*conn, time.Duration, error) {
 	startedAt := p.now()
 	raw, err := p.dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -24,13 +24,15 @@
 type (
 	// Status is the state of a proxy and of the system as the proxy sees it.
 	Status struct {
-		VM                   string   `json:"vm"`
-		ConfigurationVersion uint64   `json:"configuration-version"`
-		ReplicaRevision      uint64   `json:"copy-revision"`
-		ReplicaAge           string   `json:"copy-age"`
-		InFlight             int      `json:"in-flight"`
-		Stopping             bool     `json:"stopping"`
-		EvacuatedDomains     []string `json:"evacuated-failure-domains,omitempty"`
+		VM                   string `json:"vm"`
+		ConfigurationVersion uint64 `json:"configuration-version"`
+		ReplicaRevision      uint64 `json:"copy-revision"`
+		ReplicaAge           string `json:"copy-age"`
+		InFlight             int    `json:"in-flight"`
+		Stopping             bool   `json:"stopping"`
+		// CutOff is set while the proxy is cut off from all backend servers.
+		CutOff           bool     `json:"cut-off,omitempty"`
+		EvacuatedDomains []string `json:"evacuated-failure-domains,omitempty"`
 		// RegionsWithoutProxies lists regions without proxies, whose callers use proxies of other
 		// regions.
 		RegionsWithoutProxies []string `json:"regions-without-proxies,omitempty"`
@@ -61,6 +63,8 @@
 		Region          string         `json:"region"`
 		OperatorAddress netip.AddrPort `json:"operators"`
 		Leaving         bool           `json:"leaving,omitempty"`
+		// CutOff is set while the proxy is cut off from all backend servers.
+		CutOff bool `json:"cut-off,omitempty"`
 		// LinkMbps is the bandwidth of its link in Mbit/s; zero if unknown.
 		LinkMbps int `json:"link-mbps,omitempty"`
 		// Overflow is the level at which lookups return further proxies beside the preferred ones.
@@ -167,6 +171,10 @@
 		Share float64 `json:"share,omitempty"`
 		// Measured is set if the demand of the regions is measured from now on.
 		Measured bool `json:"measured,omitempty"`
+		// CutOff is set if the proxy is cut off from all backend servers from now on.
+		CutOff bool `json:"cut-off,omitempty"`
+		// From is the proxy that handed the request over.
+		From string `json:"from,omitempty"`
 		// Limit is the rate limit that a server advertises for all proxies together.
 		Limit string `json:"limit,omitempty"`
 		// ExpectedWait is the part of Expected that is spent waiting for a slot. For a request that was
@@ -194,7 +202,7 @@
 func NewEvent(vm string, e steering.Event) Event {
 	out := Event{
 		At: e.At, VM: vm, Kind: string(e.Kind), Request: e.Request, Route: e.Route, Account: e.Account, ConfigurationVersion: e.Version,
-		Service: e.Service, Server: e.Server, Object: e.Object, Fingerprint: e.Fingerprint.String(), Domain: e.Domain, Region: e.Region, CallersElsewhere: e.CallersElsewhere, Share: e.Share, Measured: e.Measured, Attempt: e.Attempt,
+		Service: e.Service, Server: e.Server, Object: e.Object, Fingerprint: e.Fingerprint.String(), Domain: e.Domain, Region: e.Region, CallersElsewhere: e.CallersElsewhere, Share: e.Share, Measured: e.Measured, CutOff: e.CutOff, From: e.From, Attempt: e.Attempt,
 		Reason: string(e.Reason), Load: e.Load, WorkFactor: e.WorkFactor, Warm: e.Warm, Draining: e.Draining,
 		Expected: formatDuration(e.Expected), Duration: formatDuration(e.Duration), RetryAfter: formatDuration(e.RetryAfter), Pressure: e.Pressure,
 		ExpectedWait: formatDuration(e.ExpectedWait), WaitLimit: formatDuration(e.WaitLimit), ShedRatio: e.ShedRatio, AccountShedRatio: e.AccountShedRatio, ServerState: string(e.State), Cause: string(e.Cause), Target: formatDuration(e.Target), Limit: e.Limit.String(), IsHedge: e.IsHedge, Hedge: string(e.Hedge),
--- a/internal/client/command/steering.go
+++ b/internal/client/command/steering.go
@@ -186,6 +186,9 @@
 		v := a.Value
 		fmt.Fprintf(&text, "%-24s %-16s %-12s %7d %9d %8s %9d %8d\n", v.VM, a.Proxy.Domain, a.Proxy.Region,
 			v.ConfigurationVersion, v.ReplicaRevision, v.ReplicaAge, v.InFlight, v.ServerCount)
+		if v.CutOff {
+			fmt.Fprintf(&text, "%24s cut off from all backend servers, hands requests over\n", "")
+		}
 		if len(v.MechanismsOff) > 0 {
 			fmt.Fprintf(&text, "%24s switched off: %v\n", "", v.MechanismsOff)
 		}
--- a/internal/fake/warmnet/failures.go
+++ b/internal/fake/warmnet/failures.go
@@ -34,6 +34,9 @@
 func (w *simulation) tick() {
 	w.eachProxy(func(k *steering.Kernel) {
 		k.Tick(w.clock())
+		if len(w.scenario.ProxyCuts) > 0 {
+			w.tickCuts(k)
+		}
 		if replies := k.TakeSlotReplies(); len(replies) > 0 {
 			_, region := w.kernelOf(k.Name())
 			w.deliverSlotReplies(region, replies)
--- a/internal/fake/warmnet/scenario.go
+++ b/internal/fake/warmnet/scenario.go
@@ -119,6 +119,8 @@
 		// BackoffRequests are the periods in which servers reject all requests and ask for backoff
 		// with each rejection.
 		BackoffRequests []BackoffRequest `json:"pausing"`
+		// ProxyCuts are the periods in which proxies are cut off from all servers.
+		ProxyCuts []ProxyCut `json:"cut-off"`
 		// QuarantineThreshold is the number of crashes after which proxies quarantine a request.
 		// Zero selects the default.
 		QuarantineThreshold int `json:"ends-to-condemn"`
@@ -168,6 +170,7 @@
 		Draining       DrainStats
 		Backoffs       BackoffStats
 		Hedges         HedgeStats
+		Cuts           CutStats
 		// Routes holds the counts of each route, by name.
 		Routes    map[string]*RouteStats
 		Latencies []time.Duration
--- a/internal/fake/warmnet/simulation.go
+++ b/internal/fake/warmnet/simulation.go
@@ -80,6 +80,10 @@
 		credential account.Credential
 		// crashing requests crash the server that runs them.
 		crashing bool
+		// handedOverBy is the request at the proxy that handed this one over, or nil. attemptsUsed is
+		// the number of its attempts there.
+		handedOverBy *request
+		attemptsUsed int
 		hedgeState
 	}
 )
@@ -118,7 +122,7 @@
 		w.scheduleCrashes()
 	}
 	w.scheduleDraining()
-	if len(scenario.ProxyLossRegions) > 0 || scenario.Knee > 0 || scenario.hasCrashes() || scenario.hasBackpressure() {
+	if len(scenario.ProxyLossRegions) > 0 || scenario.Knee > 0 || scenario.hasCrashes() || scenario.hasBackpressure() || len(scenario.ProxyCuts) > 0 {
 		w.After(tickInterval, w.tick)
 	}
 	for w.RunNext() {
@@ -150,7 +154,7 @@
 	}
 	for _, r := range w.scenario.Regions {
 		for i := range w.scenario.ProxiesPerRegion {
-			w.proxyList = append(w.proxyList, steering.Proxy{Name: fmt.Sprintf("%s-proxy-%d", r.Name, i), Domain: r.Name + "-a", Region: r.Name})
+			w.proxyList = append(w.proxyList, steering.Proxy{Name: fmt.Sprintf("%s-proxy-%d", r.Name, i), Domain: r.Name + "-a", Region: r.Name, Handovers: handoverAddress(len(w.proxyList))})
 		}
 	}
 	for i, p := range w.proxyList {
@@ -296,7 +300,11 @@
 }
 
 func (w *simulation) handleAtProxy(req *request) {
-	active, decision := req.kernel.BeginRequest(w.clock(), steering.Request{ID: strconv.Itoa(w.result.Sent), Host: host, Path: w.scenario.path(req.route), Object: req.object, Work: fingerprintOf(req.object), Credential: req.credential})
+	r := steering.Request{ID: strconv.Itoa(w.result.Sent), Host: host, Path: w.scenario.path(req.route), Object: req.object, Work: fingerprintOf(req.object), Credential: req.credential}
+	if by := req.handedOverBy; by != nil {
+		r.IsHandover, r.HandoverFrom, r.AttemptsUsed, r.Deadline = true, by.kernel.Name(), req.attemptsUsed, by.activeRequest.ExpiresAt
+	}
+	active, decision := req.kernel.BeginRequest(w.clock(), r)
 	req.activeRequest = active
 	w.applyDecision(req, decision)
 }
@@ -309,6 +317,8 @@
 	w.scheduleAlert(req.kernel)
 	switch {
 	case d.OtherContinues:
+	case d.Handover != nil:
+		w.handOver(req, d.Handover)
 	case d.SlotRequest != nil && !w.oracle:
 		w.sendSlotRequest(req, *d.SlotRequest)
 	case d.Server != nil:
@@ -317,20 +327,29 @@
 			s = w.oracleServer(req)
 		}
 		req.server = s
+		if w.isCutOff(req.kernel) {
+			w.failUnreachable(req)
+			return
+		}
 		w.scheduleHedge(req, d)
 		w.regionCounts.record(w.Now, req.region, s.region)
 		w.After(w.roundTrip(req.proxyRegion, s.region)/2, func() { w.arriveAtServer(req) })
+	case req.handedOverBy != nil:
+		w.returnHandover(req, d)
 	case d.ReturnResponse && req.proxyRegion != req.region:
 		w.After(w.roundTrip(req.region, req.proxyRegion)/2, func() { w.recordResponse(req) })
 	case d.ReturnResponse:
 		w.recordResponse(req)
 	case req.crashing:
 	case d.NotRun && req.retriesLeft > 0:
+		w.recordCut(req, false)
 		req.retriesLeft--
 		w.After(d.RetryAfter, func() { w.sendToProxy(req) })
 	case d.NotRun:
+		w.recordCut(req, false)
 		w.result.Rejected++
 	default:
+		w.recordCut(req, false)
 		w.result.Failed++
 	}
 }
@@ -361,6 +380,7 @@
 
 func (w *simulation) recordResponse(req *request) {
 	latency := w.Now - req.startedAt
+	w.recordCut(req, latency <= w.scenario.Timeout.Std())
 	w.result.Latencies = append(w.result.Latencies, latency)
 	if latency <= req.route.LatencyTarget.Std() {
 		w.result.WithinTarget++
@@ -471,7 +491,11 @@
 // returnAttempt returns the end of an attempt to the proxy, with the server's signal.
 func (w *simulation) returnAttempt(req *request, attempt steering.Attempt) {
 	attempt.Signal = w.signal(req.server, attempt.Result)
-	w.After(w.roundTrip(req.proxyRegion, req.server.region)/2, func() {
+	delay := w.roundTrip(req.proxyRegion, req.server.region) / 2
+	if w.isCutOff(req.kernel) {
+		attempt, delay = steering.Attempt{Result: steering.ResultConnectionLost}, unacknowledgedTimeout
+	}
+	w.After(delay, func() {
 		if req.cancelled {
 			return
 		}
--- a/internal/kernel/directory/lookup.go
+++ b/internal/kernel/directory/lookup.go
@@ -39,6 +39,11 @@
 		LinkMbps int
 		// Overflow is the level that it has published.
 		Overflow Level
+		// CutOff marks a proxy that has published that it is cut off from all servers.
+		CutOff bool
+		// Handovers is the address at which it takes requests from other proxies; invalid if it
+		// takes none.
+		Handovers netip.AddrPort
 	}
 
 	// Caller is where a lookup comes from.
--- a/internal/kernel/steering/call.go
+++ b/internal/kernel/steering/call.go
@@ -50,6 +50,9 @@
 	callFleetSize            = "fleet"
 	callResume               = "resumed"
 	callRegionDemand         = "region-demand"
+	callServersToReach       = "servers-to-reach"
+	callReachability         = "reachability"
+	callEndHandover          = "handover-ended"
 )
 
 type (
@@ -73,6 +76,7 @@
 		Request       *Request          `json:"request,omitempty"`
 		Attempt       *Attempt          `json:"attempt,omitempty"`
 		Decision      *RecordedDecision `json:"decision,omitempty"`
+		Handover      *HandoverResult   `json:"handover,omitempty"`
 		ServiceLimits []ServiceLimit    `json:"holding,omitempty"`
 		SlotRequest   *SlotRequest      `json:"ask,omitempty"`
 		SlotReply     *SlotReply        `json:"reply,omitempty"`
@@ -91,6 +95,7 @@
 		Grants      *ratelimit.Grants     `json:"grants,omitempty"`
 		Token       *ratelimit.TokenReply `json:"token,omitempty"`
 		Count       int                   `json:"count,omitempty"`
+		Total       int                   `json:"total,omitempty"`
 		IDs         []string              `json:"ids,omitempty"`
 	}
 
@@ -102,6 +107,7 @@
 		NotRun         bool          `json:"not-run,omitempty"`
 		RetryAfter     time.Duration `json:"come-back,omitempty"`
 		QuotaPool      string        `json:"pool,omitempty"`
+		Handover       string        `json:"handover,omitempty"`
 	}
 )
 
@@ -117,5 +123,8 @@
 	if d.Server != nil {
 		v.Server = d.Server.ID
 	}
+	if d.Handover != nil {
+		v.Handover = d.Handover.Proxy
+	}
 	return v
 }
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -54,6 +54,12 @@
 	// EventWorkCleared reports a request fingerprint that succeeded after servers had crashed with
 	// it.
 	EventWorkCleared EventKind = EventKind(quarantine.EventCleared)
+	// EventReachability reports that this proxy is cut off from all servers, or no longer is.
+	EventReachability EventKind = "reachability"
+	// EventHandedOver reports that a request was handed over to another proxy.
+	EventHandedOver EventKind = "handed-over"
+	// EventHandoverEnded reports the end of a handover.
+	EventHandoverEnded EventKind = "handover-ended"
 	// EventRequestSent reports that a request was sent to a server.
 	EventRequestSent EventKind = "request-sent"
 	// EventAttemptEnded reports the end of one attempt.
@@ -95,6 +101,10 @@
 		Share float64
 		// Measured is set if measured demand is used from now on.
 		Measured bool
+		// CutOff is set if this proxy is cut off from all servers.
+		CutOff bool
+		// From is the proxy that handed the request over to this one.
+		From string
 		// Version is the version of the configuration.
 		Version uint64
 		// Attempt is the number of the attempt, starting at 1.
--- /dev/null
+++ b/internal/kernel/steering/handover_test.go
@@ -0,0 +1,287 @@
+package steering
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/directory"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
+)
+
+const (
+	writePath = "/write/x"
+	readPath  = "/read/x"
+	northPath = "/north/x"
+)
+
+var handoverStart = time.Unix(1_000_000, 0)
+
+// handoverRun is a proxy in the region north with two servers in each of two regions.
+type handoverRun struct {
+	*Kernel
+	now    time.Time
+	events []Event
+}
+
+// handoverPeers are one other proxy of the region and one of another region.
+func handoverPeers() []Proxy {
+	return []Proxy{
+		{Name: "near", Domain: "north-b", Region: "north", Handovers: netip.MustParseAddrPort("10.0.0.1:1")},
+		{Name: "far", Domain: "south-a", Region: "south", Handovers: netip.MustParseAddrPort("10.0.0.2:1")},
+		{Name: "old", Domain: "north-b", Region: "north"},
+	}
+}
+
+func newHandoverRun(peers ...Proxy) *handoverRun {
+	r := &handoverRun{now: handoverStart}
+	r.Kernel = New(Config{
+		Name: "self", Domain: "north-a", Region: "north", RegionOf: map[string]string{"north-a": "north", "north-b": "north", "south-a": "south"},
+		Bounds:  Bounds{Retry: RetryBudget{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}},
+		Observe: func(e Event) { r.events = append(r.events, e) },
+	})
+	var routes []*routing.Route
+	for path, change := range map[string]func(*routing.Route){
+		writePath: func(*routing.Route) {},
+		readPath:  func(r *routing.Route) { r.Idempotent = true },
+		northPath: func(r *routing.Route) { r.Idempotent, r.Regions = true, []string{"north"} },
+	} {
+		route := &routing.Route{
+			Name: path, Host: "host", Prefix: path[:len(path)-1], Timeout: 5 * time.Second, Target: 300 * time.Millisecond, Attempts: 2,
+			Parts: []routing.WeightedService{{Service: "service", Weight: 1}},
+		}
+		change(route)
+		routes = append(routes, route)
+	}
+	r.SetTable(routing.NewTable(1, routes, nil, routing.Limits{}))
+	for i, domain := range []string{"north-a", "north-b", "south-a", "south-a"} {
+		r.RegisterServer(r.now, routing.Server{ID: fmt.Sprintf("s%d", i), Service: "service", Domain: domain, Slots: 4})
+	}
+	r.SetProxies(r.now, peers)
+	return r
+}
+
+// cutOff lets requests and probes fail until the proxy considers itself cut off.
+func (r *handoverRun) cutOff(t *testing.T) {
+	t.Helper()
+	for range 20 {
+		r.now = r.now.Add(50 * time.Millisecond)
+		req, d := r.begin(readPath)
+		for d.Server != nil {
+			d = r.EndAttempt(r.now, req, Attempt{Result: ResultUnreachable})
+		}
+		if d.Handover != nil {
+			r.EndHandover(r.now, req, HandoverResult{Result: ResultResponded, Server: "s0"})
+		}
+		if list, due := r.ServersToReach(r.now); due {
+			r.RecordReachability(r.now, 0, len(list))
+		}
+	}
+	if !r.CutOff() {
+		t.Fatal("got a connected proxy after 20 failed requests, want one that is cut off")
+	}
+}
+
+func (r *handoverRun) begin(path string) (*ActiveRequest, Decision) {
+	return r.BeginRequest(r.now, Request{ID: "r", Host: "host", Path: path, Deadline: r.now.Add(5 * time.Second)})
+}
+
+func expectHandover(t *testing.T, d Decision, want string) {
+	t.Helper()
+	if got := recordedDecisionOf(d).Handover; got != want || d.Server != nil {
+		t.Errorf("got %+v, want a handover to %q", recordedDecisionOf(d), want)
+	}
+}
+
+// Requests at a proxy without connections to servers were refused until the links were back.
+func TestRequestsAreHandedOverWhileCutOff(t *testing.T) {
+	r := newHandoverRun(handoverPeers()...)
+	r.cutOff(t)
+	for _, path := range []string{writePath, readPath, northPath} {
+		req, d := r.begin(path)
+		expectHandover(t, d, "near")
+		if d = r.EndHandover(r.now, req, HandoverResult{Result: ResultResponded, Server: "s1"}); !d.ReturnResponse {
+			t.Errorf("%s: got %+v, want the response returned", path, recordedDecisionOf(d))
+		}
+	}
+}
+
+func TestPeerThatIsCutOffTooIsSkipped(t *testing.T) {
+	r := newHandoverRun(handoverPeers()...)
+	r.cutOff(t)
+	req, d := r.begin(writePath)
+	expectHandover(t, d, "near")
+	d = r.EndHandover(r.now, req, HandoverResult{Result: ResultResponded, Reason: ReasonCutOff, NotRun: true})
+	expectHandover(t, d, "far")
+	d = r.EndHandover(r.now, req, HandoverResult{Result: ResultResponded, Reason: ReasonCutOff, NotRun: true})
+	if d.Handover != nil || !d.NotRun || d.ReturnResponse || d.RetryAfter <= 0 {
+		t.Errorf("got %+v after two peers, want a rejection by this proxy", recordedDecisionOf(d))
+	}
+	if _, d = r.begin(writePath); d.Handover != nil || d.Reason != ReasonCutOff {
+		t.Errorf("got %+v, want an immediate rejection while no peer can help", recordedDecisionOf(d))
+	}
+}
+
+// A body must not be sent to a region in which the request may not run.
+func TestRequestsAreHandedOverInAllowedRegionsOnly(t *testing.T) {
+	r := newHandoverRun(handoverPeers()[1])
+	r.cutOff(t)
+	_, d := r.begin(readPath)
+	expectHandover(t, d, "far")
+	if _, d = r.begin(northPath); d.Handover != nil || !d.NotRun {
+		t.Errorf("got %+v for a request bound to north, want a rejection", recordedDecisionOf(d))
+	}
+}
+
+// Two proxies without servers must not pass a request back and forth.
+func TestRequestIsHandedOverOnce(t *testing.T) {
+	r := newHandoverRun(handoverPeers()...)
+	r.cutOff(t)
+	_, d := r.BeginRequest(r.now, Request{ID: "r", Host: "host", Path: readPath, IsHandover: true, HandoverFrom: "near"})
+	if d.Handover != nil || d.Reason != ReasonCutOff || !d.NotRun {
+		t.Errorf("got %+v, want a rejection", recordedDecisionOf(d))
+	}
+}
+
+// A request that may run once at most must not run at a peer after its connection was lost here.
+func TestRequestThatMayHaveRunIsNotHandedOver(t *testing.T) {
+	r := newHandoverRun(handoverPeers()...)
+	req, d := r.begin(writePath)
+	if d.Server == nil {
+		t.Fatalf("got %+v, want a server", recordedDecisionOf(d))
+	}
+	r.cutOff(t)
+	d = r.EndAttempt(r.now, req, Attempt{Result: ResultConnectionLost})
+	if d.Handover != nil || d.NotRun || d.ReturnResponse {
+		t.Errorf("got %+v, want an end without a response", recordedDecisionOf(d))
+	}
+	req, d = r.begin(writePath)
+	expectHandover(t, d, "near")
+	if d = r.EndHandover(r.now, req, HandoverResult{Result: ResultConnectionLost}); d.Handover != nil || d.NotRun {
+		t.Errorf("got %+v after a lost handover, want an end without a response", recordedDecisionOf(d))
+	}
+}
+
+// A peer that refuses does not know of an earlier attempt, which may have run.
+func TestRefusalByPeerIsNotPassedOnAfterALostAttempt(t *testing.T) {
+	r := newHandoverRun(handoverPeers()...)
+	req, d := r.begin(readPath)
+	if d.Server == nil {
+		t.Fatalf("got %+v, want a server", recordedDecisionOf(d))
+	}
+	r.cutOff(t)
+	d = r.EndAttempt(r.now, req, Attempt{Result: ResultConnectionLost})
+	expectHandover(t, d, "near")
+	if d.Handover.AttemptsUsed != 1 {
+		t.Errorf("got %d attempts used, want 1", d.Handover.AttemptsUsed)
+	}
+	d = r.EndHandover(r.now, req, HandoverResult{Result: ResultResponded, Reason: ReasonOverload, NotRun: true})
+	if d.NotRun || d.ReturnResponse {
+		t.Errorf("got %+v, want an end that does not claim that nothing has run", recordedDecisionOf(d))
+	}
+}
+
+// The attempts at both proxies together are limited.
+func TestAttemptsBeforeHandoverCount(t *testing.T) {
+	r := newHandoverRun()
+	req, d := r.BeginRequest(r.now, Request{ID: "r", Host: "host", Path: readPath, IsHandover: true, HandoverFrom: "near", AttemptsUsed: 1})
+	if d.Server == nil {
+		t.Fatalf("got %+v, want a server", recordedDecisionOf(d))
+	}
+	if d = r.EndAttempt(r.now, req, Attempt{Result: ResultConnectionLost}); d.Server != nil {
+		t.Errorf("got a third attempt at %s, want at most two", d.Server.ID)
+	}
+}
+
+// Servers ejected during a cut were skipped for up to five seconds after its end.
+func TestServersAreUsedAfterReconnection(t *testing.T) {
+	r := newHandoverRun(handoverPeers()...)
+	r.cutOff(t)
+	for range 20 {
+		r.now = r.now.Add(100 * time.Millisecond)
+		if list, due := r.ServersToReach(r.now); due {
+			r.RecordReachability(r.now, len(list), len(list))
+		}
+	}
+	if r.CutOff() {
+		t.Fatal("got a proxy that is cut off after two seconds of successful probes")
+	}
+	for i := range 8 {
+		if _, d := r.begin(writePath); d.Server == nil {
+			t.Errorf("request %d: got %+v, want a server", i, recordedDecisionOf(d))
+		}
+	}
+}
+
+// Connections to all servers of a service may fail while other services respond.
+func TestRequestsOfUnreachableServiceAreHandedOver(t *testing.T) {
+	r := newHandoverRun(handoverPeers()...)
+	req, d := r.begin(writePath)
+	for d.Server != nil {
+		d = r.EndAttempt(r.now, req, Attempt{Result: ResultUnreachable})
+	}
+	expectHandover(t, d, "near")
+	d = r.EndHandover(r.now, req, HandoverResult{Result: ResultResponded, Reason: ReasonNoServer, NotRun: true})
+	expectHandover(t, d, "far")
+	d = r.EndHandover(r.now, req, HandoverResult{Result: ResultResponded, Reason: ReasonNoServer, NotRun: true})
+	if !d.NotRun {
+		t.Errorf("got %+v, want a rejection", recordedDecisionOf(d))
+	}
+	for d.Reason != ReasonNoServer || d.Server != nil {
+		req, d = r.begin(writePath)
+		for d.Server != nil {
+			d = r.EndAttempt(r.now, req, Attempt{Result: ResultUnreachable})
+		}
+		if d.Handover != nil {
+			d = r.EndHandover(r.now, req, HandoverResult{Result: ResultResponded, Reason: ReasonNoServer, NotRun: true})
+		}
+	}
+	if _, d = r.begin(writePath); d.Handover != nil {
+		t.Errorf("got a handover to %s right after peers found no server, want a rejection", d.Handover.Proxy)
+	}
+}
+
+// A server that leaves says so to the peer; this proxy must not send to it after the cut.
+func TestSignalsOfServersAreLearnedFromPeers(t *testing.T) {
+	r := newHandoverRun(handoverPeers()...)
+	r.cutOff(t)
+	req, _ := r.begin(readPath)
+	r.EndHandover(r.now, req, HandoverResult{Result: ResultResponded, Server: "s2", Signal: backpressure.Signal{Draining: true}})
+	if !r.servers["s2"].backpressure.Draining() {
+		t.Error("got a server in use, want it draining")
+	}
+}
+
+// Connections lost with the link must not count as crashes caused by the requests.
+func TestLostLinkIsNoCrashOfServers(t *testing.T) {
+	r := newHandoverRun()
+	r.cutOff(t)
+	r.RecordConnectionRefused(r.now, "s0")
+	r.Tick(r.now)
+	if i := slices.IndexFunc(r.events, func(e Event) bool { return e.Kind == EventServerCrashed }); i >= 0 {
+		t.Errorf("got a crash of %s, want none", r.events[i].Server)
+	}
+}
+
+func TestProxiesThatAreCutOffAreNotReturned(t *testing.T) {
+	names := func(cutOff ...string) []string {
+		var list []Proxy
+		for i, name := range []string{"one", "two", "three"} {
+			list = append(list, Proxy{Name: name, Domain: "north-a", Region: "north", CutOff: slices.Contains(cutOff, name), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)})
+		}
+		var got []string
+		for _, p := range directory.New(withoutCutOff(list), false).Lookup(directory.Caller{Region: "north", Domain: "north-a"}, func(string) bool { return true }) {
+			got = append(got, p.Name)
+		}
+		return got
+	}
+	if got, want := names("one"), []string{"two", "three"}; !slices.Equal(got, want) {
+		t.Errorf("one cut off: got %v, want %v", got, want)
+	}
+	if got, want := names("one", "two", "three"), []string{"one", "two", "three"}; !slices.Equal(got, want) {
+		t.Errorf("all cut off: got %v, want %v", got, want)
+	}
+}
--- a/internal/kernel/steering/hedge.go
+++ b/internal/kernel/steering/hedge.go
@@ -146,6 +146,7 @@
 func (k *Kernel) cancelAttempt(now time.Time, req *ActiveRequest, cancelled *sentAttempt, result Result) {
 	s, elapsed := cancelled.server, now.Sub(cancelled.sentAt)
 	s.inFlight--
+	k.reachability.RecordEnd(cancelled.id)
 	k.quarantine.RecordStop(req.Work)
 	if !cancelled.isHedge && result == ResultResponded {
 		k.learnRunTime(req, cancelled, s.reported.Factor(now), elapsed)
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -19,6 +19,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/placing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/reachability"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
 
@@ -136,6 +137,18 @@
 		// backpressure tracks the limits, pauses and drains that servers announce to their clients.
 		backpressure *backpressure.Tracker
 		ownIndex     int
+		// reachability detects that this proxy is cut off from all servers. attemptCount counts the
+		// attempts so far.
+		reachability reachability.Tracker
+		attemptCount uint64
+		// handoversTo counts the handovers in progress by proxy. No requests are handed over to
+		// unablePeers, and none of unableRoutes, before the given times.
+		handoversTo  map[string]int
+		unablePeers  map[string]time.Time
+		unableRoutes map[string]time.Time
+		// replacedInDirectory is set if lookups return other proxies instead of this one because it
+		// is cut off.
+		replacedInDirectory bool
 		// requestCount counts the requests so far.
 		requestCount uint64
 		// observeCandidate is called for each server that a choice considers. It may be nil.
@@ -169,6 +182,9 @@
 		disabled:         make(map[Mechanism]bool),
 		regions:          regionsOf(c.RegionOf),
 		regionStates:     make(map[string]*regionState),
+		handoversTo:      make(map[string]int),
+		unablePeers:      make(map[string]time.Time),
+		unableRoutes:     make(map[string]time.Time),
 
 		quarantine: quarantine.NewTracker(), backpressure: backpressure.NewTracker(),
 	}
@@ -264,7 +280,7 @@
 	self := Proxy{Name: k.config.Name, Domain: k.config.Domain, Region: k.config.Region, Address: k.config.Address, Leaving: k.shuttingDown, LinkMbps: k.config.LinkMbps}
 	if i := slices.IndexFunc(list, func(p Proxy) bool { return p.Name == self.Name }); i >= 0 {
 		// The level takes effect once it is published, so that all lookups agree.
-		self.Overflow = list[i].Overflow
+		self.Overflow, self.CutOff = list[i].Overflow, list[i].CutOff
 	}
 	list = slices.DeleteFunc(slices.Clone(list), func(p Proxy) bool { return p.Name == self.Name })
 	k.proxies = append(list, self)
@@ -273,8 +289,29 @@
 	k.updateSharers(now, k.proxies)
 }
 
+// withoutCutOff marks the proxies that are cut off from all servers as leaving, unless their region
+// has no others: callers get their responses sooner from a proxy that need not hand requests over.
+func withoutCutOff(proxies []Proxy) []Proxy {
+	connected := make(map[string]bool)
+	anyCutOff := false
+	for _, p := range proxies {
+		anyCutOff = anyCutOff || p.CutOff
+		connected[p.Region] = connected[p.Region] || !p.CutOff && !p.Leaving
+	}
+	if !anyCutOff {
+		return proxies
+	}
+	list := slices.Clone(proxies)
+	for i := range list {
+		list[i].Leaving = list[i].Leaving || list[i].CutOff && connected[list[i].Region]
+	}
+	return list
+}
+
 // resetDirectory applies a change of the proxies to lookups.
 func (k *Kernel) resetDirectory() {
-	k.directory = directory.New(k.proxies, !k.isEnabled(MechanismWideLinks))
+	listed := withoutCutOff(k.proxies)
+	k.replacedInDirectory = slices.ContainsFunc(listed, func(p Proxy) bool { return p.Name == k.config.Name && p.CutOff && p.Leaving })
+	k.directory = directory.New(listed, !k.isEnabled(MechanismWideLinks))
 	k.returnedInRegion = -1
 }
--- a/internal/kernel/steering/learn.go
+++ b/internal/kernel/steering/learn.go
@@ -16,9 +16,13 @@
 	svc := k.service(s.Service)
 	k.detectSlowdown(now, req, s, svc, a, elapsed)
 	ejections := s.ejections
+	if a.Result == ResultUnreachable || a.Result == ResultConnectionLost || a.Result == ResultTimeout {
+		s.use()
+		s.silentAt = now
+	}
 	switch a.Result {
 	case ResultResponded:
-		s.respondedAt = now
+		s.respondedAt, s.silentAt = now, time.Time{}
 		k.learnWork(now, req, s, svc, a, elapsed)
 		if !a.Rejected && !req.isHedge {
 			k.learnRunTime(req, &req.sentAttempt, a.loadReport().Factor(), elapsed)
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -46,12 +46,24 @@
 		// server per object would only build long queues on some servers while others are idle.
 		req.Object = ""
 	}
+	if req.IsHandover {
+		req.reachedServers = req.AttemptsUsed
+		if k.CutOff() && !k.usesOpenConnections(now) {
+			return k.fail(now, req, ReasonCutOff)
+		}
+	}
+	if k.CutOff() {
+		// Before the account is charged: the peer charges it.
+		if d, ok := k.handOver(now, req); ok {
+			return d
+		}
+	}
 	return k.checkQuota(now, req)
 }
 
 // dispatch selects the service of a request that is within its rate limit and sends it.
 func (k *Kernel) dispatch(now time.Time, req *ActiveRequest) Decision {
-	req.Service = k.splitter.Next(req.Route)
+	req.Service, req.charged = k.splitter.Next(req.Route), true
 	k.observeArrival(now, req)
 	if req.Object != "" {
 		k.service(req.Service).demand.Record(now, req.objectKey())
@@ -62,11 +74,34 @@
 
 // send chooses a server for the request, or ends the request if there is none.
 func (k *Kernel) send(now time.Time, req *ActiveRequest) Decision {
-	target, reason := k.place(now, req)
-	if target == nil {
+	d, reason := k.trySend(now, req)
+	if reason != ReasonNone {
 		return k.fail(now, req, reason)
 	}
-	return k.sendDecision(now, req, target)
+	return d
+}
+
+// trySend chooses a server or, if this proxy reaches none, a peer for the request. Without either
+// it returns the reason.
+func (k *Kernel) trySend(now time.Time, req *ActiveRequest) (Decision, Reason) {
+	if k.CutOff() {
+		if d, ok := k.handOver(now, req); ok {
+			return d, ReasonNone
+		}
+		if !k.usesOpenConnections(now) {
+			return Decision{}, ReasonCutOff
+		}
+	}
+	target, reason := k.place(now, req)
+	if target != nil {
+		return k.sendDecision(now, req, target), ReasonNone
+	}
+	if reason == ReasonNoServer && k.peersMayReach(now, req) {
+		if d, ok := k.handOver(now, req); ok {
+			return d, ReasonNone
+		}
+	}
+	return Decision{}, reason
 }
 
 // place chooses a server and counts the request as in flight there.
@@ -100,8 +135,10 @@
 // startAttempt makes an attempt at a server the current one and counts it as in flight there.
 func (k *Kernel) startAttempt(now time.Time, req *ActiveRequest, s *server, chosen choice, isHedge bool) {
 	k.quarantine.RecordStart(req.Work)
+	k.attemptCount++
+	k.reachability.RecordStart(now, k.attemptCount, s.id, chosen.expected)
 	req.sentAttempt = sentAttempt{
-		server: s, sentAt: now, expected: chosen.expected, expectedWait: chosen.untilStart - s.rtt.roundTrip, warm: chosen.warm, workFactor: chosen.workFactor,
+		id: k.attemptCount, server: s, sentAt: now, expected: chosen.expected, expectedWait: chosen.untilStart - s.rtt.roundTrip, warm: chosen.warm, workFactor: chosen.workFactor,
 		loadAtSend: s.load(now), number: (len(req.steps)+1)/2 + 1, isHedge: isHedge,
 	}
 	state := s.state(now)
@@ -165,6 +202,7 @@
 		req.triedServers = append(req.triedServers, s)
 	}
 	elapsed := now.Sub(req.sentAt)
+	k.recordReachability(now, &req.sentAttempt, a.Result)
 	k.recordCrashEvidence(now, req, s, a)
 	k.learnFromAttempt(now, req, s, a, elapsed)
 	req.addStep(Event{
@@ -186,11 +224,15 @@
 		return k.finish(now, req, Decision{Reason: ReasonCallerGone})
 	case ResultTimeout:
 		return k.fail(now, req, ReasonTimeout)
-	case ResultUnreachable, ResultNotSent:
-		if req.sendAttempts >= maxSends {
-			return k.fail(now, req, ReasonNoServer)
+	case ResultUnreachable:
+		if req.unreachableServers++; req.unreachableServers >= unreachableBeforeHandover {
+			if d, ok := k.handOver(now, req); ok {
+				return d
+			}
 		}
-		return k.send(now, req)
+		return k.sendAgain(now, req)
+	case ResultNotSent:
+		return k.sendAgain(now, req)
 	}
 	reason := reasonOf(a.Result)
 	if a.ResponseStarted {
@@ -198,9 +240,9 @@
 		return k.fail(now, req, reason)
 	}
 	if k.mayRetry(now, req) {
-		var target *Target
-		if target, reason = k.place(now, req); target != nil {
-			return k.sendDecision(now, req, target)
+		var d Decision
+		if d, reason = k.trySend(now, req); reason == ReasonNone {
+			return d
 		}
 	}
 	if a.Result == ResultServerError {
@@ -211,6 +253,14 @@
 	return k.fail(now, req, reason)
 }
 
+// sendAgain sends a request of which nothing was sent to another server.
+func (k *Kernel) sendAgain(now time.Time, req *ActiveRequest) Decision {
+	if req.sendAttempts >= maxSends {
+		return k.fail(now, req, ReasonNoServer)
+	}
+	return k.send(now, req)
+}
+
 // countAttempt counts an attempt that ended.
 func (req *ActiveRequest) countAttempt(a Attempt) {
 	req.sendAttempts++
@@ -258,7 +308,7 @@
 // fail ends a request immediately without a response.
 func (k *Kernel) fail(now time.Time, req *ActiveRequest, reason Reason) Decision {
 	d := Decision{Reason: reason, NotRun: !req.mayHaveRun}
-	if req.Account != nil && len(req.steps) == 0 {
+	if req.Account != nil && req.charged && len(req.steps) == 0 {
 		k.quotas.limiter.Refund(req.Account.Name)
 	}
 	if d.NotRun {
@@ -282,8 +332,9 @@
 
 // finish reports the end of a request together with its earlier decisions.
 func (k *Kernel) finish(now time.Time, req *ActiveRequest, d Decision) Decision {
+	d.TryOtherProxy = d.TryOtherProxy || k.callersShouldLeave()
 	e := Event{
-		At: now, Kind: EventRequestEnded, Request: req.ID, Service: req.Service, Object: req.Object, Fingerprint: req.Work, Version: k.Version(),
+		At: now, Kind: EventRequestEnded, From: req.HandoverFrom, Request: req.ID, Service: req.Service, Object: req.Object, Fingerprint: req.Work, Version: k.Version(),
 		Outcome: d.Outcome(), Reason: d.Reason, Duration: now.Sub(req.startedAt), Attempt: (len(req.steps) + 1) / 2,
 		RetryAfter: d.RetryAfter, Pressure: req.shedding.Pressure, Steps: req.steps, Hedge: req.hedgeOutcome(d),
 	}
--- a/internal/kernel/steering/mechanism.go
+++ b/internal/kernel/steering/mechanism.go
@@ -57,6 +57,8 @@
 	// MechanismRegionDemand measures the demand of the regions where servers are busy. Without it,
 	// each region counts by its number of failure domains.
 	MechanismRegionDemand Mechanism = "regional-demand"
+	// MechanismHandover hands requests over to other proxies while this one reaches no server.
+	MechanismHandover Mechanism = "handover"
 )
 
 var (
@@ -82,6 +84,7 @@
 		MechanismLocalCapacity,
 		MechanismRegionDemand,
 		MechanismHedging,
+		MechanismHandover,
 	}
 )
 
--- a/internal/kernel/steering/quarantine.go
+++ b/internal/kernel/steering/quarantine.go
@@ -97,14 +97,14 @@
 		}
 	case ResultConnectionLost:
 		req.connectionsLost++
-		if s.isEligible() && s.absentUntil.IsZero() {
+		if s.isEligible() && s.absentUntil.IsZero() && !k.CutOff() {
 			// A draining server may close the connections of its remaining requests.
 			tracker.RecordConnectionLoss(now, req.Work, s.startID)
 		}
 	case ResultWrongServer:
 		tracker.RecordServerGone(now, s.startID)
 	case ResultUnreachable:
-		if a.Refusing {
+		if a.Refusing && !k.CutOff() {
 			tracker.RecordServerGone(now, s.startID)
 		}
 	}
@@ -133,7 +133,7 @@
 // RecordConnectionRefused records that no process listens at the address of a server.
 func (k *Kernel) RecordConnectionRefused(now time.Time, id string) {
 	k.record(Call{Method: callConnectionRefused, At: now, ID: id})
-	if s := k.servers[id]; s != nil {
+	if s := k.servers[id]; s != nil && !k.CutOff() {
 		k.quarantine.RecordServerGone(now, s.startID)
 		s.recordFailure(now, true)
 	}
--- /dev/null
+++ b/internal/kernel/steering/reachability.go
@@ -0,0 +1,87 @@
+package steering
+
+import (
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/reachability"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
+)
+
+const (
+	// openConnectionsTimeout is how long after the last response a proxy that can't open new
+	// connections to servers still uses the open ones.
+	openConnectionsTimeout = time.Second
+	// cutDetectionTime is the longest time from the beginning of a cut until it is detected.
+	// Servers that failed since then count as sound when the cut ends.
+	cutDetectionTime = 3 * time.Second
+)
+
+// recordReachability records whether the server of an attempt responded.
+func (k *Kernel) recordReachability(now time.Time, a *sentAttempt, result Result) {
+	switch result {
+	case ResultResponded, ResultServerError, ResultRejected, ResultWrongServer:
+		k.reachability.RecordResponse(now, a.id, a.server.id)
+	case ResultUnreachable, ResultConnectionLost:
+		k.reachability.RecordFailure(now, a.id, a.server.id)
+	default:
+		k.reachability.RecordEnd(a.id)
+	}
+}
+
+// CutOff reports whether this proxy is cut off from all servers.
+func (k *Kernel) CutOff() bool { return k.reachability.CutOff() }
+
+// ServersToReach returns the servers that must be probed to find out whether this proxy is cut off
+// from all of them, and whether that is due now. Then the result of the probes must be passed to
+// RecordReachability.
+func (k *Kernel) ServersToReach(now time.Time) (_ []routing.Server, due bool) {
+	if !k.reachability.BeginRound(now) {
+		return nil, false
+	}
+	k.record(Call{Method: callServersToReach, At: now})
+	var list, sameDomain []routing.Server
+	domains := make(map[string]bool)
+	for _, s := range k.servers {
+		switch {
+		case !s.isEligible() || !k.isRouted(s.Service):
+		case !domains[s.Domain] && len(list) < reachability.ProbeCount:
+			domains[s.Domain] = true
+			list = append(list, s.Server)
+		case len(sameDomain) < reachability.ProbeCount:
+			sameDomain = append(sameDomain, s.Server)
+		}
+	}
+	missing := min(reachability.ProbeCount-len(list), len(sameDomain))
+	return append(list, sameDomain[:missing]...), true
+}
+
+// RecordReachability records how many of the probed servers responded.
+func (k *Kernel) RecordReachability(now time.Time, responded, probed int) {
+	k.record(Call{Method: callReachability, At: now, Count: responded, Total: probed})
+	since := k.reachability.ChangedAt()
+	if !k.reachability.EndRound(now, responded, probed) {
+		return
+	}
+	if k.CutOff() {
+		// The connections were not lost because servers crashed.
+		k.quarantine.ForgetConnectionLosses()
+	} else {
+		k.restoreSilentServers(now, since.Add(-cutDetectionTime))
+	}
+	k.config.Observe(Event{Kind: EventReachability, At: now, CutOff: k.CutOff(), Duration: now.Sub(since)})
+}
+
+// restoreSilentServers clears the ejection of servers that did not respond since the given time.
+func (k *Kernel) restoreSilentServers(now, since time.Time) {
+	for _, s := range k.servers {
+		if s.silentAt.After(since) {
+			s.ejections, s.failuresInRow, s.ejectedUntil, s.silentAt = 0, 0, now, time.Time{}
+		}
+	}
+}
+
+// usesOpenConnections reports whether a proxy that is cut off should send a request over the
+// connections that it has, because servers still respond on them.
+func (k *Kernel) usesOpenConnections(now time.Time) bool {
+	return k.reachability.RespondsSince(now.Add(-openConnectionsTimeout))
+}
--- a/internal/kernel/steering/replay.go
+++ b/internal/kernel/steering/replay.go
@@ -19,8 +19,9 @@
 )
 
 var (
-	errNoStart        = errors.New("recording does not begin with the start of a proxy")
-	errUnknownRequest = errors.New("recording continues a request that it does not begin")
+	errNoStart         = errors.New("recording does not begin with the start of a proxy")
+	errUnknownRequest  = errors.New("recording continues a request that it does not begin")
+	errUnknownHandover = errors.New("recording ends a handover that the replay does not begin")
 )
 
 type (
@@ -172,7 +173,11 @@
 		k.HandleSlotRequest(c.At, *c.SlotRequest)
 	case callSlotRelease:
 		k.HandleSlotRelease(c.At, *c.SlotRelease)
-	case callBegin, callEnded, callBeginHedge, callSlotReply, callPoolToken:
+	case callServersToReach:
+		k.ServersToReach(c.At)
+	case callReachability:
+		k.RecordReachability(c.At, c.Count, c.Total)
+	case callBegin, callEnded, callBeginHedge, callSlotReply, callPoolToken, callEndHandover:
 		return r.replayRequest(c)
 	default:
 		return errors.Errorf("do: unknown call %q", c.Method)
@@ -211,6 +216,11 @@
 			d = r.kernel.ApplyPoolToken(c.At, req, *c.Token, c.Flag)
 		case callBeginHedge:
 			d = r.kernel.BeginHedge(c.At, req)
+		case callEndHandover:
+			if req.handover == nil {
+				return errUnknownHandover
+			}
+			d = r.kernel.EndHandover(c.At, req, *c.Handover)
 		default:
 			d = r.kernel.EndAttempt(c.At, req, *c.Attempt)
 		}
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -91,6 +91,9 @@
 	ReasonServerError Reason = "server-failed"
 	// ReasonCallerGone means that the caller disconnected.
 	ReasonCallerGone Reason = "caller-left"
+	// ReasonCutOff means that this proxy is cut off from all servers and no other proxy could take
+	// the request.
+	ReasonCutOff Reason = "cut-off"
 	// ReasonTimeout means that the request reached its deadline: the route's timeout, the caller's
 	// deadline or the shutdown of this proxy.
 	ReasonTimeout Reason = "timeout"
@@ -130,6 +133,11 @@
 		Work quarantine.Fingerprint
 		// Deadline is when the caller stops waiting. It is zero if the caller did not set one.
 		Deadline time.Time
+		// IsHandover is set if another proxy, HandoverFrom, received the request from the caller and
+		// handed it over. AttemptsUsed is the number of its attempts there.
+		IsHandover   bool   `json:",omitempty"`
+		HandoverFrom string `json:",omitempty"`
+		AttemptsUsed int    `json:",omitempty"`
 	}
 
 	// ActiveRequest is the state of a request in progress.
@@ -175,6 +183,14 @@
 		// reachedServers counts the attempts that reached or may have reached a server.
 		reachedServers int
 		sendAttempts   int
+		// unreachableServers counts the attempts of which nothing was sent.
+		unreachableServers int
+		// charged is set while the request is charged to its account.
+		charged bool
+		// handover is the handover in progress, or nil. triedPeers are the proxies that the request
+		// was handed over to.
+		handover   *activeHandover
+		triedPeers []string
 		// slotRequest is the request for a slot at the server's limiter, kept until the slot is
 		// released. slotRank is how many requests ran at the server including this one, or zero if
 		// no slot was requested.
@@ -197,6 +213,8 @@
 
 	// sentAttempt is the state of one attempt.
 	sentAttempt struct {
+		// id is unique in this kernel.
+		id       uint64
 		server   *server
 		sentAt   time.Time
 		expected time.Duration
@@ -215,9 +233,11 @@
 
 	// Decision is the next step of a request.
 	Decision struct {
-		// Server is the server to send the request to. If it and QuotaPool are empty and
+		// Server is the server to send the request to. If it, Handover and QuotaPool are empty and
 		// OtherContinues is not set, the request ends.
 		Server *Target
+		// Handover is the proxy to hand the request over to.
+		Handover *Handover
 		// HedgeAfter is the delay after which BeginHedge must be called if no response has begun to
 		// arrive by then. Zero means never.
 		HedgeAfter time.Duration
@@ -230,7 +250,7 @@
 		// QuotaPool is the proxy from which a token of the account's rate limit must be requested
 		// first. It is empty if no token is needed.
 		QuotaPool string
-		// ReturnResponse ends the request with the response of the attempt.
+		// ReturnResponse ends the request with the response of the attempt or the handover.
 		ReturnResponse bool
 		Reason         Reason
 		// NotRun is set if no server has run the request or will run it.
@@ -294,10 +314,10 @@
 // Outcome returns how the request ended. It is meaningful only if the decision ends the request.
 func (d Decision) Outcome() Outcome {
 	switch {
-	case d.ReturnResponse:
-		return OutcomeDone
 	case d.NotRun:
 		return OutcomeNotRun
+	case d.ReturnResponse:
+		return OutcomeDone
 	}
 	return OutcomeMayHaveRun
 }
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -72,7 +72,10 @@
 	serverUse struct {
 		// respondedAt is the time of the last response.
 		respondedAt time.Time
-		inFlight    int
+		// silentAt is when an attempt last failed without a response, or zero if a request has
+		// succeeded since.
+		silentAt time.Time
+		inFlight int
 		// sentCount counts the requests sent so far.
 		sentCount int
 		// reportedLoad is the number of running and waiting requests that the server last reported,
--- a/internal/kernel/steering/servers.go
+++ b/internal/kernel/steering/servers.go
@@ -109,6 +109,7 @@
 	k.expireSharers(now)
 	k.updateRegionStates(now)
 	k.expireLimiters(now)
+	k.expireHandoverBackoffs(now)
 	k.quotas.tick(now)
 	k.movePinnedShares(now)
 	k.movePlacement(now)
--- a/internal/kernel/steering/status.go
+++ b/internal/kernel/steering/status.go
@@ -16,7 +16,9 @@
 	Status struct {
 		Version  uint64
 		InFlight int
-		Proxies  []Proxy
+		// CutOff is set while this proxy is cut off from all servers.
+		CutOff  bool
+		Proxies []Proxy
 		// Evacuated are the failure domains that take no requests.
 		Evacuated []string
 		// RegionsWithoutProxies are the regions without proxies, whose callers are counted in other
@@ -44,6 +46,8 @@
 		LimitedServers, PausedServers      int
 		DrainingServers                    int
 		RegionsWithoutProxies, Quarantined int
+		// CutOff is 1 while this proxy is cut off from all servers.
+		CutOff int
 	}
 
 	// AccountStatus is a client account and its usage at this proxy.
@@ -90,6 +94,9 @@
 		Version: k.Version(), Proxies: len(k.proxies), Servers: len(k.servers),
 		RegionsWithoutProxies: len(k.regionsWithoutProxies()), Quarantined: len(k.QuarantinedWork(now)),
 	}
+	if k.CutOff() {
+		c.CutOff = 1
+	}
 	for _, s := range k.servers {
 		c.InFlight += s.inFlight
 		if s.backpressure.Limit(now).Set {
@@ -107,7 +114,7 @@
 
 // Status returns a snapshot of the kernel.
 func (k *Kernel) Status(now time.Time) Status {
-	s := Status{Version: k.Version(), Proxies: slices.Clone(k.proxies), Evacuated: k.EvacuatedDomains(), RegionsWithoutProxies: k.regionsWithoutProxies(), MechanismsOff: k.config.Off, ConcurrencyLimits: k.ConcurrencyLimits(now), QuarantinedWork: k.QuarantinedWork(now)}
+	s := Status{Version: k.Version(), CutOff: k.CutOff(), Proxies: slices.Clone(k.proxies), Evacuated: k.EvacuatedDomains(), RegionsWithoutProxies: k.regionsWithoutProxies(), MechanismsOff: k.config.Off, ConcurrencyLimits: k.ConcurrencyLimits(now), QuarantinedWork: k.QuarantinedWork(now)}
 	s.Accounts, s.QuotaProxies, s.QuotaPool = k.accounts(now), max(k.quotas.fleetSize, k.quotas.knownProxies), k.quotas.limiter.Pool()
 	for _, server := range k.servers {
 		s.InFlight += server.inFlight
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -50,9 +50,15 @@
 
 		callerServer *http.Server
 		forwarder    *forwardhttp.Server
-		// callerListener accepts the connections of callers and tracks which are idle.
-		callerListener  *forwardhttp.Listener
-		serverClient    *serverhttp.Client
+		// handoverServer serves the requests that other proxies hand over.
+		handoverServer *http.Server
+		// requestListeners accept the connections of callers and of proxies that hand requests over,
+		// and track which are idle.
+		requestListeners []*forwardhttp.Listener
+		serverClient     *serverhttp.Client
+		// handoverClient sends requests to other proxies.
+		handoverClient  *serverhttp.Client
+		reachability    *reachabilityProber
 		readinessServer *http.Server
 		directoryServer *http.Server
 		operatorServer  *http.Server
@@ -72,6 +78,17 @@
 		// suspicionsChanged wakes runCrashAlerts.
 		suspicionsChanged chan struct{}
 	}
+
+	// listenerSpec is what a listener is opened for.
+	listenerSpec struct {
+		server  *http.Server
+		address netip.AddrPort
+		// share is the fraction of the open-file limit that its connections may use; zero for no
+		// bound.
+		share float64
+		// forwards is set if its requests are forwarded to servers.
+		forwards bool
+	}
 )
 
 // New creates a daemon from validated settings.
@@ -106,12 +123,16 @@
 	memory := bodies.NewMemoryBudget(bodyMemoryLimit(s.MemoryBytes))
 	d.serverClient = serverhttp.NewClient(deps.Names.ServerHeaders, memory, d.now, d.metrics.serverConnectionsOpened.Inc)
 	d.serverClient.CountSentBytes(d.overflow.countSent)
+	d.handoverClient = serverhttp.NewClient(handoverHeaders(deps.Names.ServerHeaders), memory, d.now, func() {})
+	d.handoverClient.CountSentBytes(d.overflow.countSent)
+	d.reachability = newReachabilityProber(d)
 	d.forwarder = &forwardhttp.Server{
+		Name: s.Name, SendToPeer: d.handoverClient.Send,
 		Headers: deps.Names.CallerHeaders, WithKernel: d.withKernel, BodyMemory: memory, Send: d.serverClient.Send, Now: d.now,
 		RequestSlot: d.slots.acquire, ReleaseSlot: d.slots.release, RequestPoolToken: d.quotas.takeToken,
 		IsStopping: d.isStopping, Configured: d.replica.loaded, StartedAt: d.start,
 	}
-	d.callerServer = d.forwarder.HTTPServer()
+	d.callerServer, d.handoverServer = d.forwarder.HTTPServer(), d.forwarder.HandoverServer()
 	d.readinessServer = &http.Server{Handler: d.readinessHandler(), ReadHeaderTimeout: time.Second, IdleTimeout: httpIdleTimeout}
 	d.directoryServer = &http.Server{Handler: d.directoryHandler(), ReadHeaderTimeout: time.Second, IdleTimeout: httpIdleTimeout}
 	return d, nil
@@ -174,31 +195,20 @@
 	if d.settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(d.settings.MemoryBytes)))
 	}
-	failed := make(chan error, 5)
-	for _, l := range []struct {
-		server  *http.Server
-		address netip.AddrPort
-		// share is the fraction of the open-file limit that its connections may use; zero for
-		// no bound.
-		share float64
-	}{
-		{d.callerServer, d.settings.Listen.Callers, callerFileRatio},
-		{d.readinessServer, d.settings.Listen.Readiness, 0},
-		{d.directoryServer, d.settings.Listen.Directory, directoryFileRatio},
-		{d.operatorServer, d.settings.Listen.Operators, 0},
+	failed := make(chan error, 6)
+	for _, l := range []listenerSpec{
+		{server: d.callerServer, address: d.settings.Listen.Callers, share: callerFileRatio, forwards: true},
+		{server: d.handoverServer, address: d.settings.Listen.Handovers, share: handoverFileRatio, forwards: true},
+		{server: d.readinessServer, address: d.settings.Listen.Readiness},
+		{server: d.directoryServer, address: d.settings.Listen.Directory, share: directoryFileRatio},
+		{server: d.operatorServer, address: d.settings.Listen.Operators},
 	} {
-		listener, err := net.Listen("tcp", l.address.String())
-		if err != nil {
-			return errors.Wrap(err, "listen")
+		if l.server == d.handoverServer && !l.address.IsValid() {
+			continue
 		}
-		if l.share > 0 {
-			limited := forwardhttp.LimitConnections(listener, int(l.share*openFileLimit()), d.metrics.callerConnectionsRefused.Inc)
-			if l.server == d.callerServer {
-				d.callerListener, d.callerServer.ConnState = limited, limited.RecordState
-				d.forwarder.EnablePipelining(limited)
-				limited.CountSentBytes(d.overflow.countSent)
-			}
-			listener = limited
+		listener, err := d.listen(l)
+		if err != nil {
+			return err
 		}
 		go func() { failed <- l.server.Serve(listener) }()
 	}
@@ -233,6 +243,27 @@
 	}
 }
 
+// listen opens a listener.
+func (d *Daemon) listen(l listenerSpec) (net.Listener, error) {
+	listener, err := net.Listen("tcp", l.address.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	if l.share == 0 {
+		return listener, nil
+	}
+	limited := forwardhttp.LimitConnections(listener, int(l.share*openFileLimit()), d.metrics.callerConnectionsRefused.Inc)
+	if l.forwards {
+		l.server.ConnState = limited.RecordState
+		limited.CountSentBytes(d.overflow.countSent)
+		d.requestListeners = append(d.requestListeners, limited)
+	}
+	if l.server == d.callerServer {
+		d.forwarder.EnablePipelining(limited)
+	}
+	return limited, nil
+}
+
 // peerHandlers returns the handlers of the calls that other proxies make.
 func (d *Daemon) peerHandlers(ctx context.Context) peerdrpc.SyncHandlers {
 	return peerdrpc.SyncHandlers{
@@ -269,6 +300,7 @@
 				grants = k.TakeSlotReplies()
 			})
 			d.slots.sendReplies(grants)
+			d.reachability.probeIfNeeded(ctx)
 		}
 	}
 }
--- a/internal/proxy/forward/decisionlog.go
+++ b/internal/proxy/forward/decisionlog.go
@@ -85,7 +85,7 @@
 	}
 	if e.Kind != steering.EventRequestEnded {
 		j.record(e)
-		klog.InfoS(string(e.Kind), "service", e.Service, "server", e.Server, "failure-domain", e.Domain, "region", e.Region, "elsewhere", e.CallersElsewhere, "route", e.Route, "share", e.Share, "measured", e.Measured,
+		klog.InfoS(string(e.Kind), "service", e.Service, "server", e.Server, "failure-domain", e.Domain, "region", e.Region, "elsewhere", e.CallersElsewhere, "route", e.Route, "share", e.Share, "measured", e.Measured, "cut-off", e.CutOff,
 			"configuration", e.Version, "draining", e.Draining, "cause", e.Result.String(), "for", e.Duration.String(), "limit", e.Limit.String(), "work", e.Fingerprint.String(), "ends", e.Crashes, "works", formatFingerprints(e.RunningFingerprints))
 		return
 	}
@@ -102,16 +102,19 @@
 	}
 	j.record(e)
 	klog.InfoS(string(e.Kind), "request", e.Request, "route", e.Route, "account", e.Account, "work", e.Fingerprint.String(), "configuration", e.Version,
-		"outcome", e.Outcome.String(), "reason", string(e.Reason), "took", e.Duration.String(), "attempts", e.Attempt, "tried", attemptedServers(e.Steps), "hedge", string(e.Hedge),
+		"from", e.From, "outcome", e.Outcome.String(), "reason", string(e.Reason), "took", e.Duration.String(), "attempts", e.Attempt, "tried", attemptedServers(e.Steps), "hedge", string(e.Hedge),
 		"come-back", e.RetryAfter.String(), "pressure", e.Pressure, "wait", e.ExpectedWait.String(), "wait-limit", e.WaitLimit.String(), "shed-ratio", e.ShedRatio, "account-shed-ratio", e.AccountShedRatio, "target", e.Target.String(), "cause", string(e.Cause), "server-state", string(e.State))
 }
 
-// attemptedServers lists the servers that a request was sent to, with the result of each attempt.
+// attemptedServers lists the servers and proxies that a request was sent to, with the results.
 func attemptedServers(steps []steering.Event) string {
 	var list []string
 	for _, s := range steps {
-		if s.Kind == steering.EventAttemptEnded {
+		switch s.Kind {
+		case steering.EventAttemptEnded:
 			list = append(list, s.Server+" "+s.Result.String())
+		case steering.EventHandoverEnded:
+			list = append(list, "handed over to "+s.Server+" "+s.Result.String())
 		}
 	}
 	return strings.Join(list, ", ")
@@ -119,7 +122,12 @@
 
 // writeStep logs a decision about a request that ended the given time later.
 func (j *decisionLog) writeStep(s steering.Event, ago time.Duration) {
-	if s.Kind == steering.EventRequestSent {
+	switch s.Kind {
+	case steering.EventHandedOver, steering.EventHandoverEnded:
+		klog.InfoS(string(s.Kind), "request", s.Request, "work", s.Fingerprint.String(), "proxy", s.Server, "attempt", s.Attempt,
+			"result", s.Result.String(), "reason", string(s.Reason), "took", s.Duration.String(), "ago", ago.String(), "error", errorText(s.Err))
+		return
+	case steering.EventRequestSent:
 		klog.InfoS(string(s.Kind), "request", s.Request, "route", s.Route, "configuration", s.Version, "service", s.Service,
 			"server", s.Server, "failure-domain", s.Domain, "object", s.Object, "work", s.Fingerprint.String(), "home-rank", s.HomeRank, "warm", s.Warm, "attempt", s.Attempt, "hedge", s.IsHedge,
 			"expected", s.Expected.String(), "load", s.Load, "wait", s.ExpectedWait.String(), "server-state", string(s.State), "load-age", formatAge(s.LoadAge), "work-factor", s.WorkFactor, "ago", ago.String())
--- a/internal/proxy/forward/members.go
+++ b/internal/proxy/forward/members.go
@@ -31,6 +31,10 @@
 		Operators netip.AddrPort `json:"operators"`
 		// LinkMbps is the bandwidth of the VM's link, in Mbit/s; zero if unknown.
 		LinkMbps int `json:"link-mbps,omitempty"`
+		// Handovers is where the proxy takes requests from others; invalid if it takes none.
+		Handovers netip.AddrPort `json:"handovers,omitzero"`
+		// CutOff is set while the proxy is cut off from all servers.
+		CutOff bool `json:"cut-off,omitempty"`
 		// Overflow is the level at which lookups return further proxies beside this one.
 		Overflow directory.Level `json:"overflow,omitempty"`
 		Leaving  bool            `json:"leaving,omitempty"`
@@ -141,7 +145,10 @@
 	f.proxiesSetAt, f.proxiesStale = f.daemon.now(), false
 	list := make([]steering.Proxy, 0, len(f.members))
 	for _, m := range f.members {
-		list = append(list, steering.Proxy{Name: m.Name, Domain: m.Domain, Region: m.Region, Address: m.Callers, Leaving: m.Leaving, LinkMbps: m.LinkMbps, Overflow: m.Overflow})
+		list = append(list, steering.Proxy{
+			Name: m.Name, Domain: m.Domain, Region: m.Region, Address: m.Callers, Leaving: m.Leaving, LinkMbps: m.LinkMbps, Overflow: m.Overflow,
+			CutOff: m.CutOff, Handovers: m.Handovers,
+		})
 	}
 	f.daemon.withKernel(func(k *steering.Kernel, now time.Time) { k.SetProxies(now, list) })
 }
@@ -178,7 +185,7 @@
 	defer f.mu.Unlock()
 	list := make([]steeringhttp.Proxy, 0, len(f.members))
 	for _, m := range f.members {
-		list = append(list, steeringhttp.Proxy{Name: m.Name, Domain: m.Domain, Region: m.Region, OperatorAddress: m.Operators, Leaving: m.Leaving, LinkMbps: m.LinkMbps, Overflow: int(m.Overflow)})
+		list = append(list, steeringhttp.Proxy{Name: m.Name, Domain: m.Domain, Region: m.Region, OperatorAddress: m.Operators, Leaving: m.Leaving, CutOff: m.CutOff, LinkMbps: m.LinkMbps, Overflow: int(m.Overflow)})
 	}
 	slices.SortFunc(list, func(a, b steeringhttp.Proxy) int { return strings.Compare(a.Name, b.Name) })
 	return list
--- a/internal/proxy/forward/metrics.go
+++ b/internal/proxy/forward/metrics.go
@@ -23,6 +23,7 @@
 		set                      *metrics.Set
 		serverConnectionsOpened  *metrics.Counter
 		callerConnectionsRefused *metrics.Counter
+		handoversReceived        *metrics.Counter
 		fullCopiesSent           *metrics.Counter
 		fullCopiesReceived       *metrics.Counter
 		replicaAge               *metrics.Histogram
@@ -53,6 +54,7 @@
 		set:                      set,
 		serverConnectionsOpened:  set.NewCounter("gypsumquay_server_connections_opened_total"),
 		callerConnectionsRefused: set.NewCounter("gypsumquay_caller_connections_refused_total"),
+		handoversReceived:        set.NewCounter("gypsumquay_handovers_received_total"),
 		fullCopiesSent:           set.NewCounter(`gypsumquay_full_copies_total{direction="sent"}`),
 		fullCopiesReceived:       set.NewCounter(`gypsumquay_full_copies_total{direction="received"}`),
 		replicaAge:               set.NewHistogram("gypsumquay_store_copy_age_at_exchange_seconds"),
@@ -74,13 +76,25 @@
 	}
 	m.recordRequest(e)
 	m.recordHedge(e)
+	if e.From != "" {
+		m.handoversReceived.Inc()
+	}
 	for _, s := range e.Steps {
-		if s.Kind == steering.EventAttemptEnded {
+		switch s.Kind {
+		case steering.EventAttemptEnded:
 			m.recordAttempt(attemptLabels{e.Service, s.Result})
+		case steering.EventHandoverEnded:
+			m.recordHandover(s)
 		}
 	}
 }
 
+// recordHandover counts a handover to another proxy. Handovers are rare, so the counter is looked up
+// by name.
+func (m *proxyMetrics) recordHandover(e steering.Event) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("gypsumquay_handovers_sent_total{result=%q,reason=%q}", e.Result.String(), string(e.Reason))).Inc()
+}
+
 func (m *proxyMetrics) recordRequest(e steering.Event) {
 	labels := requestLabels{e.Route, e.Service, e.Outcome, e.Reason}
 	counter := m.requests[labels]
@@ -162,6 +176,7 @@
 		"gypsumquay_pausing_servers":         func(c steering.Counts) int { return c.PausedServers },
 		"gypsumquay_leaving_servers":         func(c steering.Counts) int { return c.DrainingServers },
 		"gypsumquay_regions_without_proxies": func(c steering.Counts) int { return c.RegionsWithoutProxies },
+		"gypsumquay_cut_off_from_servers":    func(c steering.Counts) int { return c.CutOff },
 		"gypsumquay_condemned_works":         func(c steering.Counts) int { return c.Quarantined },
 	} {
 		m.set.NewGauge(name, func() float64 { return float64(read(counts())) })
--- a/internal/proxy/forward/registrar.go
+++ b/internal/proxy/forward/registrar.go
@@ -117,7 +117,7 @@
 	k.writtenLimits = k.replica.daemon.learnedLimits()
 	data, err := json.Marshal(proxyEntry{
 		Name: s.Name, Domain: s.Domain, Region: s.Region, Callers: s.Listen.Callers, Peers: s.Listen.Peers,
-		Operators: s.Listen.Operators, LinkMbps: s.LinkMbps, Overflow: k.replica.daemon.overflow.currentLevel(), Started: k.replica.daemon.startMillis(), Held: k.writtenLimits,
+		Operators: s.Listen.Operators, Handovers: s.Listen.Handovers, CutOff: k.replica.daemon.reachability.published(), LinkMbps: s.LinkMbps, Overflow: k.replica.daemon.overflow.currentLevel(), Started: k.replica.daemon.startMillis(), Held: k.writtenLimits,
 	})
 	if err != nil {
 		return errors.Wrap(err, "encode own proxy entry")
--- a/internal/proxy/forward/resourcelimits.go
+++ b/internal/proxy/forward/resourcelimits.go
@@ -21,6 +21,8 @@
 	// store need the rest.
 	callerFileRatio    = 0.6
 	directoryFileRatio = 0.2
+	// handoverFileRatio is the same for connections of proxies that hand requests over.
+	handoverFileRatio = 0.1
 	// defaultOpenFiles applies if the limit can't be read; maxOpenFiles caps a larger limit.
 	defaultOpenFiles = 1024
 	maxOpenFiles     = 1 << 20
--- a/internal/proxy/forward/settings.go
+++ b/internal/proxy/forward/settings.go
@@ -58,6 +58,8 @@
 		Peers     netip.AddrPort
 		Directory netip.AddrPort
 		Operators netip.AddrPort
+		// Handovers is where other proxies hand requests over. Without it, none do.
+		Handovers netip.AddrPort
 	}
 
 	// Bounds are the limits that operators set. They may change while the process runs.
--- a/internal/proxy/forward/shutdown.go
+++ b/internal/proxy/forward/shutdown.go
@@ -49,13 +49,24 @@
 	klog.InfoS("stopped", "took", d.now().Sub(start).String())
 }
 
+// closeIdleConnections closes the idle connections of callers and of other proxies, and returns how
+// many are left.
+func (d *Daemon) closeIdleConnections() (remaining int) {
+	for _, l := range d.requestListeners {
+		remaining += l.CloseIdleConnections()
+	}
+	return remaining
+}
+
 // drainConnections stops accepting connections, closes idle ones, and waits for the others to
 // become idle.
 func (d *Daemon) drainConnections(ctx context.Context) error {
-	if err := d.callerListener.Close(); err != nil {
-		klog.InfoS("closing the listener for callers failed", "error", err.Error())
+	for _, l := range d.requestListeners {
+		if err := l.Close(); err != nil {
+			klog.InfoS("closing a listener for requests failed", "address", l.Addr().String(), "error", err.Error())
+		}
 	}
-	for d.callerListener.CloseIdleConnections() > 0 {
+	for d.closeIdleConnections() > 0 {
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
