Do not claim to know the removals before a full read of the store

A server, proxy or evacuation that a proxy had learned of from a peer could stay in its copy for good after the store had removed it: its callers were sent to a backend server that was gone.

Cause: a copy that had been read as a whole passed on changes after an earlier revision as complete, although keys that were added and removed in between were in neither of its states. A peer between the two revisions that had such a key never heard of its removal. Found by a search over copies that exchange changes in any order; TestPeerLearnsRemovalsFromBeforeFullRead failed before.

A full read now resets the revision from which removals are known. Peers behind it get the changes with the digest of all keys, as they do after a gap before, and ask for everything if the digest does not match.

--- a/internal/kernel/replica/copy.go
+++ b/internal/kernel/replica/copy.go
@@ -222,9 +222,8 @@
 		c.recordRemoval(now, gone)
 		removed = append(removed, gone)
 	}
-	if c.removalsSince == 0 {
-		c.removalsSince = d.Revision
-	}
+	// Keys that were added and removed since the copy's last change are missing in both.
+	c.removalsSince = d.Revision
 	return removed
 }
 
--- a/internal/kernel/replica/replica_test.go
+++ b/internal/kernel/replica/replica_test.go
@@ -275,3 +275,20 @@
 		t.Errorf("peers get %v, want b as definite", d.Entries)
 	}
 }
+
+// A copy that was read as a whole does not know of keys that were added and removed in between. A
+// peer that had such a key kept it for good.
+func TestPeerLearnsRemovalsFromBeforeFullRead(t *testing.T) {
+	reader, peer := NewCopy(), NewCopy()
+	for _, c := range []*Copy{reader, peer} {
+		c.Apply(start, Delta{Full: true, Revision: 40, Entries: []Entry{{Key: "a", Revision: 40}}})
+	}
+	peer.Apply(start, Delta{Base: 40, Revision: 50, Entries: []Entry{{Key: "b", Revision: 45}}})
+	reader.Apply(start, Delta{Full: true, Revision: 62, Entries: []Entry{{Key: "a", Revision: 40}}})
+	for range maxMismatches + 1 {
+		peer.Apply(start, reader.Since(start, peer.RequestRevision()))
+	}
+	if _, present := peer.entries["b"]; present {
+		t.Error("got a key that the store does not have, want it removed")
+	}
+}
