Follow the store into a new history after it returned from an older copy

After the store had come back from a copy some seconds old, configurations were in force late (handled by version 22, version 26 acknowledged more than 2500 ms before) and a server that was leaving got a request 2750 ms after it had said so.

Cause: a copy compared revisions as if they only grew. It ignored all that the store said until the store's revisions had passed its own, and a key whose new revision was below the lost one for longer.

Positions now hold the era that the store sends in each answer and the revision within it. Only a full copy leads into a later era; what is older is ignored. What writers wrote is ordered by their own counts: versions, starts, sequences. Entries that the copy lacks are waited for, and what this proxy wrote is written again. Positions compare in the right order wherever revisions did, so no comparison was left out.

--- a/internal/adapter/peerdrpc/sync.go
+++ b/internal/adapter/peerdrpc/sync.go
@@ -92,7 +92,8 @@
 
 func encodeSync(m SyncMessage) (*peerpb.SyncMessage, error) {
 	out := &peerpb.SyncMessage{
-		From: m.From, StartedUnixMilli: m.StartMillis, Leaving: m.Leaving, Revision: m.Revision, AgeMilli: m.Age.Milliseconds(), Base: m.Base, Whole: m.Full,
+		From: m.From, StartedUnixMilli: m.StartMillis, Leaving: m.Leaving, Revision: m.Revision.Revision(), AgeMilli: m.Age.Milliseconds(), Base: m.Base.Revision(), Whole: m.Full,
+		Era:    m.Revision.Era(),
 		Unsure: m.MayMissRemovals, Keys: m.KeyDigest,
 	}
 	for _, a := range m.OtherPeers {
@@ -104,7 +105,7 @@
 	out.Suspicions, out.Signals = encodeQuarantineReports(m.QuarantineReports), encodeBackpressureReports(m.BackpressureReports)
 	entries := make([]*peerpb.Entry, 0, len(m.Entries))
 	for _, e := range m.Entries {
-		entries = append(entries, &peerpb.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Removed: e.Removed, Doubtful: e.Tentative})
+		entries = append(entries, &peerpb.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision.Revision(), Removed: e.Removed, Doubtful: e.Tentative})
 	}
 	if m.Size() < minCompressBytes {
 		out.Entries = entries
@@ -117,7 +118,8 @@
 
 func decodeSync(in *peerpb.SyncMessage) (SyncMessage, error) {
 	m := SyncMessage{From: in.GetFrom(), StartMillis: in.GetStartedUnixMilli(), Leaving: in.GetLeaving()}
-	m.Base, m.Revision, m.Full = in.GetBase(), in.GetRevision(), in.GetWhole()
+	era := in.GetEra()
+	m.Base, m.Revision, m.Full = replica.NewPosition(era, in.GetBase()), replica.NewPosition(era, in.GetRevision()), in.GetWhole()
 	m.MayMissRemovals, m.KeyDigest = in.GetUnsure(), in.GetKeys()
 	m.Age = time.Duration(in.GetAgeMilli()) * time.Millisecond
 	for _, text := range in.GetOthers() {
@@ -145,7 +147,7 @@
 	}
 	for _, e := range entries {
 		m.Entries = append(m.Entries, replica.Entry{
-			Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Removed: e.GetRemoved(), Tentative: e.GetDoubtful(),
+			Key: e.GetKey(), Value: e.GetValue(), Revision: replica.NewPosition(era, e.GetRevision()), Removed: e.GetRemoved(), Tentative: e.GetDoubtful(),
 		})
 	}
 	return m, nil
--- a/internal/adapter/peerdrpc/sync_test.go
+++ b/internal/adapter/peerdrpc/sync_test.go
@@ -19,11 +19,11 @@
 
 // registrationSync returns a full copy of the store with the registrations of n servers.
 func registrationSync(n int) SyncMessage {
-	m := SyncMessage{From: "proxy-a", Delta: replica.Delta{Revision: uint64(n), Full: true, Age: time.Second, KeyDigest: 1 << 63}}
+	m := SyncMessage{From: "proxy-a", Delta: replica.Delta{Revision: replica.Position(n), Full: true, Age: time.Second, KeyDigest: 1 << 63}}
 	r := rand.New(rand.NewPCG(1, 1))
 	for i := range n {
 		m.Entries = append(m.Entries, replica.Entry{
-			Key: fmt.Sprintf("servers/i-%010x", r.Uint64()>>24), Revision: uint64(i + 1),
+			Key: fmt.Sprintf("servers/i-%010x", r.Uint64()>>24), Revision: replica.Position(i + 1),
 			Value: fmt.Appendf(nil, `{"service":"s%d","address":"10.%d.%d.%d:%d","failure-domain":"north-%d","version":"v1","slots":4,"state":"ready","cold":"0ms","sequence":%d}`,
 				i%4, 1+i%3, 64+r.IntN(4), r.IntN(250), 8000+r.IntN(1000), i%6, 1+r.IntN(40)),
 		})
--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -28,8 +28,10 @@
 		ConfigurationVersion uint64 `json:"configuration-version"`
 		ReplicaRevision      uint64 `json:"copy-revision"`
 		ReplicaAge           string `json:"copy-age"`
-		InFlight             int    `json:"in-flight"`
-		Stopping             bool   `json:"stopping"`
+		// StoreEra counts the returns of the store from an older copy, as the store reports them.
+		StoreEra uint64 `json:"store-era,omitempty"`
+		InFlight int    `json:"in-flight"`
+		Stopping bool   `json:"stopping"`
 		// CutOff is set while the proxy is cut off from all backend servers.
 		CutOff           bool     `json:"cut-off,omitempty"`
 		EvacuatedDomains []string `json:"evacuated-failure-domains,omitempty"`
--- a/internal/kernel/replica/change_log.go
+++ b/internal/kernel/replica/change_log.go
@@ -25,12 +25,12 @@
 	// keyChange is one change of a key. It is outdated once the key has changed again.
 	keyChange struct {
 		key      string
-		revision uint64
+		revision Position
 	}
 )
 
 // add adds a change. sort must be called before the next call of after.
-func (l *changeLog) add(key string, revision uint64) {
+func (l *changeLog) add(key string, revision Position) {
 	l.list = append(l.list, keyChange{key, revision})
 }
 
@@ -49,8 +49,8 @@
 }
 
 // after returns the changes after a revision.
-func (l *changeLog) after(revision uint64) []keyChange {
-	i, _ := slices.BinarySearchFunc(l.list, revision, func(k keyChange, r uint64) int {
+func (l *changeLog) after(revision Position) []keyChange {
+	i, _ := slices.BinarySearchFunc(l.list, revision, func(k keyChange, r Position) int {
 		if k.revision <= r {
 			return -1
 		}
--- a/internal/kernel/replica/change_log_test.go
+++ b/internal/kernel/replica/change_log_test.go
@@ -14,17 +14,17 @@
 	c := NewCopy()
 	c.Apply(start, Delta{Full: true, Revision: 1, Entries: []Entry{{Key: "k", Revision: 1}}})
 	last := map[string]Entry{"k": {Key: "k", Revision: 1}}
-	for revision := uint64(2); revision < 5000; revision += 3 {
+	for revision := Position(2); revision < 5000; revision += 3 {
 		d := Delta{Base: c.Revision(), Revision: revision + 2}
 		for _, r := range random.Perm(3) {
-			e := Entry{Key: fmt.Sprint(random.IntN(300)), Revision: revision + uint64(r), Removed: random.IntN(3) == 0}
+			e := Entry{Key: fmt.Sprint(random.IntN(300)), Revision: revision + Position(r), Removed: random.IntN(3) == 0}
 			d.Entries = append(d.Entries, e)
 			if last[e.Key].Revision < e.Revision {
 				last[e.Key] = e
 			}
 		}
 		c.Apply(start, d)
-		since := revision - min(revision-1, random.Uint64N(100))
+		since := revision - min(revision-1, Position(random.Uint64N(100)))
 		got, want := make(map[string]Entry), make(map[string]Entry)
 		for _, e := range c.Since(start, since).Entries {
 			got[e.Key] = e
@@ -48,14 +48,14 @@
 func BenchmarkSince(b *testing.B) {
 	for _, keys := range []int{1000, 11000, 22000} {
 		b.Run(fmt.Sprint(keys), func(b *testing.B) {
-			c, d := NewCopy(), Delta{Full: true, Revision: uint64(keys)}
+			c, d := NewCopy(), Delta{Full: true, Revision: Position(keys)}
 			for i := range keys {
-				d.Entries = append(d.Entries, Entry{Key: fmt.Sprintf("servers/%d", i), Value: make([]byte, 250), Revision: uint64(i + 1)})
+				d.Entries = append(d.Entries, Entry{Key: fmt.Sprintf("servers/%d", i), Value: make([]byte, 250), Revision: Position(i + 1)})
 			}
 			c.Apply(start, d)
 			b.ReportAllocs()
 			for b.Loop() {
-				if got := len(c.Since(time.Time{}, uint64(keys)-1).Entries); got != 1 {
+				if got := len(c.Since(time.Time{}, Position(keys)-1).Entries); got != 1 {
 					b.Fatalf("got %d changes, want 1", got)
 				}
 			}
--- a/internal/kernel/replica/copy.go
+++ b/internal/kernel/replica/copy.go
@@ -4,6 +4,7 @@
 package replica
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"time"
@@ -22,11 +23,11 @@
 )
 
 type (
-	// Entry is the state of a key as of the revision of its last change.
+	// Entry is the state of a key as of its last change.
 	Entry struct {
 		Key      string
 		Value    []byte
-		Revision uint64
+		Revision Position
 		Removed  bool
 		// Tentative is set if a removal may be of an entry that expired during a store outage and
 		// may be back soon. It is decided by the proxy that reads the store; the others pass it
@@ -36,8 +37,8 @@
 
 	// Delta is a set of changes after Base up to Revision, or all entries if Full.
 	Delta struct {
-		Base     uint64
-		Revision uint64
+		Base     Position
+		Revision Position
 		Full     bool
 		Entries  []Entry
 		// MayMissRemovals is set if removals after Base may be missing. The changes are complete
@@ -51,15 +52,15 @@
 		Age time.Duration
 	}
 
-	// Copy is a complete copy of the store as of a revision. The zero revision means that it
-	// hasn't received anything yet.
+	// Copy is a complete copy of the store as of a position. Position zero means that it hasn't
+	// received anything yet.
 	Copy struct {
-		revision    uint64
+		revision    Position
 		confirmedAt time.Time
 		entries     map[string]Entry
 		removals    map[string]removal
 		// removalsSince is the revision after which all removals are kept.
-		removalsSince uint64
+		removalsSince Position
 		// changes lists the changes of entries and removals, so that those after a revision are
 		// found without a search through all keys.
 		changes changeLog
@@ -74,7 +75,9 @@
 
 	// removal is the record of a removed key.
 	removal struct {
-		revision uint64
+		revision Position
+		// entry is the position of the removed entry, zero if there was none.
+		entry Position
 		// tentativeUntil is until when the removal is passed on as tentative.
 		tentativeUntil time.Time
 	}
@@ -85,8 +88,14 @@
 	return &Copy{entries: make(map[string]Entry), removals: make(map[string]removal)}
 }
 
-// Revision returns the revision up to which the copy is complete.
-func (c *Copy) Revision() uint64 { return c.revision }
+// Revision returns the position up to which the copy is complete.
+func (c *Copy) Revision() Position { return c.revision }
+
+// Get returns the entry of a key.
+func (c *Copy) Get(key string) (Entry, bool) {
+	e, present := c.entries[key]
+	return e, present
+}
 
 // Age returns the time since the copy was known to be the store's state.
 func (c *Copy) Age(now time.Time) time.Duration {
@@ -100,10 +109,11 @@
 func (c *Copy) ConfirmedAt() time.Time { return c.confirmedAt }
 
 // Apply applies a delta and returns the entries that changed, removals last. It rejects a delta
-// that begins after the copy's revision, because that leaves a gap, and one with missing
-// removals.
+// that begins after the copy's position, because that leaves a gap, one with missing removals, and
+// changes in a later era: they do not tell which entries of the era before are gone. It ignores what
+// is older than the copy.
 func (c *Copy) Apply(now time.Time, d Delta) ([]Entry, bool) {
-	if !d.Full && (c.revision == 0 || d.Base > c.revision) {
+	if !d.Full && (c.revision == 0 || d.Base > c.revision || d.Revision.Era() > c.revision.Era()) {
 		return nil, false
 	}
 	if d.Revision < c.revision {
@@ -128,6 +138,7 @@
 		}
 	}
 	if d.Full {
+		d.TentativeRemovals = d.TentativeRemovals || c.beginsEra(d)
 		removed = append(removed, c.prune(now, d, last)...)
 	}
 	c.changes.sort(c.isCurrent)
@@ -138,6 +149,12 @@
 	return append(changed, removed...), true
 }
 
+// beginsEra reports whether a delta leads to a later era than that of the copy. An entry that is
+// missing then may have been lost with the store's latest changes and be written again.
+func (c *Copy) beginsEra(d Delta) bool {
+	return c.revision != 0 && d.Revision.Era() > c.revision.Era()
+}
+
 // lastOfEach returns the index of each key's last entry. A watch reports every step of a key that
 // was removed and created again. If all steps were applied, with removals last, a live server
 // would stay removed.
@@ -153,7 +170,7 @@
 
 // RequestRevision returns the revision after which the copy requests changes from peers: its own
 // revision, or zero to request a full copy.
-func (c *Copy) RequestRevision() uint64 {
+func (c *Copy) RequestRevision() Position {
 	if c.mismatches >= maxMismatches {
 		return 0
 	}
@@ -188,17 +205,29 @@
 	}
 	c.size -= c.entries[e.Key].size()
 	if !e.Removed {
+		isNews := c.isNews(e)
 		delete(c.removals, e.Key)
 		c.entries[e.Key] = e
 		c.size += e.size()
 		c.changes.add(e.Key, e.Revision)
-		return true
+		return isNews
 	}
-	delete(c.entries, e.Key)
 	c.recordRemoval(now, e)
+	delete(c.entries, e.Key)
 	return known
 }
 
+// isNews reports whether an entry changes the state of its key. In a later era than before it does
+// not if it has the same value, or if it is an entry that was removed and is back only because the
+// store lost the removal.
+func (c *Copy) isNews(e Entry) bool {
+	if old, known := c.entries[e.Key]; known {
+		return old.Revision.SameEra(e.Revision) || !bytes.Equal(old.Value, e.Value)
+	}
+	r, wasRemoved := c.removals[e.Key]
+	return !wasRemoved || r.revision.SameEra(e.Revision) || r.entry.Revision() != e.Revision.Revision()
+}
+
 // isCurrent reports whether a change is the last one of its key.
 func (c *Copy) isCurrent(l keyChange) bool {
 	if e, present := c.entries[l.key]; present {
@@ -215,11 +244,11 @@
 		if _, stays := held[key]; stays || e.Revision > d.Revision {
 			continue
 		}
-		delete(c.entries, key)
 		c.size -= e.size()
 		c.keyDigest ^= xxhash.Sum64String(key)
 		gone := Entry{Key: key, Revision: d.Revision, Removed: true, Tentative: d.TentativeRemovals}
 		c.recordRemoval(now, gone)
+		delete(c.entries, key)
 		removed = append(removed, gone)
 	}
 	// Keys that were added and removed since the copy's last change are missing in both.
@@ -227,12 +256,13 @@
 	return removed
 }
 
+// recordRemoval records the removal of a key whose entry is still known.
 func (c *Copy) recordRemoval(now time.Time, e Entry) {
 	if len(c.removals) >= maxRemovals {
 		clear(c.removals)
 		c.removalsSince = e.Revision
 	}
-	r := removal{revision: e.Revision}
+	r := removal{revision: e.Revision, entry: c.entries[e.Key].Revision}
 	if e.Tentative {
 		r.tentativeUntil = now.Add(tentativeFor)
 	}
@@ -246,17 +276,23 @@
 	if !known || !e.Removed || e.Tentative || e.Revision < r.revision || !now.Before(r.tentativeUntil) {
 		return false
 	}
-	c.removals[e.Key] = removal{revision: r.revision}
+	c.removals[e.Key] = removal{revision: r.revision, entry: r.entry}
 	return true
 }
 
+// NeedsFullCopy reports whether a copy at the given position needs all entries: it is empty, or of an
+// era before this one.
+func (c *Copy) NeedsFullCopy(revision Position) bool {
+	return revision == 0 || revision.Era() < c.revision.Era()
+}
+
 // Since returns the changes that a copy at the given revision lacks. One that lags beyond the
 // removals kept gets the changes with the key digest: usually it lacks no removal, and a full
 // copy would be a thousand times the size.
-func (c *Copy) Since(now time.Time, revision uint64) Delta {
+func (c *Copy) Since(now time.Time, revision Position) Delta {
 	d := Delta{
 		Base: revision, Revision: c.revision, Age: c.Age(now),
-		Full: revision == 0, MayMissRemovals: revision < c.removalsSince, KeyDigest: c.keyDigest,
+		Full: c.NeedsFullCopy(revision), MayMissRemovals: revision < c.removalsSince, KeyDigest: c.keyDigest,
 	}
 	if d.Full {
 		d.Entries = slices.AppendSeq(make([]Entry, 0, len(c.entries)), maps.Values(c.entries))
--- a/internal/kernel/replica/replica_test.go
+++ b/internal/kernel/replica/replica_test.go
@@ -15,7 +15,7 @@
 func fullRead(keys ...string) Delta {
 	d := Delta{Revision: 10, Full: true}
 	for i, key := range keys {
-		d.Entries = append(d.Entries, Entry{Key: key, Revision: uint64(i + 1), Value: []byte(key)})
+		d.Entries = append(d.Entries, Entry{Key: key, Revision: Position(i + 1), Value: []byte(key)})
 	}
 	return d
 }
@@ -41,7 +41,7 @@
 	if _, ok := c.Apply(start, Delta{Base: 12, Revision: 13, Entries: []Entry{{Key: "b", Revision: 13}}}); ok {
 		t.Error("a delta from revision 12 was applied to a copy at 10")
 	}
-	if got, want := c.Revision(), uint64(10); got != want {
+	if got, want := c.Revision(), Position(10); got != want {
 		t.Errorf("revision is %d, want %d", got, want)
 	}
 }
@@ -98,7 +98,7 @@
 	a, b := NewCopy(), NewCopy()
 	a.Apply(start, fullRead("a", "b"))
 	b.Apply(start, a.Since(start, 0))
-	revision := uint64(10)
+	revision := Position(10)
 	for i := range maxRemovals + 10 {
 		key := fmt.Sprintf("server-%d", i)
 		a.Apply(start, Delta{Base: revision, Revision: revision + 2, Entries: []Entry{
--- a/internal/kernel/routing/table.go
+++ b/internal/kernel/routing/table.go
@@ -91,6 +91,9 @@
 		// Started distinguishes incarnations with the same ID. It is read from the server's own
 		// clock, and is zero if the server does not report it.
 		Started time.Time
+		// Sequence counts the writes of the entry in this incarnation. It orders the states that a
+		// server has registered even if the store returns an older one.
+		Sequence uint64
 	}
 )
 
--- a/internal/kernel/steering/server.go
+++ b/internal/kernel/steering/server.go
@@ -164,9 +164,13 @@
 	return !s.removed && !s.Draining && !s.unreadable && !s.backpressure.Draining()
 }
 
-// isNewerThan reports whether a registration belongs to an earlier start of the server.
+// isNewerThan reports whether a registration belongs to an earlier start of the server, or is an
+// earlier one of the same start: the store may return from a copy that lacks the latest ones.
 func (s *server) isNewerThan(r routing.Server) bool {
-	return !r.Started.IsZero() && r.Started.Before(s.Started)
+	if r.Started.IsZero() {
+		return false
+	}
+	return r.Started.Before(s.Started) || r.Started.Equal(s.Started) && r.Sequence < s.Sequence
 }
 
 // usable reports whether the server may get a request now.
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/steeringhttp"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/sleep"
@@ -217,7 +218,7 @@
 		return errors.Wrap(err, "listen")
 	}
 	go func() { failed <- peerdrpc.ServeSync(ctx, peers, d.peerHandlers(ctx)) }()
-	d.storeWatcher.onAdvance = func(before uint64) { d.gossip.spread(ctx, before) }
+	d.storeWatcher.onAdvance = func(before replica.Position) { d.gossip.spread(ctx, before) }
 	d.storeWatcher.onUnchanged = func() { d.gossip.confirm(ctx) }
 	go d.storeWatcher.run(ctx)
 	go d.gossip.run(ctx)
@@ -294,6 +295,7 @@
 			return
 		case <-ticker.C:
 			d.replica.flushProxies()
+			d.replica.endEvacuations()
 			var grants []steering.SlotReply
 			d.withKernel(func(k *steering.Kernel, now time.Time) {
 				k.Tick(now)
--- a/internal/proxy/forward/fleet_test.go
+++ b/internal/proxy/forward/fleet_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -34,10 +36,12 @@
 type (
 	// memoryStore is an in-memory fake of the platform's store.
 	memoryStore struct {
-		mu        sync.Mutex
-		items     map[string]KeyValue
-		log       []KeyValue
-		revision  uint64
+		mu       sync.Mutex
+		items    map[string]KeyValue
+		log      []KeyValue
+		revision uint64
+		// era counts the returns from an older copy.
+		era       uint64
 		lease     uint64
 		keys      map[uint64]string
 		compacted uint64
@@ -120,6 +124,27 @@
 	return n
 }
 
+func (s *memoryStore) currentRevision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+// snapshot returns a function that returns the store to its present state.
+func (s *memoryStore) snapshot() (restore func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items, keys, log, revision := maps.Clone(s.items), maps.Clone(s.keys), slices.Clone(s.log), s.revision
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.items, s.keys, s.log, s.revision = maps.Clone(items), maps.Clone(keys), slices.Clone(log), revision
+		s.era++
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
 // compact drops the history of changes.
 func (s *memoryStore) compact() {
 	s.mu.Lock()
@@ -154,15 +179,15 @@
 		return f()
 	}
 	return Store{
-		Range: func(context.Context, string, bool) (items []KeyValue, revision uint64, err error) {
+		Range: func(context.Context, string, bool) (items []KeyValue, position StorePosition, err error) {
 			err = guard(func() error {
 				for _, i := range s.items {
 					items = append(items, i)
 				}
-				revision = s.revision
+				position = StorePosition{Era: s.era, Revision: s.revision}
 				return nil
 			})
-			return items, revision, err
+			return items, position, err
 		},
 		Watch: l.watch,
 		GrantLease: func(context.Context, time.Duration) (id uint64, err error) {
@@ -186,16 +211,17 @@
 	}
 }
 
-func (l *storeLink) watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]KeyValue, error) {
+func (l *storeLink) watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]KeyValue, uint64, error) {
 	end := time.After(wait)
 	for {
 		if l.down() {
-			return nil, errDisconnected
+			return nil, 0, errDisconnected
 		}
 		l.store.mu.Lock()
-		if after < l.store.compacted {
+		era := l.store.era
+		if after < l.store.compacted || after > l.store.revision {
 			l.store.mu.Unlock()
-			return nil, &StoreError{Code: StoreCompacted}
+			return nil, era, &StoreError{Code: StoreCompacted}
 		}
 		var items []KeyValue
 		for _, i := range l.store.log {
@@ -206,14 +232,14 @@
 		changed := l.store.changed
 		l.store.mu.Unlock()
 		if len(items) > 0 {
-			return items, nil
+			return items, era, nil
 		}
 		select {
 		case <-changed:
 		case <-end:
-			return nil, nil
+			return nil, era, nil
 		case <-ctx.Done():
-			return nil, ctx.Err()
+			return nil, era, ctx.Err()
 		}
 	}
 }
--- a/internal/proxy/forward/gossip.go
+++ b/internal/proxy/forward/gossip.go
@@ -93,7 +93,7 @@
 	metrics := g.replica.daemon.metrics
 	metrics.recordPeerMessage(messageExchange)
 	metrics.replicaAge.Update(g.replica.age().Seconds())
-	reply, err := g.send(ctx, to, g.message(g.replica.deltaSince(g.replica.revision()), false))
+	reply, err := g.request(ctx, to, g.message(g.replica.deltaSince(g.replica.revision()), false))
 	if err != nil {
 		klog.V(1).InfoS("exchange with peer failed", "peer", to, "error", err.Error())
 		return
@@ -104,9 +104,9 @@
 	}
 }
 
-func (g *gossip) sendDelta(ctx context.Context, to netip.AddrPort, since uint64) {
+func (g *gossip) sendDelta(ctx context.Context, to netip.AddrPort, since replica.Position) {
 	g.replica.daemon.metrics.recordPeerMessage(messageChanges)
-	reply, err := g.send(ctx, to, g.message(g.replica.deltaSince(since), false))
+	reply, err := g.request(ctx, to, g.message(g.replica.deltaSince(since), false))
 	if err != nil {
 		klog.V(1).InfoS("changes not delivered to peer", "peer", to, "error", err.Error())
 		return
@@ -114,14 +114,22 @@
 	g.merge(reply)
 }
 
+// request sends a message to a peer and returns its response.
+func (g *gossip) request(ctx context.Context, to netip.AddrPort, m peerdrpc.SyncMessage) (peerdrpc.SyncMessage, error) {
+	reply, err := g.send(ctx, to, m)
+	reply.Delta = g.replica.withEra(reply.Delta)
+	return reply, err
+}
+
 // handle merges a peer's message, forwards its changes, and returns what the peer lacks.
 func (g *gossip) handle(ctx context.Context, m peerdrpc.SyncMessage) peerdrpc.SyncMessage {
 	before := g.replica.revision()
+	m.Delta = g.replica.withEra(m.Delta)
 	if g.merge(m) && before > 0 && len(m.Entries) > 0 {
 		g.forward(ctx, before)
 	}
 	response := g.message(g.replica.deltaSince(m.Revision), m.Revision == 0)
-	if m.Revision == 0 && !response.Full {
+	if g.replica.needsFullCopy(m.Revision) && !response.Full {
 		response.OtherPeers = g.replica.namePeers(m.Domain)
 	}
 	return response
@@ -195,7 +203,7 @@
 
 // spread sends changes to the peers of this region, up to spreadFanout, and to one proxy in each
 // other region, in case that region's relays can't reach the store.
-func (g *gossip) spread(ctx context.Context, since uint64) {
+func (g *gossip) spread(ctx context.Context, since replica.Position) {
 	local, remote, _ := g.replica.neighborPeers()
 	list := sample(local, spreadFanout)
 	for _, region := range remote {
@@ -207,14 +215,14 @@
 }
 
 // offerDelta sends changes to a peer; large ones only if the peer lacks them.
-func (g *gossip) offerDelta(ctx context.Context, to netip.AddrPort, since uint64) {
-	if g.replica.deltaSince(since).Size() < offerMinBytes {
+func (g *gossip) offerDelta(ctx context.Context, to netip.AddrPort, since replica.Position) {
+	if !g.replica.needsFullCopy(since) && g.replica.deltaSince(since).Size() < offerMinBytes {
 		g.sendDelta(ctx, to, since)
 		return
 	}
 	sleep.For(ctx, time.Duration(min(g.replica.rank(), replica.RelaysPerRegion))*offerStagger)
 	g.replica.daemon.metrics.recordPeerMessage(messageOffer)
-	reply, err := g.send(ctx, to, g.message(g.replica.deltaSince(g.replica.revision()), false))
+	reply, err := g.request(ctx, to, g.message(g.replica.deltaSince(g.replica.revision()), false))
 	if err != nil {
 		klog.V(1).InfoS("changes not delivered to peer", "peer", to, "error", err.Error())
 		return
@@ -258,7 +266,7 @@
 // another region before its own watch returns sends it to its region, since possibly no other
 // proxy would. In a region too large for its relays to reach all proxies, each proxy forwards to a
 // few.
-func (g *gossip) forward(ctx context.Context, since uint64) {
+func (g *gossip) forward(ctx context.Context, since replica.Position) {
 	local, _, localCount := g.replica.neighborPeers()
 	fanout := 0
 	switch {
--- a/internal/proxy/forward/gossip_test.go
+++ b/internal/proxy/forward/gossip_test.go
@@ -115,11 +115,11 @@
 	f := newFleet(t, 1)
 	d := f.newIdleDaemon()
 	started := make(chan struct{})
-	w := &storeWatcher{replica: d.replica, onAdvance: func(uint64) {}, onUnchanged: func() {}, store: Store{
-		Range: func(ctx context.Context, _ string, _ bool) ([]KeyValue, uint64, error) {
+	w := &storeWatcher{replica: d.replica, onAdvance: func(replica.Position) {}, onUnchanged: func() {}, store: Store{
+		Range: func(ctx context.Context, _ string, _ bool) ([]KeyValue, StorePosition, error) {
 			close(started)
 			<-ctx.Done()
-			return nil, 0, ctx.Err()
+			return nil, StorePosition{}, ctx.Err()
 		},
 	}}
 	ended := make(chan error, 1)
@@ -192,7 +192,7 @@
 		d.replica.members["proxy-a"] = proxyEntry{Name: "proxy-a", Region: "north", LinkMbps: 200}
 		d.replica.apply(replica.Delta{Revision: 7, Full: true})
 		w := &storeWatcher{replica: d.replica, onUnchanged: func() { g.confirm(context.Background()) }, store: Store{
-			Watch: func(context.Context, string, uint64, time.Duration) ([]KeyValue, error) { return nil, nil },
+			Watch: func(context.Context, string, uint64, time.Duration) ([]KeyValue, uint64, error) { return nil, 0, nil },
 		}}
 		if err := w.step(context.Background()); err != nil {
 			t.Fatal(err)
@@ -219,7 +219,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		revision := uint64(i + 1)
+		revision := replica.Position(i + 1)
 		d.replica.apply(replica.Delta{Base: revision - 1, Revision: revision, Full: i == 0, Entries: []replica.Entry{{Key: proxyKeyPrefix + name, Value: entry, Revision: revision}}})
 		if i == 0 && lookupCount() != 2 {
 			t.Errorf("lookup returns %d proxies after the first message, want it and this one", lookupCount())
@@ -282,8 +282,8 @@
 	d := f.newDaemonWithServer()
 	d.replica.storeFailed(errDisconnected, d.now())
 	items := []KeyValue{{Key: "servers/s1", Revision: 2, Removed: true}}
-	w := &storeWatcher{replica: d.replica, onAdvance: func(uint64) {}, onUnchanged: func() {}, store: Store{
-		Watch: func(context.Context, string, uint64, time.Duration) ([]KeyValue, error) { return items, nil },
+	w := &storeWatcher{replica: d.replica, onAdvance: func(replica.Position) {}, onUnchanged: func() {}, store: Store{
+		Watch: func(context.Context, string, uint64, time.Duration) ([]KeyValue, uint64, error) { return items, 0, nil },
 	}}
 	if err := w.step(context.Background()); err != nil {
 		t.Fatal(err)
@@ -320,14 +320,14 @@
 	d := f.newDaemonWithServer()
 	items := []KeyValue{{Key: "servers/s1", Revision: 2, Removed: true}}
 	spread := 0
-	w := &storeWatcher{replica: d.replica, onUnchanged: func() {}, onAdvance: func(before uint64) {
+	w := &storeWatcher{replica: d.replica, onUnchanged: func() {}, onAdvance: func(before replica.Position) {
 		spread++
 		if before != 1 {
 			t.Errorf("spreads changes after revision %d, want 1", before)
 		}
-	}, store: Store{Watch: func(context.Context, string, uint64, time.Duration) ([]KeyValue, error) {
-		d.replica.apply(replica.Delta{Base: 1, Revision: 2, Entries: replicaEntries(items)})
-		return items, nil
+	}, store: Store{Watch: func(context.Context, string, uint64, time.Duration) ([]KeyValue, uint64, error) {
+		d.replica.apply(replica.Delta{Base: 1, Revision: 2, Entries: replicaEntries(items, 0)})
+		return items, 0, nil
 	}}}
 	if err := w.step(context.Background()); err != nil {
 		t.Fatal(err)
@@ -349,11 +349,11 @@
 	d.replica.members["far"] = proxyEntry{Name: "far", Region: "south"}
 	d.replica.members[d.settings.Name] = proxyEntry{Name: d.settings.Name, Region: "north"}
 	var asked atomic.Int32
-	w := &storeWatcher{replica: d.replica, onAdvance: func(uint64) {}, onUnchanged: func() {}, store: Store{
-		Watch: func(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]KeyValue, error) {
+	w := &storeWatcher{replica: d.replica, onAdvance: func(replica.Position) {}, onUnchanged: func() {}, store: Store{
+		Watch: func(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]KeyValue, uint64, error) {
 			asked.Add(1)
 			sleep.For(ctx, 20*time.Millisecond)
-			return nil, ctx.Err()
+			return nil, 0, ctx.Err()
 		},
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -404,7 +404,7 @@
 	d.replica.apply(replica.Delta{Revision: 7, Full: true})
 	d.replica.apply(replica.Delta{Base: 7, Revision: 8, Entries: []replica.Entry{{Key: "x", Revision: 8, Value: make([]byte, 2*offerMinBytes)}}})
 	for name, c := range map[string]struct {
-		has  uint64
+		has  replica.Position
 		want int
 	}{"a proxy that has them": {8, 0}, "a proxy that lacks them": {7, 1}} {
 		sentEntries := 0
--- a/internal/proxy/forward/handlers.go
+++ b/internal/proxy/forward/handlers.go
@@ -69,7 +69,7 @@
 	var table *routing.Table
 	d.withKernel(func(k *steering.Kernel, now time.Time) { status, table = k.Status(now), k.Table() })
 	s := steeringhttp.Status{
-		VM: d.settings.Name, ConfigurationVersion: status.Version, ReplicaRevision: d.replica.revision(),
+		VM: d.settings.Name, ConfigurationVersion: status.Version, ReplicaRevision: d.replica.revision().Revision(), StoreEra: d.replica.revision().Era(),
 		ReplicaAge: d.replica.age().Round(time.Millisecond).String(), InFlight: status.InFlight, Stopping: d.isStopping(), CutOff: status.CutOff,
 		EvacuatedDomains: status.Evacuated, RegionsWithoutProxies: status.RegionsWithoutProxies, MechanismsOff: status.MechanismsOff, ConcurrencyLimits: status.ConcurrencyLimits, Proxies: d.replica.proxies(), At: time.Now(),
 	}
--- a/internal/proxy/forward/members.go
+++ b/internal/proxy/forward/members.go
@@ -80,7 +80,7 @@
 	_, listed := f.members[f.daemon.settings.Name]
 	if listed != f.listed {
 		f.listed = listed
-		klog.InfoS("own entry in the list of proxies changed", "listed", listed, "revision", f.copy.Revision(), "age", f.copy.Age(f.daemon.now()))
+		klog.InfoS("own entry in the list of proxies changed", "listed", listed, "revision", f.copy.Revision().String(), "age", f.copy.Age(f.daemon.now()))
 	}
 	confirmedAt := f.copy.ConfirmedAt()
 	f.daemon.withKernel(func(k *steering.Kernel, now time.Time) { k.ConfirmListing(now, confirmedAt, listed) })
--- a/internal/proxy/forward/metrics.go
+++ b/internal/proxy/forward/metrics.go
@@ -27,6 +27,7 @@
 		fullCopiesSent           *metrics.Counter
 		fullCopiesReceived       *metrics.Counter
 		replicaAge               *metrics.Histogram
+		storeErasBegun           *metrics.Counter
 		linkUtilization          *metrics.Gauge
 		cpuUtilization           *metrics.Gauge
 		overflowLevel            *metrics.Gauge
@@ -58,6 +59,7 @@
 		fullCopiesSent:           set.NewCounter(`gypsumquay_full_copies_total{direction="sent"}`),
 		fullCopiesReceived:       set.NewCounter(`gypsumquay_full_copies_total{direction="received"}`),
 		replicaAge:               set.NewHistogram("gypsumquay_store_copy_age_at_exchange_seconds"),
+		storeErasBegun:           set.NewCounter("gypsumquay_store_returns_from_older_copy_total"),
 		linkUtilization:          set.NewGauge(`gypsumquay_utilization_ratio{resource="link"}`, nil),
 		cpuUtilization:           set.NewGauge(`gypsumquay_utilization_ratio{resource="cpu"}`, nil),
 		overflowLevel:            set.NewGauge("gypsumquay_overflow_level", nil),
--- a/internal/proxy/forward/overflow_test.go
+++ b/internal/proxy/forward/overflow_test.go
@@ -105,7 +105,7 @@
 			t.Fatal("the entry is not written")
 		}
 		data, _ := json.Marshal(entry)
-		revision := uint64(len(published))
+		revision := replica.Position(len(published))
 		d.replica.apply(replica.Delta{Base: revision, Revision: revision + 1, Entries: []replica.Entry{{Key: proxyKeyPrefix + entry.Name, Value: data, Revision: revision + 1}}})
 		d.replica.flushProxies()
 		if got := d.lookupCount(); len(published) == 1 && (before != 2 || got != 4) {
--- a/internal/proxy/forward/quarantine.go
+++ b/internal/proxy/forward/quarantine.go
@@ -99,6 +99,17 @@
 	v.daemon.withKernel(func(k *steering.Kernel, now time.Time) { k.ApplyQuarantineReports(now, []quarantine.Report{report}) })
 }
 
+// resetStored records which entries are in the store after it has returned from an older copy.
+func (v *quarantineStore) resetStored(isPresent func(key string) bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for fingerprint := range v.stored {
+		if !isPresent(quarantineKeyPrefix + fingerprint.String()) {
+			delete(v.stored, fingerprint)
+		}
+	}
+}
+
 func decodeQuarantineEntry(fingerprint quarantine.Fingerprint, data []byte) (quarantine.Report, error) {
 	r := quarantine.Report{Fingerprint: fingerprint}
 	if err := operator.CheckSyntax(data); err != nil {
--- a/internal/proxy/forward/quotas.go
+++ b/internal/proxy/forward/quotas.go
@@ -100,6 +100,13 @@
 	q.daemon.withKernel(func(k *steering.Kernel, _ time.Time) { k.SetFleetSize(n) })
 }
 
+// resetStoredFleetSize records that the store has lost the number of proxies. The number in use stays.
+func (q *quotaClient) resetStoredFleetSize() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.storedFleetSize = 0
+}
+
 func decodeFleetSize(data []byte) (int, error) {
 	if err := operator.CheckSyntax(data); err != nil {
 		return 0, err
--- a/internal/proxy/forward/registrar.go
+++ b/internal/proxy/forward/registrar.go
@@ -125,6 +125,9 @@
 	lease := k.lease.Load()
 	err = k.store.Put(ctx, proxyKeyPrefix+s.Name, data, lease)
 	k.written = err == nil
+	if k.written {
+		k.replica.setOwnEntry(data)
+	}
 	if k.written && lease != k.writtenLease {
 		k.writtenLease = lease
 		k.replica.daemon.withKernel(func(k *steering.Kernel, now time.Time) { k.RecordRegistration(now) })
--- a/internal/proxy/forward/settings.go
+++ b/internal/proxy/forward/settings.go
@@ -103,6 +103,12 @@
 		Removed  bool
 	}
 
+	// StorePosition is a place in the store's history. The era is zero if the store did not report
+	// it.
+	StorePosition struct {
+		Era, Revision uint64
+	}
+
 	// StoreErrorCode classifies a StoreError.
 	StoreErrorCode uint8
 
@@ -115,10 +121,12 @@
 
 	// Store holds the calls to the platform's metadata store.
 	Store struct {
-		// Range reads all keys with a prefix, and the revision from which a watch misses no
-		// change. A stale read may be seconds old and costs a tenth.
-		Range       func(ctx context.Context, prefix string, stale bool) ([]KeyValue, uint64, error)
-		Watch       func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]KeyValue, error)
+		// Range reads all keys with a prefix, and the position from which a watch misses no change.
+		// A stale read may be seconds old and costs a tenth.
+		Range func(ctx context.Context, prefix string, stale bool) ([]KeyValue, StorePosition, error)
+		// Watch returns the changes after a revision, and the era of the response. In another era
+		// than that of the revision, they are not those that followed it.
+		Watch       func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]KeyValue, uint64, error)
 		GrantLease  func(ctx context.Context, span time.Duration) (uint64, error)
 		RenewLease  func(ctx context.Context, lease uint64) error
 		Put         func(ctx context.Context, key string, value []byte, lease uint64) error
--- a/internal/proxy/forward/storemetrics.go
+++ b/internal/proxy/forward/storemetrics.go
@@ -8,19 +8,19 @@
 // instrumentStore wraps a store so that each call is reported with its operation and error.
 func instrumentStore(s Store, report func(operation string, err error)) Store {
 	return Store{
-		Range: func(ctx context.Context, prefix string, stale bool) ([]KeyValue, uint64, error) {
-			items, revision, err := s.Range(ctx, prefix, stale)
+		Range: func(ctx context.Context, prefix string, stale bool) ([]KeyValue, StorePosition, error) {
+			items, position, err := s.Range(ctx, prefix, stale)
 			operation := "range"
 			if stale {
 				operation = "stale-range"
 			}
 			report(operation, err)
-			return items, revision, err
+			return items, position, err
 		},
-		Watch: func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]KeyValue, error) {
-			items, err := s.Watch(ctx, prefix, after, wait)
+		Watch: func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]KeyValue, uint64, error) {
+			items, era, err := s.Watch(ctx, prefix, after, wait)
 			report("watch", err)
-			return items, err
+			return items, era, err
 		},
 		GrantLease: func(ctx context.Context, ttl time.Duration) (uint64, error) {
 			lease, err := s.GrantLease(ctx, ttl)
--- a/internal/proxy/forward/storereplica.go
+++ b/internal/proxy/forward/storereplica.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"strconv"
@@ -21,6 +22,9 @@
 	// a store outage. Live servers register again within about two seconds of the store's
 	// recovery.
 	absenceGracePeriod = 2200 * time.Millisecond
+	// evacuationGracePeriod is how long a failure domain stays evacuated whose evacuation the store
+	// may have lost.
+	evacuationGracePeriod = 5 * time.Second
 
 	proxyKeyPrefix      = "gypsumquay/proxies/"
 	quarantineKeyPrefix = "gypsumquay/condemned/"
@@ -56,6 +60,14 @@
 		copyOfferedAt time.Time
 		// outage records when the store was unavailable.
 		outage replica.Outage
+		// firstEra is the era of the copy's first content, which messages of peers that report no era
+		// are taken to be of.
+		firstEra uint64
+		// ownEntry is this proxy's entry as it was last written.
+		ownEntry []byte
+		// evacuationEnds holds when evacuations end whose entries may have been lost and be written
+		// again, by failure domain.
+		evacuationEnds map[string]time.Time
 		// rewriteEntry asks the registrar to write this proxy's entry again.
 		rewriteEntry chan struct{}
 		// loaded is closed once the copy has any content.
@@ -66,7 +78,7 @@
 
 func newStoreReplica(d *Daemon) *storeReplica {
 	return &storeReplica{
-		daemon: d, copy: replica.NewCopy(), members: make(map[string]proxyEntry),
+		daemon: d, copy: replica.NewCopy(), members: make(map[string]proxyEntry), evacuationEnds: make(map[string]time.Time),
 		rewriteEntry: make(chan struct{}, 1), loaded: make(chan struct{}),
 		neighbors: replica.NewNeighbors(d.settings.Region, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
@@ -81,14 +93,67 @@
 	if !ok {
 		return false
 	}
+	current := f.copy.Revision()
+	if before == 0 {
+		f.firstEra = current.Era()
+	}
 	f.dispatchProxies(changed)
 	for _, e := range changed {
 		f.dispatch(e)
 	}
+	if !before.SameEra(current) {
+		f.beginEra(before, current)
+	}
 	f.loadedOnce.Do(func() { close(f.loaded) })
 	return f.copy.Revision() > before
 }
 
+// beginEra handles that the store has returned from an older copy. What this proxy has written since
+// that copy is lost and must be written again, also what its own copy of the store never had.
+func (f *storeReplica) beginEra(before, current replica.Position) {
+	klog.InfoS("store returned from an older copy", "before", before.String(), "now", current.String())
+	f.daemon.metrics.storeErasBegun.Inc()
+	f.daemon.quarantine.resetStored(func(key string) bool {
+		_, present := f.copy.Get(key)
+		return present
+	})
+	if _, present := f.copy.Get(fleetSizeKey); !present {
+		f.daemon.quotas.resetStoredFleetSize()
+	}
+	if own, present := f.copy.Get(proxyKeyPrefix + f.daemon.settings.Name); !present || !bytes.Equal(own.Value, f.ownEntry) {
+		f.requestRewrite()
+	}
+}
+
+// setOwnEntry records this proxy's entry as it was written.
+func (f *storeReplica) setOwnEntry(value []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ownEntry = value
+}
+
+// withEra assigns changes of a peer that reports no era to the era of this copy's first content, as
+// peers of an earlier version ignore that the store has returned from an older copy.
+func (f *storeReplica) withEra(d replica.Delta) replica.Delta {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if d.Revision.Era() != 0 || f.firstEra == 0 {
+		return d
+	}
+	d.Base, d.Revision = d.Base.InEra(f.firstEra), d.Revision.InEra(f.firstEra)
+	for i := range d.Entries {
+		d.Entries[i].Revision = d.Entries[i].Revision.InEra(f.firstEra)
+	}
+	return d
+}
+
+// needsFullCopy reports whether a copy at the given position needs all entries of this one.
+func (f *storeReplica) needsFullCopy(position replica.Position) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.copy.NeedsFullCopy(position)
+}
+
 // dispatch applies one changed entry to the kernel.
 func (f *storeReplica) dispatch(e replica.Entry) {
 	n := f.daemon.deps.Names
@@ -105,7 +170,7 @@
 			f.rejectEntry("evacuation", domain, err)
 			return
 		}
-		f.daemon.withKernel(func(k *steering.Kernel, now time.Time) { k.SetDomainEvacuated(now, domain, !e.Removed) })
+		f.dispatchEvacuation(domain, e)
 		return
 	}
 	if name, ok := strings.CutPrefix(e.Key, quarantineKeyPrefix); ok {
@@ -117,6 +182,28 @@
 	}
 }
 
+// dispatchEvacuation applies the beginning or the end of an evacuation. If the entry may have been
+// lost, the evacuation goes on until the operator had time to write it again.
+func (f *storeReplica) dispatchEvacuation(domain string, e replica.Entry) {
+	delete(f.evacuationEnds, domain)
+	if e.Removed && e.Tentative {
+		f.evacuationEnds[domain] = f.daemon.now().Add(evacuationGracePeriod)
+		return
+	}
+	f.daemon.withKernel(func(k *steering.Kernel, now time.Time) { k.SetDomainEvacuated(now, domain, !e.Removed) })
+}
+
+// endEvacuations ends the evacuations whose entries have not been written again.
+func (f *storeReplica) endEvacuations() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for domain, end := range f.evacuationEnds {
+		if !f.daemon.now().Before(end) {
+			f.dispatchEvacuation(domain, replica.Entry{Removed: true})
+		}
+	}
+}
+
 func (f *storeReplica) dispatchTable(e replica.Entry) {
 	if e.Removed {
 		return
@@ -179,7 +266,7 @@
 // deltaSince returns the changes that a peer at a revision lacks. If there are none, or the peer
 // needs a full copy and the budget is used up, the delta has only this copy's revision and age. A
 // peer that sees a newer revision without entries asks another proxy.
-func (f *storeReplica) deltaSince(revision uint64) replica.Delta {
+func (f *storeReplica) deltaSince(revision replica.Position) replica.Delta {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.daemon.now()
@@ -187,7 +274,7 @@
 	if f.copy.Revision() <= revision {
 		return header
 	}
-	if revision == 0 {
+	if f.copy.NeedsFullCopy(revision) {
 		if !f.fullCopyBudget.Allow(now, f.copy.CompressedSize()) {
 			return header
 		}
@@ -213,7 +300,7 @@
 	return f.copy.Age(f.daemon.now())
 }
 
-func (f *storeReplica) revision() uint64 {
+func (f *storeReplica) revision() replica.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.copy.Revision()
@@ -242,7 +329,7 @@
 		since = start
 	}
 	if f.outage.RecordFailure(since) {
-		klog.InfoS("store unavailable", "error", err.Error(), "revision", f.copy.Revision())
+		klog.InfoS("store unavailable", "error", err.Error(), "revision", f.copy.Revision().String())
 	}
 }
 
@@ -251,7 +338,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.outage.RecordSuccess(f.daemon.now()) {
-		klog.InfoS("store available again", "revision", f.copy.Revision())
+		klog.InfoS("store available again", "revision", f.copy.Revision().String())
 	}
 }
 
--- a/internal/proxy/forward/storewatcher.go
+++ b/internal/proxy/forward/storewatcher.go
@@ -54,7 +54,7 @@
 		store   Store
 		// onAdvance is called when the store returned changes, onUnchanged when a watch of the
 		// first relay ended without any.
-		onAdvance   func(before uint64)
+		onAdvance   func(before replica.Position)
 		onUnchanged func()
 	}
 )
@@ -105,7 +105,7 @@
 	if before == 0 {
 		return f.initialRead(ctx)
 	}
-	items, err := f.store.Watch(ctx, "", before, f.timeout())
+	items, era, err := f.store.Watch(ctx, "", before.Revision(), f.timeout())
 	var storeErr *StoreError
 	if errors.As(err, &storeErr) && storeErr.Code == StoreCompacted {
 		return f.readAll(ctx, false)
@@ -113,7 +113,13 @@
 	if err != nil {
 		return errors.Wrap(err, "watch the store")
 	}
-	f.replica.applyStoreRead(replica.Delta{Base: before, Revision: lastRevision(before, items), Entries: replicaEntries(items)})
+	if era != 0 && era != before.Era() {
+		// The store has returned from an older copy and given the revision out again, or has only
+		// begun to report its era.
+		return f.readAll(ctx, false)
+	}
+	entries := replicaEntries(items, before.Era())
+	f.replica.applyStoreRead(replica.Delta{Base: before, Revision: lastRevision(before, entries), Entries: entries})
 	if len(items) > 0 {
 		// Called even if an exchange with another region brought the changes a moment before:
 		// the rest of this region may not have them.
@@ -132,9 +138,9 @@
 // it without the changes that led to it, and they would be lost for good. If the next watch starts
 // from an older revision, the store reports that its history is compacted, and everything is read
 // again.
-func lastRevision(before uint64, items []KeyValue) uint64 {
-	for _, i := range items {
-		before = max(before, i.Revision)
+func lastRevision(before replica.Position, entries []replica.Entry) replica.Position {
+	for _, e := range entries {
+		before = max(before, e.Revision)
 	}
 	return before
 }
@@ -170,14 +176,22 @@
 // reads would make up most of the store calls.
 func (f *storeWatcher) readAll(ctx context.Context, stale bool) error {
 	before := f.replica.revision()
-	items, revision, err := f.store.Range(ctx, "", stale)
+	items, position, err := f.store.Range(ctx, "", stale)
 	if err != nil {
 		return errors.Wrap(err, "read the store")
 	}
-	d := replica.Delta{Revision: revision, Full: true, Entries: replicaEntries(items)}
+	era := position.Era
+	if era == 0 {
+		era = before.Era()
+	}
+	d := replica.Delta{Revision: replica.NewPosition(era, position.Revision), Full: true, Entries: replicaEntries(items, era)}
 	if stale {
 		d.Age = staleReadAge
 	}
+	if d.Revision < before {
+		// Without a pause, the watch and this read would alternate for as long as that lasts.
+		return errors.Errorf("read the store: it is at %s, before the copy at %s", d.Revision, before)
+	}
 	if f.replica.applyStoreRead(d) && before > 0 {
 		// A first read isn't propagated: relative to an empty copy, all entries are changes, and
 		// each peer would be sent everything.
@@ -186,10 +200,10 @@
 	return nil
 }
 
-func replicaEntries(items []KeyValue) []replica.Entry {
+func replicaEntries(items []KeyValue, era uint64) []replica.Entry {
 	list := make([]replica.Entry, 0, len(items))
 	for _, i := range items {
-		list = append(list, replica.Entry{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed})
+		list = append(list, replica.Entry{Key: i.Key, Value: i.Value, Revision: replica.NewPosition(era, i.Revision), Removed: i.Removed})
 	}
 	return list
 }
--- a/internal/proxy/forward/storewatcher_test.go
+++ b/internal/proxy/forward/storewatcher_test.go
@@ -53,10 +53,10 @@
 	for _, isSeed := range []bool{true, false} {
 		d := newSeededDaemon(t, isSeed)
 		var staleRead, propagated bool
-		f := &storeWatcher{replica: d.replica, onAdvance: func(uint64) { propagated = true }, store: Store{
-			Range: func(_ context.Context, _ string, stale bool) ([]KeyValue, uint64, error) {
+		f := &storeWatcher{replica: d.replica, onAdvance: func(replica.Position) { propagated = true }, store: Store{
+			Range: func(_ context.Context, _ string, stale bool) ([]KeyValue, StorePosition, error) {
 				staleRead = stale
-				return []KeyValue{{Key: "key", Revision: 4}}, 5, nil
+				return []KeyValue{{Key: "key", Revision: 4}}, StorePosition{Revision: 5}, nil
 			},
 		}}
 		if err := f.step(context.Background()); err != nil {
@@ -68,7 +68,7 @@
 		if propagated {
 			t.Errorf("seed %t: initial read was propagated", isSeed)
 		}
-		if got, want := d.replica.revision(), uint64(5); got != want {
+		if got, want := d.replica.revision(), replica.Position(5); got != want {
 			t.Errorf("revision is %d, want %d", got, want)
 		}
 		if fresh := d.replica.age() < staleReadAge; fresh != isSeed {
