Hand a request over early only if servers of two failure domains are unreachable

With the servers of one failure domain down, a request that met two of them went to another proxy, which met the same ones, although servers of other domains were there. Unreachable servers of two domains are evidence of the own link; those of one are not.

The log line of a cut's beginning has no duration any more.

--- a/internal/kernel/steering/handover.go
+++ b/internal/kernel/steering/handover.go
@@ -12,9 +12,6 @@
 const (
 	// maxHandovers limits how many proxies one request is handed over to.
 	maxHandovers = 2
-	// unreachableBeforeHandover is the number of unreachable servers after which a request is
-	// handed over. Each costs a connection timeout.
-	unreachableBeforeHandover = 2
 	// unablePeerBackoff is how long no requests are handed over to a proxy that could not take one.
 	unablePeerBackoff = time.Second
 	// unableRouteBackoff is how long no requests of a route are handed over after peers found no
@@ -81,6 +78,15 @@
 	return Decision{Handover: &Handover{Proxy: peer.Name, Address: peer.Handovers, AttemptsUsed: req.reachedServers}}, true
 }
 
+// unreachableElsewhere records that a server of a failure domain could not be reached, and reports
+// whether one of another domain could not be either. Then it is likely that peers reach more servers.
+func (req *ActiveRequest) unreachableElsewhere(domain string) bool {
+	if req.unreachableDomain == "" {
+		req.unreachableDomain = domain
+	}
+	return req.unreachableDomain != domain
+}
+
 // mayHandOver reports whether a request may be handed over. A request that was handed over to this
 // proxy is not, so that two proxies without servers do not pass it back and forth.
 func (k *Kernel) mayHandOver(now time.Time, req *ActiveRequest) bool {
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -225,7 +225,7 @@
 	case ResultTimeout:
 		return k.fail(now, req, ReasonTimeout)
 	case ResultUnreachable:
-		if req.unreachableServers++; req.unreachableServers >= unreachableBeforeHandover {
+		if req.unreachableElsewhere(s.Domain) {
 			if d, ok := k.handOver(now, req); ok {
 				return d
 			}
--- a/internal/kernel/steering/reachability.go
+++ b/internal/kernel/steering/reachability.go
@@ -68,7 +68,11 @@
 	} else {
 		k.restoreSilentServers(now, since.Add(-cutDetectionTime))
 	}
-	k.config.Observe(Event{Kind: EventReachability, At: now, CutOff: k.CutOff(), Duration: now.Sub(since)})
+	e := Event{Kind: EventReachability, At: now, CutOff: k.CutOff()}
+	if !e.CutOff {
+		e.Duration = now.Sub(since)
+	}
+	k.config.Observe(e)
 }
 
 // restoreSilentServers clears the ejection of servers that did not respond since the given time.
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -183,8 +183,8 @@
 		// reachedServers counts the attempts that reached or may have reached a server.
 		reachedServers int
 		sendAttempts   int
-		// unreachableServers counts the attempts of which nothing was sent.
-		unreachableServers int
+		// unreachableDomain is the failure domain of the first server that could not be reached.
+		unreachableDomain string
 		// charged is set while the request is charged to its account.
 		charged bool
 		// handover is the handover in progress, or nil. triedPeers are the proxies that the request
