Keep the evidence of crashes, and use returning servers, while cut off

Cause: servers that have all crashed look like a lost link to each proxy. While a proxy took itself for cut off it recorded no lost connections and forgot the earlier ones, so the request was never quarantined; and with no peer to help it refused requests until several rounds of probes had passed although servers were back.

Lost connections are recorded again in any case. Only a refused connection proves no crash while cut off; the end of a registration or another start does, as before. If no peer can take a request it is sent as soon as any server has answered a probe. The peer also counts the connections that a request has lost before.

TestLostLinkIsNoCrashOfServers required what was wrong, that no crash counts while cut off; TestCrashesCountWhileCutOff requires the contrary, and TestRequestsLostWithTheLinkAreNotQuarantined what the old test was for.

--- a/internal/adapter/forwardhttp/handover.go
+++ b/internal/adapter/forwardhttp/handover.go
@@ -6,17 +6,20 @@
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
 
 const (
-	// Header fields between two proxies. The first two are those of a request that is handed over:
-	// the proxy that received it from its caller, and the number of attempts that were used there.
-	// The others are those of the response: the server that sent it or, if it is the proxy's own,
+	// Header fields between two proxies. The first three are those of a request that is handed over:
+	// the proxy that received it from its caller, the number of attempts that were used there, and
+	// how many of them lost their connection. The others are those of the response: the server that sent it or, if it is the proxy's own,
 	// why the request ended, and whether it has not run.
 	handoverFromHeader     = "Gypsumquay-Handover-From"
 	handoverAttemptsHeader = "Gypsumquay-Handover-Attempts"
+	handoverLostHeader     = "Gypsumquay-Handover-Lost"
 	handoverServerHeader   = "Gypsumquay-Handover-Server"
 	handoverReasonHeader   = "Gypsumquay-Handover-Reason"
 	handoverNotRunHeader   = "Gypsumquay-Handover-Not-Run"
@@ -27,8 +30,8 @@
 
 	// receivedHandover describes a request that another proxy handed over.
 	receivedHandover struct {
-		from         string
-		attemptsUsed int
+		from                          string
+		attemptsUsed, connectionsLost int
 	}
 )
 
@@ -41,19 +44,38 @@
 
 // serveHandover serves a request of another proxy like one of a caller, but never hands it over.
 func (s *Server) serveHandover(w http.ResponseWriter, r *http.Request) {
-	h := receivedHandover{from: r.Header.Get(handoverFromHeader)}
-	attempts, err := strconv.Atoi(r.Header.Get(handoverAttemptsHeader))
-	if h.from == "" || err != nil || attempts < 0 {
+	h, err := parseHandover(r.Header)
+	if err != nil {
 		w.Header().Set("Connection", "close")
-		http.Error(w, "not a request of a proxy: "+handoverFromHeader+" and "+handoverAttemptsHeader+" are required", http.StatusBadRequest)
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	h.attemptsUsed = attempts
-	r.Header.Del(handoverFromHeader)
-	r.Header.Del(handoverAttemptsHeader)
+	for _, name := range []string{handoverFromHeader, handoverAttemptsHeader, handoverLostHeader} {
+		r.Header.Del(name)
+	}
 	s.serve(w, r.WithContext(context.WithValue(r.Context(), handoverKey{}, h)))
 }
 
+// parseHandover reads the header fields of a request that is handed over.
+func parseHandover(header http.Header) (h receivedHandover, err error) {
+	if h.from = header.Get(handoverFromHeader); h.from == "" {
+		return h, errors.New(handoverFromHeader + ": must be the name of a proxy, got nothing")
+	}
+	if h.attemptsUsed, err = parseCount(header, handoverAttemptsHeader); err != nil {
+		return h, err
+	}
+	h.connectionsLost, err = parseCount(header, handoverLostHeader)
+	return h, err
+}
+
+func parseCount(header http.Header, name string) (int, error) {
+	n, err := strconv.ParseUint(header.Get(name), 10, 16)
+	if err != nil {
+		return 0, errors.Errorf("%s: must be a number of at least 0, got %q", name, header.Get(name))
+	}
+	return int(n), nil
+}
+
 // handoverOf returns the handover that a request came by.
 func handoverOf(ctx context.Context) (receivedHandover, bool) {
 	h, ok := ctx.Value(handoverKey{}).(receivedHandover)
@@ -79,6 +101,7 @@
 	header := r.Header.Clone()
 	header.Set(handoverFromHeader, s.Name)
 	header.Set(handoverAttemptsHeader, strconv.Itoa(h.AttemptsUsed))
+	header.Set(handoverLostHeader, strconv.Itoa(h.ConnectionsLost))
 	request := serverhttp.Request{
 		Address: h.Address, Method: r.Method, Host: r.Host, Target: r.RequestURI, Header: header, Body: o.body.Bytes,
 		AttemptID: r.Header.Get(s.Headers.AttemptID), Deadline: active.ExpiresAt, DialTimeout: min(dialBaseTimeout, active.ExpiresAt.Sub(s.Now())),
--- a/internal/fake/warmnet/simulation.go
+++ b/internal/fake/warmnet/simulation.go
@@ -81,9 +81,9 @@
 		// crashing requests crash the server that runs them.
 		crashing bool
 		// handedOverBy is the request at the proxy that handed this one over, or nil. attemptsUsed is
-		// the number of its attempts there.
-		handedOverBy *request
-		attemptsUsed int
+		// the number of its attempts there, connectionsLost how many of them lost their connection.
+		handedOverBy                  *request
+		attemptsUsed, connectionsLost int
 		hedgeState
 	}
 )
@@ -302,7 +302,7 @@
 func (w *simulation) handleAtProxy(req *request) {
 	r := steering.Request{ID: strconv.Itoa(w.result.Sent), Host: host, Path: w.scenario.path(req.route), Object: req.object, Work: fingerprintOf(req.object), Credential: req.credential}
 	if by := req.handedOverBy; by != nil {
-		r.IsHandover, r.HandoverFrom, r.AttemptsUsed, r.Deadline = true, by.kernel.Name(), req.attemptsUsed, by.activeRequest.ExpiresAt
+		r.IsHandover, r.HandoverFrom, r.AttemptsUsed, r.ConnectionsLost, r.Deadline = true, by.kernel.Name(), req.attemptsUsed, req.connectionsLost, by.activeRequest.ExpiresAt
 	}
 	active, decision := req.kernel.BeginRequest(w.clock(), r)
 	req.activeRequest = active
--- a/internal/kernel/quarantine/tracker.go
+++ b/internal/kernel/quarantine/tracker.go
@@ -182,13 +182,6 @@
 	}
 }
 
-// ForgetConnectionLosses discards the connection losses that have not been attributed to a crash:
-// the proxy's own link was lost.
-func (t *Tracker) ForgetConnectionLosses() {
-	clear(t.losses)
-	t.probeNeeded = false
-}
-
 // RecordResponse records a response to a request that was sent at sentAt: connection losses before
 // that time were not caused by a crash.
 func (t *Tracker) RecordResponse(server InstanceID, sentAt time.Time) {
--- a/internal/kernel/reachability/tracker.go
+++ b/internal/kernel/reachability/tracker.go
@@ -57,6 +57,8 @@
 		nextRoundAt    time.Time
 		// failedRounds and passedRounds count consecutive rounds.
 		failedRounds, passedRounds int
+		// lastRoundResponded is set if a server responded in the last round.
+		lastRoundResponded bool
 		// roundsNeeded is the number of successful rounds that end the cut.
 		roundsNeeded int
 	}
@@ -76,6 +78,9 @@
 // RespondsSince reports whether a server has responded since the given time.
 func (t *Tracker) RespondsSince(at time.Time) bool { return t.respondedAt.After(at) }
 
+// LastRoundResponded reports whether any server responded to the last probes.
+func (t *Tracker) LastRoundResponded() bool { return t.lastRoundResponded }
+
 // RecordStart records that an attempt at a server begins.
 func (t *Tracker) RecordStart(now time.Time, attempt uint64, server string, expected time.Duration) {
 	if t.pending == nil {
@@ -120,7 +125,7 @@
 // EndRound records how many of the probed servers responded, and reports whether the result of
 // CutOff has changed.
 func (t *Tracker) EndRound(now time.Time, responded, probed int) bool {
-	t.probing, t.nextRoundAt = false, now.Add(probeInterval)
+	t.probing, t.nextRoundAt, t.lastRoundResponded = false, now.Add(probeInterval), responded > 0
 	if t.cutOff {
 		return t.endRoundWhileCutOff(now, responded, probed)
 	}
--- a/internal/kernel/steering/handover.go
+++ b/internal/kernel/steering/handover.go
@@ -28,8 +28,9 @@
 	Handover struct {
 		Proxy   string
 		Address netip.AddrPort
-		// AttemptsUsed is the number of attempts that may have reached a server.
-		AttemptsUsed int
+		// AttemptsUsed is the number of attempts that may have reached a server, ConnectionsLost how
+		// many of them lost their connection.
+		AttemptsUsed, ConnectionsLost int
 	}
 
 	// HandoverResult reports how a handover ended.
@@ -75,7 +76,7 @@
 	req.triedPeers = append(req.triedPeers, peer.Name)
 	k.handoversTo[peer.Name]++
 	req.addStep(Event{At: now, Kind: EventHandedOver, Server: peer.Name, Domain: peer.Domain, Attempt: (len(req.steps)+1)/2 + 1})
-	return Decision{Handover: &Handover{Proxy: peer.Name, Address: peer.Handovers, AttemptsUsed: req.reachedServers}}, true
+	return Decision{Handover: &Handover{Proxy: peer.Name, Address: peer.Handovers, AttemptsUsed: req.reachedServers, ConnectionsLost: req.connectionsLost}}, true
 }
 
 // unreachableElsewhere records that a server of a failure domain could not be reached, and reports
--- a/internal/kernel/steering/handover_test.go
+++ b/internal/kernel/steering/handover_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backpressure"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/directory"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
 
@@ -255,14 +256,87 @@
 	}
 }
 
-// Connections lost with the link must not count as crashes caused by the requests.
-func TestLostLinkIsNoCrashOfServers(t *testing.T) {
+// A request that crashes all servers of a service makes its proxies take themselves for cut off. The
+// crashes must count all the same.
+func TestCrashesCountWhileCutOff(t *testing.T) {
 	r := newHandoverRun()
+	deadly := quarantine.NewFingerprint("GET", "host", "/deadly", "", nil)
+	for range 3 {
+		req, d := r.BeginRequest(r.now, Request{ID: "r", Host: "host", Path: writePath, Work: deadly, Deadline: r.now.Add(5 * time.Second)})
+		if d.Server == nil {
+			t.Fatalf("got %+v, want a server", recordedDecisionOf(d))
+		}
+		r.EndAttempt(r.now, req, Attempt{Result: ResultConnectionLost})
+		if !r.CutOff() {
+			r.cutOff(t)
+		}
+		r.RemoveServer(r.now, d.Server.ID)
+		// The others are back.
+		r.RecordReachability(r.now, 1, 4)
+		r.now = r.now.Add(6 * time.Second)
+	}
+	if got := len(r.QuarantinedWork(r.now)); got != 1 {
+		t.Errorf("got %d quarantined requests after three crashes, want 1", got)
+	}
+}
+
+// Requests whose connections were lost with the link must not be quarantined, however often they are
+// sent.
+func TestRequestsLostWithTheLinkAreNotQuarantined(t *testing.T) {
+	r := newHandoverRun(handoverPeers()...)
+	popular := quarantine.NewFingerprint("GET", "host", "/popular", "", nil)
+	begin := func() (*ActiveRequest, Decision) {
+		return r.BeginRequest(r.now, Request{ID: "r", Host: "host", Path: writePath, Work: popular, Deadline: r.now.Add(5 * time.Second)})
+	}
+	req, _ := begin()
+	r.EndAttempt(r.now, req, Attempt{Result: ResultResponded})
+	inFlight := make(map[*ActiveRequest]string)
+	for range 12 {
+		req, d := begin()
+		inFlight[req] = d.Server.ID
+	}
 	r.cutOff(t)
-	r.RecordConnectionRefused(r.now, "s0")
-	r.Tick(r.now)
-	if i := slices.IndexFunc(r.events, func(e Event) bool { return e.Kind == EventServerCrashed }); i >= 0 {
-		t.Errorf("got a crash of %s, want none", r.events[i].Server)
+	for req := range inFlight {
+		r.EndAttempt(r.now, req, Attempt{Result: ResultConnectionLost})
+	}
+	for _, id := range inFlight {
+		r.RecordConnectionRefused(r.now, id)
+	}
+	req, d := begin()
+	expectHandover(t, d, "near")
+	r.EndHandover(r.now, req, HandoverResult{Result: ResultResponded, Server: "s0"})
+	if got := len(r.QuarantinedWork(r.now)); got != 0 {
+		t.Errorf("got %d quarantined requests, want none", got)
+	}
+}
+
+// If all servers have failed, no peer can help, and the first server that is back must be used at
+// once.
+func TestReturningServersAreUsedWhileNoPeerCanHelp(t *testing.T) {
+	r := newHandoverRun()
+	r.cutOff(t)
+	if _, d := r.begin(writePath); d.Reason != ReasonCutOff {
+		t.Errorf("got %+v while no server responds, want a rejection", recordedDecisionOf(d))
+	}
+	r.RecordReachability(r.now, 1, 4)
+	r.now = r.now.Add(6 * time.Second)
+	if _, d := r.begin(writePath); d.Server == nil {
+		t.Errorf("got %+v after a server responded, want a server", recordedDecisionOf(d))
+	}
+	if _, d := r.BeginRequest(r.now, Request{ID: "r", Host: "host", Path: readPath, IsHandover: true, HandoverFrom: "near"}); d.Server == nil {
+		t.Errorf("got %+v for a request that was handed over, want a server", recordedDecisionOf(d))
+	}
+}
+
+// Each lost connection may have been a crash. Two proxies together must not lose more than one.
+func TestLostConnectionsBeforeHandoverCount(t *testing.T) {
+	r := newHandoverRun()
+	req, d := r.BeginRequest(r.now, Request{ID: "r", Host: "host", Path: readPath, IsHandover: true, HandoverFrom: "near", ConnectionsLost: quarantine.MaxConnectionLosses - 1})
+	if d.Server == nil {
+		t.Fatalf("got %+v, want a server", recordedDecisionOf(d))
+	}
+	if d = r.EndAttempt(r.now, req, Attempt{Result: ResultConnectionLost}); d.Server != nil {
+		t.Errorf("got another attempt at %s, want none", d.Server.ID)
 	}
 }
 
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -47,8 +47,8 @@
 		req.Object = ""
 	}
 	if req.IsHandover {
-		req.reachedServers = req.AttemptsUsed
-		if k.CutOff() && !k.usesOpenConnections(now) {
+		req.reachedServers, req.connectionsLost = req.AttemptsUsed, req.ConnectionsLost
+		if k.CutOff() && !k.someServerResponds(now) {
 			return k.fail(now, req, ReasonCutOff)
 		}
 	}
@@ -88,7 +88,7 @@
 		if d, ok := k.handOver(now, req); ok {
 			return d, ReasonNone
 		}
-		if !k.usesOpenConnections(now) {
+		if !k.someServerResponds(now) {
 			return Decision{}, ReasonCutOff
 		}
 	}
--- a/internal/kernel/steering/quarantine.go
+++ b/internal/kernel/steering/quarantine.go
@@ -97,7 +97,7 @@
 		}
 	case ResultConnectionLost:
 		req.connectionsLost++
-		if s.isEligible() && s.absentUntil.IsZero() && !k.CutOff() {
+		if s.isEligible() && s.absentUntil.IsZero() {
 			// A draining server may close the connections of its remaining requests.
 			tracker.RecordConnectionLoss(now, req.Work, s.startID)
 		}
@@ -130,7 +130,9 @@
 	return list
 }
 
-// RecordConnectionRefused records that no process listens at the address of a server.
+// RecordConnectionRefused records that no process listens at the address of a server. While this proxy
+// is cut off, that is no evidence of a crash; whether its registration ends or another start
+// registers still tells.
 func (k *Kernel) RecordConnectionRefused(now time.Time, id string) {
 	k.record(Call{Method: callConnectionRefused, At: now, ID: id})
 	if s := k.servers[id]; s != nil && !k.CutOff() {
--- a/internal/kernel/steering/reachability.go
+++ b/internal/kernel/steering/reachability.go
@@ -62,10 +62,7 @@
 	if !k.reachability.EndRound(now, responded, probed) {
 		return
 	}
-	if k.CutOff() {
-		// The connections were not lost because servers crashed.
-		k.quarantine.ForgetConnectionLosses()
-	} else {
+	if !k.CutOff() {
 		k.restoreSilentServers(now, since.Add(-cutDetectionTime))
 	}
 	e := Event{Kind: EventReachability, At: now, CutOff: k.CutOff()}
@@ -84,8 +81,9 @@
 	}
 }
 
-// usesOpenConnections reports whether a proxy that is cut off should send a request over the
-// connections that it has, because servers still respond on them.
-func (k *Kernel) usesOpenConnections(now time.Time) bool {
-	return k.reachability.RespondsSince(now.Add(-openConnectionsTimeout))
+// someServerResponds reports whether a proxy that is cut off should send requests that no peer can
+// take: a server responded to the last probes, or servers respond on connections that are open.
+// If all servers have failed, all proxies are cut off, and the first server that returns is used.
+func (k *Kernel) someServerResponds(now time.Time) bool {
+	return k.reachability.LastRoundResponded() || k.reachability.RespondsSince(now.Add(-openConnectionsTimeout))
 }
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -134,10 +134,12 @@
 		// Deadline is when the caller stops waiting. It is zero if the caller did not set one.
 		Deadline time.Time
 		// IsHandover is set if another proxy, HandoverFrom, received the request from the caller and
-		// handed it over. AttemptsUsed is the number of its attempts there.
-		IsHandover   bool   `json:",omitempty"`
-		HandoverFrom string `json:",omitempty"`
-		AttemptsUsed int    `json:",omitempty"`
+		// handed it over. AttemptsUsed is the number of its attempts there, ConnectionsLost how many of
+		// them lost their connection.
+		IsHandover      bool   `json:",omitempty"`
+		HandoverFrom    string `json:",omitempty"`
+		AttemptsUsed    int    `json:",omitempty"`
+		ConnectionsLost int    `json:",omitempty"`
 	}
 
 	// ActiveRequest is the state of a request in progress.
