Do not take slow probes for a cut, and hand over to doubtful peers as a last choice

A response on a new connection during the probes now ends the suspicion, as it proves what the probes ask. A proxy that says that it is cut off is asked if there is no other: it may still reach a server, and refuses at once if not.

--- a/internal/kernel/reachability/tracker.go
+++ b/internal/kernel/reachability/tracker.go
@@ -48,6 +48,8 @@
 		// pending holds the attempts without a response yet, by number.
 		pending     map[uint64]pendingAttempt
 		respondedAt time.Time
+		// connectedAt is when a server last responded on a new connection.
+		connectedAt time.Time
 
 		cutOff    bool
 		changedAt time.Time
@@ -89,8 +91,12 @@
 	t.pending[attempt] = pendingAttempt{server: server, overdue: now.Add(overdueFactor*expected + overdueMargin)}
 }
 
-// RecordResponse records that an attempt ended with a response.
-func (t *Tracker) RecordResponse(now time.Time, attempt uint64, server string) {
+// RecordResponse records that an attempt ended with a response, on a new connection or one that was
+// open before.
+func (t *Tracker) RecordResponse(now time.Time, attempt uint64, server string, newConnection bool) {
+	if newConnection {
+		t.connectedAt = now
+	}
 	delete(t.pending, attempt)
 	delete(t.failedAt, server)
 	t.respondedAt = now
@@ -129,7 +135,7 @@
 	if t.cutOff {
 		return t.endRoundWhileCutOff(now, responded, probed)
 	}
-	if responded > 0 || probed == 0 {
+	if responded > 0 || probed == 0 || t.connectedAt.After(t.roundStartedAt) {
 		t.failedRounds, t.nextRoundAt = 0, now.Add(clearInterval)
 		clear(t.failedAt)
 		return false
--- a/internal/kernel/reachability/tracker_test.go
+++ b/internal/kernel/reachability/tracker_test.go
@@ -26,7 +26,7 @@
 		server := fmt.Sprintf("s%d", l.attempt%3)
 		l.tracker.RecordStart(l.now, l.attempt, server, step)
 		if attempts {
-			l.tracker.RecordResponse(l.now, l.attempt, server)
+			l.tracker.RecordResponse(l.now, l.attempt, server, false)
 		} else {
 			l.tracker.RecordFailure(l.now, l.attempt, server)
 		}
@@ -107,6 +107,22 @@
 	l.expect(t, "new connections refused", true)
 }
 
+// Probes of a proxy whose servers are slow to respond may all time out while requests are served.
+func TestResponsesOnNewConnectionsAreNoCut(t *testing.T) {
+	l := newLink()
+	for range 40 {
+		l.tracker.RecordFailure(l.now, 0, "s8")
+		l.tracker.RecordFailure(l.now, 0, "s9")
+		if l.tracker.BeginRound(l.now) {
+			l.now = l.now.Add(step)
+			l.tracker.RecordResponse(l.now, 0, "s1", true)
+			l.tracker.EndRound(l.now, 0, ProbeCount)
+		}
+		l.now = l.now.Add(step)
+	}
+	l.expect(t, "probes time out, new connections work", false)
+}
+
 // A link that works every other second must not be used again each time.
 func TestFlappingLinkIsNotUsed(t *testing.T) {
 	l := newLink()
--- a/internal/kernel/steering/handover.go
+++ b/internal/kernel/steering/handover.go
@@ -103,14 +103,17 @@
 }
 
 // handoverPeer chooses the proxy to hand a request over to: the better of two random ones of this
-// region or, if there are none, of the others. Bodies may only be sent to the regions allowed for
-// the request.
+// region or, if there are none, of the others. Proxies that have published that they are cut off come
+// last: some servers may respond to them. Bodies may only be sent to the regions allowed for the
+// request.
 func (k *Kernel) handoverPeer(now time.Time, req *ActiveRequest) (Proxy, bool) {
-	var local, remote []Proxy
+	var local, remote, cutOff []Proxy
 	for _, p := range k.proxies {
 		switch {
-		case p.Name == k.config.Name, !p.Handovers.IsValid(), p.Leaving, p.CutOff, now.Before(k.unablePeers[p.Name]):
+		case p.Name == k.config.Name, !p.Handovers.IsValid(), p.Leaving, now.Before(k.unablePeers[p.Name]):
 		case slices.Contains(req.triedPeers, p.Name), !req.allowedRegions.has(k.regionBit(p.Region)):
+		case p.CutOff:
+			cutOff = append(cutOff, p)
 		case p.Region == k.config.Region:
 			local = append(local, p)
 		default:
@@ -121,6 +124,9 @@
 	if len(candidates) == 0 {
 		candidates = remote
 	}
+	if len(candidates) == 0 {
+		candidates = cutOff
+	}
 	if len(candidates) == 0 {
 		return Proxy{}, false
 	}
--- a/internal/kernel/steering/handover_test.go
+++ b/internal/kernel/steering/handover_test.go
@@ -126,6 +126,18 @@
 	}
 }
 
+// A peer that takes itself for cut off may still reach some servers, and is better than none.
+func TestPeerThatIsCutOffIsTheLastChoice(t *testing.T) {
+	peers := handoverPeers()
+	peers[0].CutOff = true
+	r := newHandoverRun(peers...)
+	r.cutOff(t)
+	_, d := r.begin(writePath)
+	expectHandover(t, d, "far")
+	_, d = r.begin(northPath)
+	expectHandover(t, d, "near")
+}
+
 // A body must not be sent to a region in which the request may not run.
 func TestRequestsAreHandedOverInAllowedRegionsOnly(t *testing.T) {
 	r := newHandoverRun(handoverPeers()[1])
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -202,7 +202,7 @@
 		req.triedServers = append(req.triedServers, s)
 	}
 	elapsed := now.Sub(req.sentAt)
-	k.recordReachability(now, &req.sentAttempt, a.Result)
+	k.recordReachability(now, &req.sentAttempt, a)
 	k.recordCrashEvidence(now, req, s, a)
 	k.learnFromAttempt(now, req, s, a, elapsed)
 	req.addStep(Event{
--- a/internal/kernel/steering/reachability.go
+++ b/internal/kernel/steering/reachability.go
@@ -17,10 +17,10 @@
 )
 
 // recordReachability records whether the server of an attempt responded.
-func (k *Kernel) recordReachability(now time.Time, a *sentAttempt, result Result) {
-	switch result {
+func (k *Kernel) recordReachability(now time.Time, a *sentAttempt, ended Attempt) {
+	switch ended.Result {
 	case ResultResponded, ResultServerError, ResultRejected, ResultWrongServer:
-		k.reachability.RecordResponse(now, a.id, a.server.id)
+		k.reachability.RecordResponse(now, a.id, a.server.id, ended.RoundTrip > 0)
 	case ResultUnreachable, ResultConnectionLost:
 		k.reachability.RecordFailure(now, a.id, a.server.id)
 	default:
