--- a/internal/kernel/steering/handover_test.go
+++ b/internal/kernel/steering/handover_test.go
@@ -139,7 +139,7 @@
 }
 
 // A body must not be sent to a region in which the request may not run.
-func TestRequestsAreHandedOverInAllowedRegionsOnly(t *testing.T) {
+func TestRequestsStayInTheirRegionsWhenHandedOver(t *testing.T) {
 	r := newHandoverRun(handoverPeers()[1])
 	r.cutOff(t)
 	_, d := r.begin(readPath)
