Log and count what the retry budget granted and denied

The logs of the incident tell which retries were sent, but neither what the proxy had counted in its window at that moment nor by how many proxies it divided the slack: a process that has forgotten earlier retries and one that knows too few others look alike. Lines of retries and of ended requests have both now, retries that were denied are counted. No decision changes.

--- a/internal/kernel/admission/retrybudget.go
+++ b/internal/kernel/admission/retrybudget.go
@@ -61,15 +61,23 @@
 	return r.trySpend(now, proxies, true)
 }
 
-func (r *RetryBudget) trySpend(now time.Time, proxies int, isHedge bool) bool {
+// Usage returns the number of retries in the window and how many the budget allows.
+func (r *RetryBudget) Usage(now time.Time, proxies int) (retries int, allowed float64) {
 	r.advance(now)
-	requests, retries, hedges := 0, 0, 0
+	requests := 0
 	for i := range r.requests {
 		requests += r.requests[i]
 		retries += r.retries[i]
-		hedges += r.hedges[i]
 	}
-	allowed := budgetUtilization * (r.Ratio*float64(requests) + r.Slack/float64(max(1, proxies)))
+	return retries, budgetUtilization * (r.Ratio*float64(requests) + r.Slack/float64(max(1, proxies)))
+}
+
+func (r *RetryBudget) trySpend(now time.Time, proxies int, isHedge bool) bool {
+	retries, allowed := r.Usage(now, proxies)
+	hedges := 0
+	for _, n := range r.hedges {
+		hedges += n
+	}
 	if float64(retries+1) > allowed || isHedge && float64(hedges+1) > maxHedgeShare*allowed {
 		return false
 	}
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -116,6 +116,12 @@
 		Result  Result
 		Outcome Outcome
 		Reason  Reason
+		// RetryBudget is the retry budget of the service when a retry of the request was last wanted.
+		// RetriesCharged counts the retries that the budget granted to a request that ends, and
+		// RetryDenied is set if it granted no more.
+		RetryBudget    RetryBudgetState
+		RetriesCharged int
+		RetryDenied    bool
 		// Limit is the rate limit that a server announced for all proxies together.
 		Limit    backpressure.Limit
 		Draining bool
--- a/internal/kernel/steering/hedge.go
+++ b/internal/kernel/steering/hedge.go
@@ -63,6 +63,7 @@
 	if verdict != hedging.Allowed || !svc.retries.TrySpendHedge(now, len(k.limitSharers)) {
 		return Decision{}
 	}
+	req.recordCharge(k.retryBudgetState(now, svc), true)
 	if req.Account != nil {
 		k.quotas.limiter.Charge(req.Account.Name)
 	}
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 )
 
 // BeginRequest starts a request: it matches the route and returns the first step.
@@ -149,7 +148,7 @@
 	req.addStep(Event{
 		At: now, Kind: EventRequestSent, Server: s.id, Domain: s.Domain, Attempt: req.number, IsHedge: isHedge, Expected: chosen.expected,
 		Load: s.load(now), LoadAge: s.loadAge(now), HomeRank: chosen.homeRank, Warm: chosen.warm,
-		ExpectedWait: req.expectedWait, State: state, WorkFactor: chosen.workFactor,
+		ExpectedWait: req.expectedWait, State: state, WorkFactor: chosen.workFactor, RetryBudget: req.retries.budget,
 	})
 }
 
@@ -288,23 +287,6 @@
 	return ReasonConnectionLost
 }
 
-// mayRetry reports whether a request that reached a server may be sent to another one.
-func (k *Kernel) mayRetry(now time.Time, req *ActiveRequest) bool {
-	if req.mayHaveRun && !req.Route.Idempotent {
-		return false
-	}
-	if !k.isEnabled(MechanismRetries) || req.reachedServers >= req.Route.Attempts || req.sendAttempts >= maxSends || req.connectionsLost >= quarantine.MaxConnectionLosses || req.ExpiresAt.Sub(now) < minAttemptTime {
-		return false
-	}
-	if !k.service(req.Service).retries.TrySpend(now, len(k.limitSharers)) {
-		return false
-	}
-	if req.mayHaveRun && req.Account != nil {
-		k.quotas.limiter.Charge(req.Account.Name)
-	}
-	return true
-}
-
 // fail ends a request immediately without a response.
 func (k *Kernel) fail(now time.Time, req *ActiveRequest, reason Reason) Decision {
 	d := Decision{Reason: reason, NotRun: !req.mayHaveRun}
@@ -337,6 +319,7 @@
 		At: now, Kind: EventRequestEnded, From: req.HandoverFrom, Request: req.ID, Service: req.Service, Object: req.Object, Fingerprint: req.Work, Version: k.Version(),
 		Outcome: d.Outcome(), Reason: d.Reason, Duration: now.Sub(req.startedAt), Attempt: (len(req.steps) + 1) / 2,
 		RetryAfter: d.RetryAfter, Pressure: req.shedding.Pressure, Steps: req.steps, Hedge: req.hedgeOutcome(d),
+		RetryBudget: req.retries.budget, RetriesCharged: req.retries.count, RetryDenied: req.retries.denied,
 	}
 	if req.shedding.Cause != admission.ShedNone {
 		e.ExpectedWait, e.WaitLimit = req.shedding.Wait, req.shedding.Limit
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -185,6 +185,7 @@
 		// reachedServers counts the attempts that reached or may have reached a server.
 		reachedServers int
 		sendAttempts   int
+		retries        retryCharges
 		// unreachableDomain is the failure domain of the first server that could not be reached.
 		unreachableDomain string
 		// charged is set while the request is charged to its account.
--- a/internal/proxy/forward/metrics.go
+++ b/internal/proxy/forward/metrics.go
@@ -78,6 +78,7 @@
 	}
 	m.recordRequest(e)
 	m.recordHedge(e)
+	m.recordRetries(e)
 	if e.From != "" {
 		m.handoversReceived.Inc()
 	}
@@ -133,6 +134,16 @@
 	}
 }
 
+// recordRetries counts the retries that the retry budget granted or denied a request.
+func (m *proxyMetrics) recordRetries(e steering.Event) {
+	if e.RetriesCharged > 0 {
+		m.set.GetOrCreateCounter(fmt.Sprintf("gypsumquay_retries_total{service=%q,budget=\"granted\"}", e.Service)).Add(e.RetriesCharged)
+	}
+	if e.RetryDenied {
+		m.set.GetOrCreateCounter(fmt.Sprintf("gypsumquay_retries_total{service=%q,budget=\"denied\"}", e.Service)).Inc()
+	}
+}
+
 // recordUtilization shows the utilization in the last second.
 func (m *proxyMetrics) recordUtilization(u utilization) {
 	m.linkUtilization.Set(u.link)
