Add a failing search over restarts and lists of proxies for the retry budget

Callers' requests reach proxies that restart, alone and all at once, and that see different lists of each other, while the servers reject half of the attempts for some seconds. The simulated fleet of the search over cold servers serves both; that test is unchanged.

--- /dev/null
+++ b/internal/kernel/steering/retrybudget_views_test.go
@@ -0,0 +1,159 @@
+package steering
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
+)
+
+const (
+	// retryRunTime is how long proxies run while servers fail. All servers fail in the last
+	// retryCalmTime, in which no fault disturbs the proxies.
+	retryRunTime  = 70 * time.Second
+	retryCalmTime = 35 * time.Second
+	// Load, failing servers and the shares of the proxies in the load change after retryPhaseTime.
+	retryPhaseTime     = 4 * time.Second
+	retryRequestRate   = 60.0
+	retryFailureShare  = 0.5
+	retryServers       = 12
+	retryRouteAttempts = 4
+)
+
+var (
+	retryBounds = Bounds{Retry: RetryBudget{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}}
+)
+
+type (
+	// failingLoad simulates callers of a service whose servers reject most requests at times, and counts
+	// what reaches the servers.
+	failingLoad struct {
+		fleet  *viewFleet
+		random *rand.Rand
+		// factor multiplies the request rate of the phase, weights are the shares of the proxies.
+		factor  float64
+		weights map[string]float64
+		failing bool
+		phase   int
+		// requests and retries hold when requests were sent, and when further attempts of them reached
+		// servers.
+		requests, retries []time.Time
+	}
+)
+
+func newFailingLoad(seed uint64, size int) *failingLoad {
+	l := &failingLoad{random: rand.New(rand.NewPCG(seed, 5)), phase: -1, weights: make(map[string]float64)}
+	l.fleet = newViewFleet(seed, size, viewLoad{bounds: retryBounds, setUp: registerFailingServers, serve: l.sendRequests})
+	return l
+}
+
+func registerFailingServers(k *Kernel) {
+	route := &routing.Route{
+		Name: "route", Host: "host", Prefix: "/a/", Attempts: retryRouteAttempts, Timeout: time.Second, Target: time.Second, Idempotent: true,
+		Parts: []routing.WeightedService{{Service: "service", Weight: 1}},
+	}
+	k.SetTable(routing.NewTable(1, []*routing.Route{route}, []*routing.Service{{Name: "service"}}, routing.Limits{}))
+	for i := range retryServers {
+		k.RegisterServer(k.config.Joined, routing.Server{ID: fmt.Sprintf("server-%d", i), Service: "service", Domain: "north-a", Slots: 400})
+	}
+}
+
+// run simulates all phases.
+func (l *failingLoad) run() {
+	for l.elapsed() < retryRunTime {
+		if phase := int(l.elapsed() / retryPhaseTime); phase != l.phase {
+			l.phase = phase
+			l.beginPhase()
+		}
+		l.fleet.step()
+	}
+}
+
+func (l *failingLoad) elapsed() time.Duration { return l.fleet.now.Sub(viewStart) }
+
+func (l *failingLoad) isCalm() bool { return l.elapsed() >= retryRunTime-retryCalmTime }
+
+func (l *failingLoad) beginPhase() {
+	l.failing, l.factor = l.isCalm() || l.random.IntN(2) == 0, 1
+	if !l.isCalm() {
+		l.factor = []float64{0.2, 1, 1, 3}[l.random.IntN(4)]
+	}
+	total := 0.0
+	for _, p := range l.fleet.proxies {
+		l.weights[p.Name] = 1
+		if !l.isCalm() {
+			l.weights[p.Name] = l.random.ExpFloat64()
+		}
+		total += l.weights[p.Name]
+	}
+	for name := range l.weights {
+		l.weights[name] /= total
+	}
+}
+
+// sendRequests sends a proxy its share of the requests of one step.
+func (l *failingLoad) sendRequests(p *viewProxy) {
+	for expected := retryRequestRate * l.factor * l.weights[p.Name] * viewStep.Seconds(); l.random.Float64() < expected; expected-- {
+		l.sendRequest(p.kernel)
+	}
+}
+
+func (l *failingLoad) sendRequest(k *Kernel) {
+	now := l.fleet.now
+	l.requests = append(l.requests, now)
+	req, d := k.BeginRequest(now, Request{ID: "r", Host: "host", Path: "/a/x", Deadline: now.Add(time.Second)})
+	for attempt := 1; d.Server != nil; attempt++ {
+		if attempt > 1 {
+			l.retries = append(l.retries, now)
+		}
+		result := Attempt{Result: ResultResponded}
+		if l.failing && l.random.Float64() < retryFailureShare {
+			result = Attempt{Result: ResultRejected, Loaded: true}
+		}
+		d = k.EndAttempt(now, req, result)
+	}
+}
+
+// countInWindow returns how many of the sorted times are in the window that begins at from.
+func countInWindow(times []time.Time, from time.Time) int {
+	first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+	end, _ := slices.BinarySearchFunc(times, from.Add(retryBounds.Retry.Window), time.Time.Compare)
+	return end - first
+}
+
+// allowed returns how many retries all proxies may send in the window that begins at from. The
+// requests are those of the window, of the one before it, or of the one half a window before it.
+func (l *failingLoad) allowed(from time.Time) float64 {
+	b := retryBounds.Retry
+	requests := max(countInWindow(l.requests, from), countInWindow(l.requests, from.Add(-b.Window/2)), countInWindow(l.requests, from.Add(-b.Window)))
+	return b.Ratio*float64(requests) + b.Slack
+}
+
+// mostUsed returns the window in which the largest share of the allowed retries was sent.
+func (l *failingLoad) mostUsed(from, until time.Duration) (share float64, at time.Duration) {
+	for start := from; start <= until; start += viewStep {
+		begin := viewStart.Add(start)
+		if used := float64(countInWindow(l.retries, begin)) / l.allowed(begin); used > share {
+			share, at = used, start
+		}
+	}
+	return share, at
+}
+
+// Processes restart, also all at once, and see different lists of each other while servers fail. Guards
+// against retries beyond the budget of the fleet in windows that begin before a restart.
+func TestRetryBudgetHoldsForAllRestartsAndLists(t *testing.T) {
+	const seeds = 10
+	for _, size := range []int{1, 2, 5, 11} {
+		for seed := range uint64(seeds) {
+			l := newFailingLoad(seed, size)
+			l.run()
+			if share, at := l.mostUsed(0, retryRunTime); share > 1 {
+				t.Errorf("%d proxies, seed %d: %.2f of the allowed retries in the window from %s, want at most 1; faults: %q", size, seed, share, at, l.fleet.faults)
+			}
+		}
+	}
+}
