Retry only for requests and slack that the process itself has earned

What callers saw: while all servers of a service failed and proxies restarted, each restart sent a new burst of retries to servers that were failing already: 336 retries in ten seconds where 325 are allowed after one restart of all proxies, 406 of 315 after three.

Cause: the budget allowed 0.8 of the whole window's credit and slack to each process, and only the process that spent it remembered. A new process began with the slack anew, and requests from before the window had paid for retries within it. Besides, the slack was divided by the proxies that one knows, which are too few while lists differ.

Evidence: in the proxies' logs all retries were charged and divided the slack by 11 of 11 proxies; 187 of 188 allowed retries were used before the restart and 62 more in the half second after it.

Fix: each request and each second of a proxy's share of the slack earns half of what it allows, and a retry uses credit that is at most a window old. A process starts with nothing. Retries in any window then use credit from that window and the one before, each half of a budget, so their sum is a budget whichever processes were alive. A process checks every time span up to now, so while it lives it may use the whole budget in each window and half of it at once. Slack is earned only while all proxies that earn some count this one, as for cold servers, with lists up to ten seconds old so that short outages of the store cost nothing. No message and no call is added. Credit is dropped when the process was suspended.

--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -198,13 +198,14 @@
 		IsHedge bool   `json:"is-hedge,omitempty"`
 		Hedge   string `json:"hedge,omitempty"`
 		// RetriesCharged counts the retries that the retry budget granted, RetryDenied is set if it
-		// granted no more. Retries, RetriesAllowed and BudgetProxies describe the budget at that time:
-		// the retries in the window, how many are allowed, and the proxies that share the slack.
+		// granted no more. Retries, RetriesAllowed and SlackShare describe the budget at that time:
+		// the retries of the time in which it is the closest to being exhausted, how many are allowed
+		// in it, and the share of the slack that this proxy earns.
 		RetriesCharged int     `json:"retries-charged,omitempty"`
 		RetryDenied    bool    `json:"retry-denied,omitempty"`
 		Retries        int     `json:"retries,omitempty"`
 		RetriesAllowed float64 `json:"retries-allowed,omitempty"`
-		BudgetProxies  int     `json:"budget-proxies,omitempty"`
+		SlackShare     float64 `json:"slack-share,omitempty"`
 	}
 )
 
@@ -216,7 +217,7 @@
 		Reason: string(e.Reason), Load: e.Load, WorkFactor: e.WorkFactor, Warm: e.Warm, Draining: e.Draining,
 		Expected: formatDuration(e.Expected), Duration: formatDuration(e.Duration), RetryAfter: formatDuration(e.RetryAfter), Pressure: e.Pressure,
 		ExpectedWait: formatDuration(e.ExpectedWait), WaitLimit: formatDuration(e.WaitLimit), ShedRatio: e.ShedRatio, AccountShedRatio: e.AccountShedRatio, ServerState: string(e.State), Cause: string(e.Cause), Target: formatDuration(e.Target), Limit: e.Limit.String(), IsHedge: e.IsHedge, Hedge: string(e.Hedge),
-		RetriesCharged: e.RetriesCharged, RetryDenied: e.RetryDenied, Retries: e.RetryBudget.Retries, RetriesAllowed: e.RetryBudget.Allowed, BudgetProxies: e.RetryBudget.Proxies,
+		RetriesCharged: e.RetriesCharged, RetryDenied: e.RetryDenied, Retries: e.RetryBudget.Retries, RetriesAllowed: e.RetryBudget.Allowed, SlackShare: e.RetryBudget.SlackShare,
 	}
 	if e.Result != 0 {
 		out.Result = e.Result.String()
--- a/internal/fake/warmnet/hedges.go
+++ b/internal/fake/warmnet/hedges.go
@@ -68,6 +68,9 @@
 }
 
 func (w *simulation) beginHedge(req *request) {
+	if w.ended[req.kernel] {
+		return
+	}
 	d := req.kernel.BeginHedge(w.clock(), req.activeRequest)
 	if d.Server == nil {
 		return
--- a/internal/fake/warmnet/scenario.go
+++ b/internal/fake/warmnet/scenario.go
@@ -105,6 +105,8 @@
 		// proxies of the other regions from then on.
 		ProxyLossRegions []string          `json:"stranded"`
 		ProxyLossAt      operator.Duration `json:"strand-at"`
+		// ProxyRestarts are the times at which all proxies are killed and start again.
+		ProxyRestarts []operator.Duration `json:"proxy-restarts"`
 		// CrashingRequests crash servers, RandomCrashes are crashes for other reasons. RestartDelay
 		// is the time until a cold server with a new ID replaces a crashed one.
 		CrashingRequests *CrashingRequests `json:"deadly"`
@@ -171,6 +173,7 @@
 		Backoffs       BackoffStats
 		Hedges         HedgeStats
 		Cuts           CutStats
+		Retries        RetryStats
 		// Routes holds the counts of each route, by name.
 		Routes    map[string]*RouteStats
 		Latencies []time.Duration
--- a/internal/kernel/admission/retrybudget.go
+++ b/internal/kernel/admission/retrybudget.go
@@ -5,37 +5,88 @@
 )
 
 const (
-	// bucketCount is the number of buckets in a window. The oldest bucket is dropped as a whole
-	// once it is outside the window, so the count never misses a retry within the window.
-	bucketCount = 10
-	// budgetUtilization is the part of the budget that is used. The rest is a margin for requests
-	// that fall into another proxy's window and for proxies that have just joined.
-	budgetUtilization = 0.8
+	// bucketsPerWindow is the number of buckets in a window.
+	bucketsPerWindow = 20
+	// arrivalDelayBuckets is how many buckets later than it was charged a retry may arrive at its
+	// server.
+	arrivalDelayBuckets = 1
+	// creditBuckets is the number of buckets whose credit the longest span of retries may use, which
+	// is a window and the delay of the arrivals.
+	creditBuckets = 2 * bucketsPerWindow
+	// earnedPerRequest is the part of Ratio and of Slack that is earned as time passes. Retries of a
+	// window use what was earned in it and in the window before, so a half of both adds up to the
+	// whole budget.
+	earnedPerRequest = 0.5
 	// maxHedgeShare is the part of the budget that hedges may use. The rest is left for retries of
 	// failed attempts, without which requests are lost.
 	maxHedgeShare = 0.25
 )
 
 type (
-	// RetryBudget limits the retries to one service: to Ratio times the requests in a sliding
-	// window, plus this proxy's part of Slack.
+	// RetryBudget limits the retries to one service. The retries of all proxies together stay within
+	// Ratio times the requests plus Slack in each window, where the requests of the window before count
+	// if they are more.
+	//
+	// A proxy earns a credit for each request and for its share of Slack over time, and a retry uses
+	// credit that is at most a window old. It starts without credit: nobody knows what an earlier
+	// process sent before it ended, but that was paid for by requests that the earlier process counted.
+	// So the bound holds whichever processes restart, and without any message between them.
 	RetryBudget struct {
 		Ratio  float64
 		Slack  float64
 		Window time.Duration
 
-		requests [bucketCount + 1]int
-		retries  [bucketCount + 1]int
-		// hedges are the retries that were sent while the first attempt was in flight.
-		hedges [bucketCount + 1]int
+		buckets [creditBuckets]budgetBucket
+		// bucket is the number of the current bucket since the epoch.
 		bucket int64
+		// slackUntil is until when slack has been added.
+		slackUntil time.Time
+	}
+
+	// budgetBucket is what one proxy counted in a part of a window.
+	budgetBucket struct {
+		requests, retries int
+		// hedges are the retries that were sent while the first attempt was in flight.
+		hedges int
+		// slackSeconds is this proxy's share of the slack, integrated over time.
+		slackSeconds float64
+	}
+
+	// RetryUsage is the part of a budget that is the closest to being exhausted.
+	RetryUsage struct {
+		// Retries are the retries in some time up to now, Allowed how many the budget allows in it.
+		Retries int
+		Allowed float64
 	}
 )
 
 // RecordRequest counts the first attempt of a request.
 func (r *RetryBudget) RecordRequest(now time.Time) {
 	r.advance(now)
-	r.requests[r.bucketIndex()]++
+	r.at(0).requests++
+}
+
+// AddSlack adds the slack that a proxy has earned since the previous call, by its share of Slack.
+// Calls that are further apart than a bucket add less, and the first one adds nothing.
+func (r *RetryBudget) AddSlack(now time.Time, share float64) {
+	r.advance(now)
+	length := r.bucketLength()
+	from := r.slackUntil
+	switch {
+	case from.IsZero():
+		from = now
+	case now.Sub(from) > length:
+		from = now.Add(-length)
+	}
+	bucketStart := time.Unix(0, r.bucket*int64(length))
+	if from.Before(bucketStart) {
+		r.at(1).slackSeconds += share * bucketStart.Sub(from).Seconds()
+		from = bucketStart
+	}
+	if now.After(from) {
+		r.at(0).slackSeconds += share * now.Sub(from).Seconds()
+	}
+	r.slackUntil = now
 }
 
 // RequestRate returns the first attempts per second in the window. It is too low until a whole
@@ -43,62 +94,99 @@
 func (r *RetryBudget) RequestRate(now time.Time) float64 {
 	r.advance(now)
 	requests := 0
-	for _, n := range r.requests {
-		requests += n
+	for age := range bucketsPerWindow + 1 {
+		requests += r.at(age).requests
 	}
 	return float64(requests) / r.Window.Seconds()
 }
 
-// TrySpend takes one retry from the budget, or returns false if the budget is exhausted. proxies is
-// the number of proxies that share Slack.
-func (r *RetryBudget) TrySpend(now time.Time, proxies int) bool {
-	return r.trySpend(now, proxies, false)
+// TrySpend takes one retry from the budget, or returns false if the budget is exhausted.
+func (r *RetryBudget) TrySpend(now time.Time) bool {
+	if !r.Usage(now).hasRoom() {
+		return false
+	}
+	r.at(0).retries++
+	return true
 }
 
 // TrySpendHedge takes one hedge from the budget, or returns false if the hedges have used their
 // part of it or the budget is exhausted.
-func (r *RetryBudget) TrySpendHedge(now time.Time, proxies int) bool {
-	return r.trySpend(now, proxies, true)
+func (r *RetryBudget) TrySpendHedge(now time.Time) bool {
+	r.advance(now)
+	hedges := RetryUsage{Allowed: maxHedgeShare * r.allowed(0, creditBuckets)}
+	for age := range bucketsPerWindow + arrivalDelayBuckets + 1 {
+		hedges.Retries += r.at(age).hedges
+	}
+	if !hedges.hasRoom() || !r.TrySpend(now) {
+		return false
+	}
+	r.at(0).hedges++
+	return true
 }
 
-// Usage returns the number of retries in the window and how many the budget allows.
-func (r *RetryBudget) Usage(now time.Time, proxies int) (retries int, allowed float64) {
+// Usage returns how much of the budget is in use. Retries that arrive within a window were sent in
+// up to bucketsPerWindow+arrivalDelayBuckets+1 buckets, and they may only use credit earned since a
+// window before the first of these arrivals. That must hold for the retries of each time up to now,
+// since any of them may be the last ones of a process whose successor begins with credit of its own.
+func (r *RetryBudget) Usage(now time.Time) RetryUsage {
 	r.advance(now)
-	requests := 0
-	for i := range r.requests {
-		requests += r.requests[i]
-		retries += r.retries[i]
+	const oldestCredit = bucketsPerWindow - arrivalDelayBuckets - 1
+	credit := r.allowed(0, oldestCredit)
+	retries := 0
+	var tightest RetryUsage
+	for age := range bucketsPerWindow + arrivalDelayBuckets + 1 {
+		retries += r.at(age).retries
+		credit += r.allowed(age+oldestCredit, 1)
+		if usage := (RetryUsage{retries, credit}); age == 0 || usage.room() < tightest.room() {
+			tightest = usage
+		}
 	}
-	return retries, budgetUtilization * (r.Ratio*float64(requests) + r.Slack/float64(max(1, proxies)))
+	return tightest
 }
 
-func (r *RetryBudget) trySpend(now time.Time, proxies int, isHedge bool) bool {
-	retries, allowed := r.Usage(now, proxies)
-	hedges := 0
-	for _, n := range r.hedges {
-		hedges += n
-	}
-	if float64(retries+1) > allowed || isHedge && float64(hedges+1) > maxHedgeShare*allowed {
-		return false
+// ForgetCredit drops the earned credit. It is called when the process was suspended, so that the age
+// of its credit is not known.
+func (r *RetryBudget) ForgetCredit() {
+	for i := range r.buckets {
+		r.buckets[i].requests, r.buckets[i].slackSeconds = 0, 0
 	}
-	r.retries[r.bucketIndex()]++
-	if isHedge {
-		r.hedges[r.bucketIndex()]++
+}
+
+// allowed returns the retries for which the credit of a number of buckets suffices, beginning with
+// the one of the given age in buckets.
+func (r *RetryBudget) allowed(age, count int) float64 {
+	requests, slackSeconds := 0, 0.0
+	for i := range count {
+		requests += r.at(age + i).requests
+		slackSeconds += r.at(age + i).slackSeconds
 	}
-	return true
+	return earnedPerRequest * (r.Ratio*float64(requests) + r.Slack*slackSeconds/r.Window.Seconds())
 }
 
-func (r *RetryBudget) bucketIndex() int { return int(r.bucket % int64(len(r.requests))) }
+func (u RetryUsage) room() float64 { return u.Allowed - float64(u.Retries) }
+
+func (u RetryUsage) hasRoom() bool { return u.room() >= 1 }
+
+func (r *RetryBudget) bucketLength() time.Duration { return max(1, r.Window/bucketsPerWindow) }
+
+// at returns the bucket of an age in buckets.
+func (r *RetryBudget) at(age int) *budgetBucket {
+	i := (r.bucket - int64(age)) % creditBuckets
+	if i < 0 {
+		i += creditBuckets
+	}
+	return &r.buckets[i]
+}
 
 func (r *RetryBudget) advance(now time.Time) {
-	bucket := now.UnixNano() / max(1, int64(r.Window)/bucketCount)
+	bucket := now.UnixNano() / int64(r.bucketLength())
 	if bucket < r.bucket {
 		// The clock went back. Counts are kept until it catches up.
 		return
 	}
-	for i := 0; r.bucket < bucket && i < len(r.requests); i++ {
+	for i := 0; r.bucket < bucket && i < len(r.buckets); i++ {
 		r.bucket++
-		r.requests[r.bucketIndex()], r.retries[r.bucketIndex()], r.hedges[r.bucketIndex()] = 0, 0, 0
+		*r.at(0) = budgetBucket{}
 	}
 	r.bucket = bucket
 }
--- a/internal/kernel/steering/coldstart.go
+++ b/internal/kernel/steering/coldstart.go
@@ -28,7 +28,7 @@
 // shares of all proxies add up to the server's rate only while each proxy that uses its share is
 // counted by the others.
 func (k *Kernel) coldRoom(now time.Time, svc *service, s *server) bool {
-	if now.Sub(k.config.Joined) < startupGrace || !k.listing.countedByAll(now) {
+	if now.Sub(k.config.Joined) < startupGrace || !k.listing.countedByAll(now, maxListAge) {
 		return false
 	}
 	return s.coldRate.HasRoom(now, k.coldShare(svc, s))
--- a/internal/kernel/steering/hedge.go
+++ b/internal/kernel/steering/hedge.go
@@ -60,7 +60,7 @@
 		candidates = append(candidates, k.hedgeServer(now, req, svc, s))
 	}
 	i, verdict := hedging.Choose(k.hedgeRequest(now, req), runs, k.hedgeLoad(now, req, svc), candidates)
-	if verdict != hedging.Allowed || !svc.retries.TrySpendHedge(now, len(k.limitSharers)) {
+	if verdict != hedging.Allowed || !svc.retries.TrySpendHedge(now) {
 		return Decision{}
 	}
 	req.recordCharge(k.retryBudgetState(now, svc), true)
--- a/internal/kernel/steering/limitsharers.go
+++ b/internal/kernel/steering/limitsharers.go
@@ -16,10 +16,10 @@
 	// maxListAge is how old this proxy's list of proxies may be while it uses its share of a cold
 	// server's rate.
 	maxListAge = 3 * time.Second
-	// listingGrace is how long a proxy must be listed before it uses its share of a cold server's
-	// rate. Until then others may have used shares computed without it: their lists may be
-	// maxListAge old, and their requests count for another second.
-	listingGrace = maxListAge + 1200*time.Millisecond
+	// listingGrace is how much longer than the lists of others may be old a proxy must be listed before
+	// it uses its share of a limit. Until then others may have used shares computed without it, and
+	// what they sent to a cold server counts for another second.
+	listingGrace = 1200 * time.Millisecond
 )
 
 type (
@@ -93,14 +93,15 @@
 	l.tracked, l.listed, l.confirmedAt = true, listed, confirmedAt
 }
 
-// countedByAll reports whether all proxies that may use shares of a cold server's rate now count
-// this one: it has been listed for longer than their lists may be old, and its own list is current.
-func (l *listing) countedByAll(now time.Time) bool {
+// countedByAll reports whether all proxies that use shares of a limit now count this one, if they use
+// them only while their lists are no older than maxAge: this one has been listed for longer than
+// that, and its own list is current.
+func (l *listing) countedByAll(now time.Time, maxAge time.Duration) bool {
 	if !l.tracked {
 		return true
 	}
-	current := now.Sub(l.confirmedAt) <= maxListAge && !l.confirmedAt.Before(l.resumedAt)
-	return l.listed && current && now.Sub(l.since) >= listingGrace
+	current := now.Sub(l.confirmedAt) <= maxAge && !l.confirmedAt.Before(l.resumedAt)
+	return l.listed && current && now.Sub(l.since) >= maxAge+listingGrace
 }
 
 // wasRegistered reports whether this proxy has been registered for long enough since its start that
--- a/internal/kernel/steering/quotas.go
+++ b/internal/kernel/steering/quotas.go
@@ -217,4 +217,7 @@
 	k.quotas.limiter.ResetAfterPause(now)
 	k.quotas.pool.Reset(now)
 	k.listing.resumedAt = now
+	for _, svc := range k.services {
+		svc.retries.ForgetCredit()
+	}
 }
--- a/internal/kernel/steering/retry.go
+++ b/internal/kernel/steering/retry.go
@@ -3,18 +3,23 @@
 import (
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 )
 
+const (
+	// maxSlackListAge is how old this proxy's list of proxies may be while it earns its share of the
+	// slack of retry budgets. It exceeds most outages of the store. A proxy that starts waits as long.
+	maxSlackListAge = 10 * time.Second
+)
+
 type (
 	// RetryBudgetState describes the retry budget of a service at this proxy when a retry was wanted.
 	// The zero value means that none was.
 	RetryBudgetState struct {
-		// Retries counts the retries of the last window, Allowed is how many the budget allows in it.
-		Retries int
-		Allowed float64
-		// Proxies is the number of proxies among which the slack is divided.
-		Proxies int
+		admission.RetryUsage
+		// SlackShare is the share of the budget's slack that this proxy earns.
+		SlackShare float64
 	}
 
 	// retryCharges records what a request has used of the retry budget of its service.
@@ -37,7 +42,7 @@
 		return false
 	}
 	svc := k.service(req.Service)
-	granted := svc.retries.TrySpend(now, len(k.limitSharers))
+	granted := svc.retries.TrySpend(now)
 	req.recordCharge(k.retryBudgetState(now, svc), granted)
 	if !granted {
 		return false
@@ -49,8 +54,24 @@
 }
 
 func (k *Kernel) retryBudgetState(now time.Time, svc *service) RetryBudgetState {
-	retries, allowed := svc.retries.Usage(now, len(k.limitSharers))
-	return RetryBudgetState{Retries: retries, Allowed: allowed, Proxies: len(k.limitSharers)}
+	return RetryBudgetState{RetryUsage: svc.retries.Usage(now), SlackShare: k.retrySlackShare(now)}
+}
+
+// retrySlackShare returns this proxy's share of the slack of retry budgets: an equal one while all
+// proxies that have a share count this proxy.
+func (k *Kernel) retrySlackShare(now time.Time) float64 {
+	if !k.listing.countedByAll(now, maxSlackListAge) {
+		return 0
+	}
+	return 1 / float64(len(k.limitSharers))
+}
+
+// earnRetrySlack adds what this proxy has earned of the slack of all retry budgets since the last call.
+func (k *Kernel) earnRetrySlack(now time.Time) {
+	share := k.retrySlackShare(now)
+	for _, svc := range k.services {
+		svc.retries.AddSlack(now, share)
+	}
 }
 
 // recordCharge records whether the budget granted a retry.
--- a/internal/kernel/steering/servers.go
+++ b/internal/kernel/steering/servers.go
@@ -111,6 +111,7 @@
 	k.expireLimiters(now)
 	k.expireHandoverBackoffs(now)
 	k.quotas.tick(now)
+	k.earnRetrySlack(now)
 	k.movePinnedShares(now)
 	k.movePlacement(now)
 	for id, s := range k.absentServers {
--- a/internal/proxy/forward/decisionlog.go
+++ b/internal/proxy/forward/decisionlog.go
@@ -104,7 +104,7 @@
 	klog.InfoS(string(e.Kind), "request", e.Request, "route", e.Route, "account", e.Account, "work", e.Fingerprint.String(), "configuration", e.Version,
 		"from", e.From, "outcome", e.Outcome.String(), "reason", string(e.Reason), "took", e.Duration.String(), "attempts", e.Attempt, "tried", attemptedServers(e.Steps), "hedge", string(e.Hedge),
 		"come-back", e.RetryAfter.String(), "pressure", e.Pressure, "wait", e.ExpectedWait.String(), "wait-limit", e.WaitLimit.String(), "shed-ratio", e.ShedRatio, "account-shed-ratio", e.AccountShedRatio, "target", e.Target.String(), "cause", string(e.Cause), "server-state", string(e.State),
-		"retries-charged", e.RetriesCharged, "retry-denied", e.RetryDenied, "retries", e.RetryBudget.Retries, "retries-allowed", e.RetryBudget.Allowed, "budget-proxies", e.RetryBudget.Proxies)
+		"retries-charged", e.RetriesCharged, "retry-denied", e.RetryDenied, "retries", e.RetryBudget.Retries, "retries-allowed", e.RetryBudget.Allowed, "slack-share", e.RetryBudget.SlackShare)
 }
 
 // attemptedServers lists the servers and proxies that a request was sent to, with the results.
@@ -132,7 +132,7 @@
 		klog.InfoS(string(s.Kind), "request", s.Request, "route", s.Route, "configuration", s.Version, "service", s.Service,
 			"server", s.Server, "failure-domain", s.Domain, "object", s.Object, "work", s.Fingerprint.String(), "home-rank", s.HomeRank, "warm", s.Warm, "attempt", s.Attempt, "hedge", s.IsHedge,
 			"expected", s.Expected.String(), "load", s.Load, "wait", s.ExpectedWait.String(), "server-state", string(s.State), "load-age", formatAge(s.LoadAge), "work-factor", s.WorkFactor,
-			"retries", s.RetryBudget.Retries, "retries-allowed", s.RetryBudget.Allowed, "budget-proxies", s.RetryBudget.Proxies, "ago", ago.String())
+			"retries", s.RetryBudget.Retries, "retries-allowed", s.RetryBudget.Allowed, "slack-share", s.RetryBudget.SlackShare, "ago", ago.String())
 		return
 	}
 	klog.InfoS(string(s.Kind), "request", s.Request, "work", s.Fingerprint.String(), "server", s.Server, "attempt", s.Attempt, "hedge", s.IsHedge, "result", s.Result.String(),
