Count a handed-over request in one retry budget, and charge what peers sent

A request that two proxies handle counted as a first attempt at both, so it earned twice. After a peer whose servers had rejected the request, the next peer sent it without a charge. And a handover that broke off was charged to a service without a name if this proxy had not chosen one.

Tests first: TestHandedOverRequestEarnsRetriesOnce got a retry at the peer, and TestNextPeerIsARetryAfterAttemptsOfTheFirst a second peer without credit. A third case of the latter, with credit, failed until the nameless service was replaced by those of the route.

The proxies tell each other whether the request is counted and how many servers it reached. A peer of the version before sends neither: the request counts there too, as before, and what it sent is not known, as before.

--- a/internal/adapter/forwardhttp/handover.go
+++ b/internal/adapter/forwardhttp/handover.go
@@ -13,16 +13,20 @@
 )
 
 const (
-	// Header fields between two proxies. The first three are those of a request that is handed over:
-	// the proxy that received it from its caller, the number of attempts that were used there, and
-	// how many of them lost their connection. The others are those of the response: the server that sent it or, if it is the proxy's own,
-	// why the request ended, and whether it has not run.
+	// Header fields between two proxies. The first four are those of a request that is handed over:
+	// the proxy that received it from its caller, the number of attempts that were used there, how
+	// many of them lost their connection, and whether it counts in the retry budget there. The others
+	// are those of the response: the server that sent it or, if it is the proxy's own, why the request
+	// ended, whether it has not run, and how many servers it was sent to. Proxies of the version before
+	// send neither the fourth nor the last.
 	handoverFromHeader     = "Gypsumquay-Handover-From"
 	handoverAttemptsHeader = "Gypsumquay-Handover-Attempts"
 	handoverLostHeader     = "Gypsumquay-Handover-Lost"
+	handoverCountedHeader  = "Gypsumquay-Handover-Counted"
 	handoverServerHeader   = "Gypsumquay-Handover-Server"
 	handoverReasonHeader   = "Gypsumquay-Handover-Reason"
 	handoverNotRunHeader   = "Gypsumquay-Handover-Not-Run"
+	handoverReachedHeader  = "Gypsumquay-Handover-Servers-Reached"
 )
 
 type (
@@ -32,6 +36,7 @@
 	receivedHandover struct {
 		from                          string
 		attemptsUsed, connectionsLost int
+		isCounted                     bool
 	}
 )
 
@@ -50,7 +55,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	for _, name := range []string{handoverFromHeader, handoverAttemptsHeader, handoverLostHeader} {
+	for _, name := range []string{handoverFromHeader, handoverAttemptsHeader, handoverLostHeader, handoverCountedHeader} {
 		r.Header.Del(name)
 	}
 	s.serve(w, r.WithContext(context.WithValue(r.Context(), handoverKey{}, h)))
@@ -64,6 +69,7 @@
 	if h.attemptsUsed, err = parseCount(header, handoverAttemptsHeader); err != nil {
 		return h, err
 	}
+	h.isCounted = header.Get(handoverCountedHeader) == "true"
 	h.connectionsLost, err = parseCount(header, handoverLostHeader)
 	return h, err
 }
@@ -94,6 +100,7 @@
 	}
 	w.Header().Set(handoverReasonHeader, string(d.Reason))
 	w.Header().Set(handoverNotRunHeader, strconv.FormatBool(d.NotRun))
+	w.Header().Set(handoverReachedHeader, strconv.Itoa(d.ServersReached))
 }
 
 // handOver hands a request over to another proxy and returns the kernel's next step.
@@ -102,6 +109,7 @@
 	header.Set(handoverFromHeader, s.Name)
 	header.Set(handoverAttemptsHeader, strconv.Itoa(h.AttemptsUsed))
 	header.Set(handoverLostHeader, strconv.Itoa(h.ConnectionsLost))
+	header.Set(handoverCountedHeader, strconv.FormatBool(h.IsCounted))
 	request := serverhttp.Request{
 		Address: h.Address, Method: r.Method, Host: r.Host, Target: r.RequestURI, Header: header, Body: o.body.Bytes,
 		AttemptID: r.Header.Get(s.Headers.AttemptID), Deadline: active.ExpiresAt, DialTimeout: min(dialBaseTimeout, active.ExpiresAt.Sub(s.Now())),
@@ -113,23 +121,29 @@
 		}
 	}
 	attempt, response := s.SendToPeer(ctx, request)
-	result := steering.HandoverResult{Result: attempt.Result, ResponseStarted: attempt.ResponseStarted, Signal: attempt.Signal, Err: attempt.Err}
+	result := steering.HandoverResult{Result: attempt.Result}
 	if response != nil {
-		result.Result = steering.ResultResponded
-		result.Server, result.Reason, result.NotRun = takeHandoverResult(response)
-		result.ServerFailed = response.Status >= http.StatusInternalServerError
+		result = takeHandoverResult(response)
+		result.Result, result.ServerFailed = steering.ResultResponded, response.Status >= http.StatusInternalServerError
 	}
+	result.ResponseStarted, result.Signal, result.Err = attempt.ResponseStarted, attempt.Signal, attempt.Err
 	var d steering.Decision
 	s.WithKernel(func(k *steering.Kernel, now time.Time) { d = k.EndHandover(now, active, result) })
 	return d, response
 }
 
-// takeHandoverResult removes the header fields between proxies from a response and returns them.
-func takeHandoverResult(response *serverhttp.Response) (server string, reason steering.Reason, notRun bool) {
+// takeHandoverResult removes the header fields between proxies from a response and returns what they
+// say.
+func takeHandoverResult(response *serverhttp.Response) steering.HandoverResult {
 	h := response.Header
-	server, reason, notRun = h.Get(handoverServerHeader), steering.Reason(h.Get(handoverReasonHeader)), h.Get(handoverNotRunHeader) == "true"
-	for _, name := range []string{handoverServerHeader, handoverReasonHeader, handoverNotRunHeader} {
+	result := steering.HandoverResult{
+		Server: h.Get(handoverServerHeader), Reason: steering.Reason(h.Get(handoverReasonHeader)), NotRun: h.Get(handoverNotRunHeader) == "true",
+	}
+	if reached, err := parseCount(h, handoverReachedHeader); err == nil {
+		result.ServersReached = reached
+	}
+	for _, name := range []string{handoverServerHeader, handoverReasonHeader, handoverNotRunHeader, handoverReachedHeader} {
 		h.Del(name)
 	}
-	return server, reason, notRun
+	return result
 }
--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -163,6 +163,7 @@
 	request.Work = quarantine.NewFingerprint(r.Method, request.Host, r.RequestURI, r.Header.Get(bearer.Header), o.body.Bytes)
 	if h, ok := handoverOf(r.Context()); ok {
 		request.IsHandover, request.HandoverFrom, request.AttemptsUsed, request.ConnectionsLost = true, h.from, h.attemptsUsed, h.connectionsLost
+		request.IsCounted = h.isCounted
 	}
 	if timeout, ok := parseTimeout(r.Header.Get(s.Headers.Deadline)); ok {
 		request.Deadline = o.receivedAt.Add(timeout)
--- a/internal/fake/warmnet/cuts.go
+++ b/internal/fake/warmnet/cuts.go
@@ -66,7 +66,7 @@
 	w.After(w.roundTrip(req.proxyRegion, region)/2, func() {
 		received := &request{
 			region: req.region, kernel: peer, proxyRegion: region, startedAt: req.startedAt, sentAt: w.Now, route: req.route, object: req.object,
-			credential: req.credential, handedOverBy: req, attemptsUsed: h.AttemptsUsed, connectionsLost: h.ConnectionsLost,
+			credential: req.credential, handedOverBy: req, attemptsUsed: h.AttemptsUsed, connectionsLost: h.ConnectionsLost, isCounted: h.IsCounted,
 		}
 		w.handleAtProxy(received)
 	})
@@ -75,7 +75,7 @@
 // returnHandover returns the end of a request at a peer to the proxy that handed it over.
 func (w *simulation) returnHandover(received *request, d steering.Decision) {
 	req := received.handedOverBy
-	result := steering.HandoverResult{Result: steering.ResultResponded, Reason: d.Reason, NotRun: d.NotRun}
+	result := steering.HandoverResult{Result: steering.ResultResponded, Reason: d.Reason, NotRun: d.NotRun, ServersReached: d.ServersReached}
 	if d.ReturnResponse && received.server != nil {
 		result.Server = received.server.id
 	}
--- a/internal/fake/warmnet/simulation.go
+++ b/internal/fake/warmnet/simulation.go
@@ -87,8 +87,10 @@
 		crashing bool
 		// handedOverBy is the request at the proxy that handed this one over, or nil. attemptsUsed is
 		// the number of its attempts there, connectionsLost how many of them lost their connection.
+		// isCounted is set if it counts in the retry budget there.
 		handedOverBy                  *request
 		attemptsUsed, connectionsLost int
+		isCounted                     bool
 		hedgeState
 	}
 )
@@ -319,6 +321,7 @@
 	r := steering.Request{ID: strconv.Itoa(w.result.Sent), Host: host, Path: w.scenario.path(req.route), Object: req.object, Work: fingerprintOf(req.object), Credential: req.credential}
 	if by := req.handedOverBy; by != nil {
 		r.IsHandover, r.HandoverFrom, r.AttemptsUsed, r.ConnectionsLost, r.Deadline = true, by.kernel.Name(), req.attemptsUsed, req.connectionsLost, by.activeRequest.ExpiresAt
+		r.IsCounted = req.isCounted
 	}
 	active, decision := req.kernel.BeginRequest(w.clock(), r)
 	req.activeRequest = active
--- a/internal/kernel/admission/retrybudget.go
+++ b/internal/kernel/admission/retrybudget.go
@@ -102,7 +102,7 @@
 
 // TrySpend takes one retry from the budget, or returns false if the budget is exhausted.
 func (r *RetryBudget) TrySpend(now time.Time) bool {
-	if !r.Usage(now).hasRoom() {
+	if !r.Usage(now).HasRoom() {
 		return false
 	}
 	r.at(0).retries++
@@ -117,7 +117,7 @@
 	for age := range bucketsPerWindow + arrivalDelayBuckets + 1 {
 		hedges.Retries += r.at(age).hedges
 	}
-	if !hedges.hasRoom() || !r.TrySpend(now) {
+	if !hedges.HasRoom() || !r.TrySpend(now) {
 		return false
 	}
 	r.at(0).hedges++
@@ -165,7 +165,8 @@
 
 func (u RetryUsage) room() float64 { return u.Allowed - float64(u.Retries) }
 
-func (u RetryUsage) hasRoom() bool { return u.room() >= 1 }
+// HasRoom reports whether the budget allows another retry.
+func (u RetryUsage) HasRoom() bool { return u.room() >= 1 }
 
 func (r *RetryBudget) bucketLength() time.Duration { return max(1, r.Window/bucketsPerWindow) }
 
--- a/internal/kernel/steering/handover.go
+++ b/internal/kernel/steering/handover.go
@@ -31,6 +31,8 @@
 		// AttemptsUsed is the number of attempts that may have reached a server, ConnectionsLost how
 		// many of them lost their connection.
 		AttemptsUsed, ConnectionsLost int
+		// IsCounted is set if the request counts in this proxy's retry budget.
+		IsCounted bool
 	}
 
 	// HandoverResult reports how a handover ended.
@@ -44,6 +46,9 @@
 		NotRun bool   `json:"not-run,omitempty"`
 		// ServerFailed is set if the response reports a failure of the server.
 		ServerFailed bool `json:"server-failed,omitempty"`
+		// ServersReached counts the servers that the peer sent the request to, if the response is the
+		// peer's own.
+		ServersReached int `json:"servers-reached,omitempty"`
 		// ResponseStarted is set if the caller has already received a part of the response.
 		ResponseStarted bool `json:"response-started,omitempty"`
 		// Signal is the backpressure signal that the server sent.
@@ -76,7 +81,7 @@
 	req.triedPeers = append(req.triedPeers, peer.Name)
 	k.handoversTo[peer.Name]++
 	req.addStep(Event{At: now, Kind: EventHandedOver, Server: peer.Name, Domain: peer.Domain, Attempt: (len(req.steps)+1)/2 + 1})
-	return Decision{Handover: &Handover{Proxy: peer.Name, Address: peer.Handovers, AttemptsUsed: req.reachedServers, ConnectionsLost: req.connectionsLost}}, true
+	return Decision{Handover: &Handover{Proxy: peer.Name, Address: peer.Handovers, AttemptsUsed: req.reachedServers, ConnectionsLost: req.connectionsLost, IsCounted: req.retries.isRequestCounted}}, true
 }
 
 // unreachableElsewhere records that a server of a failure domain could not be reached, and reports
@@ -195,10 +200,10 @@
 	case !r.NotRun:
 	case r.Reason == ReasonCutOff || r.Reason == ReasonNoConfiguration:
 		k.unablePeers[h.peer] = now.Add(unablePeerBackoff)
-		return k.continueAfterHandover(now, req, r.Reason)
+		return k.continueAfterPeer(now, req, r)
 	case r.Reason == ReasonNoServer:
 		// Another peer may still reach a server.
-		return k.continueAfterHandover(now, req, r.Reason)
+		return k.continueAfterPeer(now, req, r)
 	}
 	if r.NotRun && req.mayHaveRun {
 		// The peer knows nothing of the attempt at this proxy, which may have run.
@@ -228,6 +233,16 @@
 	}
 }
 
+// continueAfterPeer hands a request over to another peer after one that could not serve it. That is a
+// retry if the peer sent the request to servers that rejected it.
+func (k *Kernel) continueAfterPeer(now time.Time, req *ActiveRequest, r HandoverResult) Decision {
+	req.reachedServers += r.ServersReached
+	if r.ServersReached > 0 && !k.mayRetry(now, req) {
+		return k.fail(now, req, r.Reason)
+	}
+	return k.continueAfterHandover(now, req, r.Reason)
+}
+
 // continueAfterHandover hands the request over to another peer, or ends it.
 func (k *Kernel) continueAfterHandover(now time.Time, req *ActiveRequest, reason Reason) Decision {
 	if d, ok := k.handOver(now, req); ok {
--- a/internal/kernel/steering/handover_test.go
+++ b/internal/kernel/steering/handover_test.go
@@ -371,3 +371,48 @@
 		t.Errorf("all cut off: got %v, want %v", got, want)
 	}
 }
+
+// Guards against a request that earns retries at the proxy that got it and at the one it is handed over to.
+func TestHandedOverRequestEarnsRetriesOnce(t *testing.T) {
+	first, peer := newHandoverRun(handoverPeers()...), newHandoverRun()
+	req, d := first.begin(readPath)
+	for d.Server != nil {
+		d = first.EndAttempt(first.now, req, Attempt{Result: ResultUnreachable})
+	}
+	expectHandover(t, d, "near")
+	received, d := peer.BeginRequest(peer.now, Request{
+		ID: "r", Host: "host", Path: readPath, IsHandover: true, HandoverFrom: "self", AttemptsUsed: d.Handover.AttemptsUsed, IsCounted: d.Handover.IsCounted,
+	})
+	if d = peer.EndAttempt(peer.now, received, Attempt{Result: ResultServerError}); d.Server != nil {
+		t.Errorf("the peer retried at %s for a request that the first proxy counted, want no retry", d.Server.ID)
+	}
+	_, d = peer.BeginRequest(peer.now, Request{ID: "r", Host: "host", Path: readPath, IsHandover: true, HandoverFrom: "self"})
+	if d.Server == nil {
+		t.Fatalf("got %+v, want a server", recordedDecisionOf(d))
+	}
+	if usage := peer.service("service").retries.Usage(peer.now); usage.Allowed == 0 {
+		t.Error("a request that only the peer counts earned nothing, want credit for it")
+	}
+}
+
+// Guards against attempts at the servers of a second peer that no proxy charges: the first peer sent the
+// request to a server, which rejected it, and then found no other.
+func TestNextPeerIsARetryAfterAttemptsOfTheFirst(t *testing.T) {
+	for _, c := range []struct {
+		attempts  int
+		hasCredit bool
+		want      string
+	}{
+		{attempts: 0, hasCredit: false, want: "far"}, {attempts: 1, hasCredit: false, want: ""}, {attempts: 1, hasCredit: true, want: "far"},
+	} {
+		r := newHandoverRun(handoverPeers()...)
+		r.cutOff(t)
+		if !c.hasCredit {
+			r.service("service").retries.ForgetCredit()
+		}
+		req, d := r.begin(readPath)
+		expectHandover(t, d, "near")
+		d = r.EndHandover(r.now, req, HandoverResult{Result: ResultResponded, Reason: ReasonNoServer, NotRun: true, ServersReached: c.attempts})
+		expectHandover(t, d, c.want)
+	}
+}
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -46,7 +46,7 @@
 		req.Object = ""
 	}
 	if req.IsHandover {
-		req.reachedServers, req.connectionsLost = req.AttemptsUsed, req.ConnectionsLost
+		req.reachedServers, req.connectionsLost, req.retries.isRequestCounted = req.AttemptsUsed, req.ConnectionsLost, req.IsCounted
 		if k.CutOff() && !k.someServerResponds(now) {
 			return k.fail(now, req, ReasonCutOff)
 		}
@@ -124,7 +124,7 @@
 		if reason := k.shed(now, req, svc, s, chosen); reason != ReasonNone {
 			return nil, reason
 		}
-		svc.retries.RecordRequest(now)
+		k.countRequest(now, req, svc)
 	}
 	k.startAttempt(now, req, s, chosen, false)
 	req.slotRequest, req.slotRank = k.newSlotRequest(now, req, svc, s, chosen), 0
@@ -315,6 +315,7 @@
 // finish reports the end of a request together with its earlier decisions.
 func (k *Kernel) finish(now time.Time, req *ActiveRequest, d Decision) Decision {
 	d.TryOtherProxy = d.TryOtherProxy || k.callersShouldLeave()
+	d.ServersReached = req.reachedServers - req.AttemptsUsed
 	e := Event{
 		At: now, Kind: EventRequestEnded, From: req.HandoverFrom, Request: req.ID, Service: req.Service, Object: req.Object, Fingerprint: req.Work, Version: k.Version(),
 		Outcome: d.Outcome(), Reason: d.Reason, Duration: now.Sub(req.startedAt), Attempt: (len(req.steps) + 1) / 2,
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -136,10 +136,12 @@
 		// IsHandover is set if another proxy, HandoverFrom, received the request from the caller and
 		// handed it over. AttemptsUsed is the number of its attempts there, ConnectionsLost how many of
 		// them lost their connection.
-		IsHandover      bool   `json:",omitempty"`
-		HandoverFrom    string `json:",omitempty"`
-		AttemptsUsed    int    `json:",omitempty"`
-		ConnectionsLost int    `json:",omitempty"`
+		IsHandover   bool   `json:",omitempty"`
+		HandoverFrom string `json:",omitempty"`
+		AttemptsUsed int    `json:",omitempty"`
+		// IsCounted is set if the request counts in that proxy's retry budget.
+		IsCounted       bool `json:",omitempty"`
+		ConnectionsLost int  `json:",omitempty"`
 	}
 
 	// ActiveRequest is the state of a request in progress.
@@ -258,6 +260,8 @@
 		Reason         Reason
 		// NotRun is set if no server has run the request or will run it.
 		NotRun bool
+		// ServersReached counts the servers that this proxy sent a request to that ends.
+		ServersReached int
 		// RetryAfter is the delay after which a rejected caller may try again. TryOtherProxy is set
 		// if another proxy may accept the request now.
 		RetryAfter    time.Duration
--- a/internal/kernel/steering/retry.go
+++ b/internal/kernel/steering/retry.go
@@ -26,6 +26,8 @@
 	retryCharges struct {
 		// budget is the state of the budget when a retry was last wanted.
 		budget RetryBudgetState
+		// isRequestCounted is set once the budget of some proxy counts the request.
+		isRequestCounted bool
 		// count is the number of retries that were charged. denied is set if the budget did not
 		// allow another one.
 		count  int
@@ -33,6 +35,14 @@
 	}
 )
 
+// countRequest earns credit for the first attempt of a request.
+func (k *Kernel) countRequest(now time.Time, req *ActiveRequest, svc *service) {
+	if !req.retries.isRequestCounted {
+		svc.retries.RecordRequest(now)
+	}
+	req.retries.isRequestCounted = true
+}
+
 // mayRetry reports whether a request that reached a server may be sent to another one.
 func (k *Kernel) mayRetry(now time.Time, req *ActiveRequest) bool {
 	if req.mayHaveRun && !req.Route.Idempotent {
@@ -41,10 +51,7 @@
 	if !k.isEnabled(MechanismRetries) || req.reachedServers >= req.Route.Attempts || req.sendAttempts >= maxSends || req.connectionsLost >= quarantine.MaxConnectionLosses || req.ExpiresAt.Sub(now) < minAttemptTime {
 		return false
 	}
-	svc := k.service(req.Service)
-	granted := svc.retries.TrySpend(now)
-	req.recordCharge(k.retryBudgetState(now, svc), granted)
-	if !granted {
+	if !k.chargeRetry(now, req) {
 		return false
 	}
 	if req.mayHaveRun && req.Account != nil {
@@ -53,6 +60,30 @@
 	return true
 }
 
+// chargeRetry takes a retry of a request from the budget, or returns false if the budget is exhausted.
+// If the request was handed over before this proxy chose its service, it may arrive at any of the
+// route's.
+func (k *Kernel) chargeRetry(now time.Time, req *ActiveRequest) bool {
+	services := []*service{k.service(req.Service)}
+	if req.Service == "" {
+		services = services[:0]
+		for _, part := range req.Route.Parts {
+			services = append(services, k.service(part.Service))
+		}
+	}
+	for _, svc := range services {
+		if state := k.retryBudgetState(now, svc); !state.HasRoom() {
+			req.recordCharge(state, false)
+			return false
+		}
+	}
+	for _, svc := range services {
+		svc.retries.TrySpend(now)
+		req.recordCharge(k.retryBudgetState(now, svc), true)
+	}
+	return true
+}
+
 func (k *Kernel) retryBudgetState(now time.Time, svc *service) RetryBudgetState {
 	return RetryBudgetState{RetryUsage: svc.retries.Usage(now), SlackShare: k.retrySlackShare(now)}
 }
