Charge a retry again that waited for a slot for long

A retry is charged when it is decided and may then wait for a slot for as long as its caller does. It arrives when the credit that paid for it may belong to a window that is over, beside retries that were charged since. TestRetryThatWaitedForASlotIsChargedAgain failed first: sent after 0.9 s without credit.

--- a/internal/kernel/admission/retrybudget.go
+++ b/internal/kernel/admission/retrybudget.go
@@ -168,6 +168,9 @@
 // HasRoom reports whether the budget allows another retry.
 func (u RetryUsage) HasRoom() bool { return u.room() >= 1 }
 
+// ArrivalDelay is how much later than it was charged a retry may arrive at its server.
+func (r *RetryBudget) ArrivalDelay() time.Duration { return arrivalDelayBuckets * r.bucketLength() }
+
 func (r *RetryBudget) bucketLength() time.Duration { return max(1, r.Window/bucketsPerWindow) }
 
 // at returns the bucket of an age in buckets.
--- a/internal/kernel/steering/retry.go
+++ b/internal/kernel/steering/retry.go
@@ -32,6 +32,8 @@
 		// allow another one.
 		count  int
 		denied bool
+		// chargedAt is when the last retry was charged.
+		chargedAt time.Time
 	}
 )
 
@@ -81,9 +83,20 @@
 		svc.retries.TrySpend(now)
 		req.recordCharge(k.retryBudgetState(now, svc), true)
 	}
+	req.retries.chargedAt = now
 	return true
 }
 
+// rechargeLateRetry charges a retry that has waited for a slot again, if it would arrive later than the
+// budget assumes. It returns false if the budget is exhausted.
+func (k *Kernel) rechargeLateRetry(now time.Time, req *ActiveRequest) bool {
+	maxWait := k.service(req.Service).retries.ArrivalDelay() / 2
+	if req.retries.count == 0 || now.Sub(req.retries.chargedAt) <= maxWait {
+		return true
+	}
+	return k.chargeRetry(now, req)
+}
+
 func (k *Kernel) retryBudgetState(now time.Time, svc *service) RetryBudgetState {
 	return RetryBudgetState{RetryUsage: svc.retries.Usage(now), SlackShare: k.retrySlackShare(now)}
 }
--- /dev/null
+++ b/internal/kernel/steering/retry_test.go
@@ -0,0 +1,38 @@
+package steering
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
+)
+
+// Guards against retries that wait for a slot and arrive long after they were charged: the credit that
+// paid for them may be that of an earlier window by then.
+func TestRetryThatWaitedForASlotIsChargedAgain(t *testing.T) {
+	for _, c := range []struct {
+		wait      time.Duration
+		hasCredit bool
+		sent      bool
+	}{
+		{wait: 100 * time.Millisecond, sent: true}, {wait: 900 * time.Millisecond}, {wait: 900 * time.Millisecond, hasCredit: true, sent: true},
+	} {
+		now := time.Unix(1_000_000, 0)
+		k := limitedFleet(now)[0]
+		k.RegisterServer(now, routing.Server{ID: "t", Service: "service", Domain: "north-a", Slots: 3})
+		req, first := beginWithSlotRequest(t, k, now, "r", "/a/x")
+		k.HandleSlotReply(now, req, SlotReply{Grant: admission.Grant{Ticket: first.Ticket, Verdict: admission.Granted, Rank: 1}}, true)
+		d := k.EndAttempt(now, req, Attempt{Result: ResultRejected})
+		if d.SlotRequest == nil {
+			t.Fatalf("got %+v after a rejection, want a slot request at another server", recordedDecisionOf(d))
+		}
+		if !c.hasCredit {
+			k.service("service").retries.ForgetCredit()
+		}
+		d = k.HandleSlotReply(now.Add(c.wait), req, SlotReply{Grant: admission.Grant{Ticket: d.SlotRequest.Ticket, Verdict: admission.Granted, Rank: 1}}, true)
+		if (d.Server != nil) != c.sent || !c.sent && (!d.NotRun || d.SlotRelease == nil) {
+			t.Errorf("waited %s, credit %t: got %+v, slot release %v, want it sent: %t", c.wait, c.hasCredit, recordedDecisionOf(d), d.SlotRelease, c.sent)
+		}
+	}
+}
--- a/internal/kernel/steering/slotrequest.go
+++ b/internal/kernel/steering/slotrequest.go
@@ -128,9 +128,7 @@
 	}
 	if replied && r.Verdict == admission.Denied || now.After(req.latestStart()) {
 		// Any slot is released, since the owner's grant may have been lost.
-		release := req.takeSlotRelease(0)
-		s.inFlight--
-		k.quarantine.RecordStop(req.Work)
+		release := k.abandonSlot(req)
 		req.addStep(Event{
 			At: now, Kind: EventAttemptEnded, Server: s.id, Attempt: req.number, Result: ResultRejected,
 			Expected: req.expected, Duration: now.Sub(req.sentAt), Load: float64(r.Running + r.Waiting),
@@ -141,23 +139,25 @@
 	}
 	if reason := k.reauthorize(req); reason != ReasonNone {
 		// The key of the account was revoked while the request waited.
-		release := req.takeSlotRelease(0)
-		s.inFlight--
-		k.quarantine.RecordStop(req.Work)
+		release := k.abandonSlot(req)
 		d := k.fail(now, req, reason)
 		d.SlotRelease = release
 		return d
 	}
 	if !s.isEligible() || k.evacuatedDomains[s.Domain] || s.isCold(now) || !req.allowedRegions.has(s.regionBit) || !k.ServerStillAccepts(now, req, false) {
 		// The server started to drain, was paused or became cold while the request waited.
-		release := req.takeSlotRelease(0)
-		s.inFlight--
-		k.quarantine.RecordStop(req.Work)
+		release := k.abandonSlot(req)
 		req.triedServers = append(req.triedServers, s)
 		d := k.send(now, req)
 		d.SlotRelease = release
 		return d
 	}
+	if !k.rechargeLateRetry(now, req) {
+		release := k.abandonSlot(req)
+		d := k.fail(now, req, ReasonRejected)
+		d.SlotRelease = release
+		return d
+	}
 	if r.Unknown {
 		req.slotRequest = nil
 	}
@@ -167,6 +167,13 @@
 	return Decision{Server: k.newTarget(svc, s)}
 }
 
+// abandonSlot ends an attempt that was not sent and returns the release of its slot.
+func (k *Kernel) abandonSlot(req *ActiveRequest) *SlotRelease {
+	req.server.inFlight--
+	k.quarantine.RecordStop(req.Work)
+	return req.takeSlotRelease(0)
+}
+
 // slotDenied returns the next step of a request that got no slot. One that yields to more urgent
 // requests may run at another server while the region has room; otherwise its caller returns while
 // it can still get a response in time.
