Give back retries that were charged and not sent

What callers lose: a retry for which there is no server, no peer or no time was charged all the same, so later requests found the budget used up. It is given back now if it was charged at the same moment. TestRetryThatIsNotSentIsNotCharged failed first: one retry charged, none sent.

--- a/internal/kernel/admission/retrybudget.go
+++ b/internal/kernel/admission/retrybudget.go
@@ -124,6 +124,12 @@
 	return true
 }
 
+// Refund gives back a retry that was taken at the same time.
+func (r *RetryBudget) Refund(now time.Time) {
+	r.advance(now)
+	r.at(0).retries = max(0, r.at(0).retries-1)
+}
+
 // Usage returns how much of the budget is in use. Retries that arrive within a window were sent in
 // up to bucketsPerWindow+arrivalDelayBuckets+1 buckets, and they may only use credit earned since a
 // window before the first of these arrivals. That must hold for the retries of each time up to now,
--- a/internal/kernel/steering/handover.go
+++ b/internal/kernel/steering/handover.go
@@ -179,10 +179,10 @@
 	k.unablePeers[h.peer] = now.Add(unablePeerBackoff)
 	req.mayHaveRun = true
 	req.reachedServers++
-	if r.ResponseStarted || !k.mayRetry(now, req) {
+	if r.ResponseStarted {
 		return k.fail(now, req, ReasonConnectionLost)
 	}
-	return k.continueAfterHandover(now, req, ReasonConnectionLost)
+	return k.retryAtPeer(now, req, ReasonConnectionLost)
 }
 
 // endWithPeerResponse returns the response of a peer, unless the peer could do no more for the
@@ -237,12 +237,24 @@
 // retry if the peer sent the request to servers that rejected it.
 func (k *Kernel) continueAfterPeer(now time.Time, req *ActiveRequest, r HandoverResult) Decision {
 	req.reachedServers += r.ServersReached
-	if r.ServersReached > 0 && !k.mayRetry(now, req) {
-		return k.fail(now, req, r.Reason)
+	if r.ServersReached > 0 {
+		return k.retryAtPeer(now, req, r.Reason)
 	}
 	return k.continueAfterHandover(now, req, r.Reason)
 }
 
+// retryAtPeer hands a request over to another peer after it reached a server, or ends it.
+func (k *Kernel) retryAtPeer(now time.Time, req *ActiveRequest, reason Reason) Decision {
+	if !k.mayRetry(now, req) {
+		return k.fail(now, req, reason)
+	}
+	d := k.continueAfterHandover(now, req, reason)
+	if d.Handover == nil {
+		k.refundRetry(now, req)
+	}
+	return d
+}
+
 // continueAfterHandover hands the request over to another peer, or ends it.
 func (k *Kernel) continueAfterHandover(now time.Time, req *ActiveRequest, reason Reason) Decision {
 	if d, ok := k.handOver(now, req); ok {
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -243,6 +243,7 @@
 		if d, reason = k.trySend(now, req); reason == ReasonNone {
 			return d
 		}
+		k.refundRetry(now, req)
 	}
 	if a.Result == ResultServerError {
 		// A response that reports the server's failure is more informative for the caller than a
--- a/internal/kernel/steering/retry.go
+++ b/internal/kernel/steering/retry.go
@@ -62,17 +62,22 @@
 	return true
 }
 
+// retryServices returns the services at which a retry of a request may arrive: the one that this proxy
+// has chosen, or all of the route if it handed the request over before.
+func (k *Kernel) retryServices(req *ActiveRequest) []*service {
+	if req.Service != "" {
+		return []*service{k.service(req.Service)}
+	}
+	services := make([]*service, 0, len(req.Route.Parts))
+	for _, part := range req.Route.Parts {
+		services = append(services, k.service(part.Service))
+	}
+	return services
+}
+
 // chargeRetry takes a retry of a request from the budget, or returns false if the budget is exhausted.
-// If the request was handed over before this proxy chose its service, it may arrive at any of the
-// route's.
 func (k *Kernel) chargeRetry(now time.Time, req *ActiveRequest) bool {
-	services := []*service{k.service(req.Service)}
-	if req.Service == "" {
-		services = services[:0]
-		for _, part := range req.Route.Parts {
-			services = append(services, k.service(part.Service))
-		}
-	}
+	services := k.retryServices(req)
 	for _, svc := range services {
 		if state := k.retryBudgetState(now, svc); !state.HasRoom() {
 			req.recordCharge(state, false)
@@ -87,6 +92,14 @@
 	return true
 }
 
+// refundRetry gives back a retry that was charged at the same time and found no server.
+func (k *Kernel) refundRetry(now time.Time, req *ActiveRequest) {
+	for _, svc := range k.retryServices(req) {
+		svc.retries.Refund(now)
+	}
+	req.retries.count--
+}
+
 // rechargeLateRetry charges a retry that has waited for a slot again, if it would arrive later than the
 // budget assumes. It returns false if the budget is exhausted.
 func (k *Kernel) rechargeLateRetry(now time.Time, req *ActiveRequest) bool {
--- a/internal/kernel/steering/retry_test.go
+++ b/internal/kernel/steering/retry_test.go
@@ -36,3 +36,21 @@
 		}
 	}
 }
+
+// Guards against a budget that is used up by retries for which there is no server.
+func TestRetryThatIsNotSentIsNotCharged(t *testing.T) {
+	r := newHandoverRun()
+	for _, id := range []string{"s1", "s2", "s3"} {
+		r.RemoveServer(r.now, id)
+	}
+	req, d := r.begin(readPath)
+	if d.Server == nil {
+		t.Fatalf("got %+v, want a server", recordedDecisionOf(d))
+	}
+	if d = r.EndAttempt(r.now, req, Attempt{Result: ResultServerError}); d.Server != nil {
+		t.Fatalf("got a retry at %s, want none: there is no other server", d.Server.ID)
+	}
+	if usage := r.service("service").retries.Usage(r.now); usage.Retries != 0 {
+		t.Errorf("%d retries are charged, want 0", usage.Retries)
+	}
+}
