--- a/internal/kernel/admission/admission_test.go
+++ b/internal/kernel/admission/admission_test.go
@@ -173,3 +173,15 @@
 		t.Errorf("a rank beyond the list has a share of %d, want 0", got)
 	}
 }
+
+// BenchmarkRetryBudget measures a request that wants a retry. It takes 0.44 to 0.51 us, and took 0.05
+// to 0.06 us when one sum over the window was checked (two runs each, other load on the machine).
+func BenchmarkRetryBudget(b *testing.B) {
+	budget := RetryBudget{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
+	now := start
+	for b.Loop() {
+		now = now.Add(10 * time.Millisecond)
+		budget.RecordRequest(now)
+		budget.TrySpend(now)
+	}
+}
