Count a retry once whose service is not known

A retry of a request that was handed over is charged at each service of its route; the log and gypsumquay_retries_total counted it as many times.

--- a/internal/kernel/steering/retry.go
+++ b/internal/kernel/steering/retry.go
@@ -86,8 +86,8 @@
 	}
 	for _, svc := range services {
 		svc.retries.TrySpend(now)
-		req.recordCharge(k.retryBudgetState(now, svc), true)
 	}
+	req.recordCharge(k.retryBudgetState(now, services[0]), true)
 	req.retries.chargedAt = now
 	return true
 }
