Hand over to peers that are short of servers as long as they serve some

Cause: each time that two peers found no server for a request, the proxy handed over nothing more of that route for a second. When most servers have crashed or are cold, peers refuse some requests and serve the rest, so single refusals kept nearly all callers of the cut-off proxy from being asked for.

Now only 32 refusals in a row without a served request stop handovers of a route for a second.

--- a/internal/kernel/steering/handover.go
+++ b/internal/kernel/steering/handover.go
@@ -14,9 +14,10 @@
 	maxHandovers = 2
 	// unablePeerBackoff is how long no requests are handed over to a proxy that could not take one.
 	unablePeerBackoff = time.Second
-	// unableRouteBackoff is how long no requests of a route are handed over after peers found no
-	// server for it either.
-	unableRouteBackoff = time.Second
+	// maxRefusedHandovers is how many requests of a route in a row peers may find no server for before
+	// none is handed over for unableRouteBackoff. Peers that are short of servers still serve some.
+	maxRefusedHandovers = 32
+	unableRouteBackoff  = time.Second
 	// silentServerMemory is how long a server that did not respond counts as possibly reachable by
 	// peers.
 	silentServerMemory = 10 * time.Second
@@ -189,6 +190,7 @@
 // request than this proxy.
 func (k *Kernel) endWithPeerResponse(now time.Time, req *ActiveRequest, h *activeHandover, r HandoverResult) Decision {
 	if r.Server != "" {
+		delete(k.refusedHandovers, req.Route.Name)
 		k.recordPeerSignal(now, h, r)
 		d := Decision{ReturnResponse: true}
 		if r.ServerFailed {
@@ -261,11 +263,20 @@
 		return d
 	}
 	if reason == ReasonNoServer {
-		k.unableRoutes[req.Route.Name] = now.Add(unableRouteBackoff)
+		k.recordRefusedHandover(now, req.Route.Name)
 	}
 	return k.fail(now, req, reason)
 }
 
+// recordRefusedHandover records that peers found no server for a request.
+func (k *Kernel) recordRefusedHandover(now time.Time, route string) {
+	k.refusedHandovers[route]++
+	if k.refusedHandovers[route] >= maxRefusedHandovers {
+		k.unableRoutes[route] = now.Add(unableRouteBackoff)
+		delete(k.refusedHandovers, route)
+	}
+}
+
 // peersMayReach reports whether peers may reach servers that this proxy does not: some that could
 // take the request did not respond to this proxy lately.
 func (k *Kernel) peersMayReach(now time.Time, req *ActiveRequest) bool {
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -142,10 +142,13 @@
 		reachability reachability.Tracker
 		attemptCount uint64
 		// handoversTo counts the handovers in progress by proxy. No requests are handed over to
-		// unablePeers, and none of unableRoutes, before the given times.
+		// unablePeers, and none of unableRoutes, before the given times. refusedHandovers counts, by
+		// route, the last ones in a row for which peers found no server.
 		handoversTo  map[string]int
 		unablePeers  map[string]time.Time
 		unableRoutes map[string]time.Time
+
+		refusedHandovers map[string]int
 		// replacedInDirectory is set if lookups return other proxies instead of this one because it
 		// is cut off.
 		replacedInDirectory bool
@@ -185,6 +188,7 @@
 		handoversTo:      make(map[string]int),
 		unablePeers:      make(map[string]time.Time),
 		unableRoutes:     make(map[string]time.Time),
+		refusedHandovers: make(map[string]int),
 
 		quarantine: quarantine.NewTracker(), backpressure: backpressure.NewTracker(),
 	}
