Do not close a connection whose request is being read while the process stops

Cause, from the code: net/http reports a connection as active only once it has read the head of a request. Until then CloseIdleConnections saw an idle connection whose socket has no unread data, and closed it; the request ran all the same. A connection counts as reading now from the first byte since it became idle, and once it is chosen for closing, bytes that still arrive are dropped, so that such a request does not run.

Tests: TestRequestThatCrossesCloseIsNotRead failed first (16 bytes read after the close). The end of TestConnectionWithUnreadRequestIsNotClosed required the fault: a connection closed right after bytes of a request had been read. It requires now that it stays open until it is idle again.

--- a/internal/adapter/forwardhttp/idle.go
+++ b/internal/adapter/forwardhttp/idle.go
@@ -24,14 +24,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	tracked.state, tracked.stateSince = state, time.Now()
+	if state == http.StateIdle {
+		tracked.phase.CompareAndSwap(phaseReading, phaseIdle)
+	}
 }
 
-// CloseIdleConnections closes the connections that are idle and have no unread data, and returns
-// how many are left. Shutdown of net/http is unsuitable: it drops requests that it has not read
+// CloseIdleConnections closes the connections that are idle and have no unread data and no request that
+// is being read, and returns how many are left. Shutdown of net/http is unsuitable: it drops requests that it has not read
 // yet, and on a busy VM these may have arrived long before.
 func (l *Listener) CloseIdleConnections() (remaining int) {
 	for _, c := range l.idleConnections() {
-		if !c.pipeline.hasUnread() && !hasUnreadData(c.Conn) {
+		if !c.pipeline.hasUnread() && !hasUnreadData(c.Conn) && c.phase.CompareAndSwap(phaseIdle, phaseClosing) {
 			_ = c.Close()
 		}
 	}
--- a/internal/adapter/forwardhttp/listener.go
+++ b/internal/adapter/forwardhttp/listener.go
@@ -14,6 +14,12 @@
 	"k8s.io/klog/v2"
 )
 
+const (
+	phaseIdle = iota
+	phaseReading
+	phaseClosing
+)
+
 type (
 	// Listener limits the number of open connections. After Close, Accept still returns the
 	// connections that were established before.
@@ -46,6 +52,9 @@
 		// guarded by the listener's mutex.
 		state      http.ConnState
 		stateSince time.Time
+		// phase tells whether bytes of a request were read since the connection became idle. net/http
+		// reports a request only once it has read the whole head.
+		phase atomic.Int32
 	}
 )
 
@@ -178,12 +187,17 @@
 	return c
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It drops what arrives once CloseIdleConnections has chosen the connection.
 func (c *trackedConn) Read(b []byte) (int, error) {
-	if c.pipeline == nil {
-		return c.Conn.Read(b)
+	read := c.Conn.Read
+	if c.pipeline != nil {
+		read = c.pipeline.Read
 	}
-	return c.pipeline.Read(b)
+	n, err := read(b)
+	if n > 0 && !c.phase.CompareAndSwap(phaseIdle, phaseReading) && c.phase.Load() == phaseClosing {
+		return 0, net.ErrClosed
+	}
+	return n, err
 }
 
 // Write implements net.Conn.
--- a/internal/adapter/forwardhttp/listener_test.go
+++ b/internal/adapter/forwardhttp/listener_test.go
@@ -130,11 +130,47 @@
 	if _, err := accepted.Read(make([]byte, 64)); err != nil {
 		t.Fatal(err)
 	}
+	if remaining := l.CloseIdleConnections(); remaining != 1 {
+		t.Errorf("%d connections are left, want the one whose request is being read", remaining)
+	}
+	l.RecordState(accepted, http.StateActive)
+	l.RecordState(accepted, http.StateIdle)
 	if remaining := l.CloseIdleConnections(); remaining != 0 {
 		t.Errorf("%d connections are left, want none: it is idle and has no unread data", remaining)
 	}
 }
 
+// lateConn is a connection on which a request arrives while it is being closed.
+type lateConn struct {
+	net.Conn
+	closed chan struct{}
+}
+
+func (c *lateConn) Read(b []byte) (int, error) {
+	<-c.closed
+	return copy(b, "GET / HTTP/1.1\r\n"), nil
+}
+
+func (c *lateConn) Close() error {
+	close(c.closed)
+	return nil
+}
+
+// Guards against a request that is read while its connection is being closed: it would run although its
+// caller gets no response.
+func TestRequestThatCrossesCloseIsNotRead(t *testing.T) {
+	l := LimitConnections(nil, 10, func() {})
+	c := l.track(&lateConn{closed: make(chan struct{})})
+	l.openCount.Add(1)
+	l.RecordState(c, http.StateIdle)
+	if remaining := l.CloseIdleConnections(); remaining != 0 {
+		t.Errorf("%d connections are left, want none", remaining)
+	}
+	if n, err := c.Read(make([]byte, 64)); n > 0 || err == nil {
+		t.Errorf("read %d bytes and error %v, want none and an error", n, err)
+	}
+}
+
 // Guards against requests that are lost because their connections are in the backlog when the
 // process shuts down: the operating system would reset them.
 func TestBacklogIsServedAfterClose(t *testing.T) {
