Soak: search for adjacent free ports until a pair is found

The search took pairs from a list of free ports twenty times; where every second port of a stretch is taken it finds none.

--- a/internal/fake/ports/ports.go
+++ b/internal/fake/ports/ports.go
@@ -53,3 +53,22 @@
 	}
 	return nil, errors.Errorf("need %d free ports, found %d", n, len(list))
 }
+
+// FreePair returns two addresses like Free, of which the second port is the next one to the first.
+func FreePair() (first, second netip.AddrPort, err error) {
+	previous, err := Free(1)
+	for range endPort - firstPort {
+		if err != nil {
+			break
+		}
+		var next []netip.AddrPort
+		if next, err = Free(1); err == nil && next[0].Port() == previous[0].Port()+1 {
+			return previous[0], next[0], nil
+		}
+		previous = next
+	}
+	if err == nil {
+		err = errors.New("found no two adjacent free ports")
+	}
+	return netip.AddrPort{}, netip.AddrPort{}, err
+}
