--- a/internal/adapter/forwardhttp/listener.go
+++ b/internal/adapter/forwardhttp/listener.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// Phases of a connection: no byte of a request was read since it became idle, a request is being
+	// read or served, or CloseIdleConnections closes the connection.
 	phaseIdle = iota
 	phaseReading
 	phaseClosing
--- a/internal/kernel/admission/retrybudget.go
+++ b/internal/kernel/admission/retrybudget.go
@@ -13,10 +13,9 @@
 	// creditBuckets is the number of buckets whose credit the longest span of retries may use, which
 	// is a window and the delay of the arrivals.
 	creditBuckets = 2 * bucketsPerWindow
-	// earnedPerRequest is the part of Ratio and of Slack that is earned as time passes. Retries of a
-	// window use what was earned in it and in the window before, so a half of both adds up to the
-	// whole budget.
-	earnedPerRequest = 0.5
+	// earnedShare is the part of Ratio that a request earns, and of Slack that is earned in a window.
+	// Retries of a window use what was earned in it and in the window before, two halves of a budget.
+	earnedShare = 0.5
 	// maxHedgeShare is the part of the budget that hedges may use. The rest is left for retries of
 	// failed attempts, without which requests are lost.
 	maxHedgeShare = 0.25
@@ -166,7 +165,7 @@
 		requests += r.at(age + i).requests
 		slackSeconds += r.at(age + i).slackSeconds
 	}
-	return earnedPerRequest * (r.Ratio*float64(requests) + r.Slack*slackSeconds/r.Window.Seconds())
+	return earnedShare * (r.Ratio*float64(requests) + r.Slack*slackSeconds/r.Window.Seconds())
 }
 
 func (u RetryUsage) room() float64 { return u.Allowed - float64(u.Retries) }
