--- a/internal/kernel/steering/retry_test.go
+++ b/internal/kernel/steering/retry_test.go
@@ -54,3 +54,20 @@
 		t.Errorf("%d retries are charged, want 0", usage.Retries)
 	}
 }
+
+// Guards against retries for credit whose age is not known, because the VM was suspended.
+func TestResumedProcessHasNoRetryCredit(t *testing.T) {
+	for _, suspended := range []bool{false, true} {
+		r := newHandoverRun()
+		req, d := r.begin(readPath)
+		if d.Server == nil {
+			t.Fatalf("got %+v, want a server", recordedDecisionOf(d))
+		}
+		if suspended {
+			r.HandleResume(r.now)
+		}
+		if d = r.EndAttempt(r.now, req, Attempt{Result: ResultServerError}); (d.Server != nil) == suspended {
+			t.Errorf("suspended %t: got %+v, want a retry: %t", suspended, recordedDecisionOf(d), !suspended)
+		}
+	}
+}
