--- a/internal/kernel/admission/admission_test.go
+++ b/internal/kernel/admission/admission_test.go
@@ -174,6 +174,18 @@
 	}
 }
 
+// Guards against slack that is earned twice because the clock goes back.
+func TestSlackIsEarnedOnceWhenClockGoesBack(t *testing.T) {
+	budget := RetryBudget{Slack: 60, Window: 10 * time.Second}
+	for range 20 {
+		budget.AddSlack(start, 1)
+		budget.AddSlack(start.Add(400*time.Millisecond), 1)
+	}
+	if usage := budget.Usage(start.Add(400 * time.Millisecond)); usage.Allowed > 60*0.5*0.04+1e-9 {
+		t.Errorf("%.2f retries are allowed after 0.4 s, want at most half of 0.04 of the slack of 60", usage.Allowed)
+	}
+}
+
 // BenchmarkRetryBudget measures a request that wants a retry. It takes 0.44 to 0.51 us, and took 0.05
 // to 0.06 us when one sum over the window was checked (two runs each, other load on the machine).
 func BenchmarkRetryBudget(b *testing.B) {
--- a/internal/kernel/admission/retrybudget.go
+++ b/internal/kernel/admission/retrybudget.go
@@ -69,12 +69,15 @@
 // Calls that are further apart than a bucket add less, and the first one adds nothing.
 func (r *RetryBudget) AddSlack(now time.Time, share float64) {
 	r.advance(now)
+	if r.slackUntil.IsZero() {
+		r.slackUntil = now
+	}
+	if !now.After(r.slackUntil) {
+		return
+	}
 	length := r.bucketLength()
 	from := r.slackUntil
-	switch {
-	case from.IsZero():
-		from = now
-	case now.Sub(from) > length:
+	if now.Sub(from) > length {
 		from = now.Add(-length)
 	}
 	bucketStart := time.Unix(0, r.bucket*int64(length))
@@ -82,9 +85,7 @@
 		r.at(1).slackSeconds += share * bucketStart.Sub(from).Seconds()
 		from = bucketStart
 	}
-	if now.After(from) {
-		r.at(0).slackSeconds += share * now.Sub(from).Seconds()
-	}
+	r.at(0).slackSeconds += share * now.Sub(from).Seconds()
 	r.slackUntil = now
 }
 
