Charge broken handovers to services that get requests, and none for routes without services

TestBrokenHandoverIsChargedToServicesWithWeight failed first, with the panic. Services without weight are left out now, and without any service there is no retry.

--- a/internal/kernel/steering/retry.go
+++ b/internal/kernel/steering/retry.go
@@ -63,14 +63,16 @@
 }
 
 // retryServices returns the services at which a retry of a request may arrive: the one that this proxy
-// has chosen, or all of the route if it handed the request over before.
+// has chosen, or all of the route that get requests if it handed the request over before.
 func (k *Kernel) retryServices(req *ActiveRequest) []*service {
 	if req.Service != "" {
 		return []*service{k.service(req.Service)}
 	}
 	services := make([]*service, 0, len(req.Route.Parts))
 	for _, part := range req.Route.Parts {
-		services = append(services, k.service(part.Service))
+		if part.Weight > 0 {
+			services = append(services, k.service(part.Service))
+		}
 	}
 	return services
 }
@@ -78,6 +80,9 @@
 // chargeRetry takes a retry of a request from the budget, or returns false if the budget is exhausted.
 func (k *Kernel) chargeRetry(now time.Time, req *ActiveRequest) bool {
 	services := k.retryServices(req)
+	if len(services) == 0 {
+		return false
+	}
 	for _, svc := range services {
 		if state := k.retryBudgetState(now, svc); !state.HasRoom() {
 			req.recordCharge(state, false)
--- a/internal/kernel/steering/retry_test.go
+++ b/internal/kernel/steering/retry_test.go
@@ -71,3 +71,24 @@
 		}
 	}
 }
+
+// Guards against a crash of the process and against denied retries when the service of a handed-over
+// request is not known: a route may have no services, and one without weight gets no requests.
+func TestBrokenHandoverIsChargedToServicesWithWeight(t *testing.T) {
+	for _, c := range []struct {
+		parts   []routing.WeightedService
+		retried bool
+	}{
+		{parts: nil},
+		{parts: []routing.WeightedService{{Service: "service", Weight: 1}, {Service: "unused"}}, retried: true},
+	} {
+		r := newHandoverRun(handoverPeers()...)
+		r.cutOff(t)
+		r.table.Routes[readPath].Parts = c.parts
+		req, d := r.begin(readPath)
+		expectHandover(t, d, "near")
+		if d = r.EndHandover(r.now, req, HandoverResult{Result: ResultConnectionLost}); (d.Handover != nil) != c.retried {
+			t.Errorf("services %+v: got %+v, want another peer: %t", c.parts, recordedDecisionOf(d), c.retried)
+		}
+	}
+}
