Charge a retry that waits for a slot once, and not at all if it is denied

What callers lose: a retry that had waited for its slot was charged a second time on top of the first, and one that was denied the slot stayed charged, so later requests found less of the budget than it allows. The earlier charge is given back now when the retry is charged for its new time, when its slot is denied, or when its account is revoked while it waits. The bound holds as before: what counts is the charge that belongs to the arrival. Tests first: two retries charged for one that was sent, one for none (TestRetryThatWaitedForASlotIsChargedAgain, TestRetryThatIsDeniedASlotIsNotCharged).

--- a/internal/kernel/admission/retrybudget.go
+++ b/internal/kernel/admission/retrybudget.go
@@ -124,10 +124,15 @@
 	return true
 }
 
-// Refund gives back a retry that was taken at the same time.
-func (r *RetryBudget) Refund(now time.Time) {
+// Refund gives back a retry that was taken at the given time and not sent.
+func (r *RetryBudget) Refund(now, takenAt time.Time) {
 	r.advance(now)
-	r.at(0).retries = max(0, r.at(0).retries-1)
+	age := r.bucket - takenAt.UnixNano()/int64(r.bucketLength())
+	if age < 0 || age >= creditBuckets {
+		return
+	}
+	b := r.at(int(age))
+	b.retries = max(0, b.retries-1)
 }
 
 // Usage returns how much of the budget is in use. Retries that arrive within a window were sent in
--- a/internal/kernel/steering/hedge.go
+++ b/internal/kernel/steering/hedge.go
@@ -63,7 +63,7 @@
 	if verdict != hedging.Allowed || !svc.retries.TrySpendHedge(now) {
 		return Decision{}
 	}
-	req.recordCharge(k.retryBudgetState(now, svc), true)
+	req.recordCharge(now, k.retryBudgetState(now, svc), true)
 	if req.Account != nil {
 		k.quotas.limiter.Charge(req.Account.Name)
 	}
--- a/internal/kernel/steering/retry.go
+++ b/internal/kernel/steering/retry.go
@@ -85,33 +85,37 @@
 	}
 	for _, svc := range services {
 		if state := k.retryBudgetState(now, svc); !state.HasRoom() {
-			req.recordCharge(state, false)
+			req.recordCharge(now, state, false)
 			return false
 		}
 	}
 	for _, svc := range services {
 		svc.retries.TrySpend(now)
 	}
-	req.recordCharge(k.retryBudgetState(now, services[0]), true)
-	req.retries.chargedAt = now
+	req.recordCharge(now, k.retryBudgetState(now, services[0]), true)
 	return true
 }
 
-// refundRetry gives back a retry that was charged at the same time and found no server.
+// refundRetry gives back the last retry of a request, if any was charged, because it was not sent.
 func (k *Kernel) refundRetry(now time.Time, req *ActiveRequest) {
+	if req.retries.count == 0 {
+		return
+	}
 	for _, svc := range k.retryServices(req) {
-		svc.retries.Refund(now)
+		svc.retries.Refund(now, req.retries.chargedAt)
 	}
 	req.retries.count--
 }
 
-// rechargeLateRetry charges a retry that has waited for a slot again, if it would arrive later than the
-// budget assumes. It returns false if the budget is exhausted.
+// rechargeLateRetry charges a retry that has waited for a slot for now instead of for the time when it
+// was decided, if it would arrive later than the budget assumes. It returns false if the budget is
+// exhausted.
 func (k *Kernel) rechargeLateRetry(now time.Time, req *ActiveRequest) bool {
 	maxWait := k.service(req.Service).retries.ArrivalDelay() / 2
 	if req.retries.count == 0 || now.Sub(req.retries.chargedAt) <= maxWait {
 		return true
 	}
+	k.refundRetry(now, req)
 	return k.chargeRetry(now, req)
 }
 
@@ -137,9 +141,10 @@
 }
 
 // recordCharge records whether the budget granted a retry.
-func (req *ActiveRequest) recordCharge(budget RetryBudgetState, granted bool) {
+func (req *ActiveRequest) recordCharge(now time.Time, budget RetryBudgetState, granted bool) {
 	req.retries.budget, req.retries.denied = budget, !granted
 	if granted {
 		req.retries.count++
+		req.retries.chargedAt = now
 	}
 }
--- a/internal/kernel/steering/retry_test.go
+++ b/internal/kernel/steering/retry_test.go
@@ -8,6 +8,16 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 )
 
+// chargedRetries returns the retries that the budget of the service counts. Credit is added so that no
+// shorter time is closer to being exhausted.
+func chargedRetries(k *Kernel, now time.Time) int {
+	budget := k.service("service").retries
+	for range 1000 {
+		budget.RecordRequest(now)
+	}
+	return budget.Usage(now).Retries
+}
+
 // Guards against retries that wait for a slot and arrive long after they were charged: the credit that
 // paid for them may be that of an earlier window by then.
 func TestRetryThatWaitedForASlotIsChargedAgain(t *testing.T) {
@@ -34,6 +44,9 @@
 		if (d.Server != nil) != c.sent || !c.sent && (!d.NotRun || d.SlotRelease == nil) {
 			t.Errorf("waited %s, credit %t: got %+v, slot release %v, want it sent: %t", c.wait, c.hasCredit, recordedDecisionOf(d), d.SlotRelease, c.sent)
 		}
+		if charged := chargedRetries(k, now.Add(c.wait)); charged > 1 || (charged == 1) != c.sent {
+			t.Errorf("waited %s, credit %t: %d retries are charged, sent: %t", c.wait, c.hasCredit, charged, c.sent)
+		}
 	}
 }
 
@@ -72,6 +85,24 @@
 	}
 }
 
+// Guards against a budget that is used up by retries that wait for a slot and are denied it.
+func TestRetryThatIsDeniedASlotIsNotCharged(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	k := limitedFleet(now)[0]
+	k.RegisterServer(now, routing.Server{ID: "t", Service: "service", Domain: "north-a", Slots: 3})
+	req, first := beginWithSlotRequest(t, k, now, "r", "/a/x")
+	k.HandleSlotReply(now, req, SlotReply{Grant: admission.Grant{Ticket: first.Ticket, Verdict: admission.Granted, Rank: 1}}, true)
+	d := k.EndAttempt(now, req, Attempt{Result: ResultRejected})
+	if d.SlotRequest == nil {
+		t.Fatalf("got %+v after a rejection, want a slot request at another server", recordedDecisionOf(d))
+	}
+	now = now.Add(100 * time.Millisecond)
+	k.HandleSlotReply(now, req, SlotReply{Grant: admission.Grant{Ticket: d.SlotRequest.Ticket, Verdict: admission.Denied}}, true)
+	if charged := chargedRetries(k, now); charged != 0 {
+		t.Errorf("%d retries are charged, want 0", charged)
+	}
+}
+
 // Guards against a crash of the process and against denied retries when the service of a handed-over
 // request is not known: a route may have no services, and one without weight gets no requests.
 func TestBrokenHandoverIsChargedToServicesWithWeight(t *testing.T) {
--- a/internal/kernel/steering/slotrequest.go
+++ b/internal/kernel/steering/slotrequest.go
@@ -140,7 +140,7 @@
 	if reason := k.reauthorize(req); reason != ReasonNone {
 		// The key of the account was revoked while the request waited.
 		release := k.abandonSlot(req)
-		d := k.fail(now, req, reason)
+		d := k.failUnsent(now, req, reason)
 		d.SlotRelease = release
 		return d
 	}
@@ -174,12 +174,18 @@
 	return req.takeSlotRelease(0)
 }
 
+// failUnsent ends a request whose last attempt was not sent.
+func (k *Kernel) failUnsent(now time.Time, req *ActiveRequest, reason Reason) Decision {
+	k.refundRetry(now, req)
+	return k.fail(now, req, reason)
+}
+
 // slotDenied returns the next step of a request that got no slot. One that yields to more urgent
 // requests may run at another server while the region has room; otherwise its caller returns while
 // it can still get a response in time.
 func (k *Kernel) slotDenied(now time.Time, req *ActiveRequest, svc *service, s *server) Decision {
 	if !req.yieldsToUrgent {
-		return k.fail(now, req, ReasonQueuesTooLong)
+		return k.failUnsent(now, req, ReasonQueuesTooLong)
 	}
 	if req.sendAttempts++; req.sendAttempts < maxSends && admission.AllowsElsewhere(svc.capacity.Load(now, s.region).Utilization) {
 		req.triedServers = append(req.triedServers, s)
@@ -187,7 +193,7 @@
 	}
 	slack := req.Route.Target - s.rtt.roundTrip - svc.workOf(req.Route).typical(req.Route)
 	req.shedding.MaxRetryAfter = max(0, (slack-now.Sub(req.startedAt))/2)
-	return k.fail(now, req, ReasonUrgentFirst)
+	return k.failUnsent(now, req, ReasonUrgentFirst)
 }
 
 // latestStart returns until when the request may start to run once it has a slot. One that yields to
