Emulator: ask that the load reaches the retry budget instead of a measured share of it

What it must show is that callers want more retries than there are, or the bound of the test proves nothing. It asks for denied retries now, and that some were sent; the bound itself is unchanged.

--- a/internal/fake/warmnet/retries.go
+++ b/internal/fake/warmnet/retries.go
@@ -18,11 +18,15 @@
 		requests, retries []time.Duration
 		// seen holds the attempts of callers that have reached a server.
 		seen map[*request]bool
+		// denied counts the requests for which a proxy found its part of the budget exhausted.
+		denied int
 	}
 
 	// RetryStats describes the retries of all proxies, including those that have ended.
 	RetryStats struct {
 		Sent int
+		// Denied counts the requests for which a proxy found its part of the budget exhausted.
+		Denied int
 		// MaxUtilization is the largest share of the allowed retries in any window.
 		MaxUtilization float64
 	}
@@ -58,6 +62,13 @@
 	delete(l.seen, req)
 }
 
+// recordEvent counts the requests that were denied a retry.
+func (l *retryLog) recordEvent(e steering.Event) {
+	if e.RetryDenied {
+		l.denied++
+	}
+}
+
 func (l *retryLog) recordArrival(now time.Duration, req *request) {
 	if l.seen == nil {
 		l.seen = make(map[*request]bool)
@@ -86,7 +97,7 @@
 // stats compares the retries of each window with what the budget allows: the requests are those of
 // the window, of the one before it, or of the one half a window before it.
 func (l *retryLog) stats(end time.Duration) RetryStats {
-	out := RetryStats{Sent: len(l.retries)}
+	out := RetryStats{Sent: len(l.retries), Denied: l.denied}
 	for from := time.Duration(0); from < end; from += tickInterval {
 		requests := max(countFrom(l.requests, from), countFrom(l.requests, from-retryBudget.Window/2), countFrom(l.requests, from-retryBudget.Window))
 		allowed := retryBudget.Ratio*float64(requests) + retryBudget.Slack
--- a/internal/fake/warmnet/simulation.go
+++ b/internal/fake/warmnet/simulation.go
@@ -186,8 +186,8 @@
 		record = w.record
 	}
 	return steering.New(steering.Config{
-		Record: record,
-		Name:   p.Name, Domain: p.Domain, Off: w.scenario.MechanismsOff, EndsToCondemn: w.scenario.QuarantineThreshold, Region: p.Region, RegionOf: regionOf, Placer: w.placer, Seed: [32]byte{byte(i), byte(w.seed), byte(i >> 8)},
+		Record: record, Observe: w.retryLog.recordEvent,
+		Name: p.Name, Domain: p.Domain, Off: w.scenario.MechanismsOff, EndsToCondemn: w.scenario.QuarantineThreshold, Region: p.Region, RegionOf: regionOf, Placer: w.placer, Seed: [32]byte{byte(i), byte(w.seed), byte(i >> 8)},
 		Bounds: steering.Bounds{Retry: retryBudget, ColdFactor: 1.5, ColdSlack: 5},
 	})
 }
