--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -194,9 +194,7 @@
 		case <-time.After(5 * time.Second):
 		}
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(d.dir)
-	}
+	_ = os.RemoveAll(d.dir)
 }
 
 // deployCommand returns the words of the command of the deploy file.
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -14,8 +14,6 @@
 
 	mu   sync.Mutex
 	runs map[string][]string
-	// rejections are the workers that rejected an attempt.
-	rejections map[string][]string
 }
 
 func newRecord(path string) (*record, error) {
@@ -23,7 +21,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{start: time.Now(), file: file, runs: make(map[string][]string), rejections: make(map[string][]string)}, nil
+	return &record{start: time.Now(), file: file, runs: make(map[string][]string)}, nil
 }
 
 func (r *record) writef(format string, args ...any) {
@@ -44,10 +42,7 @@
 }
 
 func (r *record) addRejection(attempt, worker string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.rejections[attempt] = append(r.rejections[attempt], worker)
-	r.line("worker %s rejects %s and does not run it", worker, attempt)
+	r.writef("worker %s rejects %s and does not run it", worker, attempt)
 }
 
 // runsOf returns the workers that ran an attempt.
