Log which connection an attempt used, and count stray responses

The log shows two attempts at one server, both refused, and does not tell a server that rejects and runs a request from a response that belongs to another exchange on the same connection.

Lines of ended attempts and `steering explain` have the number of the connection now and how many requests it has carried, and the responses that are discarded because they answer another request are counted in gypsumquay_server_stray_responses_total. No decision changes.

--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -89,6 +89,8 @@
 		pool    *pool
 		memory  *bodies.MemoryBudget
 		now     func() time.Time
+		// onStray is called for each response to another request.
+		onStray func()
 	}
 
 	// Request is one attempt to send a caller's request to a server.
@@ -159,13 +161,17 @@
 // NewClient returns a client that buffers responses within the budget m. onOpen is called for each
 // new connection.
 func NewClient(h Headers, m *bodies.MemoryBudget, now func() time.Time, onOpen func()) *Client {
-	return &Client{headers: h, memory: m, now: now, pool: newPool(now, onOpen)}
+	return &Client{headers: h, memory: m, now: now, pool: newPool(now, onOpen), onStray: func() {}}
 }
 
 // CountSentBytes calls count with the number of bytes of each write to a server. It must be called
 // before the first Send.
 func (c *Client) CountSentBytes(count func(int)) { c.pool.onSent = count }
 
+// CountStrayResponses calls count for each response that arrives on the connection of another request.
+// It must be called before the first Send.
+func (c *Client) CountStrayResponses(count func()) { c.onStray = count }
+
 // Send sends the request once. The response is nil unless a complete one arrived. A response that
 // was passed to OnStream must be released by its receiver, whether or not it is returned.
 func (c *Client) Send(ctx context.Context, r Request) (steering.Attempt, *Response) {
@@ -181,7 +187,7 @@
 		c.pool.put(connection, true, r.MaxIdleConnections)
 		return steering.Attempt{Result: steering.ResultNotSent, RoundTrip: roundTrip}, nil
 	}
-	e := &exchange{client: c, conn: connection, request: r, message: c.newMessage(r)}
+	e, uses := &exchange{client: c, conn: connection, request: r, message: c.newMessage(r)}, connection.uses
 	stop := context.AfterFunc(ctx, connection.abort)
 	response, reusable, err := e.run()
 	if !stop() {
@@ -195,6 +201,7 @@
 	c.pool.put(connection, reusable, r.MaxIdleConnections)
 	attempt := c.classify(r, response, err)
 	attempt.RoundTrip, attempt.Signal, attempt.ResponseStarted = roundTrip, e.signal, e.streamed
+	attempt.Connection, attempt.ConnectionUses = connection.number, uses
 	return attempt, response
 }
 
@@ -375,6 +382,7 @@
 			response.Release()
 			return nil, true, errMissingAttemptID
 		}
+		e.client.onStray()
 		response.Release()
 		sawStray = true
 	}
--- a/internal/adapter/serverhttp/client_test.go
+++ b/internal/adapter/serverhttp/client_test.go
@@ -170,6 +170,31 @@
 	}
 }
 
+func TestAttemptsReportConnectionAndStrayResponses(t *testing.T) {
+	s := startRawServer(t, func(_, n int, r *http.Request, w net.Conn) bool {
+		if n == 2 {
+			_, _ = io.WriteString(w, okResponse("one", "again to one"))
+		}
+		_, _ = io.WriteString(w, okResponse(r.Header.Get("Attempt"), ""))
+		return true
+	})
+	c, strays := newTestClient(), 0
+	c.CountStrayResponses(func() { strays++ })
+	type report struct {
+		connection uint64
+		uses       int
+	}
+	for i, want := range []report{{1, 1}, {1, 2}, {2, 1}} {
+		a, _ := send(c, s, []string{"one", "two", "three"}[i])
+		if got := (report{a.Connection, a.ConnectionUses}); got != want {
+			t.Errorf("attempt %d: got connection and uses %v, want %v", i+1, got, want)
+		}
+	}
+	if strays != 1 {
+		t.Errorf("got %d stray responses, want 1", strays)
+	}
+}
+
 // Guards against trusting a not-run response without an attempt ID on a reused connection: it may
 // belong to another request, and this one may be running.
 func TestNotRunWithoutIDOnReusedConnectionIsIgnored(t *testing.T) {
--- a/internal/adapter/serverhttp/pool.go
+++ b/internal/adapter/serverhttp/pool.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -40,11 +41,15 @@
 		onSent  func(int)
 		dialer  net.Dialer
 		sweptAt time.Time
+		// opened counts the connections that were opened.
+		opened atomic.Uint64
 	}
 
 	// conn is a connection to a server. It carries one request at a time.
 	conn struct {
 		net.Conn
+		// number is unique among the connections of the pool.
+		number    uint64
 		reader    *bufio.Reader
 		address   netip.AddrPort
 		onSent    func(int)
@@ -99,7 +104,7 @@
 		return nil, 0, errors.Wrap(err, "connect")
 	}
 	p.onOpen()
-	c := &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferSize), address: address, onSent: p.onSent, uses: 1, keepAlive: defaultKeepAlive}
+	c := &conn{Conn: raw, number: p.opened.Add(1), reader: bufio.NewReaderSize(raw, bufferSize), address: address, onSent: p.onSent, uses: 1, keepAlive: defaultKeepAlive}
 	return c, p.now().Sub(startedAt), nil
 }
 
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -109,6 +109,10 @@
 		Version uint64
 		// Attempt is the number of the attempt, starting at 1.
 		Attempt int
+		// Connection identifies the connection in this process that the attempt was sent on, and
+		// ConnectionUses is how many requests it has carried, including this one.
+		Connection     uint64
+		ConnectionUses int
 		// IsHedge is set if the attempt was begun by BeginHedge. Hedge is the outcome of the hedge
 		// of a request that ends.
 		IsHedge bool
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -285,6 +285,11 @@
 		Hedge bool `json:",omitempty"`
 		// RoundTrip is the round-trip time measured on a new connection, or zero if there was none.
 		RoundTrip time.Duration
+		// Connection identifies the connection in this process that the request was sent on, and
+		// ConnectionUses is how many requests it has carried, including this one. They are zero if
+		// nothing was sent.
+		Connection     uint64 `json:",omitempty"`
+		ConnectionUses int    `json:",omitempty"`
 		// Loaded is set if the server reported its load.
 		Loaded           bool
 		Running, Waiting int
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -124,6 +124,7 @@
 	memory := bodies.NewMemoryBudget(bodyMemoryLimit(s.MemoryBytes))
 	d.serverClient = serverhttp.NewClient(deps.Names.ServerHeaders, memory, d.now, d.metrics.serverConnectionsOpened.Inc)
 	d.serverClient.CountSentBytes(d.overflow.countSent)
+	d.serverClient.CountStrayResponses(d.metrics.strayResponses.Inc)
 	d.handoverClient = serverhttp.NewClient(handoverHeaders(deps.Names.ServerHeaders), memory, d.now, func() {})
 	d.handoverClient.CountSentBytes(d.overflow.countSent)
 	d.reachability = newReachabilityProber(d)
--- a/internal/proxy/forward/metrics.go
+++ b/internal/proxy/forward/metrics.go
@@ -22,6 +22,7 @@
 	proxyMetrics struct {
 		set                      *metrics.Set
 		serverConnectionsOpened  *metrics.Counter
+		strayResponses           *metrics.Counter
 		callerConnectionsRefused *metrics.Counter
 		handoversReceived        *metrics.Counter
 		fullCopiesSent           *metrics.Counter
@@ -54,6 +55,7 @@
 	return &proxyMetrics{
 		set:                      set,
 		serverConnectionsOpened:  set.NewCounter("gypsumquay_server_connections_opened_total"),
+		strayResponses:           set.NewCounter("gypsumquay_server_stray_responses_total"),
 		callerConnectionsRefused: set.NewCounter("gypsumquay_caller_connections_refused_total"),
 		handoversReceived:        set.NewCounter("gypsumquay_handovers_received_total"),
 		fullCopiesSent:           set.NewCounter(`gypsumquay_full_copies_total{direction="sent"}`),
