Send an attempt ID over a connection to a server once

Cause: the attempt ID identifies a response only if the connection has carried it once. A server that rejects with free slots stays a candidate, and the pool hands out the connection that was used last, so a request that is sent again meets the late duplicate of its own rejection and takes it for the response to the second send, within a millisecond, while the server runs it.

The same duplicate of a 421, after an address has passed to another server, and the duplicates of requests without an ID were taken the same way, and a connection that a round-trip measurement had borrowed counted as unused, so that a response without an ID was trusted there.

A connection remembers what it has carried, and a request gets one that has not carried its ID, or a new one. Connections that are passed over stay open for other requests unless the server's limit of connections would be exceeded. The choice is code without a network now, kernel/connpool.

--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -260,8 +260,8 @@
 		HasAccounts: active.HasAccounts, Account: account,
 		Address: target.Address, InstanceID: target.ID, Method: r.Method, Host: r.Host, Target: r.RequestURI,
 		Header: r.Header, Body: o.body.Bytes, AttemptID: request.ID, Deadline: active.ExpiresAt,
-		DialTimeout:        min(dialBaseTimeout+dialRoundTrips*target.RoundTrip, active.ExpiresAt.Sub(s.Now())),
-		MaxIdleConnections: target.MaxConnections, StoppedAccepting: func() bool { return s.serverStoppedAccepting(active, isHedge) },
+		DialTimeout:    min(dialBaseTimeout+dialRoundTrips*target.RoundTrip, active.ExpiresAt.Sub(s.Now())),
+		MaxConnections: target.MaxConnections, StoppedAccepting: func() bool { return s.serverStoppedAccepting(active, isHedge) },
 		OnStream: o.onStream,
 	}
 }
--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -110,9 +110,8 @@
 		// StoppedAccepting reports whether the server has stopped accepting requests since it was
 		// chosen for this one. It may be nil.
 		StoppedAccepting func() bool
-		// MaxIdleConnections limits the idle connections to the server; zero means the default
-		// limit.
-		MaxIdleConnections int
+		// MaxConnections limits the open connections to the server; zero means no limit.
+		MaxConnections int
 		// HasAccounts is set if requests carry keys of client accounts, which must not be forwarded
 		// to servers. Account is the client account of the request, or empty.
 		HasAccounts bool
@@ -139,7 +138,7 @@
 
 	exchange struct {
 		client  *Client
-		conn    *conn
+		conn    *pooledConn
 		request Request
 		message *http.Request
 		// signal merges the backpressure signals of all responses of the exchange, including those
@@ -175,44 +174,44 @@
 // Send sends the request once. The response is nil unless a complete one arrived. A response that
 // was passed to OnStream must be released by its receiver, whether or not it is returned.
 func (c *Client) Send(ctx context.Context, r Request) (steering.Attempt, *Response) {
-	connection, roundTrip, err := c.pool.get(ctx, r.Address, r.DialTimeout)
+	connection, roundTrip, err := c.pool.get(ctx, r.Address, r.AttemptID, r.MaxConnections, r.DialTimeout)
 	if err != nil {
 		if ctx.Err() != nil {
 			return steering.Attempt{Result: steering.ResultCallerGone, Err: ctx.Err()}, nil
 		}
 		return steering.Attempt{Result: steering.ResultUnreachable, Refusing: IsConnectionRefused(err), Err: err}, nil
 	}
-	if connection.isFirstUse() && r.StoppedAccepting != nil && r.StoppedAccepting() {
-		connection.uses = 0
-		c.pool.put(connection, true, r.MaxIdleConnections)
+	if connection.Uses() == 0 && r.StoppedAccepting != nil && r.StoppedAccepting() {
+		c.pool.put(connection, true, r.MaxConnections)
 		return steering.Attempt{Result: steering.ResultNotSent, RoundTrip: roundTrip}, nil
 	}
-	e, uses := &exchange{client: c, conn: connection, request: r, message: c.newMessage(r)}, connection.uses
-	stop := context.AfterFunc(ctx, connection.abort)
+	e := &exchange{client: c, conn: connection, request: r, message: c.newMessage(r)}
+	stop := context.AfterFunc(ctx, func() { _ = connection.Transport.Close() })
 	response, reusable, err := e.run()
 	if !stop() {
 		// The caller disconnected, and the connection was closed to cancel the request on the
 		// server.
+		c.pool.put(connection, false, 0)
 		if !e.streamed {
 			response.Release()
 		}
 		return steering.Attempt{Result: steering.ResultCallerGone, Err: context.Cause(ctx), Signal: e.signal}, nil
 	}
-	c.pool.put(connection, reusable, r.MaxIdleConnections)
+	uses := connection.Uses()
+	c.pool.put(connection, reusable, r.MaxConnections)
 	attempt := c.classify(r, response, err)
 	attempt.RoundTrip, attempt.Signal, attempt.ResponseStarted = roundTrip, e.signal, e.streamed
-	attempt.Connection, attempt.ConnectionUses = connection.number, uses
+	attempt.Connection, attempt.ConnectionUses = connection.Transport.number, uses
 	return attempt, response
 }
 
 // MeasureRoundTrip measures the round-trip time by opening a connection, which it returns to the
 // pool.
 func (c *Client) MeasureRoundTrip(ctx context.Context, address netip.AddrPort, timeout time.Duration) (time.Duration, error) {
-	connection, roundTrip, err := c.pool.get(ctx, address, timeout)
+	connection, roundTrip, err := c.pool.getAny(ctx, address, timeout)
 	if err != nil {
 		return 0, err
 	}
-	connection.uses = 0
 	c.pool.put(connection, true, 0)
 	return roundTrip, nil
 }
@@ -226,15 +225,15 @@
 	if err != nil {
 		return err
 	}
-	defer func() { _ = connection.Close() }()
-	if err := connection.SetDeadline(c.now().Add(timeout)); err != nil {
+	defer c.pool.put(connection, false, 0)
+	if err := connection.Transport.SetDeadline(c.now().Add(timeout)); err != nil {
 		return errors.Wrap(err, "set deadline")
 	}
 	m := c.newMessage(Request{Method: http.MethodGet, Host: host, Target: path, InstanceID: probedInstance, Deadline: c.now().Add(timeout)})
-	if err := m.Write(connection); err != nil {
+	if err := m.Write(connection.Transport); err != nil {
 		return errors.Wrap(err, "write probe")
 	}
-	response, err := http.ReadResponse(connection.reader, m)
+	response, err := http.ReadResponse(connection.Transport.reader, m)
 	if err != nil {
 		return errors.Wrap(err, "read response to probe")
 	}
@@ -247,7 +246,7 @@
 func IsConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // CloseIdleConnections closes the idle connections to a server that has restarted.
-func (c *Client) CloseIdleConnections(address netip.AddrPort) { c.pool.closeIdle(address) }
+func (c *Client) CloseIdleConnections(address netip.AddrPort) { c.pool.connections.CloseIdle(address) }
 
 // newMessage returns the HTTP request for the server.
 func (c *Client) newMessage(r Request) *http.Request {
@@ -329,9 +328,10 @@
 // run writes the request and reads its response. reusable is set if the connection can be used for
 // another request.
 func (e *exchange) run() (response *Response, reusable bool, err error) {
-	if err := e.conn.SetDeadline(e.request.Deadline); err != nil {
+	if err := e.conn.Transport.SetDeadline(e.request.Deadline); err != nil {
 		return nil, false, errors.Wrap(err, "set deadline")
 	}
+	e.conn.Begin(e.request.AttemptID)
 	written := make(chan error, 1)
 	if len(e.request.Body) <= maxInlineBodyBytes {
 		if err := e.write(); err != nil {
@@ -347,7 +347,7 @@
 	}
 	select {
 	case err := <-written:
-		reusable = err == nil && !closes && e.conn.reader.Buffered() == 0
+		reusable = err == nil && !closes && e.conn.Transport.reader.Buffered() == 0
 	default:
 		// The server responded before it had read the whole body. The rest of the body belongs to
 		// this request, so the connection cannot be reused.
@@ -356,7 +356,7 @@
 }
 
 func (e *exchange) write() error {
-	w := bufio.NewWriterSize(e.conn, bufferSize)
+	w := bufio.NewWriterSize(e.conn.Transport, bufferSize)
 	if err := e.message.Write(w); err != nil {
 		return errors.Wrap(err, "write request")
 	}
@@ -364,7 +364,8 @@
 }
 
 // read reads responses until the one to this request. A server may send a duplicate response to an
-// earlier request first; the attempt ID distinguishes them.
+// earlier request first; the attempt ID distinguishes them, because the connection has carried it once
+// only.
 func (e *exchange) read() (*Response, bool, error) {
 	sawStray := false
 	for range maxStrayResponses + 1 {
@@ -375,7 +376,7 @@
 		switch id := response.Header.Get(e.client.headers.AttemptID); {
 		case id == e.request.AttemptID:
 			return e.checkSeal(response, closes || sawStray)
-		case id == "" && e.conn.isFirstUse():
+		case id == "" && e.conn.Uses() == 1:
 			// This is the first request on the connection, so the response can't belong to another.
 			return e.checkSeal(response, closes)
 		case id == "":
@@ -413,7 +414,7 @@
 		// Content-Length is that of the response to a GET; there is no body.
 		contentLength = 0
 	}
-	e.conn.applyKeepAlive(response.Header.Get("Keep-Alive"))
+	e.conn.KeepAlive = parseKeepAlive(response.Header.Get("Keep-Alive"), e.conn.KeepAlive)
 	header := make(http.Header, len(response.Header))
 	CopyHeader(header, response.Header)
 	received := &Response{Server: e.request.InstanceID, Status: response.StatusCode, Header: header}
@@ -450,7 +451,7 @@
 // nextFinalResponse reads the next final response and skips interim (1xx) ones.
 func (e *exchange) nextFinalResponse() (*http.Response, error) {
 	for {
-		response, err := http.ReadResponse(e.conn.reader, e.message)
+		response, err := http.ReadResponse(e.conn.Transport.reader, e.message)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/adapter/serverhttp/client_test.go
+++ b/internal/adapter/serverhttp/client_test.go
@@ -468,7 +468,7 @@
 		clients.Go(func() {
 			c.Send(context.Background(), Request{
 				Address: s.address(), Method: http.MethodGet, Host: "h", Target: "/", AttemptID: "a",
-				Deadline: time.Now().Add(testTimeout), DialTimeout: testTimeout, MaxIdleConnections: maxIdle,
+				Deadline: time.Now().Add(testTimeout), DialTimeout: testTimeout, MaxConnections: maxIdle,
 			})
 		})
 	}
@@ -481,14 +481,12 @@
 	}
 }
 
-func TestApplyKeepAlive(t *testing.T) {
+func TestParseKeepAlive(t *testing.T) {
 	for text, want := range map[string]time.Duration{
 		"": defaultKeepAlive, "timeout=5": 4 * time.Second, "max=3, timeout=2": time.Second, "timeout=0": 0, "timeout=x": defaultKeepAlive,
 	} {
-		c := &conn{keepAlive: defaultKeepAlive}
-		c.applyKeepAlive(text)
-		if c.keepAlive != want {
-			t.Errorf("%q: keep-alive is %s, want %s", text, c.keepAlive, want)
+		if got := parseKeepAlive(text, defaultKeepAlive); got != want {
+			t.Errorf("%q: got %s, want %s", text, got, want)
 		}
 	}
 }
--- a/internal/adapter/serverhttp/pool.go
+++ b/internal/adapter/serverhttp/pool.go
@@ -7,13 +7,14 @@
 	"net/netip"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/connpool"
 )
 
 const (
@@ -23,45 +24,38 @@
 	// keepAliveMargin is subtracted from the server's Keep-Alive timeout: if a request races with
 	// the close by the server, it is unknown whether the request ran.
 	keepAliveMargin = time.Second
-	// maxIdleConnections limits the idle connections to one server.
-	maxIdleConnections = 8
-	// sweepInterval is the interval at which expired idle connections are closed.
-	sweepInterval = 2 * time.Second
 	// tcpUserTimeout is how long sent data may remain unacknowledged. There is no other sign of a
 	// peer that silently became unreachable.
 	tcpUserTimeout = 700 * time.Millisecond
 )
 
 type (
+	// pool opens connections to servers and reuses idle ones.
 	pool struct {
-		mu      sync.Mutex
-		idle    map[netip.AddrPort][]*conn
-		now     func() time.Time
-		onOpen  func()
-		onSent  func(int)
-		dialer  net.Dialer
-		sweptAt time.Time
+		connections *connpool.Pool[*conn]
+		now         func() time.Time
+		onOpen      func()
+		onSent      func(int)
+		dialer      net.Dialer
 		// opened counts the connections that were opened.
 		opened atomic.Uint64
 	}
 
-	// conn is a connection to a server. It carries one request at a time.
+	pooledConn = connpool.Conn[*conn]
+
+	// conn is a connection to a server.
 	conn struct {
 		net.Conn
 		// number is unique among the connections of the pool.
-		number    uint64
-		reader    *bufio.Reader
-		address   netip.AddrPort
-		onSent    func(int)
-		uses      int
-		expires   time.Time
-		keepAlive time.Duration
+		number uint64
+		reader *bufio.Reader
+		onSent func(int)
 	}
 )
 
 func newPool(now func() time.Time, onOpen func()) *pool {
 	return &pool{
-		idle: make(map[netip.AddrPort][]*conn), now: now, onOpen: onOpen, onSent: func(int) {},
+		connections: connpool.New[*conn](), now: now, onOpen: onOpen, onSent: func(int) {},
 		dialer: net.Dialer{Control: setTCPUserTimeout, KeepAlive: -1},
 	}
 }
@@ -78,18 +72,23 @@
 	return sockErr
 }
 
-// get returns an idle connection, or opens a new one and returns the time that this took.
-func (p *pool) get(ctx context.Context, address netip.AddrPort, timeout time.Duration) (*conn, time.Duration, error) {
-	for {
-		c := p.popIdle(address)
-		if c == nil {
-			break
-		}
-		if p.now().Before(c.expires) && c.isReusable() {
-			c.uses++
+// get returns an idle connection for an attempt, or opens a new one and returns the time that this
+// took. A positive limit is the number of connections to the server that may be open.
+func (p *pool) get(ctx context.Context, address netip.AddrPort, attempt string, limit int, timeout time.Duration) (*pooledConn, time.Duration, error) {
+	return p.getOrOpen(ctx, address, timeout, func() *pooledConn { return p.connections.Take(p.now(), address, attempt, limit) })
+}
+
+// getAny is like get for a connection on which nothing is sent.
+func (p *pool) getAny(ctx context.Context, address netip.AddrPort, timeout time.Duration) (*pooledConn, time.Duration, error) {
+	return p.getOrOpen(ctx, address, timeout, func() *pooledConn { return p.connections.TakeAny(p.now(), address) })
+}
+
+func (p *pool) getOrOpen(ctx context.Context, address netip.AddrPort, timeout time.Duration, take func() *pooledConn) (*pooledConn, time.Duration, error) {
+	for c := take(); c != nil; c = take() {
+		if c.Transport.isReusable() {
 			return c, 0, nil
 		}
-		_ = c.Close()
+		p.connections.Discard(c)
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -97,85 +96,27 @@
 }
 
 // open opens a new connection and returns the time that this took.
-func (p *pool) open(ctx context.Context, address netip.AddrPort) (*conn, time.Duration, error) {
+func (p *pool) open(ctx context.Context, address netip.AddrPort) (*pooledConn, time.Duration, error) {
 	startedAt := p.now()
 	raw, err := p.dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, 0, errors.Wrap(err, "connect")
 	}
 	p.onOpen()
-	c := &conn{Conn: raw, number: p.opened.Add(1), reader: bufio.NewReaderSize(raw, bufferSize), address: address, onSent: p.onSent, uses: 1, keepAlive: defaultKeepAlive}
-	return c, p.now().Sub(startedAt), nil
-}
-
-// popIdle removes and returns the most recently used idle connection.
-func (p *pool) popIdle(address netip.AddrPort) *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	c := &conn{Conn: raw, number: p.opened.Add(1), reader: bufio.NewReaderSize(raw, bufferSize), onSent: p.onSent}
+	return p.connections.Add(c, address, defaultKeepAlive), p.now().Sub(startedAt), nil
 }
 
-// put returns a connection to the pool. A positive maxIdle limits the idle connections to the
-// server.
-func (p *pool) put(c *conn, reusable bool, maxIdle int) {
+// put returns a connection to the pool, or closes it. A positive limit is the number of connections to
+// the server that may be idle.
+func (p *pool) put(c *pooledConn, reusable bool, limit int) {
 	if !reusable {
-		_ = c.Close()
-		return
-	}
-	now := p.now()
-	c.expires = now.Add(c.keepAlive)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.sweep(now)
-	if maxIdle <= 0 {
-		maxIdle = maxIdleConnections
-	}
-	list := p.idle[c.address]
-	for len(list) >= min(maxIdle, maxIdleConnections) {
-		_ = list[0].Close()
-		list = list[1:]
-	}
-	p.idle[c.address] = append(list, c)
-}
-
-// closeIdle closes the idle connections to a server. A restarted server does not know them, and a
-// network partition may hide that for as long as it lasts.
-func (p *pool) closeIdle(address netip.AddrPort) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle[address] {
-		_ = c.Close()
-	}
-	delete(p.idle, address)
-}
-
-// sweep closes expired idle connections, including those to servers that are gone. p.mu must be
-// held.
-func (p *pool) sweep(now time.Time) {
-	if now.Sub(p.sweptAt) < sweepInterval {
+		p.connections.Discard(c)
 		return
 	}
-	p.sweptAt = now
-	for address, list := range p.idle {
-		for len(list) > 0 && !now.Before(list[0].expires) {
-			_ = list[0].Close()
-			list = list[1:]
-		}
-		p.idle[address] = list
-		if len(list) == 0 {
-			delete(p.idle, address)
-		}
-	}
+	p.connections.Put(p.now(), c, limit)
 }
 
-func (c *conn) isFirstUse() bool { return c.uses == 1 }
-
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
@@ -183,8 +124,6 @@
 	return n, err
 }
 
-func (c *conn) abort() { _ = c.Close() }
-
 // isReusable reports whether an idle connection is open and has no unread data. No response is
 // expected on it: data would be a stray response, and EOF means that the server has closed it.
 func (c *conn) isReusable() bool {
@@ -208,15 +147,17 @@
 	return err == nil && reusable
 }
 
-// applyKeepAlive applies the timeout of the server's Keep-Alive header.
-func (c *conn) applyKeepAlive(header string) {
+// parseKeepAlive returns how long a connection may be idle according to the server's Keep-Alive header,
+// or fallback if the header has no timeout.
+func parseKeepAlive(header string, fallback time.Duration) time.Duration {
 	for _, part := range strings.Split(header, ",") {
 		text, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
 		if !found {
 			continue
 		}
 		if seconds, err := strconv.Atoi(text); err == nil {
-			c.keepAlive = max(0, time.Duration(seconds)*time.Second-keepAliveMargin)
+			return max(0, time.Duration(seconds)*time.Second-keepAliveMargin)
 		}
 	}
+	return fallback
 }
