Emulator: servers send late duplicates of their responses

Proxies take connections from the pool of the product now, and servers repeat a part of their responses, rejections included, where the next response on the connection is expected.

--- a/internal/fake/warmnet/cuts.go
+++ b/internal/fake/warmnet/cuts.go
@@ -66,7 +66,7 @@
 	w.After(w.roundTrip(req.proxyRegion, region)/2, func() {
 		received := &request{
 			region: req.region, kernel: peer, proxyRegion: region, startedAt: req.startedAt, sentAt: w.Now, route: req.route, object: req.object,
-			credential: req.credential, handedOverBy: req, attemptsUsed: h.AttemptsUsed, connectionsLost: h.ConnectionsLost, isCounted: h.IsCounted,
+			credential: req.credential, attemptID: req.attemptID, handedOverBy: req, attemptsUsed: h.AttemptsUsed, connectionsLost: h.ConnectionsLost, isCounted: h.IsCounted,
 		}
 		w.handleAtProxy(received)
 	})
--- a/internal/fake/warmnet/hedges.go
+++ b/internal/fake/warmnet/hedges.go
@@ -77,7 +77,8 @@
 	}
 	w.result.Hedges.Sent++
 	hedge := *req
-	hedge.hedgeState, hedge.server = hedgeState{first: req}, w.byID[d.Server.ID]
+	hedge.hedgeState, hedge.server, hedge.conn = hedgeState{first: req}, w.byID[d.Server.ID], nil
+	w.openConnection(&hedge)
 	req.hedge = &hedge
 	w.regionCounts.record(w.Now, req.region, hedge.server.region)
 	w.After(w.roundTrip(req.proxyRegion, hedge.server.region)/2, func() {
--- a/internal/fake/warmnet/scenario.go
+++ b/internal/fake/warmnet/scenario.go
@@ -123,6 +123,9 @@
 		BackoffRequests []BackoffRequest `json:"pausing"`
 		// ProxyCuts are the periods in which proxies are cut off from all servers.
 		ProxyCuts []ProxyCut `json:"cut-off"`
+		// DuplicateRatio is the fraction of responses, rejections included, that servers send again
+		// where the next response on the connection is expected.
+		DuplicateRatio float64 `json:"duplicates"`
 		// QuarantineThreshold is the number of crashes after which proxies quarantine a request.
 		// Zero selects the default.
 		QuarantineThreshold int `json:"ends-to-condemn"`
@@ -174,6 +177,7 @@
 		Hedges         HedgeStats
 		Cuts           CutStats
 		Retries        RetryStats
+		Duplicates     DuplicateStats
 		// Routes holds the counts of each route, by name.
 		Routes    map[string]*RouteStats
 		Latencies []time.Duration
--- a/internal/fake/warmnet/simulation.go
+++ b/internal/fake/warmnet/simulation.go
@@ -10,6 +10,7 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/fake/schedule"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/account"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/connpool"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
 )
@@ -64,8 +65,9 @@
 		backoffLog backoffLog
 		retryLog   retryLog
 		// ended holds the proxies that were killed.
-		ended     map[*steering.Kernel]bool
-		slowTurns slowTurnState
+		ended        map[*steering.Kernel]bool
+		slowTurns    slowTurnState
+		duplicateLog duplicateLog
 	}
 
 	request struct {
@@ -75,8 +77,11 @@
 		region      string
 		proxyRegion string
 		startedAt   time.Duration
-		// sentAt is when the caller last sent the request.
-		sentAt      time.Duration
+		// sentAt is when the caller last sent the request, and attemptID identifies that attempt.
+		sentAt    time.Duration
+		attemptID string
+		// conn is the connection on which the request was sent, if servers send duplicate responses.
+		conn        *pooledConn
 		server      *server
 		route       *Route
 		object      string
@@ -107,7 +112,8 @@
 		scenario: scenario, placer: placer, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), hedgeRandom: rand.New(rand.NewPCG(seed, 2)), byID: make(map[string]*server),
 		proxies: make(map[string][]*steering.Kernel), withinTargetByRegion: make(map[string]int), sentByRegion: make(map[string]int),
 		regionCounts: make(regionCounts), ended: make(map[*steering.Kernel]bool),
-		oracle: placer == Oracle, routes: scenario.routeList(),
+		duplicateLog: duplicateLog{pools: make(map[*steering.Kernel]*connpool.Pool[*virtualConn]), ran: make(map[string]bool)},
+		oracle:       placer == Oracle, routes: scenario.routeList(),
 	}
 	if w.oracle {
 		w.placer = steering.DefaultPlacer
@@ -140,6 +146,7 @@
 	w.result.MaxRegionShift = w.regionCounts.maxShift()
 	w.result.RateLimits, w.result.Backoffs = w.rateLimitLog.stats(scenario.RateLimits), w.backoffLog.stats()
 	w.result.Retries = w.retryLog.stats(scenario.Duration.Std())
+	w.result.Duplicates = w.duplicateLog.stats
 	slices.Sort(w.result.Latencies)
 	return w.result
 }
@@ -309,6 +316,7 @@
 func (w *simulation) sendToProxy(req *request) {
 	req.kernel, req.proxyRegion = w.pickProxy(req.region)
 	req.sentAt = w.Now
+	w.nameAttempt(req)
 	w.retryLog.recordRequest(w.Now, req)
 	if req.proxyRegion == req.region {
 		w.handleAtProxy(req)
@@ -351,6 +359,7 @@
 			w.failUnreachable(req)
 			return
 		}
+		w.openConnection(req)
 		w.scheduleHedge(req, d)
 		w.regionCounts.record(w.Now, req.region, s.region)
 		w.After(w.roundTrip(req.proxyRegion, s.region)/2, func() { w.arriveAtServer(req) })
@@ -363,10 +372,12 @@
 	case req.crashing:
 	case d.NotRun && req.retriesLeft > 0:
 		w.recordCut(req, false)
+		w.recordNotRun(req)
 		req.retriesLeft--
 		w.After(d.RetryAfter, func() { w.sendToProxy(req) })
 	case d.NotRun:
 		w.recordCut(req, false)
+		w.recordNotRun(req)
 		w.result.Rejected++
 	default:
 		w.recordCut(req, false)
@@ -412,6 +423,7 @@
 }
 
 func (w *simulation) arriveAtServer(req *request) {
+	req = w.receiveDuplicate(req)
 	s := req.server
 	if !s.crashed && !w.inOutage(s) {
 		w.retryLog.recordArrival(w.Now, req)
@@ -442,6 +454,7 @@
 	s := req.server
 	s.running++
 	s.activeRequests = append(s.activeRequests, req)
+	w.duplicateLog.ran[req.attemptID] = true
 	if req.crashing {
 		w.After(w.scenario.CrashingRequests.Delay.Std(), func() { w.crashFromRequest(req, s) })
 		return
@@ -522,6 +535,7 @@
 		if req.cancelled {
 			return
 		}
+		w.releaseConnection(req, attempt.Result)
 		w.recordSignal(req, attempt.Signal)
 		if attempt.Result == steering.ResultResponded && w.clock().After(req.activeRequest.ExpiresAt) {
 			// The request timed out at the proxy before the response arrived.
