Don't pass on a status that means "not run" without the server's word for it

A server's 503, 429 or 408 without the field that says that it has not run the request was passed on unchanged, also for requests that must not run twice. Callers rely on these statuses, send the request again, and it may run twice. Found on the paths related to late duplicates: the promise was checked where a rejection is read, not where a response is returned.

Such a response may come after a run, so the caller of a request that must not run twice gets 502 now, which promises nothing, without the server's seal. All other responses are returned unchanged, and so are these on routes that may repeat requests. 421 counts as before: whoever is named wrongly does not run a request.

--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -317,14 +317,25 @@
 		a.Result = steering.ResultRejected
 	case response.Status >= http.StatusInternalServerError:
 		a.Result = steering.ResultServerError
+		a.ClaimsNotRun = meansNotRun(response.Status)
 	default:
 		a.Result = steering.ResultResponded
+		a.ClaimsNotRun = meansNotRun(response.Status)
 	}
 	a.Rejected = response.Status >= http.StatusBadRequest
 	response.Header.Del(c.headers.Load)
 	return a
 }
 
+// meansNotRun reports whether a status tells callers that the request has not run.
+func meansNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // run writes the request and reads its response. reusable is set if the connection can be used for
 // another request.
 func (e *exchange) run() (response *Response, reusable bool, err error) {
--- a/internal/adapter/serverhttp/client_test.go
+++ b/internal/adapter/serverhttp/client_test.go
@@ -350,13 +350,17 @@
 
 func TestResultsByStatus(t *testing.T) {
 	for _, c := range []struct {
-		head string
-		want steering.Result
+		head         string
+		want         steering.Result
+		claimsNotRun bool
 	}{
-		{"HTTP/1.1 503 Full\r\nNot-Run: 1", steering.ResultRejected},
-		{"HTTP/1.1 421 Other\r\nSeal: s", steering.ResultWrongServer},
-		{"HTTP/1.1 500 Failed\r\nSeal: s", steering.ResultServerError},
-		{"HTTP/1.1 404 None\r\nSeal: s", steering.ResultResponded},
+		{"HTTP/1.1 503 Full\r\nNot-Run: 1", steering.ResultRejected, false},
+		{"HTTP/1.1 421 Other\r\nSeal: s", steering.ResultWrongServer, false},
+		{"HTTP/1.1 500 Failed\r\nSeal: s", steering.ResultServerError, false},
+		{"HTTP/1.1 404 None\r\nSeal: s", steering.ResultResponded, false},
+		{"HTTP/1.1 503 Failed\r\nSeal: s", steering.ResultServerError, true},
+		{"HTTP/1.1 429 Often\r\nSeal: s", steering.ResultResponded, true},
+		{"HTTP/1.1 408 Late\r\nSeal: s", steering.ResultResponded, true},
 	} {
 		s := startRawServer(t, func(_, _ int, _ *http.Request, w net.Conn) bool {
 			_, _ = io.WriteString(w, c.head+"\r\nAttempt: one\r\nLoad: 3,2,4,250\r\nContent-Length: 0\r\n\r\n")
@@ -364,6 +368,9 @@
 		})
 		a, response := send(newTestClient(), s, "one")
 		expectResult(t, a, response, c.want, "")
+		if a.ClaimsNotRun != c.claimsNotRun {
+			t.Errorf("%q: got %t for a claim that the request has not run, want %t", c.head, a.ClaimsNotRun, c.claimsNotRun)
+		}
 		if !a.Loaded || a.Running != 3 || a.Waiting != 2 || a.Slots != 4 || a.WorkPercent != 250 {
 			t.Errorf("got %+v, want a load of 3 running, 2 waiting, 4 slots and 250%% work", a)
 		}
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -218,7 +218,7 @@
 	}
 	switch a.Result {
 	case ResultResponded:
-		return k.finish(now, req, Decision{ReturnResponse: true})
+		return k.returnResponse(now, req, a, ReasonNone)
 	case ResultCallerGone:
 		return k.finish(now, req, Decision{Reason: ReasonCallerGone})
 	case ResultTimeout:
@@ -248,11 +248,20 @@
 	if a.Result == ResultServerError {
 		// A response that reports the server's failure is more informative for the caller than a
 		// rejection by the proxy.
-		return k.finish(now, req, Decision{ReturnResponse: true, Reason: ReasonServerError})
+		return k.returnResponse(now, req, a, ReasonServerError)
 	}
 	return k.fail(now, req, reason)
 }
 
+// returnResponse ends a request with the response of its server, unless that would tell the caller
+// without proof that a request which must not run twice has not run.
+func (k *Kernel) returnResponse(now time.Time, req *ActiveRequest, a Attempt, reason Reason) Decision {
+	if a.ClaimsNotRun && !req.Route.Idempotent {
+		return k.fail(now, req, ReasonServerError)
+	}
+	return k.finish(now, req, Decision{ReturnResponse: true, Reason: reason})
+}
+
 // sendAgain sends a request of which nothing was sent to another server.
 func (k *Kernel) sendAgain(now time.Time, req *ActiveRequest) Decision {
 	if req.sendAttempts >= maxSends {
@@ -271,7 +280,7 @@
 		return
 	}
 	req.reachedServers++
-	req.mayHaveRun = req.mayHaveRun || a.Result == ResultConnectionLost || a.Result == ResultServerError || a.Result == ResultTimeout
+	req.mayHaveRun = req.mayHaveRun || a.Result == ResultConnectionLost || a.Result == ResultServerError || a.Result == ResultTimeout || a.ClaimsNotRun
 }
 
 // rejectedWithFreeSlots reports whether the server rejected the request while it had free slots.
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -300,6 +300,9 @@
 		// Rejected is set if a complete response reports an error in the request, unlike
 		// ResultRejected. The server may not have started to run it.
 		Rejected bool
+		// ClaimsNotRun is set if the status of the server's response tells callers that the request has
+		// not run, although the server did not report so to the proxy.
+		ClaimsNotRun bool `json:",omitempty"`
 		// Refusing is set if the connection was refused: no process listens at the server's
 		// address.
 		Refusing bool
--- a/internal/kernel/steering/scenario_test.go
+++ b/internal/kernel/steering/scenario_test.go
@@ -76,6 +76,7 @@
 		Result        string            `json:"result"`
 		Load          []int             `json:"load"`
 		Draining      bool              `json:"leaving"`
+		ClaimsNotRun  bool              `json:"claims-not-run"`
 		Repeat        int               `json:"repeat"`
 		// Want is a server ID, "any", "same" or "other" (than in the previous attempt), "not ID",
 		// "answer", "not-run REASON" or "may-have-run REASON".
@@ -264,7 +265,7 @@
 		r.requests[s.Request] = req
 		r.checkDecision(i, s.Request, s.Want, d)
 	case s.End != "":
-		a := Attempt{Result: resultsByName[s.Result], Signal: backpressure.Signal{Draining: s.Draining}}
+		a := Attempt{Result: resultsByName[s.Result], Signal: backpressure.Signal{Draining: s.Draining}, ClaimsNotRun: s.ClaimsNotRun}
 		if len(s.Load) == 2 {
 			a.Loaded, a.Running, a.Waiting = true, s.Load[0], s.Load[1]
 		}
