Keep the cause of failed requests that are too many for the log

`steering explain` had no event for some failed requests, so their callers could not be told why (TestSoak, "explain: no event"). A proxy keeps the events of the requests that it logs, 500 a second; in the soak up to 523 requests failed at one proxy within a second while servers crashed, and the rest was only counted.

The volume of the log stays bounded. The ends of failed requests beyond it are kept in memory, the last 4,096 with their reason, and are among the events of the operators' API.

The test fails before the change at the 501st of 1,000 failed requests in a second.

--- a/internal/proxy/forward/decisionlog.go
+++ b/internal/proxy/forward/decisionlog.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -39,6 +40,9 @@
 	maxFingerprintsPerLine = 16
 	// eventRingSize is how many events are kept for the operators' API.
 	eventRingSize = 4096
+	// failureRingSize is how many failed requests that are not logged are kept for the operators'
+	// API. They take at most 1 MB.
+	failureRingSize = 4096
 )
 
 type (
@@ -51,6 +55,7 @@
 
 		mu            sync.Mutex
 		ring          *core.RingBuffer[steeringhttp.Event]
+		failures      *core.RingBuffer[unloggedFailure]
 		served        uint64
 		windowStart   time.Time
 		detailedCount int
@@ -63,6 +68,16 @@
 		omittedReportedAt time.Time
 	}
 
+	// unloggedFailure is a failed request beyond the limits of the log.
+	unloggedFailure struct {
+		at                      time.Time
+		request, route, service string
+		outcome                 steering.Outcome
+		reason                  steering.Reason
+		duration, retryAfter    time.Duration
+		attempt                 int
+	}
+
 	// logDetail is how much of a request is logged.
 	logDetail int
 )
@@ -74,7 +89,7 @@
 )
 
 func newDecisionLog(vm string, now func() time.Time, m *proxyMetrics) *decisionLog {
-	return &decisionLog{vm: vm, now: now, metrics: m, ring: core.NewRingBuffer[steeringhttp.Event](eventRingSize), omitted: make(map[string]int), omittedChanges: make(map[string]int), omittedReportedAt: now()}
+	return &decisionLog{vm: vm, now: now, metrics: m, ring: core.NewRingBuffer[steeringhttp.Event](eventRingSize), failures: core.NewRingBuffer[unloggedFailure](failureRingSize), omitted: make(map[string]int), omittedChanges: make(map[string]int), omittedReportedAt: now()}
 }
 
 // handleEvent records an event of the kernel.
@@ -91,6 +106,7 @@
 	}
 	wanted := j.chooseDetail(e)
 	if wanted == logNothing {
+		j.keepFailure(e)
 		return
 	}
 	if wanted == logAllSteps {
@@ -235,7 +251,32 @@
 	j.ring.Add(steeringhttp.NewEvent(j.vm, e))
 }
 
-// events lists the kept events of one request, or all if request is empty.
+// keepFailure keeps the end of a failed request that is not logged, so that its cause can be told.
+func (j *decisionLog) keepFailure(e steering.Event) {
+	if e.Reason == steering.ReasonNone {
+		return
+	}
+	f := unloggedFailure{
+		at: e.At, request: e.Request, route: e.Route, service: e.Service, outcome: e.Outcome, reason: e.Reason,
+		duration: e.Duration, retryAfter: e.RetryAfter, attempt: e.Attempt,
+	}
+	if f.at.IsZero() {
+		f.at = j.now()
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.failures.Add(f)
+}
+
+// event returns the failure as an event of the operators' API.
+func (f unloggedFailure) event(vm string) steeringhttp.Event {
+	return steeringhttp.NewEvent(vm, steering.Event{
+		Kind: steering.EventRequestEnded, At: f.at, Request: f.request, Route: f.route, Service: f.service, Outcome: f.outcome, Reason: f.reason,
+		Duration: f.duration, RetryAfter: f.retryAfter, Attempt: f.attempt,
+	})
+}
+
+// events lists the kept events of one request, or all if request is empty, in the order of their times.
 func (j *decisionLog) events(request string) []steeringhttp.Event {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -245,6 +286,12 @@
 			list = append(list, e)
 		}
 	}
+	for _, f := range j.failures.All() {
+		if request == "" || f.request == request {
+			list = append(list, f.event(j.vm))
+		}
+	}
+	slices.SortStableFunc(list, func(a, b steeringhttp.Event) int { return a.At.Compare(b.At) })
 	return list
 }
 
--- a/internal/proxy/forward/decisionlog_test.go
+++ b/internal/proxy/forward/decisionlog_test.go
@@ -141,6 +141,23 @@
 	}
 }
 
+// Guards against failed requests whose cause can't be told because more failed in their second than are
+// logged.
+func TestCauseOfEachFailedRequestIsKept(t *testing.T) {
+	const failed = 1000
+	loggedRequests(t, func(j *decisionLog, clock *time.Time) {
+		for n := range failed {
+			j.handleEvent(failedRequest(n, steering.ReasonTimeout))
+		}
+		for n := range failed {
+			list := j.events(fmt.Sprintf("r-%d", n))
+			if len(list) == 0 || list[len(list)-1].Reason != string(steering.ReasonTimeout) || !list[len(list)-1].At.Equal(*clock) {
+				t.Fatalf("request %d: got events %+v, want the last to have the reason %q", n, list, steering.ReasonTimeout)
+			}
+		}
+	})
+}
+
 // A server fails, and the route allows one attempt: the caller gets the server's own 500. Such
 // requests used to count as successful and were sampled out.
 func TestServerFailureIsLogged(t *testing.T) {
