Limit the head of a server's response

The platform killed the process, and requests of kept connections at sound servers were lost with it.

Cause: bodies of responses were limited and charged to the memory budget; the head before them was read until the deadline of the request, and so were interim responses.

A head may have 64 KB and 256 fields now, eight interim responses may precede the final one, and what a head takes beyond the connection's buffer is charged to the budget of the bodies until the response is released. Beyond that the connection is closed, and the request counts as one that may have run.

With the limits taken out the tests fail: five kinds of endless heads are read until the deadline, 5 s, and nothing is charged.

--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -134,6 +134,8 @@
 		Body *bodies.Body
 		// Stream is the body of a response that was passed to OnStream.
 		Stream *bodies.Stream
+		// head is the memory of the header.
+		head *bodies.Reservation
 	}
 
 	exchange struct {
@@ -149,11 +151,12 @@
 	}
 )
 
-// Release releases the memory of the response's body. The response may be nil.
+// Release releases the memory of the response. The response may be nil.
 func (a *Response) Release() {
 	if a != nil {
 		a.Body.Release()
 		a.Stream.Release()
+		a.head.Release()
 	}
 }
 
@@ -233,10 +236,11 @@
 	if err := m.Write(connection.Transport); err != nil {
 		return errors.Wrap(err, "write probe")
 	}
-	response, err := http.ReadResponse(connection.Transport.reader, m)
+	response, reservation, err := connection.Transport.readHead(m, c.memory)
 	if err != nil {
 		return errors.Wrap(err, "read response to probe")
 	}
+	reservation.Release()
 	return response.Body.Close()
 }
 
@@ -411,7 +415,7 @@
 }
 
 func (e *exchange) readOne() (*Response, bool, error) {
-	response, err := e.nextFinalResponse()
+	response, head, err := e.nextFinalResponse()
 	if err != nil {
 		return nil, true, errors.Wrap(err, "read response")
 	}
@@ -428,11 +432,18 @@
 	e.conn.KeepAlive = parseKeepAlive(response.Header.Get("Keep-Alive"), e.conn.KeepAlive)
 	header := make(http.Header, len(response.Header))
 	CopyHeader(header, response.Header)
-	received := &Response{Server: e.request.InstanceID, Status: response.StatusCode, Header: header}
+	received := &Response{Server: e.request.InstanceID, Status: response.StatusCode, Header: header, head: head}
 	if contentLength <= maxResponseBytes && e.mayStream(received, contentLength) {
-		return received, response.Close, e.stream(received, response.Body, contentLength)
+		if err := e.stream(received, response.Body, contentLength); err != nil {
+			if !e.streamed {
+				received.Release()
+			}
+			return nil, true, err
+		}
+		return received, response.Close, nil
 	}
 	if received.Body, err = e.client.memory.Read(response.Body, contentLength, maxResponseBytes); err != nil {
+		received.Release()
 		return nil, true, errors.Wrap(err, "read response body")
 	}
 	return received, response.Close, nil
@@ -453,24 +464,27 @@
 		return errors.Wrap(err, "read response body")
 	}
 	e.streamed = true
-	forwarded := &Response{Server: r.Server, Status: r.Status, Header: r.Header.Clone(), Stream: r.Stream}
+	forwarded := &Response{Server: r.Server, Status: r.Status, Header: r.Header.Clone(), Stream: r.Stream, head: r.head}
 	forwarded.Header.Del(e.client.headers.Load)
 	e.request.OnStream(forwarded)
 	return errs.Wrap(r.Stream.Fill(body), "read response body")
 }
 
-// nextFinalResponse reads the next final response and skips interim (1xx) ones.
-func (e *exchange) nextFinalResponse() (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(e.conn.Transport.reader, e.message)
+// nextFinalResponse reads the head of the next final response and skips interim (1xx) ones. Unless it
+// returns an error, the reservation must be released.
+func (e *exchange) nextFinalResponse() (*http.Response, *bodies.Reservation, error) {
+	for range maxInterimResponses + 1 {
+		response, reservation, err := e.conn.Transport.readHead(e.message, e.client.memory)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
-			return response, nil
+			return response, reservation, nil
 		}
 		_ = response.Body.Close()
+		reservation.Release()
 	}
+	return nil, nil, errTooManyInterim
 }
 
 // CopyHeader copies the end-to-end header fields and omits the hop-by-hop ones.
--- a/internal/adapter/serverhttp/pool.go
+++ b/internal/adapter/serverhttp/pool.go
@@ -48,6 +48,7 @@
 		net.Conn
 		// number is unique among the connections of the pool.
 		number uint64
+		head   headLimiter
 		reader *bufio.Reader
 		onSent func(int)
 	}
@@ -103,7 +104,8 @@
 		return nil, 0, errors.Wrap(err, "connect")
 	}
 	p.onOpen()
-	c := &conn{Conn: raw, number: p.opened.Add(1), reader: bufio.NewReaderSize(raw, bufferSize), onSent: p.onSent}
+	c := &conn{Conn: raw, number: p.opened.Add(1), head: headLimiter{Reader: raw}, onSent: p.onSent}
+	c.reader = bufio.NewReaderSize(&c.head, bufferSize)
 	return p.connections.Add(c, address, defaultKeepAlive), p.now().Sub(startedAt), nil
 }
 
