Select routes by the path as it was sent

Cause: the route was selected by the decoded path, in which an encoded slash is a separator, while servers get the path undecoded. A prefix begins the path that is forwarded, so the path of the request line selects the route now, also for requests that are started before their turn.

The test fails before the change: such requests are sent twice after a lost connection. Paths that are encoded where they need not be, like /%62ids/7, match no prefix of /bids/ any more.

--- a/internal/adapter/forwardhttp/pipeline.go
+++ b/internal/adapter/forwardhttp/pipeline.go
@@ -444,6 +444,6 @@
 	if t == nil {
 		return false
 	}
-	route := t.Match(hostWithoutPort(r.Host), r.URL.Path)
+	route := t.Match(hostWithoutPort(r.Host), pathAsSent(r))
 	return route != nil && route.Idempotent
 }
--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -155,7 +156,7 @@
 // options forbid the request to start.
 func (s *Server) forward(ctx context.Context, r *http.Request, o forwardOptions) (result, bool) {
 	request := steering.Request{
-		ID: r.Header.Get(s.Headers.AttemptID), Host: hostWithoutPort(r.Host), Path: r.URL.Path, Credential: bearer.ParseCredential(r.Header),
+		ID: r.Header.Get(s.Headers.AttemptID), Host: hostWithoutPort(r.Host), Path: pathAsSent(r), Credential: bearer.ParseCredential(r.Header),
 	}
 	if c, err := r.Cookie(s.Headers.ObjectCookie); err == nil {
 		request.Object = c.Value
@@ -381,6 +382,16 @@
 	return time.Duration(ms) * time.Millisecond, true
 }
 
+// pathAsSent returns the path of a request without decoding it. Servers get it like this, and an encoded
+// slash does not separate segments.
+func pathAsSent(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		path, _, _ := strings.Cut(r.RequestURI, "?")
+		return path
+	}
+	return r.URL.EscapedPath()
+}
+
 // hostWithoutPort returns the host without its port.
 func hostWithoutPort(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/internal/adapter/forwardhttp/server_test.go
+++ b/internal/adapter/forwardhttp/server_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -285,3 +286,41 @@
 		t.Errorf("connection closes: %t, body %q; want the response and a close", got.close, got.body)
 	}
 }
+
+// Guards against a request that is repeated although it must not be: an encoded slash in its path
+// selected the route of another one.
+func TestRouteIsSelectedByPathAsSent(t *testing.T) {
+	route := func(name, prefix string, idempotent bool) *routing.Route {
+		return &routing.Route{
+			Name: name, Host: "127.0.0.1", Prefix: prefix, Idempotent: idempotent, Attempts: 2, Timeout: time.Second, Target: time.Second,
+			Parts: []routing.WeightedService{{Service: "service", Weight: 1}},
+		}
+	}
+	for target, want := range map[string]int{
+		"/bids/open%2F7":     1,
+		"/bids/open%2f7?x=1": 1,
+		"/bids/open/7":       2,
+		"/bids/open/a%2Fb":   2,
+		"/bids/7":            1,
+	} {
+		var sends atomic.Int32
+		p := newTestProxy(t, true, func(context.Context, serverhttp.Request) (steering.Attempt, *serverhttp.Response) {
+			sends.Add(1)
+			return steering.Attempt{Result: steering.ResultConnectionLost}, nil
+		})
+		p.mu.Lock()
+		p.kernel = steering.New(steering.Config{
+			Name: "p", Domain: "a", Region: "r", RegionOf: map[string]string{"a": "r"},
+			Bounds: steering.Bounds{Retry: steering.RetryBudget{Ratio: 50, Slack: 60, Window: 10 * time.Second}},
+		})
+		p.kernel.SetTable(routing.NewTable(2, []*routing.Route{route("bids", "/bids/", false), route("open", "/bids/open/", true)}, nil, routing.Limits{}))
+		for i, id := range []string{"s1", "s2"} {
+			p.kernel.RegisterServer(time.Now(), routing.Server{ID: id, Service: "service", Domain: "a", Slots: 4, Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1))})
+		}
+		p.mu.Unlock()
+		sendRequest(t, http.MethodPost, p.URL+target, "")
+		if got := int(sends.Load()); got != want {
+			t.Errorf("%s: sent %d times after the connection was lost, want %d", target, got, want)
+		}
+	}
+}
