Don't pass a response on while requests behind it run

Cause: requests behind a GET start before their turn, and a long response is passed on while it arrives. One that breaks off then can only be told by closing the connection, and that takes the requests with it. A response that closes the connection on purpose already waited for them.

A long response is passed on only if no request behind it has been started, and none starts while it is. Otherwise it is buffered like a short one, so it can also be requested from another server. What it costs: a download with requests behind it passes the link twice, and requests that arrive during a download wait for its end.

TestBrokenLongResponseDoesNotLookComplete sent a second request along, which is buffered behaviour now and part of the new test; alone the response breaks off as before, and the server must have run it exactly once instead of at most twice for both.

--- a/internal/adapter/forwardhttp/handover.go
+++ b/internal/adapter/forwardhttp/handover.go
@@ -115,6 +115,7 @@
 		AttemptID: r.Header.Get(s.Headers.AttemptID), Deadline: active.ExpiresAt, DialTimeout: min(dialBaseTimeout, active.ExpiresAt.Sub(s.Now())),
 	}
 	if o.onStream != nil {
+		request.MayStream = o.mayStream
 		request.OnStream = func(response *serverhttp.Response) {
 			takeHandoverResult(response)
 			o.onStream(response)
--- a/internal/adapter/forwardhttp/pipeline.go
+++ b/internal/adapter/forwardhttp/pipeline.go
@@ -65,6 +65,9 @@
 		opaque bool
 		// closed is set once the connection is closed or the current response will close it.
 		closed bool
+		// streaming is set while the current response is passed on as it arrives. If its server breaks
+		// it off, the connection must be closed, so no request behind it may be in progress.
+		streaming bool
 	}
 
 	pipelinedRequest struct {
@@ -293,7 +296,7 @@
 
 // startRequests starts the requests that may run before their turn. p.mu must be held.
 func (p *pipeline) startRequests() {
-	if len(p.requests) < 2 || p.closed {
+	if len(p.requests) < 2 || p.closed || p.streaming {
 		return
 	}
 	for i, r := range p.requests {
@@ -348,6 +351,7 @@
 	if current := p.current(); current != nil {
 		current.answered = true
 	}
+	p.streaming = false
 }
 
 // current returns the request that net/http has reached, or nil if it is not known.
@@ -368,15 +372,33 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, r := range p.requests {
-		if r.early != nil && !r.early.taken {
-			return false
-		}
+	if p.hasStarted() {
+		return false
 	}
 	p.closed = true
 	return true
 }
 
+// beginStream reports whether the current response may be passed on while it arrives: no request behind
+// it has been started. None will be until its turn ends.
+func (p *pipeline) beginStream() bool {
+	if p == nil {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.hasStarted() {
+		return false
+	}
+	p.streaming = true
+	return true
+}
+
+// hasStarted reports whether a request behind the current one has been started. p.mu must be held.
+func (p *pipeline) hasStarted() bool {
+	return slices.ContainsFunc(p.requests, func(r *pipelinedRequest) bool { return r.early != nil && !r.early.taken })
+}
+
 // stopStarting prevents further starts because the current response closes the connection.
 func (p *pipeline) stopStarting() {
 	if p == nil {
--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -78,6 +78,8 @@
 		receivedAt time.Time
 		// onStream is called with a long response that is still arriving. It may be nil.
 		onStream func(*serverhttp.Response)
+		// mayStream reports whether onStream may be called. It may be nil.
+		mayStream func() bool
 		// onlyIfRepeatable is set for a request before its turn: it starts only if its route allows
 		// it to run more than once.
 		onlyIfRepeatable bool
@@ -142,7 +144,7 @@
 	defer body.Release()
 	stream := &responseStream{}
 	result, _ := s.forward(r.Context(), r, forwardOptions{
-		body: body, receivedAt: receivedAt, onStream: func(response *serverhttp.Response) { stream.start(s, w, r, response) },
+		body: body, receivedAt: receivedAt, onStream: func(response *serverhttp.Response) { stream.start(s, w, r, response) }, mayStream: connection.beginStream,
 	})
 	defer result.response.Release()
 	if stream.started() {
@@ -263,7 +265,7 @@
 		Header: r.Header, Body: o.body.Bytes, AttemptID: request.ID, Deadline: active.ExpiresAt,
 		DialTimeout:    min(dialBaseTimeout+dialRoundTrips*target.RoundTrip, active.ExpiresAt.Sub(s.Now())),
 		MaxConnections: target.MaxConnections, StoppedAccepting: func() bool { return s.serverStoppedAccepting(active, isHedge) },
-		OnStream: o.onStream,
+		OnStream: o.onStream, MayStream: o.mayStream,
 	}
 }
 
--- a/internal/adapter/forwardhttp/stream_test.go
+++ b/internal/adapter/forwardhttp/stream_test.go
@@ -108,7 +108,7 @@
 		_, _ = io.WriteString(c, responseHead(id, longBody)+strings.Repeat("a", longBody/2))
 	})
 	c := p.connect(t)
-	c.write(t, getWithID("/r/1")+getWithID("/r/2"))
+	c.write(t, getWithID("/r/1"))
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -125,10 +125,72 @@
 		}
 		return err == nil
 	})
-	// The second request may have been started ahead of its turn.
-	if got := runs.Load(); got > 2 {
-		t.Errorf("servers ran %d requests, want each once", got)
+	if got := runs.Load(); got != 1 {
+		t.Errorf("servers ran %d requests, want 1", got)
+	}
+}
+
+// Guards against requests of a connection that servers have run and whose responses are lost, because
+// the long response before them was broken off while it was passed on.
+func TestBrokenLongResponseLeavesResponsesBehindIt(t *testing.T) {
+	const behind = 3
+	var started atomic.Int32
+	allStarted := make(chan struct{})
+	p, _ := newStreamProxy(t, func(c net.Conn, id string) {
+		if id != "long" {
+			if started.Add(1) == behind {
+				close(allStarted)
+			}
+			_, _ = io.WriteString(c, responseHead(id, len(id))+id)
+			return
+		}
+		select {
+		case <-allStarted:
+		case <-time.After(testTimeout):
+		}
+		_, _ = io.WriteString(c, responseHead(id, longBody)+strings.Repeat("a", longBody/2))
+	})
+	c := p.connect(t)
+	text := requestWithID("long")
+	for i := range behind {
+		text += requestWithID(fmt.Sprint("short-", i))
 	}
+	c.write(t, text)
+	c.expect(t, "502 ", "200 short-0", "200 short-1", "200 short-2")
+}
+
+// Guards against requests that start behind a response that is being passed on: they are lost if it is
+// broken off.
+func TestNothingStartsBehindResponseThatIsPassedOn(t *testing.T) {
+	var started atomic.Int32
+	end := make(chan struct{})
+	p, _ := newStreamProxy(t, func(c net.Conn, id string) {
+		if id != "long" {
+			started.Add(1)
+			_, _ = io.WriteString(c, responseHead(id, len(id))+id)
+			return
+		}
+		_, _ = io.WriteString(c, responseHead(id, longBody)+strings.Repeat("a", longBody/2))
+		<-end
+		_, _ = io.WriteString(c, strings.Repeat("a", longBody/2))
+	})
+	c := p.connect(t)
+	c.write(t, requestWithID("long"))
+	if _, err := c.reader.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	c.write(t, requestWithID("short"))
+	time.Sleep(50 * time.Millisecond)
+	if got := started.Load(); got != 0 {
+		t.Errorf("%d requests started behind the response, want none", got)
+	}
+	close(end)
+	c.expect(t, "200 "+strings.Repeat("a", longBody), "200 short")
+}
+
+// requestWithID returns a request with an attempt ID on a route whose requests may be repeated.
+func requestWithID(id string) string {
+	return "GET /r/" + id + " HTTP/1.1\r\nHost: h\r\nAttempt: " + id + "\r\n\r\n"
 }
 
 // Guards against a caller that reads slowly and thereby holds a server: the server can send the
--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -116,9 +116,11 @@
 		// to servers. Account is the client account of the request, or empty.
 		HasAccounts bool
 		Account     string
-		// OnStream is called with a long response whose body has not arrived yet. It must not
-		// block. If it is nil, all responses are buffered.
-		OnStream func(*Response)
+		// OnStream is called with a long response whose body has not arrived yet, if MayStream returns
+		// true then. Both must not block. If OnStream is nil, all responses are buffered; MayStream may
+		// be nil.
+		OnStream  func(*Response)
+		MayStream func() bool
 		// OnBegin is called when a response to this request has begun to arrive. It must not block.
 		// It may be nil.
 		OnBegin func()
@@ -454,7 +456,8 @@
 func (e *exchange) mayStream(r *Response, contentLength int64) bool {
 	success := r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices
 	return e.request.OnStream != nil && contentLength >= minStreamBytes && success &&
-		r.Header.Get(e.client.headers.AttemptID) == e.request.AttemptID && e.request.AttemptID != "" && r.Header.Get(e.client.headers.Seal) != ""
+		r.Header.Get(e.client.headers.AttemptID) == e.request.AttemptID && e.request.AttemptID != "" && r.Header.Get(e.client.headers.Seal) != "" &&
+		(e.request.MayStream == nil || e.request.MayStream())
 }
 
 // stream passes the response on and reads its body. From here on no other server can take the
