Own interface: recognise responses that a server sends twice

A server that repeats a response where the next one is expected made the proxy return it to the next request on the connection: another caller's answer, or "not run" for a request that runs, and a wrong health. net/http matches by the order on the connection alone.

Servers are asked to echo Gypsumquay-Attempt, which is unique to a send. A response that names another attempt ends the request as one that may have run, and its connection. Servers that don't echo it are served as before.

Both tests fail before the change: the rejection of the first request is returned to the second, and the probe takes the 200 of a request.

--- a/internal/adapter/backendhttp/client.go
+++ b/internal/adapter/backendhttp/client.go
@@ -38,6 +38,8 @@
 
 var (
 	backpressureHeaders = serverhttp.Headers{Limit: caller.HeaderLimit}
+
+	errStrayResponse = errors.New("received the response to another attempt")
 )
 
 type (
@@ -101,19 +103,36 @@
 
 // Send sends the request once and returns the result.
 func (c *Client) Send(ctx context.Context, r Request) Response {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	request, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), r)
+	request, err := c.newRequest(ctx, r)
 	if err != nil {
 		return Response{Result: backend.Unreachable, Err: err}
 	}
-	response, err := c.http.Do(request)
+	response, connected, err := c.do(request)
 	if err != nil {
-		return Response{Result: classifyFailure(ctx, connected.Load()), ConnectionRefused: serverhttp.IsConnectionRefused(err), Err: err}
+		return Response{Result: classifyFailure(ctx, connected), ConnectionRefused: serverhttp.IsConnectionRefused(err), Err: err}
 	}
 	return c.readResponse(ctx, response, r.Address.String())
 }
 
+// do sends a request and returns its response, and whether it had a connection. A server may repeat the
+// response to an earlier request of the connection. If it echoes the attempt, that is an error here, and
+// the connection is closed: the responses behind it would all go to the wrong requests.
+func (c *Client) do(request *http.Request) (response *http.Response, connected bool, err error) {
+	var connection atomic.Pointer[net.Conn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connection.Store(&info.Conn) }}
+	response, err = c.http.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	used := connection.Load()
+	if err != nil {
+		return nil, used != nil, err
+	}
+	if echoed := response.Header.Get(caller.HeaderAttempt); echoed != "" && echoed != request.Header.Get(caller.HeaderAttempt) {
+		_ = (*used).Close()
+		_ = response.Body.Close()
+		return nil, true, errStrayResponse
+	}
+	return response, true, nil
+}
+
 // classifyFailure returns the result of an exchange that has no complete response. Without a
 // connection, no byte can have reached the server. With one, the request may have run even if the
 // write failed: it is unknown how much the operating system accepted before the error.
@@ -168,7 +187,7 @@
 	}
 	header := make(http.Header)
 	serverhttp.CopyHeader(header, response.Header)
-	for _, name := range []string{caller.HeaderLoad, caller.HeaderDraining, caller.HeaderLimit} {
+	for _, name := range []string{caller.HeaderAttempt, caller.HeaderLoad, caller.HeaderDraining, caller.HeaderLimit} {
 		header.Del(name)
 	}
 	callerResponse := &caller.Response{Status: response.StatusCode, Header: header, Body: buffered}
@@ -199,7 +218,7 @@
 	if err != nil {
 		return backend.Health{}
 	}
-	response, err := c.http.Do(request)
+	response, _, err := c.do(request)
 	if err != nil {
 		return backend.Health{ConnectionRefused: serverhttp.IsConnectionRefused(err)}
 	}
--- a/internal/adapter/backendhttp/client_test.go
+++ b/internal/adapter/backendhttp/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backend"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
 )
 
 type (
@@ -169,3 +171,53 @@
 		t.Errorf("got EOF after %d bytes, want an error", int(n)+len(r.Answer.Body))
 	}
 }
+
+// Guards against a response that reaches the wrong caller, and against a request that is reported as not
+// run although it runs: a server repeats its response to the request before.
+func TestDuplicateResponseIsNotTakenForNext(t *testing.T) {
+	answer := func(attempt, head string) string {
+		return "HTTP/1.1 " + head + "\r\nGypsumquay-Attempt: " + attempt + "\r\nContent-Length: 0\r\n\r\n"
+	}
+	const rejected = "503 X\r\nGypsumquay-Outcome: not-run"
+	s := startRawServer(t, func(n int, c net.Conn) bool {
+		switch n {
+		case 1:
+			_, _ = io.WriteString(c, answer("a1", rejected))
+		case 2:
+			_, _ = io.WriteString(c, answer("a1", rejected)+answer("a2", "200 OK"))
+		default:
+			_, _ = io.WriteString(c, answer("a3", "200 OK"))
+		}
+		return true
+	})
+	client := NewClient(1, time.Now)
+	for i, want := range []backend.Result{backend.Rejected, backend.Interrupted, backend.Completed} {
+		got := client.Send(context.Background(), Request{
+			Address: s.address, Method: http.MethodPost, Path: "/x", ID: "r1", Attempt: fmt.Sprint("a", i+1), Deadline: time.Now().Add(time.Second),
+		})
+		if got.Result != want {
+			t.Fatalf("request %d: got result %d (%v), want %d", i+1, got.Result, got.Err, want)
+		}
+		if got.Answer != nil && got.Answer.Header.Get(caller.HeaderAttempt) != "" {
+			t.Errorf("request %d: the attempt is passed on to the caller", i+1)
+		}
+	}
+}
+
+// Guards against a health check that takes a repeated response for its own.
+func TestDuplicateResponseIsNoHealth(t *testing.T) {
+	s := startRawServer(t, func(n int, c net.Conn) bool {
+		const answer = "HTTP/1.1 200 OK\r\nGypsumquay-Attempt: a1\r\nContent-Length: 0\r\n\r\n"
+		if n == 1 {
+			_, _ = io.WriteString(c, answer)
+			return true
+		}
+		_, _ = io.WriteString(c, answer+"HTTP/1.1 503 Failing\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	client := NewClient(1, time.Now)
+	sendWith(context.Background(), client, s.address, http.MethodGet, nil)
+	if got := client.Probe(context.Background(), s.address); got.OK {
+		t.Error("got a healthy server, want the probe to fail")
+	}
+}
--- a/internal/fake/backendfake/server.go
+++ b/internal/fake/backendfake/server.go
@@ -102,6 +102,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if attempt := r.Header.Get(caller.HeaderAttempt); attempt != "" {
+		w.Header().Set(caller.HeaderAttempt, attempt)
+	}
 	if r.URL.Path == "/health" {
 		s.setLoadHeaders(w)
 		return
