--- a/internal/adapter/serverhttp/head.go
+++ b/internal/adapter/serverhttp/head.go
@@ -21,9 +21,9 @@
 )
 
 var (
-	errHeadTooLarge     = errors.New("head of the response is too large")
-	errTooManyInterim   = errors.New("too many interim responses")
-	errHeadMemoryIsUsed = errors.Wrap(bodies.ErrMemoryExhausted, "read head of the response")
+	errHeadTooLarge        = errors.New("head of the response is too large")
+	errTooManyInterim      = errors.New("too many interim responses")
+	errHeadMemoryExhausted = errors.Wrap(bodies.ErrMemoryExhausted, "read head of the response")
 )
 
 type (
@@ -62,7 +62,7 @@
 	}
 	n, err := l.Reader.Read(b)
 	if l.bytes > 0 && !l.reservation.TryGrow(int64(headMemoryFactor*n)) {
-		l.err = errHeadMemoryIsUsed
+		l.err = errHeadMemoryExhausted
 		return 0, l.err
 	}
 	l.bytes += n
