--- a/internal/adapter/forwardhttp/stream_test.go
+++ b/internal/adapter/forwardhttp/stream_test.go
@@ -63,8 +63,9 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt: %s\r\nSeal: s\r\nLoad: 1,0,4\r\nContent-Length: %d\r\n\r\n", id, length)
 }
 
-func getWithID(path string) string {
-	return "GET " + path + " HTTP/1.1\r\nHost: h\r\nAttempt: id-1\r\n\r\n"
+// requestWithID returns a request with an attempt ID on a route whose requests may be repeated.
+func requestWithID(id string) string {
+	return "GET /r/" + id + " HTTP/1.1\r\nHost: h\r\nAttempt: " + id + "\r\n\r\n"
 }
 
 // Guards against a long response that is read completely before its first byte is passed on: over a
@@ -80,7 +81,7 @@
 		}
 	})
 	c := p.connect(t)
-	c.write(t, getWithID("/r/1"))
+	c.write(t, requestWithID("id-1"))
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -108,7 +109,7 @@
 		_, _ = io.WriteString(c, responseHead(id, longBody)+strings.Repeat("a", longBody/2))
 	})
 	c := p.connect(t)
-	c.write(t, getWithID("/r/1"))
+	c.write(t, requestWithID("id-1"))
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -188,11 +189,6 @@
 	c.expect(t, "200 "+strings.Repeat("a", longBody), "200 short")
 }
 
-// requestWithID returns a request with an attempt ID on a route whose requests may be repeated.
-func requestWithID(id string) string {
-	return "GET /r/" + id + " HTTP/1.1\r\nHost: h\r\nAttempt: " + id + "\r\n\r\n"
-}
-
 // Guards against a caller that reads slowly and thereby holds a server: the server can send the
 // whole response at once.
 func TestSlowCallerDoesNotSlowDownServer(t *testing.T) {
@@ -205,7 +201,7 @@
 		}
 	})
 	c := p.connect(t)
-	c.write(t, getWithID("/r/1"))
+	c.write(t, requestWithID("id-1"))
 	select {
 	case <-sent:
 	case <-time.After(testTimeout):
@@ -231,7 +227,7 @@
 		t.Run(name, func(t *testing.T) {
 			p, _ := newStreamProxy(t, func(c net.Conn, _ string) { _, _ = io.WriteString(c, head+strings.Repeat("a", 100000)) })
 			c := p.connect(t)
-			c.write(t, getWithID("/r/1"))
+			c.write(t, requestWithID("id-1"))
 			c.expect(t, "502 ")
 		})
 	}
