Stream tests: the server says that it closes each connection

The test's server closes a connection after one response without saying so, so a request that was sent on it in the same moment was lost, and the test's proxy has no credit for a retry. That a request may race with such a close is known of the product and not what the test is about.

Its responses carry Connection: close now; all assertions stay.

--- a/internal/adapter/forwardhttp/stream_test.go
+++ b/internal/adapter/forwardhttp/stream_test.go
@@ -60,7 +60,7 @@
 }
 
 func responseHead(id string, length int) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt: %s\r\nSeal: s\r\nLoad: 1,0,4\r\nContent-Length: %d\r\n\r\n", id, length)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt: %s\r\nSeal: s\r\nLoad: 1,0,4\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", id, length)
 }
 
 // requestWithID returns a request with an attempt ID on a route whose requests may be repeated.
