Failing test: less urgent requests are rejected beside an idle server

A request that gets no slot at its home may run elsewhere while the region is used by less than 0.8. That use is the moving average over the load reports of the region's servers, and a server reports with each response, so busy servers outweigh idle ones. With one of two servers idle and nine of ten reports from the other, the request is rejected.

--- a/internal/kernel/steering/reservedslots_test.go
+++ b/internal/kernel/steering/reservedslots_test.go
@@ -105,3 +105,28 @@
 		t.Errorf("got retry delay %s, want at most %s, half of the target", d.RetryAfter, latest)
 	}
 }
+
+// Guards against less urgent requests that are rejected beside an idle server of their region, because
+// the busy ones send most of the load reports.
+func TestLessUrgentRequestWithoutSlotRunsAtIdleServer(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	k := yieldKernel(now, 1, "s", "other")
+	req, d := k.BeginRequest(now, Request{Host: "host", Path: "/plain/x", Object: "1"})
+	if d.SlotRequest == nil {
+		t.Fatalf("got %+v, want a slot request", d)
+	}
+	home := k.servers[d.Server.ID]
+	idle := k.servers[map[string]string{"s": "other", "other": "s"}[home.id]]
+	for range 20 {
+		k.recordQueue(now, req, idle, 0, 0)
+		for range 9 {
+			k.recordQueue(now, req, home, 1, 0)
+		}
+	}
+	home.recordLoad(now, 1, 0)
+	idle.recordLoad(now, 0, 0)
+	d = k.HandleSlotReply(now, req, SlotReply{Grant: admission.Grant{Verdict: admission.Denied}}, true)
+	if d.Server == nil || d.Server.ID != idle.id {
+		t.Errorf("got %+v, want the request at the idle server", d)
+	}
+}
