Failing test: less urgent requests are rejected although their home is back

The homes had crashed and come back. The requests keep to the server that is warm for them; it has no slot for the lower priority, and they may not run elsewhere while the region counts as used, which it does since only the busy servers report.

--- a/internal/kernel/steering/reservedslots_test.go
+++ b/internal/kernel/steering/reservedslots_test.go
@@ -130,3 +130,34 @@
 		t.Errorf("got %+v, want the request at the idle server", d)
 	}
 }
+
+// Guards against less urgent requests that are rejected at a busy server, which was only a substitute
+// for their home, while the home has returned and is idle.
+func TestLessUrgentRequestWithoutSlotRunsAtHomeThatReturned(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	k := yieldKernel(now, 1, "s", "other")
+	begin := func() (*ActiveRequest, Decision) {
+		return k.BeginRequest(now, Request{Host: "host", Path: "/plain/x", Object: "1"})
+	}
+	_, d := begin()
+	home := k.servers[d.Server.ID].Server
+	k.RemoveServer(now, home.ID)
+	req, d := begin()
+	if d.SlotRequest == nil {
+		t.Fatalf("got %+v without the home, want a slot request", d)
+	}
+	k.HandleSlotReply(now, req, k.HandleSlotRequest(now, *d.SlotRequest), true)
+	k.EndAttempt(now.Add(100*time.Millisecond), req, Attempt{Result: ResultResponded})
+	k.RegisterServer(now, home)
+	for range 20 {
+		k.recordQueue(now, req, req.server, 1, 0)
+	}
+	req, d = begin()
+	if d.SlotRequest == nil || d.SlotRequest.Server == home.ID {
+		t.Fatalf("got %+v, want a slot request at the warm substitute", d)
+	}
+	d = k.HandleSlotReply(now, req, SlotReply{Grant: admission.Grant{Verdict: admission.Denied}}, true)
+	if d.Server == nil || d.Server.ID != home.ID {
+		t.Errorf("got %+v, want the request at its home", d)
+	}
+}
