Log and count what proves that a request has not run

Callers got statuses that promise "not run" for requests that ran. The log has the attempts of such a request, but not which evidence made each of them count as not run, so a rejection, a failed connect and another server at the address look alike unless one knows how results are read, and nothing counts them.

Each ended attempt and handover has a proof now, and a request that ends as not run has that of its last attempt: in the log, in the operators' events and as a counter, which is not subject to the bound of the log. No decision uses it yet.

--- a/internal/adapter/steeringhttp/api.go
+++ b/internal/adapter/steeringhttp/api.go
@@ -157,21 +157,24 @@
 		Attempt          int  `json:"attempt,omitempty"`
 		// Connection identifies the proxy's connection to the server that the attempt was sent on, and
 		// ConnectionUses is how many requests it had carried, including this one.
-		Connection     uint64  `json:"connection,omitempty"`
-		ConnectionUses int     `json:"connection-uses,omitempty"`
-		Result         string  `json:"result,omitempty"`
-		Outcome        string  `json:"outcome,omitempty"`
-		Reason         string  `json:"reason,omitempty"`
-		Expected       string  `json:"expected,omitempty"`
-		Load           float64 `json:"load,omitempty"`
-		LoadAge        string  `json:"load-age,omitempty"`
-		WorkFactor     float64 `json:"work-factor,omitempty"`
-		Warm           bool    `json:"warm,omitempty"`
-		Draining       bool    `json:"draining,omitempty"`
-		Duration       string  `json:"took,omitempty"`
-		RetryAfter     string  `json:"come-back,omitempty"`
-		Pressure       float64 `json:"pressure,omitempty"`
-		Error          string  `json:"error,omitempty"`
+		Connection     uint64 `json:"connection,omitempty"`
+		ConnectionUses int    `json:"connection-uses,omitempty"`
+		Result         string `json:"result,omitempty"`
+		Outcome        string `json:"outcome,omitempty"`
+		// Proof is what proves that an attempt has not run or, for a request that ended as not run, its
+		// last attempt.
+		Proof      string  `json:"proof,omitempty"`
+		Reason     string  `json:"reason,omitempty"`
+		Expected   string  `json:"expected,omitempty"`
+		Load       float64 `json:"load,omitempty"`
+		LoadAge    string  `json:"load-age,omitempty"`
+		WorkFactor float64 `json:"work-factor,omitempty"`
+		Warm       bool    `json:"warm,omitempty"`
+		Draining   bool    `json:"draining,omitempty"`
+		Duration   string  `json:"took,omitempty"`
+		RetryAfter string  `json:"come-back,omitempty"`
+		Pressure   float64 `json:"pressure,omitempty"`
+		Error      string  `json:"error,omitempty"`
 		// Share is the share that changed: the part of a route's objects that are placed in Region,
 		// or of the slots there that are in use.
 		Share float64 `json:"share,omitempty"`
@@ -218,7 +221,7 @@
 	out := Event{
 		At: e.At, VM: vm, Kind: string(e.Kind), Request: e.Request, Route: e.Route, Account: e.Account, ConfigurationVersion: e.Version,
 		Service: e.Service, Server: e.Server, Object: e.Object, Fingerprint: e.Fingerprint.String(), Domain: e.Domain, Region: e.Region, CallersElsewhere: e.CallersElsewhere, Share: e.Share, Measured: e.Measured, CutOff: e.CutOff, From: e.From, Attempt: e.Attempt, Connection: e.Connection, ConnectionUses: e.ConnectionUses,
-		Reason: string(e.Reason), Load: e.Load, WorkFactor: e.WorkFactor, Warm: e.Warm, Draining: e.Draining,
+		Proof: string(e.Proof), Reason: string(e.Reason), Load: e.Load, WorkFactor: e.WorkFactor, Warm: e.Warm, Draining: e.Draining,
 		Expected: formatDuration(e.Expected), Duration: formatDuration(e.Duration), RetryAfter: formatDuration(e.RetryAfter), Pressure: e.Pressure,
 		ExpectedWait: formatDuration(e.ExpectedWait), WaitLimit: formatDuration(e.WaitLimit), ShedRatio: e.ShedRatio, AccountShedRatio: e.AccountShedRatio, ServerState: string(e.State), Cause: string(e.Cause), Target: formatDuration(e.Target), Limit: e.Limit.String(), IsHedge: e.IsHedge, Hedge: string(e.Hedge),
 		RetriesCharged: e.RetriesCharged, RetryDenied: e.RetryDenied, Retries: e.RetryBudget.Retries, RetriesAllowed: e.RetryBudget.Allowed, SlackShare: e.RetryBudget.SlackShare,
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -120,6 +120,9 @@
 		Result  Result
 		Outcome Outcome
 		Reason  Reason
+		// Proof is what proves that an attempt has not run or, for a request that ends as not run, its
+		// last attempt.
+		Proof Proof
 		// RetryBudget is the retry budget of the service when a retry of the request was last wanted.
 		// RetriesCharged counts the retries that the budget granted to a request that ends, and
 		// RetryDenied is set if it granted no more.
--- a/internal/kernel/steering/handover.go
+++ b/internal/kernel/steering/handover.go
@@ -164,7 +164,7 @@
 	if k.handoversTo[h.peer]--; k.handoversTo[h.peer] <= 0 {
 		delete(k.handoversTo, h.peer)
 	}
-	req.addStep(Event{At: now, Kind: EventHandoverEnded, Server: h.peer, Result: r.Result, Reason: r.Reason, Attempt: len(req.steps)/2 + 1, Duration: now.Sub(h.sentAt), Err: r.Err})
+	req.addStep(Event{At: now, Kind: EventHandoverEnded, Server: h.peer, Result: r.Result, Proof: r.proof(), Reason: r.Reason, Attempt: len(req.steps)/2 + 1, Duration: now.Sub(h.sentAt), Err: r.Err})
 	switch r.Result {
 	case ResultResponded:
 		return k.endWithPeerResponse(now, req, h, r)
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -205,7 +205,7 @@
 	k.recordCrashEvidence(now, req, s, a)
 	k.learnFromAttempt(now, req, s, a, elapsed)
 	req.addStep(Event{
-		At: now, Kind: EventAttemptEnded, Server: s.id, Attempt: req.number, IsHedge: req.isHedge, Result: a.Result,
+		At: now, Kind: EventAttemptEnded, Server: s.id, Attempt: req.number, IsHedge: req.isHedge, Result: a.Result, Proof: a.Result.proof(),
 		Expected: req.expected, Duration: elapsed, Load: float64(a.Running + a.Waiting), WorkFactor: a.loadReport().Factor(), Connection: a.Connection, ConnectionUses: a.ConnectionUses, Err: a.Err,
 	})
 	req.countAttempt(a)
@@ -338,6 +338,9 @@
 			e.ShedRatio, e.AccountShedRatio = req.shedding.Ratio, req.shedding.AccountRatio
 		}
 	}
+	if d.NotRun {
+		e.Proof = req.lastProof()
+	}
 	if req.Route != nil {
 		e.Route, e.Target = req.Route.Name, req.Route.Target
 	}
--- a/internal/kernel/steering/slotrequest.go
+++ b/internal/kernel/steering/slotrequest.go
@@ -130,7 +130,7 @@
 		// Any slot is released, since the owner's grant may have been lost.
 		release := k.abandonSlot(req)
 		req.addStep(Event{
-			At: now, Kind: EventAttemptEnded, Server: s.id, Attempt: req.number, Result: ResultRejected,
+			At: now, Kind: EventAttemptEnded, Server: s.id, Attempt: req.number, Result: ResultRejected, Proof: ProofUnsent,
 			Expected: req.expected, Duration: now.Sub(req.sentAt), Load: float64(r.Running + r.Waiting),
 		})
 		d := k.slotDenied(now, req, svc, s)
--- a/internal/proxy/forward/decisionlog.go
+++ b/internal/proxy/forward/decisionlog.go
@@ -118,7 +118,7 @@
 	}
 	j.record(e)
 	klog.InfoS(string(e.Kind), "request", e.Request, "route", e.Route, "account", e.Account, "work", e.Fingerprint.String(), "configuration", e.Version,
-		"from", e.From, "outcome", e.Outcome.String(), "reason", string(e.Reason), "took", e.Duration.String(), "attempts", e.Attempt, "tried", attemptedServers(e.Steps), "hedge", string(e.Hedge),
+		"from", e.From, "outcome", e.Outcome.String(), "proof", string(e.Proof), "reason", string(e.Reason), "took", e.Duration.String(), "attempts", e.Attempt, "tried", attemptedServers(e.Steps), "hedge", string(e.Hedge),
 		"come-back", e.RetryAfter.String(), "pressure", e.Pressure, "wait", e.ExpectedWait.String(), "wait-limit", e.WaitLimit.String(), "shed-ratio", e.ShedRatio, "account-shed-ratio", e.AccountShedRatio, "target", e.Target.String(), "cause", string(e.Cause), "server-state", string(e.State),
 		"retries-charged", e.RetriesCharged, "retry-denied", e.RetryDenied, "retries", e.RetryBudget.Retries, "retries-allowed", e.RetryBudget.Allowed, "slack-share", e.RetryBudget.SlackShare)
 }
@@ -142,7 +142,7 @@
 	switch s.Kind {
 	case steering.EventHandedOver, steering.EventHandoverEnded:
 		klog.InfoS(string(s.Kind), "request", s.Request, "work", s.Fingerprint.String(), "proxy", s.Server, "attempt", s.Attempt,
-			"result", s.Result.String(), "reason", string(s.Reason), "took", s.Duration.String(), "ago", ago.String(), "error", errorText(s.Err))
+			"result", s.Result.String(), "proof", string(s.Proof), "reason", string(s.Reason), "took", s.Duration.String(), "ago", ago.String(), "error", errorText(s.Err))
 		return
 	case steering.EventRequestSent:
 		klog.InfoS(string(s.Kind), "request", s.Request, "route", s.Route, "configuration", s.Version, "service", s.Service,
@@ -151,7 +151,7 @@
 			"retries", s.RetryBudget.Retries, "retries-allowed", s.RetryBudget.Allowed, "slack-share", s.RetryBudget.SlackShare, "ago", ago.String())
 		return
 	}
-	klog.InfoS(string(s.Kind), "request", s.Request, "work", s.Fingerprint.String(), "server", s.Server, "attempt", s.Attempt, "hedge", s.IsHedge, "result", s.Result.String(),
+	klog.InfoS(string(s.Kind), "request", s.Request, "work", s.Fingerprint.String(), "server", s.Server, "attempt", s.Attempt, "hedge", s.IsHedge, "result", s.Result.String(), "proof", string(s.Proof),
 		"expected", s.Expected.String(), "took", s.Duration.String(), "server-load", s.Load, "work-factor", s.WorkFactor, "connection", s.Connection, "connection-uses", s.ConnectionUses, "ago", ago.String(), "error", errorText(s.Err))
 }
 
--- a/internal/proxy/forward/metrics.go
+++ b/internal/proxy/forward/metrics.go
@@ -35,6 +35,7 @@
 		overflowChanges          *metrics.Counter
 		requests                 map[requestLabels]*metrics.Counter
 		attempts                 map[attemptLabels]*metrics.Counter
+		notRun                   map[steering.Proof]*metrics.Counter
 		durations                map[string]*metrics.Histogram
 	}
 
@@ -68,6 +69,7 @@
 		overflowChanges:          set.NewCounter("gypsumquay_overflow_level_changes_total"),
 		requests:                 make(map[requestLabels]*metrics.Counter),
 		attempts:                 make(map[attemptLabels]*metrics.Counter),
+		notRun:                   make(map[steering.Proof]*metrics.Counter),
 		durations:                make(map[string]*metrics.Histogram),
 	}
 }
@@ -109,6 +111,9 @@
 		m.requests[labels] = counter
 	}
 	counter.Inc()
+	if e.Outcome == steering.OutcomeNotRun {
+		m.recordNotRun(e.Proof)
+	}
 	duration := m.durations[e.Service]
 	if duration == nil {
 		duration = m.set.GetOrCreateHistogram(fmt.Sprintf("gypsumquay_request_duration_seconds{service=%q}", e.Service))
@@ -117,6 +122,16 @@
 	duration.Update(e.Duration.Seconds())
 }
 
+// recordNotRun counts a request that was reported as not run, by what proves it.
+func (m *proxyMetrics) recordNotRun(p steering.Proof) {
+	counter := m.notRun[p]
+	if counter == nil {
+		counter = m.set.GetOrCreateCounter(fmt.Sprintf("gypsumquay_not_run_total{proof=%q}", string(p)))
+		m.notRun[p] = counter
+	}
+	counter.Inc()
+}
+
 func (m *proxyMetrics) recordAttempt(labels attemptLabels) {
 	counter := m.attempts[labels]
 	if counter == nil {
--- a/internal/proxy/forward/metrics_test.go
+++ b/internal/proxy/forward/metrics_test.go
@@ -24,3 +24,22 @@
 		}
 	}
 }
+
+// Guards against requests reported as not run of which nobody can tell afterwards what proved it.
+func TestNotRunIsCountedByProof(t *testing.T) {
+	m := newProxyMetrics()
+	for _, e := range []steering.Event{
+		{Outcome: steering.OutcomeNotRun, Proof: steering.ProofRejected}, {Outcome: steering.OutcomeNotRun, Proof: steering.ProofRejected},
+		{Outcome: steering.OutcomeNotRun}, {Outcome: steering.OutcomeMayHaveRun},
+	} {
+		e.Kind = steering.EventRequestEnded
+		m.recordEvent(e)
+	}
+	var text bytes.Buffer
+	m.set.WritePrometheus(&text)
+	for _, want := range []string{`gypsumquay_not_run_total{proof="rejected"} 2`, `gypsumquay_not_run_total{proof=""} 1`} {
+		if !strings.Contains(text.String(), want+"\n") {
+			t.Errorf("metrics lack %q", want)
+		}
+	}
+}
