Failing tests: a peer's status without proof is passed on as "not run"

Callers of a proxy that is cut off from all servers get 503, 429 or 408 for requests that a server has run, if the peer that took them over passes such a status of a server on, as proxies before do: between the two proxies nothing proves the promise. So a fleet that is being upgraded still breaks it.

--- a/internal/adapter/forwardhttp/handover.go
+++ b/internal/adapter/forwardhttp/handover.go
@@ -126,6 +126,7 @@
 	if response != nil {
 		result = takeHandoverResult(response)
 		result.Result, result.ServerFailed = steering.ResultResponded, response.Status >= http.StatusInternalServerError
+		result.ClaimsNotRun = serverhttp.MeansNotRun(response.Status)
 	}
 	result.ResponseStarted, result.Signal, result.Err = attempt.ResponseStarted, attempt.Signal, attempt.Err
 	var d steering.Decision
--- a/internal/adapter/forwardhttp/handover_test.go
+++ b/internal/adapter/forwardhttp/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -39,14 +40,20 @@
 	})
 	handovers := httptest.NewServer(peer.forwarder.HandoverServer().Handler)
 	t.Cleanup(handovers.Close)
+	pair.caller = newProxyBesidePeer(t, handovers).Server
+	return pair
+}
+
+// newProxyBesidePeer returns a proxy that reaches no server and hands its requests over to a peer.
+func newProxyBesidePeer(t *testing.T, peer *httptest.Server) *testProxy {
+	t.Helper()
+	headers, memory := serverhttp.Headers{AttemptID: "Attempt", Deadline: "Left", Seal: "Seal"}, bodies.NewMemoryBudget(1<<24)
 	first := newTestProxy(t, true, func(context.Context, serverhttp.Request) (steering.Attempt, *serverhttp.Response) {
 		return steering.Attempt{Result: steering.ResultUnreachable}, nil
 	})
-	headers.InstanceID, headers.Load, headers.NotRun = "", "", ""
 	first.forwarder.SendToPeer = serverhttp.NewClient(headers, memory, time.Now, func() {}).Send
-	first.kernel.SetProxies(time.Now(), []steering.Proxy{{Name: "peer", Domain: "a", Region: "r", Handovers: netip.MustParseAddrPort(strings.TrimPrefix(handovers.URL, "http://"))}})
-	pair.caller = first.Server
-	return pair
+	first.kernel.SetProxies(time.Now(), []steering.Proxy{{Name: "peer", Domain: "a", Region: "r", Handovers: netip.MustParseAddrPort(strings.TrimPrefix(peer.URL, "http://"))}})
+	return first
 }
 
 func (p *handoverPair) serveBackend(w http.ResponseWriter, r *http.Request) {
@@ -106,6 +113,29 @@
 	}
 }
 
+// Guards against a status that means "not run" and that a proxy of an earlier version returns for a
+// request that a server has run.
+func TestUnprovenStatusOfPeerIsNotPassedOn(t *testing.T) {
+	for name, header := range map[string]http.Header{
+		"of a server":    {handoverServerHeader: {"s1"}, "Seal": {"s"}},
+		"without a word": {},
+		"of its own":     {handoverNotRunHeader: {"false"}},
+	} {
+		for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+			peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				maps.Copy(w.Header(), header)
+				w.Header().Set("Attempt", r.Header.Get("Attempt"))
+				w.WriteHeader(status)
+			}))
+			got := sendRequest(t, http.MethodPost, newProxyBesidePeer(t, peer).URL+"/a/x", "data")
+			peer.Close()
+			if got.status != http.StatusBadGateway || got.header.Get("Seal") != "" {
+				t.Errorf("status %d %s: got %d with seal %q, want 502 without", status, name, got.status, got.header.Get("Seal"))
+			}
+		}
+	}
+}
+
 func TestLongResponsePassesBothProxies(t *testing.T) {
 	if got := sendRequest(t, http.MethodGet, newHandoverPair(t).caller.URL+"/a/long", ""); len(got.body) != 1<<20 {
 		t.Errorf("got %d bytes, want %d", len(got.body), 1<<20)
--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -323,18 +323,18 @@
 		a.Result = steering.ResultRejected
 	case response.Status >= http.StatusInternalServerError:
 		a.Result = steering.ResultServerError
-		a.ClaimsNotRun = meansNotRun(response.Status)
+		a.ClaimsNotRun = MeansNotRun(response.Status)
 	default:
 		a.Result = steering.ResultResponded
-		a.ClaimsNotRun = meansNotRun(response.Status)
+		a.ClaimsNotRun = MeansNotRun(response.Status)
 	}
 	a.Rejected = response.Status >= http.StatusBadRequest
 	response.Header.Del(c.headers.Load)
 	return a
 }
 
-// meansNotRun reports whether a status tells callers that the request has not run.
-func meansNotRun(status int) bool {
+// MeansNotRun reports whether a status tells callers that the request has not run.
+func MeansNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return true
--- a/internal/kernel/steering/handover.go
+++ b/internal/kernel/steering/handover.go
@@ -45,6 +45,8 @@
 		Server string `json:"server,omitempty"`
 		Reason Reason `json:"reason,omitempty"`
 		NotRun bool   `json:"not-run,omitempty"`
+		// ClaimsNotRun is set if the status of the response tells callers that the request has not run.
+		ClaimsNotRun bool `json:"claims-not-run,omitempty"`
 		// ServerFailed is set if the response reports a failure of the server.
 		ServerFailed bool `json:"server-failed,omitempty"`
 		// ServersReached counts the servers that the peer sent the request to, if the response is the
