Report a request as not run only on proof of each attempt

Callers of a proxy that is cut off from all servers got 503, 429 or 408 for requests that had run: a peer of an earlier version passed such a status of a server on, and this proxy returned it. Class: "not run" was the absence of a result that says otherwise, so any way on which an attempt leaves no result, or one that nobody listed, was a promise without proof.

Now an attempt or a handover counts as "may have run" from the moment it is decided, and only its own proof takes that back: nothing left this proxy, the server's word, another server at the address, or the peer's word that no server has run it. What is not listed proves nothing. A peer's 408, 421, 429 or 503 without that word is not returned on routes that must not run twice; a peer that rejects a body says that nothing has run. All responses to callers leave through one writer, which replaces such a status by 502 unless it is proven, logs and counts it (gypsumquay_unproven_statuses_replaced_total).

--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -70,6 +70,8 @@
 	result struct {
 		decision steering.Decision
 		response *serverhttp.Response
+		// repeatable is set if the route allows the request to run more than once.
+		repeatable bool
 	}
 
 	// forwardOptions are the body of a request and how it is forwarded.
@@ -107,6 +109,9 @@
 		// IsStopping reports whether the process is shutting down and callers should use another
 		// proxy.
 		IsStopping func() bool
+		// OnUnprovenStatus is called for each status that is not returned because it means that the
+		// request has not run and nothing proves it. It may be nil.
+		OnUnprovenStatus func()
 		// Configured is closed once the first configuration has arrived.
 		Configured <-chan struct{}
 		// StartedAt is when the process started to listen.
@@ -125,7 +130,8 @@
 	}
 }
 
-func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+func (s *Server) serve(out http.ResponseWriter, r *http.Request) {
+	w := &promiseWriter{ResponseWriter: out, request: r.Header.Get(s.Headers.AttemptID), onUnproven: s.OnUnprovenStatus}
 	connection := pipelineOf(r.Context())
 	early := connection.beginTurn(r)
 	defer connection.endTurn()
@@ -207,7 +213,7 @@
 		attempt, response = s.Send(ctx, newRequest(decision.Server, false))
 		decision = s.endAttempt(active, attempt)
 	}
-	return result{decision: decision, response: response}, true
+	return result{decision: decision, response: response, repeatable: active.Route != nil && active.Route.Idempotent}, true
 }
 
 // acquireToken asks a pool whether the request is within the rate limit of its account.
@@ -294,10 +300,12 @@
 }
 
 // rejectBody responds to a request whose body could not be read; nothing was forwarded.
-func (s *Server) rejectBody(w http.ResponseWriter, r *http.Request, err error) {
+func (s *Server) rejectBody(w *promiseWriter, r *http.Request, err error) {
 	klog.InfoS("request body rejected", "request", r.Header.Get(s.Headers.AttemptID), "length", r.ContentLength, "error", err.Error())
 	pipelineOf(r.Context()).stopStarting()
+	w.mayPromise = true
 	w.Header().Set("Connection", "close")
+	describeToPeer(w, r, steering.Decision{NotRun: true}, nil)
 	switch {
 	case errors.Is(err, bodies.ErrTooLarge):
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
@@ -312,8 +320,9 @@
 }
 
 // writeResponse writes the final response to the caller.
-func (s *Server) writeResponse(w http.ResponseWriter, r *http.Request, done result) {
+func (s *Server) writeResponse(w *promiseWriter, r *http.Request, done result) {
 	d, response := done.decision, done.response
+	w.mayPromise = d.NotRun || done.repeatable
 	s.closeConnectionIf(s.IsStopping() || d.TryOtherProxy, w, r)
 	if !d.ReturnResponse || response == nil {
 		s.writeError(w, r, d)
--- a/internal/kernel/steering/handover.go
+++ b/internal/kernel/steering/handover.go
@@ -75,11 +75,12 @@
 	if !found {
 		return Decision{}, false
 	}
-	if req.Account != nil && req.charged && !req.mayHaveRun {
+	if req.Account != nil && req.charged && !req.mayHaveRun() {
 		// The peer charges the account.
 		k.quotas.limiter.Refund(req.Account.Name)
 		req.charged = false
 	}
+	req.unproven++
 	req.handover = &activeHandover{peer: peer.Name, sentAt: now}
 	req.triedPeers = append(req.triedPeers, peer.Name)
 	k.handoversTo[peer.Name]++
@@ -102,7 +103,7 @@
 	switch {
 	case !k.isEnabled(MechanismHandover), req.IsHandover, len(req.triedPeers) >= maxHandovers:
 		return false
-	case req.mayHaveRun && !req.Route.Idempotent, req.ExpiresAt.Sub(now) < minAttemptTime:
+	case req.mayHaveRun() && !req.Route.Idempotent, req.ExpiresAt.Sub(now) < minAttemptTime:
 		return false
 	case now.Before(k.unableRoutes[req.Route.Name]):
 		return false
@@ -163,6 +164,7 @@
 func (k *Kernel) endHandover(now time.Time, req *ActiveRequest, r HandoverResult) Decision {
 	h := req.handover
 	req.handover = nil
+	req.recordProof(r.proof())
 	if k.handoversTo[h.peer]--; k.handoversTo[h.peer] <= 0 {
 		delete(k.handoversTo, h.peer)
 	}
@@ -176,11 +178,9 @@
 		k.unablePeers[h.peer] = now.Add(unablePeerBackoff)
 		return k.continueAfterHandover(now, req, ReasonCutOff)
 	case ResultTimeout:
-		req.mayHaveRun = true
 		return k.fail(now, req, ReasonTimeout)
 	}
 	k.unablePeers[h.peer] = now.Add(unablePeerBackoff)
-	req.mayHaveRun = true
 	req.reachedServers++
 	if r.ResponseStarted {
 		return k.fail(now, req, ReasonConnectionLost)
@@ -194,6 +194,9 @@
 	if r.Server != "" {
 		delete(k.refusedHandovers, req.Route.Name)
 		k.recordPeerSignal(now, h, r)
+		if r.ClaimsNotRun && !req.Route.Idempotent {
+			return k.fail(now, req, ReasonServerError)
+		}
 		d := Decision{ReturnResponse: true}
 		if r.ServerFailed {
 			d.Reason = ReasonServerError
@@ -209,9 +212,12 @@
 		// Another peer may still reach a server.
 		return k.continueAfterPeer(now, req, r)
 	}
-	if r.NotRun && req.mayHaveRun {
+	switch {
+	case r.NotRun && req.mayHaveRun():
 		// The peer knows nothing of the attempt at this proxy, which may have run.
 		return k.fail(now, req, r.Reason)
+	case r.ClaimsNotRun && !r.NotRun && !req.Route.Idempotent:
+		return k.fail(now, req, ReasonServerError)
 	}
 	return k.finish(now, req, Decision{ReturnResponse: true, Reason: r.Reason, NotRun: r.NotRun})
 }
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -143,6 +143,7 @@
 	state := s.state(now)
 	s.use()
 	s.inFlight++
+	req.unproven++
 	s.sentCount++
 	s.backpressure.RecordSent(now)
 	req.addStep(Event{
@@ -272,6 +273,7 @@
 
 // countAttempt counts an attempt that ended.
 func (req *ActiveRequest) countAttempt(a Attempt) {
+	req.recordProof(a.Result.proof())
 	req.sendAttempts++
 	switch a.Result {
 	case ResultUnreachable, ResultNotSent, ResultWrongServer:
@@ -280,7 +282,6 @@
 		return
 	}
 	req.reachedServers++
-	req.mayHaveRun = req.mayHaveRun || a.Result == ResultConnectionLost || a.Result == ResultServerError || a.Result == ResultTimeout || a.ClaimsNotRun
 }
 
 // rejectedWithFreeSlots reports whether the server rejected the request while it had free slots.
@@ -299,7 +300,7 @@
 
 // fail ends a request immediately without a response.
 func (k *Kernel) fail(now time.Time, req *ActiveRequest, reason Reason) Decision {
-	d := Decision{Reason: reason, NotRun: !req.mayHaveRun}
+	d := Decision{Reason: reason, NotRun: !req.mayHaveRun()}
 	if req.Account != nil && req.charged && len(req.steps) == 0 {
 		k.quotas.limiter.Refund(req.Account.Name)
 	}
@@ -324,6 +325,7 @@
 
 // finish reports the end of a request together with its earlier decisions.
 func (k *Kernel) finish(now time.Time, req *ActiveRequest, d Decision) Decision {
+	d.NotRun = d.NotRun && !req.mayHaveRun()
 	d.TryOtherProxy = d.TryOtherProxy || k.callersShouldLeave()
 	d.ServersReached = req.reachedServers - req.AttemptsUsed
 	e := Event{
--- a/internal/kernel/steering/proof.go
+++ b/internal/kernel/steering/proof.go
@@ -20,6 +20,16 @@
 	Proof string
 )
 
+// mayHaveRun reports whether a server may have started to run the request, or may still do so.
+func (req *ActiveRequest) mayHaveRun() bool { return req.unproven > 0 }
+
+// recordProof records how an attempt or a handover ended.
+func (req *ActiveRequest) recordProof(p Proof) {
+	if p != ProofNone {
+		req.unproven--
+	}
+}
+
 // proof returns what the result of an attempt proves. Results that are not listed prove nothing.
 func (r Result) proof() Proof {
 	switch r {
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -204,8 +204,9 @@
 		// service need not wait behind it.
 		yieldsToUrgent bool
 		slotRank       int
-		// mayHaveRun is set once a server may have started to run the request.
-		mayHaveRun bool
+		// unproven counts the attempts and handovers of which nothing proves that they have not run
+		// and never will, including those in progress.
+		unproven int
 		// shedding is the decision whether to reject the request because of the queues.
 		shedding admission.ShedDecision
 		// offer is what the account asked for when the request arrived.
--- a/internal/kernel/steering/retry.go
+++ b/internal/kernel/steering/retry.go
@@ -47,7 +47,7 @@
 
 // mayRetry reports whether a request that reached a server may be sent to another one.
 func (k *Kernel) mayRetry(now time.Time, req *ActiveRequest) bool {
-	if req.mayHaveRun && !req.Route.Idempotent {
+	if req.mayHaveRun() && !req.Route.Idempotent {
 		return false
 	}
 	if !k.isEnabled(MechanismRetries) || req.reachedServers >= req.Route.Attempts || req.sendAttempts >= maxSends || req.connectionsLost >= quarantine.MaxConnectionLosses || req.ExpiresAt.Sub(now) < minAttemptTime {
@@ -56,7 +56,7 @@
 	if !k.chargeRetry(now, req) {
 		return false
 	}
-	if req.mayHaveRun && req.Account != nil {
+	if req.mayHaveRun() && req.Account != nil {
 		k.quotas.limiter.Charge(req.Account.Name)
 	}
 	return true
--- a/internal/kernel/steering/slotrequest.go
+++ b/internal/kernel/steering/slotrequest.go
@@ -170,6 +170,7 @@
 // abandonSlot ends an attempt that was not sent and returns the release of its slot.
 func (k *Kernel) abandonSlot(req *ActiveRequest) *SlotRelease {
 	req.server.inFlight--
+	req.recordProof(ProofUnsent)
 	k.quarantine.RecordStop(req.Work)
 	return req.takeSlotRelease(0)
 }
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -132,7 +132,7 @@
 		Name: s.Name, SendToPeer: d.handoverClient.Send,
 		Headers: deps.Names.CallerHeaders, WithKernel: d.withKernel, BodyMemory: memory, Send: d.serverClient.Send, Now: d.now,
 		RequestSlot: d.slots.acquire, ReleaseSlot: d.slots.release, RequestPoolToken: d.quotas.takeToken,
-		IsStopping: d.isStopping, Configured: d.replica.loaded, StartedAt: d.start,
+		IsStopping: d.isStopping, Configured: d.replica.loaded, StartedAt: d.start, OnUnprovenStatus: d.metrics.unprovenStatuses.Inc,
 	}
 	d.callerServer, d.handoverServer = d.forwarder.HTTPServer(), d.forwarder.HandoverServer()
 	d.readinessServer = &http.Server{Handler: d.readinessHandler(), ReadHeaderTimeout: time.Second, IdleTimeout: httpIdleTimeout}
--- a/internal/proxy/forward/metrics.go
+++ b/internal/proxy/forward/metrics.go
@@ -23,6 +23,7 @@
 		set                      *metrics.Set
 		serverConnectionsOpened  *metrics.Counter
 		strayResponses           *metrics.Counter
+		unprovenStatuses         *metrics.Counter
 		callerConnectionsRefused *metrics.Counter
 		handoversReceived        *metrics.Counter
 		fullCopiesSent           *metrics.Counter
@@ -57,6 +58,7 @@
 		set:                      set,
 		serverConnectionsOpened:  set.NewCounter("gypsumquay_server_connections_opened_total"),
 		strayResponses:           set.NewCounter("gypsumquay_server_stray_responses_total"),
+		unprovenStatuses:         set.NewCounter("gypsumquay_unproven_statuses_replaced_total"),
 		callerConnectionsRefused: set.NewCounter("gypsumquay_caller_connections_refused_total"),
 		handoversReceived:        set.NewCounter("gypsumquay_handovers_received_total"),
 		fullCopiesSent:           set.NewCounter(`gypsumquay_full_copies_total{direction="sent"}`),
