Don't read the rest of a response that is given up

A server that sends chunks or a body of great length without end held the request until its deadline: the caller got 504 at the end of its time, the slot, the connection and its buffer stayed occupied, and the proxy read at full speed meanwhile.

The bounds on bodies held, but closing the body of a response that was parsed by http.ReadResponse reads all of it first. Bodies are read to their end or their connection is closed now.

--- a/internal/adapter/serverhttp/head.go
+++ b/internal/adapter/serverhttp/head.go
@@ -71,7 +71,8 @@
 }
 
 // readHead reads the head of the next response, interim ones included. Unless it returns an error, the
-// reservation must be released.
+// reservation must be released. The body must not be closed, because that reads all of it, however long
+// the server goes on: it is read to its end, or the connection is closed.
 func (c *conn) readHead(m *http.Request, memory *bodies.MemoryBudget) (*http.Response, *bodies.Reservation, error) {
 	c.head.begin(memory)
 	response, err := http.ReadResponse(c.reader, m)
@@ -81,7 +82,6 @@
 		err = c.head.err
 	}
 	if err == nil && countFields(response.Header) > maxHeadFields {
-		_ = response.Body.Close()
 		err = errHeadTooLarge
 	}
 	if err != nil {
