Leave memory for the responses of other servers

Servers that send bodies without end, or begin a long one and stop, took the memory budget of all bodies. Responses of sound servers then found none: they were lost after they had run, and the sound server was ejected for it.

A server may hold no more of the budget than is free, as with the dynamic thresholds of shared packet buffers (Choudhury and Hahne, 1998): one alone gets half, and k of them leave 1/(k+1) for all others, without a constant. The other way that was weighed, a bound by what a route's responses were before, rejects the first long response of each route. A body without length grows in place instead of being copied for each reservation.

--- a/internal/adapter/bodies/bodies.go
+++ b/internal/adapter/bodies/bodies.go
@@ -7,15 +7,17 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/sync/semaphore"
 )
 
 const (
 	// initialReservation is how much memory is reserved at first for a body of unknown length.
 	initialReservation = 64 << 10
+	// minGrowth is by how many bytes the buffer of such a body grows at least.
+	minGrowth = 4 << 10
 )
 
 var (
@@ -26,11 +28,6 @@
 )
 
 type (
-	// MemoryBudget limits the memory of all buffered bodies together.
-	MemoryBudget struct {
-		available *semaphore.Weighted
-	}
-
 	// Body is a buffered body. Its bytes must not be used after Release.
 	Body struct {
 		Bytes    []byte
@@ -39,17 +36,12 @@
 	}
 )
 
-// NewMemoryBudget returns a budget of maxBytes bytes.
-func NewMemoryBudget(maxBytes int64) *MemoryBudget {
-	return &MemoryBudget{available: semaphore.NewWeighted(maxBytes)}
-}
-
 // Release returns the body's memory to the budget. Further calls have no effect.
 func (b *Body) Release() {
 	if b == nil || b.reserved == 0 {
 		return
 	}
-	b.budget.available.Release(b.reserved)
+	b.budget.release(b.reserved)
 	b.reserved = 0
 }
 
@@ -79,7 +71,7 @@
 // readSized reads a body of known length into a buffer that is allocated once: for 64 KB this takes
 // a third of the time and memory of a growing buffer.
 func (b *Body) readSized(r io.Reader, contentLength int64) error {
-	if !b.budget.available.TryAcquire(contentLength) {
+	if !b.budget.tryAcquire(contentLength) {
 		return ErrMemoryExhausted
 	}
 	b.reserved = contentLength
@@ -96,18 +88,16 @@
 func (b *Body) readUnsized(r io.Reader, limit int64) error {
 	reservation := min(initialReservation, limit)
 	for {
-		if !b.budget.available.TryAcquire(reservation - b.reserved) {
+		if !b.budget.tryAcquire(reservation - b.reserved) {
 			return ErrMemoryExhausted
 		}
 		b.reserved = reservation
-		chunk, err := io.ReadAll(io.LimitReader(r, reservation-int64(len(b.Bytes))))
-		b.Bytes = append(b.Bytes, chunk...)
-		if err != nil {
+		if err := b.fill(r, int(reservation)); err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
 			return errors.Wrap(err, "read body")
 		}
-		if int64(len(b.Bytes)) < reservation {
-			return nil
-		}
 		if reservation == limit {
 			return expectEOF(r)
 		}
@@ -115,6 +105,22 @@
 	}
 }
 
+// fill reads until the body has the given size. It returns io.EOF if it ends before.
+func (b *Body) fill(r io.Reader, size int) error {
+	for len(b.Bytes) < size {
+		received := len(b.Bytes)
+		if received == cap(b.Bytes) {
+			b.Bytes = slices.Grow(b.Bytes, min(max(received, minGrowth), size-received))
+		}
+		n, err := r.Read(b.Bytes[received:min(cap(b.Bytes), size)])
+		b.Bytes = b.Bytes[:received+n]
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // expectEOF returns an error if a body that has reached its limit continues.
 func expectEOF(r io.Reader) error {
 	if n, err := io.ReadFull(r, make([]byte, 1)); n > 0 {
--- a/internal/adapter/bodies/reservation.go
+++ b/internal/adapter/bodies/reservation.go
@@ -13,7 +13,7 @@
 
 // TryGrow adds bytes to the reservation, or returns false if the budget is used up.
 func (r *Reservation) TryGrow(bytes int64) bool {
-	if !r.budget.available.TryAcquire(bytes) {
+	if !r.budget.tryAcquire(bytes) {
 		return false
 	}
 	r.bytes += bytes
@@ -25,6 +25,6 @@
 	if r == nil || r.bytes == 0 {
 		return
 	}
-	r.budget.available.Release(r.bytes)
+	r.budget.release(r.bytes)
 	r.bytes = 0
 }
--- a/internal/adapter/bodies/stream.go
+++ b/internal/adapter/bodies/stream.go
@@ -32,7 +32,7 @@
 
 // NewStream returns an empty stream for a body of the given length. It must be released.
 func (m *MemoryBudget) NewStream(contentLength int64) (*Stream, error) {
-	if !m.available.TryAcquire(contentLength) {
+	if !m.tryAcquire(contentLength) {
 		return nil, ErrMemoryExhausted
 	}
 	s := &Stream{body: &Body{Bytes: make([]byte, contentLength), budget: m, reserved: contentLength}}
--- a/internal/adapter/forwardhttp/promise_test.go
+++ b/internal/adapter/forwardhttp/promise_test.go
@@ -31,10 +31,14 @@
 	promiseCase struct {
 		Name string `json:"name"`
 		// Response is sent first; %s stands for the attempt ID. Endless follows again and again until the
-		// connection is closed; without it, the server closes the connection.
+		// connection is closed; without it, the server closes the connection, or keeps it open if Stops is
+		// set.
 		Response string `json:"response"`
 		Endless  string `json:"endless"`
-		Want     int    `json:"want"`
+		Stops    bool   `json:"-"`
+		// onRequest is called with the attempt ID of each request. It may be nil.
+		onRequest func(attempt string)
+		Want      int `json:"want"`
 	}
 )
 
@@ -51,29 +55,24 @@
 	return cases
 }
 
-// startServer starts a server that responds to each connection's first request as the case says. closed
-// receives a value once a connection has ended.
-func (c promiseCase) startServer(t *testing.T) (address netip.AddrPort, closed chan bool) {
+// startServer starts a server that responds to each connection's first request as the case says.
+func (c promiseCase) startServer(t *testing.T) netip.AddrPort {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	closed = make(chan bool, 100)
 	go func() {
 		for {
 			conn, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go func() {
-				c.respond(conn)
-				closed <- true
-			}()
+			go c.respond(conn)
 		}
 	}()
-	return netip.MustParseAddrPort(l.Addr().String()), closed
+	return netip.MustParseAddrPort(l.Addr().String())
 }
 
 func (c promiseCase) respond(conn net.Conn) {
@@ -85,7 +84,13 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	if c.onRequest != nil {
+		c.onRequest(r.Header.Get("Attempt"))
+	}
 	_, err = io.WriteString(conn, strings.ReplaceAll(c.Response, "%s", r.Header.Get("Attempt")))
+	if c.Stops {
+		_, _ = io.Copy(io.Discard, conn)
+	}
 	if c.Endless == "" {
 		return
 	}
@@ -110,8 +115,7 @@
 func TestOnlyProofOfServerPromisesNotRun(t *testing.T) {
 	for _, c := range loadPromiseCases(t) {
 		t.Run(c.Name, func(t *testing.T) {
-			address, _ := c.startServer(t)
-			p := newProxyOfServer(t, address, bodies.NewMemoryBudget(1<<26))
+			p := newProxyOfServer(t, c.startServer(t), bodies.NewMemoryBudget(1<<26))
 			got := sendRequest(t, http.MethodPost, p.URL+"/a/x", "data")
 			if got.status != c.Want {
 				t.Errorf("got status %d, want %d", got.status, c.Want)
--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -145,6 +145,8 @@
 		conn    *pooledConn
 		request Request
 		message *http.Request
+		// memory is the part of the client's budget for the server.
+		memory *bodies.MemoryBudget
 		// signal merges the backpressure signals of all responses of the exchange, including those
 		// to other requests.
 		signal backpressure.Signal
@@ -190,7 +192,7 @@
 		c.pool.put(connection, true, r.MaxConnections)
 		return steering.Attempt{Result: steering.ResultNotSent, RoundTrip: roundTrip}, nil
 	}
-	e := &exchange{client: c, conn: connection, request: r, message: c.newMessage(r)}
+	e := &exchange{client: c, conn: connection, request: r, message: c.newMessage(r), memory: c.memory.From(r.Address)}
 	stop := context.AfterFunc(ctx, func() { _ = connection.Transport.Close() })
 	response, reusable, err := e.run()
 	if !stop() {
@@ -238,7 +240,7 @@
 	if err := m.Write(connection.Transport); err != nil {
 		return errors.Wrap(err, "write probe")
 	}
-	_, reservation, err := connection.Transport.readHead(m, c.memory)
+	_, reservation, err := connection.Transport.readHead(m, c.memory.From(address))
 	if err != nil {
 		return errors.Wrap(err, "read response to probe")
 	}
@@ -443,7 +445,7 @@
 		}
 		return received, response.Close, nil
 	}
-	if received.Body, err = e.client.memory.Read(response.Body, contentLength, maxResponseBytes); err != nil {
+	if received.Body, err = e.memory.Read(response.Body, contentLength, maxResponseBytes); err != nil {
 		received.Release()
 		return nil, true, errors.Wrap(err, "read response body")
 	}
@@ -462,7 +464,7 @@
 // stream passes the response on and reads its body. From here on no other server can take the
 // request: if the body breaks off, the caller's connection must be closed.
 func (e *exchange) stream(r *Response, body io.Reader, contentLength int64) (err error) {
-	if r.Stream, err = e.client.memory.NewStream(contentLength); err != nil {
+	if r.Stream, err = e.memory.NewStream(contentLength); err != nil {
 		return errors.Wrap(err, "read response body")
 	}
 	e.streamed = true
@@ -476,7 +478,7 @@
 // returns an error, the reservation must be released.
 func (e *exchange) nextFinalResponse() (*http.Response, *bodies.Reservation, error) {
 	for range maxInterimResponses + 1 {
-		response, reservation, err := e.conn.Transport.readHead(e.message, e.client.memory)
+		response, reservation, err := e.conn.Transport.readHead(e.message, e.memory)
 		if err != nil {
 			return nil, nil, err
 		}
