Take only a response that names the request for "not run"

On a connection's first request a rejection or a 421 without an attempt ID was taken for the server's word that the request has not run. Servers echo the ID of each request that they have read, so such a response proves nothing about it: it may be noise, or the word of something that has not read the request. The request counts as one whose response got lost now.

TestNotRunWithoutIDIsNoProof failed before. A proxy's own responses to bodies that it can't read name the request, too.

--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -305,6 +305,7 @@
 	pipelineOf(r.Context()).stopStarting()
 	w.mayPromise = true
 	w.Header().Set("Connection", "close")
+	s.echoAttempt(w, r)
 	describeToPeer(w, r, steering.Decision{NotRun: true}, nil)
 	switch {
 	case errors.Is(err, bodies.ErrTooLarge):
@@ -378,11 +379,16 @@
 		status = http.StatusGatewayTimeout
 	}
 	describeToPeer(w, r, d, nil)
+	s.echoAttempt(w, r)
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
+
+// echoAttempt names the request in a response of this proxy.
+func (s *Server) echoAttempt(w http.ResponseWriter, r *http.Request) {
 	if id := r.Header.Get(s.Headers.AttemptID); id != "" {
 		w.Header().Set(s.Headers.AttemptID, id)
 	}
-	w.Header().Set("Content-Length", "0")
-	w.WriteHeader(status)
 }
 
 func parseTimeout(text string) (time.Duration, bool) {
--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -305,6 +305,11 @@
 	}
 }
 
+// provesNotRun reports whether a response to a request proves that it has not run.
+func (c *Client) provesNotRun(r *Response) bool {
+	return r.Status == http.StatusMisdirectedRequest || r.Header.Get(c.headers.NotRun) != ""
+}
+
 // classify returns the result of an exchange.
 func (c *Client) classify(r Request, response *Response, err error) steering.Attempt {
 	a := steering.Attempt{Err: err}
@@ -395,8 +400,9 @@
 		switch id := response.Header.Get(e.client.headers.AttemptID); {
 		case id == e.request.AttemptID:
 			return e.checkSeal(response, closes || sawStray)
-		case id == "" && e.conn.Uses() == 1:
-			// This is the first request on the connection, so the response can't belong to another.
+		case id == "" && e.conn.Uses() == 1 && !e.client.provesNotRun(response):
+			// This is the first request on the connection, so the response can't belong to another. That
+			// the request has not run takes the word of a server that has read it.
 			return e.checkSeal(response, closes)
 		case id == "":
 			response.Release()
--- a/internal/adapter/serverhttp/client_test.go
+++ b/internal/adapter/serverhttp/client_test.go
@@ -212,6 +212,25 @@
 	expectResult(t, a, response, steering.ResultConnectionLost, "")
 }
 
+// Guards against a response that is taken for the server's word that a request has not run although it
+// does not name the request.
+func TestNotRunWithoutIDIsNoProof(t *testing.T) {
+	for head, want := range map[string]steering.Result{
+		"HTTP/1.1 503 Busy\r\nNot-Run: 1":               steering.ResultConnectionLost,
+		"HTTP/1.1 400 No ID\r\nNot-Run: 1":              steering.ResultConnectionLost,
+		"HTTP/1.1 421 Other":                            steering.ResultConnectionLost,
+		"HTTP/1.1 503 Busy\r\nAttempt:one\r\nNot-Run:1": steering.ResultRejected,
+		"HTTP/1.1 500 Failed":                           steering.ResultServerError,
+	} {
+		s := startRawServer(t, func(_, _ int, _ *http.Request, w net.Conn) bool {
+			_, _ = io.WriteString(w, head+"\r\nContent-Length: 0\r\n\r\n")
+			return true
+		})
+		a, response := send(newTestClient(), s, "one")
+		expectResult(t, a, response, want, "")
+	}
+}
+
 // Guards against automatic retries when a reused connection breaks as a request is sent: the server
 // may have run the request.
 func TestNoRetryOnBrokenReusedConnection(t *testing.T) {
