--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -240,12 +240,12 @@
 	if err := m.Write(connection.Transport); err != nil {
 		return errors.Wrap(err, "write probe")
 	}
-	_, reservation, err := connection.Transport.readHead(m, c.memory.From(address))
+	response, reservation, err := connection.Transport.readHead(m, c.memory.From(address))
 	if err != nil {
 		return errors.Wrap(err, "read response to probe")
 	}
 	reservation.Release()
-	return nil
+	return response.Body.Close()
 }
 
 // IsConnectionRefused reports whether a connection failed because no process listens on the
@@ -429,6 +429,7 @@
 	if err != nil {
 		return nil, true, errors.Wrap(err, "read response")
 	}
+	defer func() { _ = response.Body.Close() }()
 	e.recordSignal(response)
 	if id := response.Header.Get(e.client.headers.AttemptID); e.request.OnBegin != nil && (id == "" || id == e.request.AttemptID) {
 		e.request.OnBegin()
@@ -491,6 +492,7 @@
 		if response.StatusCode >= http.StatusOK {
 			return response, reservation, nil
 		}
+		_ = response.Body.Close()
 		reservation.Release()
 	}
 	return nil, nil, errTooManyInterim
--- a/internal/adapter/serverhttp/head.go
+++ b/internal/adapter/serverhttp/head.go
@@ -71,12 +71,15 @@
 }
 
 // readHead reads the head of the next response, interim ones included. Unless it returns an error, the
-// reservation must be released. The body must not be closed, because that reads all of it, however long
-// the server goes on: it is read to its end, or the connection is closed.
+// reservation must be released.
 func (c *conn) readHead(m *http.Request, memory *bodies.MemoryBudget) (*http.Response, *bodies.Reservation, error) {
 	c.head.begin(memory)
 	response, err := http.ReadResponse(c.reader, m)
 	reservation := c.head.end()
+	if err == nil {
+		// The Close of net/http reads all of the body, however long the server goes on.
+		response.Body = io.NopCloser(response.Body)
+	}
 	if c.head.err != nil {
 		// The parser may report an incomplete line instead.
 		err = c.head.err
