Own interface: a later rejection does not prove that nothing has run

Callers of the product's own interface were told "not run" for a request that may be repeated and may have run: the first attempt lost its connection, the second was rejected or found no server, and the outcome was that of the last attempt. Only a second attempt that was not sent at all was handled. Found while looking for the class "not run without proof of each attempt" elsewhere.

An attempt that may have run is kept in the request now, and no end of it is "not run". TestLaterRejectionDoesNotProveNotRun: three of four cases failed before, all pass. The emulator's tests and those of the daemon's processes pass. The platform's adapter does not use this kernel.

--- a/internal/kernel/backend/server.go
+++ b/internal/kernel/backend/server.go
@@ -257,3 +257,6 @@
 	s.Connections = c.MaxConnections
 	s.slowStart = slowStart
 }
+
+// ProvesNotRun reports whether an attempt with the result has certainly not run.
+func (r Result) ProvesNotRun() bool { return r == Rejected || r == Unreachable }
--- a/internal/kernel/core/request.go
+++ b/internal/kernel/core/request.go
@@ -38,9 +38,11 @@
 		fingerprint quarantine.Fingerprint
 		// interruptions counts the attempts that ended with backend.Interrupted.
 		interruptions int
-		startedAt     time.Time
-		sentAt        time.Time
-		deadline      time.Time
+		// mayHaveRun is set unless it is proven that no earlier attempt has run.
+		mayHaveRun bool
+		startedAt  time.Time
+		sentAt     time.Time
+		deadline   time.Time
 	}
 )
 
@@ -287,6 +289,7 @@
 	if inflight.server.Ejected() && !wasEjected {
 		k.log(now, Event{Kind: EventServerEjected, Target: inflight.server.Name})
 	}
+	inflight.mayHaveRun = inflight.mayHaveRun || !e.Result.ProvesNotRun()
 	switch e.Result {
 	case backend.Completed:
 		return k.finish(now, inflight, caller.Result{Outcome: caller.OutcomeDone, Response: e.Response})
@@ -327,16 +330,20 @@
 		}
 		return k.finish(now, inflight, result)
 	}
-	d := k.dispatch(now, inflight, inflight.server)
-	if d.Step == StepFinish && result.Outcome == caller.OutcomeUnknown {
-		// The retry was not dispatched, but the previous attempt may have run.
-		d.Result.Outcome = caller.OutcomeUnknown
+	return k.dispatch(now, inflight, inflight.server)
+}
+
+// outcome returns the outcome of a request that ends with the given one of its last attempt.
+func (r *inFlightRequest) outcome(last caller.Outcome) caller.Outcome {
+	if last == caller.OutcomeNotRun && r.mayHaveRun {
+		return caller.OutcomeUnknown
 	}
-	return d
+	return last
 }
 
 // finish completes a request that was dispatched at least once.
 func (k *Kernel) finish(now time.Time, inflight inFlightRequest, result caller.Result) Decision {
+	result.Outcome = inflight.outcome(result.Outcome)
 	if inflight.token != nil {
 		if result.Outcome == caller.OutcomeNotRun {
 			k.tokenRecords.Release(inflight.token.Nonce)
@@ -348,13 +355,12 @@
 	return Decision{Step: StepFinish, ID: inflight.id, Idempotent: inflight.idempotent, Result: result}
 }
 
-// rejectAttempt rejects an attempt before its dispatch, with the outcome "not run". If a previous
-// attempt may have run, retryOrFinish changes the outcome to "unknown".
+// rejectAttempt rejects an attempt before its dispatch.
 func (k *Kernel) rejectAttempt(now time.Time, inflight inFlightRequest, reason caller.Reason, retryAfter time.Duration) Decision {
 	if inflight.token != nil {
 		k.tokenRecords.Release(inflight.token.Nonce)
 	}
-	result := caller.Result{Outcome: caller.OutcomeNotRun, Reason: reason, RetryAfter: k.jitter(retryAfter)}
+	result := caller.Result{Outcome: inflight.outcome(caller.OutcomeNotRun), Reason: reason, RetryAfter: k.jitter(retryAfter)}
 	k.log(now, Event{Kind: EventRejected, Service: inflight.service.Name, Request: inflight.id, Outcome: result.Outcome, Reason: result.Reason})
 	return Decision{Step: StepFinish, ID: inflight.id, Idempotent: inflight.idempotent, Result: result}
 }
