Read less of servers that have sent a response without end

A response without length that has no end costs the largest response, 16 MB, of link, processor and memory each time, and with it the requests of all others at the proxy. A server that has exceeded the limit gets 1 MB for such responses in the next ten seconds; others are not affected, and neither are responses that say their length. A server that sends less than the limit never gets there.

TestServerWithoutEndIsReadLessNextTime fails without it: the long response meanwhile is answered.

--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -89,6 +89,8 @@
 		pool    *pool
 		memory  *bodies.MemoryBudget
 		now     func() time.Time
+		// oversize remembers the servers whose responses are limited more.
+		oversize oversizeLog
 		// onStray is called for each response to another request.
 		onStray func()
 	}
@@ -167,7 +169,10 @@
 // NewClient returns a client that buffers responses within the budget m. onOpen is called for each
 // new connection.
 func NewClient(h Headers, m *bodies.MemoryBudget, now func() time.Time, onOpen func()) *Client {
-	return &Client{headers: h, memory: m, now: now, pool: newPool(now, onOpen), onStray: func() {}}
+	return &Client{
+		headers: h, memory: m, now: now, pool: newPool(now, onOpen), oversize: oversizeLog{at: make(map[netip.AddrPort]time.Time)},
+		onStray: func() {},
+	}
 }
 
 // CountSentBytes calls count with the number of bytes of each write to a server. It must be called
@@ -452,8 +457,12 @@
 		}
 		return received, response.Close, nil
 	}
-	if received.Body, err = e.memory.Read(response.Body, contentLength, maxResponseBytes); err != nil {
+	limit := e.client.oversize.limit(e.client.now(), e.request.Address, contentLength)
+	if received.Body, err = e.memory.Read(response.Body, contentLength, limit); err != nil {
 		received.Release()
+		if limit == maxResponseBytes && errors.Is(err, bodies.ErrTooLarge) {
+			e.client.oversize.record(e.client.now(), e.request.Address)
+		}
 		return nil, true, errors.Wrap(err, "read response body")
 	}
 	return received, response.Close, nil
