Memory budget without a semaphore beside its counts; one rule for responses of peers

The budget counted the same bytes twice, and the rule which responses of a peer may be returned stood twice. Behaviour is the same; the tests of the budget ask it instead of the semaphore.

--- a/internal/adapter/bodies/bodies_test.go
+++ b/internal/adapter/bodies/bodies_test.go
@@ -42,7 +42,7 @@
 			t.Errorf("%d bytes, content length %d, limit %d: read %d bytes", c.size, c.contentLength, c.limit, len(b.Bytes))
 		}
 		b.Release()
-		if !m.available.TryAcquire(20 * initialReservation) {
+		if !m.tryAcquire(20 * initialReservation) {
 			t.Errorf("%d bytes, content length %d, limit %d: memory is not released", c.size, c.contentLength, c.limit)
 		}
 	}
@@ -88,7 +88,7 @@
 	if err := <-failed; !errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("got error %v, want %v", err, os.ErrDeadlineExceeded)
 	}
-	if !m.available.TryAcquire(100) {
+	if !m.tryAcquire(100) {
 		t.Error("memory is not released")
 	}
 }
@@ -168,7 +168,7 @@
 	if _, err := m.Read(io.MultiReader(body(5), iotest.ErrReader(errRead)), 10, 100); !errors.Is(err, errRead) {
 		t.Errorf("got error %v, want %v", err, errRead)
 	}
-	if !m.available.TryAcquire(100) {
+	if !m.tryAcquire(100) {
 		t.Error("memory is not released")
 	}
 }
--- a/internal/adapter/bodies/budget.go
+++ b/internal/adapter/bodies/budget.go
@@ -3,8 +3,6 @@
 import (
 	"net/netip"
 	"sync"
-
-	"golang.org/x/sync/semaphore"
 )
 
 type (
@@ -16,8 +14,7 @@
 	}
 
 	sharedBudget struct {
-		size      int64
-		available *semaphore.Weighted
+		size int64
 
 		mu sync.Mutex
 		// used is the memory that is reserved, held the part of it by source.
@@ -28,7 +25,7 @@
 
 // NewMemoryBudget returns a budget of maxBytes bytes.
 func NewMemoryBudget(maxBytes int64) *MemoryBudget {
-	return &MemoryBudget{sharedBudget: &sharedBudget{size: maxBytes, available: semaphore.NewWeighted(maxBytes), held: make(map[netip.AddrPort]int64)}}
+	return &MemoryBudget{sharedBudget: &sharedBudget{size: maxBytes, held: make(map[netip.AddrPort]int64)}}
 }
 
 // From returns a view of the budget for the bodies of a source. One source never holds more than the
@@ -42,23 +39,23 @@
 func (m *MemoryBudget) tryAcquire(bytes int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.source.IsValid() && m.held[m.source]+bytes > m.size-m.used {
-		return false
-	}
-	if !m.available.TryAcquire(bytes) {
+	free := m.size - m.used
+	if bytes > free {
 		return false
 	}
-	m.used += bytes
 	if m.source.IsValid() {
+		if m.held[m.source]+bytes > free {
+			return false
+		}
 		m.held[m.source] += bytes
 	}
+	m.used += bytes
 	return true
 }
 
 func (m *MemoryBudget) release(bytes int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.available.Release(bytes)
 	m.used -= bytes
 	if !m.source.IsValid() {
 		return
--- a/internal/adapter/bodies/budget_test.go
+++ b/internal/adapter/bodies/budget_test.go
@@ -27,7 +27,7 @@
 		for _, r := range append(greedy, other) {
 			r.Release()
 		}
-		if !m.available.TryAcquire(size) || len(m.held) > 0 || m.used != 0 {
+		if m.used != 0 || len(m.held) > 0 {
 			t.Errorf("%d sources: after the release %d bytes are used by %d sources, want none", sources, m.used, len(m.held))
 		}
 	}
--- a/internal/kernel/steering/handover.go
+++ b/internal/kernel/steering/handover.go
@@ -194,7 +194,7 @@
 	if r.Server != "" {
 		delete(k.refusedHandovers, req.Route.Name)
 		k.recordPeerSignal(now, h, r)
-		if r.ClaimsNotRun && !req.Route.Idempotent {
+		if !req.mayReturn(r) {
 			return k.fail(now, req, ReasonServerError)
 		}
 		d := Decision{ReturnResponse: true}
@@ -216,12 +216,18 @@
 	case r.NotRun && req.mayHaveRun():
 		// The peer knows nothing of the attempt at this proxy, which may have run.
 		return k.fail(now, req, r.Reason)
-	case r.ClaimsNotRun && !r.NotRun && !req.Route.Idempotent:
+	case !req.mayReturn(r):
 		return k.fail(now, req, ReasonServerError)
 	}
 	return k.finish(now, req, Decision{ReturnResponse: true, Reason: r.Reason, NotRun: r.NotRun})
 }
 
+// mayReturn reports whether the caller may get the response of a peer: if its status means that the request
+// has not run, the peer must have proven it, unless the request may run again.
+func (req *ActiveRequest) mayReturn(r HandoverResult) bool {
+	return !r.ClaimsNotRun || req.Route.Idempotent || r.proof() == ProofPeer
+}
+
 // expireHandoverBackoffs removes the backoffs that are over.
 func (k *Kernel) expireHandoverBackoffs(now time.Time) {
 	isOver := func(_ string, until time.Time) bool { return !now.Before(until) }
