Review, case 5: a withdrawn part of a split gets all requests

Seen: a route sends 5 of 1,000 requests to a service on trial; a version gives the trial the weight 0. All three machines then send it every request, 759 of them sent later than ConfigApply after the version in the first play, until the script ends 28 s later. On a second route, weights 1 and 1 give the trial 639 of 639 requests. Rule: CONFIG, handled as only an older version allows, and the share of a part. Disruption: one config_change of weights. The stand-in of the next case comes with this commit, as one program holds all.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -44,7 +44,7 @@
 }
 
 func playCase() int {
-	plays := map[string]play{"quota": playQuota, "weights": playWeights}
+	plays := map[string]play{"quota": playQuota, "weights": playWeights, "memory": playMemory}
 	if len(os.Args) != 3 || plays[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE RECORD")
 		return exitNotRun
