Requests ended by a shutdown have a reason and a result of their own

Around a stop, callers got 504 and the log said "timeout" and "late", as for a server that hangs. Of a stop it held only the number of requests in progress at the end. So a record could not tell a request that the proxy accepted too late from one whose server was slow, and the server was held responsible: the attempt counted as its failure, against its ejection and towards "silent".

Such a request now ends with reason "shutdown", its attempt with result "interrupted", which says nothing about the server. The line of its end has "since-shutdown" (when in the shutdown it began) and "connection-uses" (1 for a new connection, 0 for one started ahead of its turn); the counters of requests and attempts have the reason and the result as labels, whatever the log leaves out.

The times of a shutdown were constants in three files. They are one plan, kernel/shutdown, without a change of their values, except that a grace period above 6 s does not lengthen the time in which the proxy listens.

--- a/internal/adapter/forwardhttp/idle.go
+++ b/internal/adapter/forwardhttp/idle.go
@@ -7,12 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-)
 
-const (
-	// newConnGracePeriod is how long a new connection may take to send its first byte while the
-	// process shuts down.
-	newConnGracePeriod = 500 * time.Millisecond
+	"github.com/gypsumquay/gypsumquay/internal/kernel/shutdown"
 )
 
 // RecordState records the state of a connection; it is the ConnState hook of the HTTP server.
@@ -24,7 +20,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	tracked.state, tracked.stateSince = state, time.Now()
-	if state == http.StateIdle {
+	switch state {
+	case http.StateActive:
+		tracked.requestCount.Add(1)
+	case http.StateIdle:
 		tracked.phase.CompareAndSwap(phaseReading, phaseIdle)
 	}
 }
@@ -47,13 +46,26 @@
 	defer l.mu.Unlock()
 	var list []*trackedConn
 	for c := range l.connections {
-		if c.state == http.StateIdle || c.state == http.StateNew && time.Since(c.stateSince) > newConnGracePeriod {
+		if shutdown.MayClose(c.shutdownState(), time.Since(c.stateSince)) {
 			list = append(list, c)
 		}
 	}
 	return list
 }
 
+// shutdownState returns what the connection is doing, as far as its shutdown depends on it. The listener's
+// mutex is held.
+func (c *trackedConn) shutdownState() shutdown.Connection {
+	switch c.state {
+	case http.StateNew:
+		return shutdown.ConnectionNew
+	case http.StateIdle:
+		return shutdown.ConnectionIdle
+	default:
+		return shutdown.ConnectionBusy
+	}
+}
+
 // hasUnreadData reports whether the socket has received data that was not read.
 func hasUnreadData(c net.Conn) bool {
 	tcp, ok := c.(syscall.Conn)
--- a/internal/adapter/forwardhttp/listener.go
+++ b/internal/adapter/forwardhttp/listener.go
@@ -57,6 +57,8 @@
 		// phase tells whether bytes of a request were read since the connection became idle. net/http
 		// reports a request only once it has read the whole head.
 		phase atomic.Int32
+		// requestCount is the number of requests that net/http has read.
+		requestCount atomic.Int32
 	}
 )
 
--- a/internal/adapter/forwardhttp/pipeline.go
+++ b/internal/adapter/forwardhttp/pipeline.go
@@ -107,6 +107,14 @@
 	return nil
 }
 
+// connectionUses returns how many requests the connection of a request has carried, including this one.
+func connectionUses(ctx context.Context) int {
+	if c, ok := ctx.Value(connectionKey{}).(*trackedConn); ok {
+		return int(c.requestCount.Load())
+	}
+	return 0
+}
+
 // EnablePipelining lets the idempotent requests of each connection of l run at the same time. It
 // must be called before the first Accept.
 func (s *Server) EnablePipelining(l *Listener) {
--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -82,6 +82,9 @@
 		onStream func(*serverhttp.Response)
 		// mayStream reports whether onStream may be called. It may be nil.
 		mayStream func() bool
+		// connectionUses is how many requests the caller's connection has carried, including this one, or
+		// zero for a request before its turn.
+		connectionUses int
 		// onlyIfRepeatable is set for a request before its turn: it starts only if its route allows
 		// it to run more than once.
 		onlyIfRepeatable bool
@@ -150,7 +153,7 @@
 	defer body.Release()
 	stream := &responseStream{}
 	result, _ := s.forward(r.Context(), r, forwardOptions{
-		body: body, receivedAt: receivedAt, onStream: func(response *serverhttp.Response) { stream.start(s, w, r, response) }, mayStream: connection.beginStream,
+		body: body, receivedAt: receivedAt, connectionUses: connectionUses(r.Context()), onStream: func(response *serverhttp.Response) { stream.start(s, w, r, response) }, mayStream: connection.beginStream,
 	})
 	defer result.response.Release()
 	if stream.started() {
@@ -165,6 +168,7 @@
 func (s *Server) forward(ctx context.Context, r *http.Request, o forwardOptions) (result, bool) {
 	request := steering.Request{
 		ID: r.Header.Get(s.Headers.AttemptID), Host: hostWithoutPort(r.Host), Path: pathAsSent(r), Credential: bearer.ParseCredential(r.Header),
+		ConnectionUses: o.connectionUses,
 	}
 	if c, err := r.Cookie(s.Headers.ObjectCookie); err == nil {
 		request.Object = c.Value
@@ -375,7 +379,7 @@
 			status = http.StatusTooManyRequests
 		}
 		w.Header().Set("Retry-After", strconv.FormatFloat(d.RetryAfter.Seconds(), 'f', 3, 64))
-	case d.Reason == steering.ReasonTimeout:
+	case d.Reason == steering.ReasonTimeout, d.Reason == steering.ReasonShutdown:
 		status = http.StatusGatewayTimeout
 	}
 	describeToPeer(w, r, d, nil)
--- /dev/null
+++ b/internal/kernel/shutdown/plan.go
@@ -0,0 +1,59 @@
+// Package shutdown plans the graceful shutdown of a proxy: which requests it still sends to servers,
+// when it closes connections, and when everything has ended. It does no I/O and reads no clock.
+package shutdown
+
+import (
+	"time"
+)
+
+const (
+	// listenRatio is the part of the grace period, and maxListenPeriod the most of it, in which the
+	// proxy accepts connections: callers use a cached lookup response until its TTL expires.
+	listenRatio     = 0.5
+	maxListenPeriod = 3 * time.Second
+	// exitMargin is reserved at the end of the grace period, so that the process exits before it is
+	// killed.
+	exitMargin = 400 * time.Millisecond
+	// responseMargin is how long before the exit the last requests are interrupted, so that their
+	// responses can still be written and logged.
+	responseMargin = 100 * time.Millisecond
+	// firstByteTimeout is how long a new connection may take to send its first byte.
+	firstByteTimeout = 500 * time.Millisecond
+)
+
+const (
+	// ConnectionBusy is a connection with a request that is being read or served.
+	ConnectionBusy Connection = iota
+	// ConnectionNew is a connection that has not sent a request yet.
+	ConnectionNew
+	// ConnectionIdle is a connection whose requests have been served.
+	ConnectionIdle
+)
+
+type (
+	// Plan is the schedule of one shutdown.
+	Plan struct {
+		BegunAt time.Time     `json:"begun-at"`
+		Grace   time.Duration `json:"grace"`
+	}
+
+	// Connection is what a connection of a caller is doing.
+	Connection int
+)
+
+// ListenUntil returns when the proxy stops accepting connections and closes those that are idle.
+func (p Plan) ListenUntil() time.Time {
+	return p.BegunAt.Add(min(time.Duration(listenRatio*float64(p.Grace)), maxListenPeriod))
+}
+
+// InterruptAt returns when the requests in progress are interrupted.
+func (p Plan) InterruptAt() time.Time { return p.ExitAt().Add(-responseMargin) }
+
+// ExitAt returns when the process exits at the latest.
+func (p Plan) ExitAt() time.Time { return p.BegunAt.Add(p.Grace - exitMargin) }
+
+// MayClose reports whether a connection that has been in a state for the given time may be closed once
+// the proxy no longer listens.
+func MayClose(c Connection, since time.Duration) bool {
+	return c == ConnectionIdle || c == ConnectionNew && since > firstByteTimeout
+}
--- a/internal/kernel/steering/call.go
+++ b/internal/kernel/steering/call.go
@@ -9,6 +9,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/shutdown"
 )
 
 const (
@@ -68,6 +69,7 @@
 		Server        *routing.Server   `json:"server,omitempty"`
 		ID            string            `json:"id,omitempty"`
 		Until         time.Time         `json:"until,omitzero"`
+		Shutdown      *shutdown.Plan    `json:"shutdown,omitempty"`
 		Domain        string            `json:"failure-domain,omitempty"`
 		Flag          bool              `json:"on,omitempty"`
 		RoundTrip     time.Duration     `json:"took,omitempty"`
--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -103,6 +103,9 @@
 		Measured bool
 		// CutOff is set if this proxy is cut off from all servers.
 		CutOff bool
+		// SinceShutdown is when the request began, relative to the shutdown of this proxy, or zero if none
+		// has begun. ConnectionUses is, for the end of a request, that of the caller's connection.
+		SinceShutdown time.Duration
 		// From is the proxy that handed the request over to this one.
 		From string
 		// Version is the version of the configuration.
--- a/internal/kernel/steering/handover.go
+++ b/internal/kernel/steering/handover.go
@@ -162,6 +162,9 @@
 }
 
 func (k *Kernel) endHandover(now time.Time, req *ActiveRequest, r HandoverResult) Decision {
+	if k.interrupts(now, req, r.Result) {
+		r.Result = ResultInterrupted
+	}
 	h := req.handover
 	req.handover = nil
 	req.recordProof(r.proof())
@@ -179,6 +182,8 @@
 		return k.continueAfterHandover(now, req, ReasonCutOff)
 	case ResultTimeout:
 		return k.fail(now, req, ReasonTimeout)
+	case ResultInterrupted:
+		return k.fail(now, req, ReasonShutdown)
 	}
 	k.unablePeers[h.peer] = now.Add(unablePeerBackoff)
 	req.reachedServers++
--- a/internal/kernel/steering/hedge.go
+++ b/internal/kernel/steering/hedge.go
@@ -35,7 +35,7 @@
 // once another configuration is active, which may forbid the account or the route, nor while the
 // process shuts down.
 func (k *Kernel) mayHedge(req *ActiveRequest) bool {
-	return k.isEnabled(MechanismHedging) && k.isEnabled(MechanismRetries) && !req.hedged && !k.shuttingDown && req.tableVersion == k.table.Version
+	return k.isEnabled(MechanismHedging) && k.isEnabled(MechanismRetries) && !req.hedged && k.shutdown == nil && req.tableVersion == k.table.Version
 }
 
 // BeginHedge begins a second attempt of a request whose attempt has been in flight for
@@ -139,7 +139,7 @@
 
 // endsRequest reports whether the request ends with the attempt even if another is in flight.
 func (a Attempt) endsRequest() bool {
-	return a.Result == ResultResponded || a.Result == ResultCallerGone || a.ResponseStarted
+	return a.Result == ResultResponded || a.Result == ResultCallerGone || a.Result == ResultInterrupted || a.ResponseStarted
 }
 
 // cancelAttempt records that an attempt is cancelled because the other one ended the request with a
--- a/internal/kernel/steering/hedge_test.go
+++ b/internal/kernel/steering/hedge_test.go
@@ -11,6 +11,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/serverload"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/shutdown"
 )
 
 const (
@@ -206,7 +207,7 @@
 		"slow": func(r *hedgeRun) {
 			r.kernel.servers[r.first.Server.ID].reported.Record(r.now, serverload.Report{WorkPercent: 250})
 		},
-		"shutdown":      func(r *hedgeRun) { r.kernel.BeginShutdown(r.now.Add(time.Second)) },
+		"shutdown":      func(r *hedgeRun) { r.kernel.BeginShutdown(shutdown.Plan{BegunAt: r.now, Grace: 2 * time.Second}) },
 		"configuration": func(r *hedgeRun) { r.kernel.SetTable(routing.NewTable(2, nil, nil, routing.Limits{})) },
 		"suspected":     func(r *hedgeRun) { r.suspect() },
 		"lost before":   func(r *hedgeRun) { r.req.connectionsLost++ },
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -21,6 +21,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/reachability"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/shutdown"
 )
 
 type (
@@ -120,10 +121,8 @@
 		regionStates map[string]*regionState
 		// ignoreMissingUntil is until when proxies missing from the list may still be alive.
 		ignoreMissingUntil time.Time
-		// shuttingDown is set once the process stops. All requests must have ended by
-		// shutdownDeadline then.
-		shuttingDown     bool
-		shutdownDeadline time.Time
+		// shutdown is the plan of the shutdown in progress, or nil.
+		shutdown *shutdown.Plan
 		// ranksByDomain caches this proxy's rank at the servers of each failure domain until the
 		// limit sharers change.
 		ranksByDomain map[string]backpressure.ProxyRank
@@ -260,17 +259,17 @@
 	return true
 }
 
-// BeginShutdown marks this proxy as leaving. Requests that begin from now on end by the given time
-// at the latest. Without that bound, a server that hangs would hold them until the process exits,
-// and their callers would see a closed connection instead of a result.
-func (k *Kernel) BeginShutdown(deadline time.Time) {
-	k.record(Call{Method: callLeave, Until: deadline})
+// BeginShutdown marks this proxy as leaving. Requests that begin from now on are interrupted when the plan
+// says so. Without that bound, a server that hangs would hold them until the process exits, and their
+// callers would see a closed connection instead of a result.
+func (k *Kernel) BeginShutdown(p shutdown.Plan) {
+	k.record(Call{Method: callLeave, Shutdown: &p})
 	for i := range k.proxies {
 		if k.proxies[i].Name == k.config.Name {
 			k.proxies[i].Leaving = true
 		}
 	}
-	k.shuttingDown, k.shutdownDeadline = true, deadline
+	k.shutdown = &p
 	k.resetDirectory()
 }
 
@@ -281,7 +280,7 @@
 }
 
 func (k *Kernel) setProxies(now time.Time, list []Proxy) {
-	self := Proxy{Name: k.config.Name, Domain: k.config.Domain, Region: k.config.Region, Address: k.config.Address, Leaving: k.shuttingDown, LinkMbps: k.config.LinkMbps}
+	self := Proxy{Name: k.config.Name, Domain: k.config.Domain, Region: k.config.Region, Address: k.config.Address, Leaving: k.shutdown != nil, LinkMbps: k.config.LinkMbps}
 	if i := slices.IndexFunc(list, func(p Proxy) bool { return p.Name == self.Name }); i >= 0 {
 		// The level takes effect once it is published, so that all lookups agree.
 		self.Overflow, self.CutOff = list[i].Overflow, list[i].CutOff
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -37,8 +37,9 @@
 	if !req.Deadline.IsZero() && req.Deadline.Before(req.ExpiresAt) {
 		req.ExpiresAt = req.Deadline
 	}
-	if k.shuttingDown && k.shutdownDeadline.Before(req.ExpiresAt) {
-		req.ExpiresAt = k.shutdownDeadline
+	req.timesOutAt = req.ExpiresAt
+	if k.shutdown != nil && k.shutdown.InterruptAt().Before(req.ExpiresAt) {
+		req.ExpiresAt = k.shutdown.InterruptAt()
 	}
 	if !req.Route.Sticky || !k.isEnabled(MechanismHomes) {
 		// Servers of this route gain nothing from having handled the object before. A single home
@@ -170,11 +171,15 @@
 // the decision contains its release. If two attempts were in flight and the decision does not say
 // that the other one continues, that one must be cancelled and its end not be reported.
 func (k *Kernel) EndAttempt(now time.Time, req *ActiveRequest, a Attempt) Decision {
+	recorded := a
+	if k.interrupts(now, req, a.Result) {
+		a.Result = ResultInterrupted
+	}
 	release := req.takeSlotRelease(req.latencyRatio(now, a))
 	d := k.endAttempt(now, req, a)
 	d.SlotRelease = release
 	if k.config.Record != nil {
-		recorded, decision := a, recordedDecisionOf(d)
+		decision := recordedDecisionOf(d)
 		k.config.Record(Call{Method: callEnded, At: now, RequestNumber: req.seq, Attempt: &recorded, Decision: &decision})
 	}
 	return d
@@ -224,6 +229,8 @@
 		return k.finish(now, req, Decision{Reason: ReasonCallerGone})
 	case ResultTimeout:
 		return k.fail(now, req, ReasonTimeout)
+	case ResultInterrupted:
+		return k.fail(now, req, ReasonShutdown)
 	case ResultUnreachable:
 		if req.unreachableElsewhere(s.Domain) {
 			if d, ok := k.handOver(now, req); ok {
@@ -333,6 +340,10 @@
 		Outcome: d.Outcome(), Reason: d.Reason, Duration: now.Sub(req.startedAt), Attempt: (len(req.steps) + 1) / 2,
 		RetryAfter: d.RetryAfter, Pressure: req.shedding.Pressure, Steps: req.steps, Hedge: req.hedgeOutcome(d),
 		RetryBudget: req.retries.budget, RetriesCharged: req.retries.count, RetryDenied: req.retries.denied,
+		ConnectionUses: req.Request.ConnectionUses,
+	}
+	if k.shutdown != nil {
+		e.SinceShutdown = req.startedAt.Sub(k.shutdown.BegunAt)
 	}
 	if req.shedding.Cause != admission.ShedNone {
 		e.ExpectedWait, e.WaitLimit = req.shedding.Wait, req.shedding.Limit
--- a/internal/kernel/steering/replay.go
+++ b/internal/kernel/steering/replay.go
@@ -19,6 +19,7 @@
 )
 
 var (
+	errNoShutdownPlan  = errors.New("shutdown: must be the plan of a shutdown, got nothing")
 	errNoStart         = errors.New("recording does not begin with the start of a proxy")
 	errUnknownRequest  = errors.New("recording continues a request that it does not begin")
 	errUnknownHandover = errors.New("recording ends a handover that the replay does not begin")
@@ -130,7 +131,10 @@
 	case callEvacuated:
 		k.SetDomainEvacuated(c.At, c.Domain, c.Flag)
 	case callLeave:
-		k.BeginShutdown(c.Until)
+		if c.Shutdown == nil {
+			return errNoShutdownPlan
+		}
+		k.BeginShutdown(*c.Shutdown)
 	case callProxies:
 		k.SetProxies(c.At, c.Proxies)
 	case callListing:
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -36,6 +36,9 @@
 	// ResultCancelled means that the attempt was cancelled because the other of two attempts ended
 	// the request. It says nothing about the server.
 	ResultCancelled
+	// ResultInterrupted means that the attempt was ended by the shutdown of this proxy. It says nothing
+	// about the server.
+	ResultInterrupted
 )
 
 const (
@@ -94,9 +97,12 @@
 	// ReasonCutOff means that this proxy is cut off from all servers and no other proxy could take
 	// the request.
 	ReasonCutOff Reason = "cut-off"
-	// ReasonTimeout means that the request reached its deadline: the route's timeout, the caller's
-	// deadline or the shutdown of this proxy.
+	// ReasonTimeout means that the request reached its deadline: the route's timeout or the caller's
+	// deadline.
 	ReasonTimeout Reason = "timeout"
+	// ReasonShutdown means that the request was interrupted by the shutdown of this proxy, or was not
+	// sent because it would have been.
+	ReasonShutdown Reason = "shutdown"
 )
 
 const (
@@ -133,6 +139,9 @@
 		Work quarantine.Fingerprint
 		// Deadline is when the caller stops waiting. It is zero if the caller did not set one.
 		Deadline time.Time
+		// ConnectionUses is how many requests the caller's connection has carried, including this one, or
+		// zero for a request that was started ahead of its turn.
+		ConnectionUses int `json:",omitempty"`
 		// IsHandover is set if another proxy, HandoverFrom, received the request from the caller and
 		// handed it over. AttemptsUsed is the number of its attempts there, ConnectionsLost how many of
 		// them lost their connection.
@@ -155,6 +164,8 @@
 		HasAccounts bool
 		// ExpiresAt is when the request ends at the latest, with or without a response.
 		ExpiresAt time.Time
+		// timesOutAt is ExpiresAt without the shutdown of this proxy.
+		timesOutAt time.Time
 
 		// seq is the sequence number of the request in this kernel.
 		seq uint64
@@ -317,7 +328,7 @@
 
 // String returns the result as it appears in logs.
 func (r Result) String() string {
-	names := [...]string{"none", "answered", "failed", "refused", "mistaken", "unreachable", "broken", "late", "left", "withheld", "cancelled"}
+	names := [...]string{"none", "answered", "failed", "refused", "mistaken", "unreachable", "broken", "late", "left", "withheld", "cancelled", "interrupted"}
 	return names[min(int(r), len(names)-1)]
 }
 
--- a/internal/proxy/forward/decisionlog.go
+++ b/internal/proxy/forward/decisionlog.go
@@ -118,7 +118,7 @@
 	}
 	j.record(e)
 	klog.InfoS(string(e.Kind), "request", e.Request, "route", e.Route, "account", e.Account, "work", e.Fingerprint.String(), "configuration", e.Version,
-		"from", e.From, "outcome", e.Outcome.String(), "proof", string(e.Proof), "reason", string(e.Reason), "took", e.Duration.String(), "attempts", e.Attempt, "tried", attemptedServers(e.Steps), "hedge", string(e.Hedge),
+		"from", e.From, "connection-uses", e.ConnectionUses, "since-shutdown", e.SinceShutdown.String(), "outcome", e.Outcome.String(), "proof", string(e.Proof), "reason", string(e.Reason), "took", e.Duration.String(), "attempts", e.Attempt, "tried", attemptedServers(e.Steps), "hedge", string(e.Hedge),
 		"come-back", e.RetryAfter.String(), "pressure", e.Pressure, "wait", e.ExpectedWait.String(), "wait-limit", e.WaitLimit.String(), "shed-ratio", e.ShedRatio, "account-shed-ratio", e.AccountShedRatio, "target", e.Target.String(), "cause", string(e.Cause), "server-state", string(e.State),
 		"retries-charged", e.RetriesCharged, "retry-denied", e.RetryDenied, "retries", e.RetryBudget.Retries, "retries-allowed", e.RetryBudget.Allowed, "slack-share", e.RetryBudget.SlackShare)
 }
--- a/internal/proxy/forward/fleet_test.go
+++ b/internal/proxy/forward/fleet_test.go
@@ -564,7 +564,7 @@
 func TestShutdownAnswersLateRequests(t *testing.T) {
 	f := newFleet(t, 1)
 	d := f.daemons[0]
-	start, acceptPeriod := time.Now(), time.Duration(acceptRatio*float64(d.bounds().GracePeriod))
+	start, acceptPeriod := time.Now(), d.bounds().GracePeriod/2
 	f.stops[0]()
 	go f.endConnections(0)
 	var interrupted, answered atomic.Int32
