Reject at once what a shutdown would have to interrupt

What callers saw: 504 from a proxy 5.5 s after its SIGTERM, 1.1 to 2.5 s after they had sent the request and with a server at work on it. A POST so answered can't be sent again.

Cause: requests were accepted for half of the grace period, whatever they may take, and connections that were open by then later still, while all of them end 500 ms before the exit. A request with a timeout of more than the 2.5 s that are left can't be promised an end; the proxy accepted it, sent it to a server and broke it off. The bound was a time for listeners; nothing decided about the request.

Lost were requests sent more than 3 s after the signal: on connections opened before that whose first byte came late, and requests that arrived slowly. All lines left of their log say connection-uses 1 and since-shutdown 3.8 s or more.

Now each send (first attempt, retry, after a wait for a slot, handover) asks the plan of the shutdown: a request is sent if it times out before the interruption, or if it was received in the first half of the grace period, less the delay that a signal may have, and its response is expected in time with a margin, a wider one for what must not run twice. So no request that is interrupted can have been sent later than half of the grace period, whatever its route, timeout or connection (TestLateRequestIsNeverInterrupted).

--- a/internal/kernel/shutdown/plan.go
+++ b/internal/kernel/shutdown/plan.go
@@ -11,6 +11,9 @@
 	// proxy accepts connections: callers use a cached lookup response until its TTL expires.
 	listenRatio     = 0.5
 	maxListenPeriod = 3 * time.Second
+	// signalDelay is how long before the end of the listen period the proxy begins to reject what it
+	// may have to interrupt. The process sees the signal later than its sender, on a busy VM much later.
+	signalDelay = 200 * time.Millisecond
 	// exitMargin is reserved at the end of the grace period, so that the process exits before it is
 	// killed.
 	exitMargin = 400 * time.Millisecond
@@ -19,6 +22,10 @@
 	responseMargin = 100 * time.Millisecond
 	// firstByteTimeout is how long a new connection may take to send its first byte.
 	firstByteTimeout = 500 * time.Millisecond
+	// repeatableMargin and onceMargin are how many times longer than expected a response may take to
+	// arrive before the interruption. Callers can't repeat an interrupted request that may run only once.
+	repeatableMargin = 1.25
+	onceMargin       = 1.5
 )
 
 const (
@@ -37,6 +44,16 @@
 		Grace   time.Duration `json:"grace"`
 	}
 
+	// Request is a request that is about to be sent to a server.
+	Request struct {
+		// ReceivedAt is when the proxy had read the request, and ExpiresAt when the request times out.
+		ReceivedAt, ExpiresAt time.Time
+		// Expected is how long the response is expected to take, or zero if that is not known.
+		Expected time.Duration
+		// Repeatable is set if the request may run more than once.
+		Repeatable bool
+	}
+
 	// Connection is what a connection of a caller is doing.
 	Connection int
 )
@@ -46,12 +63,28 @@
 	return p.BegunAt.Add(min(time.Duration(listenRatio*float64(p.Grace)), maxListenPeriod))
 }
 
+// AdmitUntil returns until when the proxy accepts requests that it may have to interrupt.
+func (p Plan) AdmitUntil() time.Time { return p.ListenUntil().Add(-signalDelay) }
+
 // InterruptAt returns when the requests in progress are interrupted.
 func (p Plan) InterruptAt() time.Time { return p.ExitAt().Add(-responseMargin) }
 
 // ExitAt returns when the process exits at the latest.
 func (p Plan) ExitAt() time.Time { return p.BegunAt.Add(p.Grace - exitMargin) }
 
+// Admits reports whether a request may be sent to a server: it times out before it would be
+// interrupted, or it was received early enough and its response is expected in time.
+func (p Plan) Admits(now time.Time, r Request) bool {
+	if !r.ExpiresAt.After(p.InterruptAt()) {
+		return true
+	}
+	margin := onceMargin
+	if r.Repeatable {
+		margin = repeatableMargin
+	}
+	return r.ReceivedAt.Before(p.AdmitUntil()) && !now.Add(time.Duration(margin*float64(r.Expected))).After(p.InterruptAt())
+}
+
 // MayClose reports whether a connection that has been in a state for the given time may be closed once
 // the proxy no longer listens.
 func MayClose(c Connection, since time.Duration) bool {
--- a/internal/kernel/steering/handover.go
+++ b/internal/kernel/steering/handover.go
@@ -105,7 +105,7 @@
 		return false
 	case req.mayHaveRun() && !req.Route.Idempotent, req.ExpiresAt.Sub(now) < minAttemptTime:
 		return false
-	case now.Before(k.unableRoutes[req.Route.Name]):
+	case now.Before(k.unableRoutes[req.Route.Name]), !k.shutdownAdmits(now, req, 0):
 		return false
 	}
 	return k.checkQuarantine(now, req) == ReasonNone
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -259,9 +259,8 @@
 	return true
 }
 
-// BeginShutdown marks this proxy as leaving. Requests that begin from now on are interrupted when the plan
-// says so. Without that bound, a server that hangs would hold them until the process exits, and their
-// callers would see a closed connection instead of a result.
+// BeginShutdown marks this proxy as leaving. From now on, requests are sent only if the plan admits
+// them.
 func (k *Kernel) BeginShutdown(p shutdown.Plan) {
 	k.record(Call{Method: callLeave, Shutdown: &p})
 	for i := range k.proxies {
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -116,10 +116,16 @@
 	if reason := k.checkQuarantine(now, req); reason != ReasonNone {
 		return nil, reason
 	}
+	if !k.shutdownAdmits(now, req, 0) {
+		return nil, ReasonShutdown
+	}
 	s, chosen := k.chooseServer(now, req, svc)
 	if s == nil {
 		return nil, k.noServerReason(now, req, svc, chosen.reason)
 	}
+	if !k.shutdownAdmits(now, req, chosen.expected) {
+		return nil, ReasonShutdown
+	}
 	req.yieldsToUrgent = k.yieldsSlots(now, svc, req.priority())
 	if len(req.steps) == 0 {
 		if reason := k.shed(now, req, svc, s, chosen); reason != ReasonNone {
@@ -321,6 +327,10 @@
 		// The fingerprint does not run before its next trial, however early the caller retries.
 		d.RetryAfter = req.quarantinedFor
 	}
+	if d.NotRun && reason == ReasonShutdown {
+		// Other proxies accept the request now.
+		d.RetryAfter = minRetryAfter
+	}
 	if d.NotRun {
 		req.offer.recordRejection(now, d.RetryAfter)
 	}
--- a/internal/kernel/steering/slotrequest.go
+++ b/internal/kernel/steering/slotrequest.go
@@ -152,6 +152,12 @@
 		d.SlotRelease = release
 		return d
 	}
+	if !k.shutdownAdmits(now, req, max(0, req.expected-req.expectedWait)) {
+		release := k.abandonSlot(req)
+		d := k.failUnsent(now, req, ReasonShutdown)
+		d.SlotRelease = release
+		return d
+	}
 	if !k.rechargeLateRetry(now, req) {
 		release := k.abandonSlot(req)
 		d := k.fail(now, req, ReasonRejected)
