Answer requests that began before a shutdown when it interrupts them

What callers saw: EOF as the process exits, on requests that the proxy had read before its SIGTERM and that took longer than the grace period, also those that still waited for a slot and that no server had.

Cause: the end of the shutdown was set as the deadline of requests when they begin, so it did not reach those that had begun before. Evidence: TestShutdownAnswersEarlierRequests fails without the change with EOF.

An attempt that was given up before a byte was sent says so, and its request is reported as not run.

--- a/internal/adapter/forwardhttp/pipeline.go
+++ b/internal/adapter/forwardhttp/pipeline.go
@@ -119,7 +119,7 @@
 // must be called before the first Accept.
 func (s *Server) EnablePipelining(l *Listener) {
 	l.newPipeline = func(c net.Conn) *pipeline {
-		ctx, cancel := context.WithCancel(context.Background())
+		ctx, cancel := context.WithCancel(s.Requests)
 		return &pipeline{conn: c, startEarly: s.startEarly, mayRunAhead: s.isRepeatable, ctx: ctx, cancel: cancel}
 	}
 }
--- a/internal/adapter/forwardhttp/pipeline_test.go
+++ b/internal/adapter/forwardhttp/pipeline_test.go
@@ -53,7 +53,8 @@
 	p.kernel.SetTable(routing.NewTable(1, routes, nil, routing.Limits{}))
 	p.kernel.RegisterServer(time.Now(), routing.Server{ID: "s1", Service: "s", Domain: "a", Slots: 100})
 	p.server = &Server{
-		Headers: Headers{AttemptID: "Attempt", Deadline: "Wait", ObjectCookie: "Object"}, BodyMemory: bodies.NewMemoryBudget(1 << 20), Now: time.Now,
+		Requests: context.Background(),
+		Headers:  Headers{AttemptID: "Attempt", Deadline: "Wait", ObjectCookie: "Object"}, BodyMemory: bodies.NewMemoryBudget(1 << 20), Now: time.Now,
 		WithKernel: func(do func(*steering.Kernel, time.Time)) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -119,6 +119,8 @@
 		Configured <-chan struct{}
 		// StartedAt is when the process started to listen.
 		StartedAt time.Time
+		// Requests is the parent of the contexts of all requests. To cancel it interrupts them.
+		Requests context.Context
 	}
 )
 
@@ -130,6 +132,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnContext:       withConnection,
+		BaseContext:       func(net.Listener) context.Context { return s.Requests },
 	}
 }
 
@@ -231,7 +234,7 @@
 func (s *Server) acquireSlot(ctx context.Context, active *steering.ActiveRequest, request steering.SlotRequest) (d steering.Decision) {
 	reply, responded := s.RequestSlot(ctx, request)
 	if ctx.Err() != nil {
-		return s.endAttempt(active, steering.Attempt{Result: steering.ResultCallerGone, Err: ctx.Err()})
+		return s.endAttempt(active, steering.Attempt{Result: steering.ResultCallerGone, Unsent: true, Err: ctx.Err()})
 	}
 	s.WithKernel(func(k *steering.Kernel, now time.Time) { d = k.HandleSlotReply(now, active, reply, responded) })
 	s.releaseSlot(d)
--- a/internal/adapter/forwardhttp/server_test.go
+++ b/internal/adapter/forwardhttp/server_test.go
@@ -49,7 +49,8 @@
 	t.Helper()
 	p := &testProxy{kernel: steering.New(steering.Config{Name: "p", Domain: "a", Region: "r", RegionOf: map[string]string{"a": "r"}})}
 	s := &Server{
-		Name: "p", Headers: Headers{AttemptID: "Attempt", Deadline: "Wait", ObjectCookie: "Object"},
+		Requests: context.Background(),
+		Name:     "p", Headers: Headers{AttemptID: "Attempt", Deadline: "Wait", ObjectCookie: "Object"},
 		WithKernel: func(do func(*steering.Kernel, time.Time)) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -189,7 +189,7 @@
 	connection, roundTrip, err := c.pool.get(ctx, r.Address, r.AttemptID, r.MaxConnections, r.DialTimeout)
 	if err != nil {
 		if ctx.Err() != nil {
-			return steering.Attempt{Result: steering.ResultCallerGone, Err: ctx.Err()}, nil
+			return steering.Attempt{Result: steering.ResultCallerGone, Unsent: true, Err: ctx.Err()}, nil
 		}
 		return steering.Attempt{Result: steering.ResultUnreachable, Refusing: IsConnectionRefused(err), Err: err}, nil
 	}
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -217,7 +217,7 @@
 	k.recordCrashEvidence(now, req, s, a)
 	k.learnFromAttempt(now, req, s, a, elapsed)
 	req.addStep(Event{
-		At: now, Kind: EventAttemptEnded, Server: s.id, Attempt: req.number, IsHedge: req.isHedge, Result: a.Result, Proof: a.Result.proof(),
+		At: now, Kind: EventAttemptEnded, Server: s.id, Attempt: req.number, IsHedge: req.isHedge, Result: a.Result, Proof: a.proof(),
 		Expected: req.expected, Duration: elapsed, Load: float64(a.Running + a.Waiting), WorkFactor: a.loadReport().Factor(), Connection: a.Connection, ConnectionUses: a.ConnectionUses, Err: a.Err,
 	})
 	req.countAttempt(a)
@@ -286,7 +286,7 @@
 
 // countAttempt counts an attempt that ended.
 func (req *ActiveRequest) countAttempt(a Attempt) {
-	req.recordProof(a.Result.proof())
+	req.recordProof(a.proof())
 	req.sendAttempts++
 	switch a.Result {
 	case ResultUnreachable, ResultNotSent, ResultWrongServer:
--- a/internal/kernel/steering/proof.go
+++ b/internal/kernel/steering/proof.go
@@ -43,6 +43,14 @@
 	return ProofNone
 }
 
+// proof returns what the end of an attempt proves.
+func (a Attempt) proof() Proof {
+	if a.Result == ResultInterrupted && a.Unsent {
+		return ProofUnsent
+	}
+	return a.Result.proof()
+}
+
 // proof returns what the end of a handover proves.
 func (r HandoverResult) proof() Proof {
 	switch {
--- a/internal/kernel/steering/request.go
+++ b/internal/kernel/steering/request.go
@@ -320,6 +320,8 @@
 		Refusing bool
 		// ResponseStarted is set if the caller has already received a part of the response.
 		ResponseStarted bool
+		// Unsent is set if the attempt was given up before a byte of the request was sent.
+		Unsent bool `json:",omitempty"`
 		// Signal is the backpressure signal that the server sent.
 		Signal backpressure.Signal
 		Err    error `json:"-"`
--- a/internal/kernel/steering/shutdown.go
+++ b/internal/kernel/steering/shutdown.go
@@ -15,7 +15,7 @@
 }
 
 // interrupts reports whether it is the shutdown that has ended an attempt or handover with the given
-// result. To the adapter that looks like a timeout.
+// result. To the adapter that looks like a timeout or like a caller who has disconnected.
 func (k *Kernel) interrupts(now time.Time, req *ActiveRequest, r Result) bool {
-	return k.shutdown != nil && r == ResultTimeout && !now.Before(k.shutdown.InterruptAt()) && now.Before(req.timesOutAt)
+	return k.shutdown != nil && (r == ResultTimeout || r == ResultCallerGone) && !now.Before(k.shutdown.InterruptAt()) && now.Before(req.timesOutAt)
 }
--- a/internal/kernel/steering/shutdown_test.go
+++ b/internal/kernel/steering/shutdown_test.go
@@ -56,3 +56,14 @@
 		t.Errorf("the server counts as silent since %s, failure share %g, want neither", s.silentAt, s.failureShare)
 	}
 }
+
+// Guards against an interrupted request that waited for a slot and is reported as one that may have run.
+func TestInterruptedRequestWithoutSlotIsNotRun(t *testing.T) {
+	begun := time.Now()
+	k := newStoppingKernel(begun)
+	req, _ := k.BeginRequest(begun.Add(2*time.Second), Request{Host: "h", Path: "/"})
+	d := k.EndAttempt(begun.Add(shutdownGrace-500*time.Millisecond), req, Attempt{Result: ResultCallerGone, Unsent: true})
+	if d.Reason != ReasonShutdown || !d.NotRun {
+		t.Errorf("got %+v, want a request that has not run, ended by the shutdown", d)
+	}
+}
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -76,6 +76,8 @@
 		overflow        *overflowMonitor
 
 		stopping chan struct{}
+		// cancelRequests interrupts the requests in progress.
+		cancelRequests context.CancelFunc
 		// suspicionsChanged wakes runCrashAlerts.
 		suspicionsChanged chan struct{}
 	}
@@ -128,8 +130,11 @@
 	d.handoverClient = serverhttp.NewClient(handoverHeaders(deps.Names.ServerHeaders), memory, d.now, func() {})
 	d.handoverClient.CountSentBytes(d.overflow.countSent)
 	d.reachability = newReachabilityProber(d)
+	requests, cancelRequests := context.WithCancel(context.Background())
+	d.cancelRequests = cancelRequests
 	d.forwarder = &forwardhttp.Server{
-		Name: s.Name, SendToPeer: d.handoverClient.Send,
+		Requests: requests,
+		Name:     s.Name, SendToPeer: d.handoverClient.Send,
 		Headers: deps.Names.CallerHeaders, WithKernel: d.withKernel, BodyMemory: memory, Send: d.serverClient.Send, Now: d.now,
 		RequestSlot: d.slots.acquire, ReleaseSlot: d.slots.release, RequestPoolToken: d.quotas.takeToken,
 		IsStopping: d.isStopping, Configured: d.replica.loaded, StartedAt: d.start, OnUnprovenStatus: d.metrics.unprovenStatuses.Inc,
--- a/internal/proxy/forward/fleet_test.go
+++ b/internal/proxy/forward/fleet_test.go
@@ -588,6 +588,28 @@
 	}
 }
 
+// Guards against a shutdown that closes the connection of a request which began before it, without a response.
+func TestShutdownAnswersEarlierRequests(t *testing.T) {
+	f := newFleet(t, 1)
+	address, bounds := f.daemons[0].settings.Listen.Callers, f.daemons[0].bounds()
+	bounds.GracePeriod = time.Second // as long as the timeout of the route
+	f.daemons[0].setBounds(bounds)
+	ended := make(chan error, 1)
+	go func() {
+		response, err := http.Get("http://" + address.String() + "/a/hangs")
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		ended <- err
+	}()
+	f.eventually("the request is in progress", func() bool { return f.daemons[0].requestsInFlight() > 0 })
+	f.stops[0]()
+	go f.endConnections(0)
+	if err := <-ended; err != nil {
+		t.Errorf("the request got no response: %v", err)
+	}
+}
+
 // A proxy shuts down while callers use it. It must become unready and leave the lookup responses at
 // once, but serve the requests that still arrive and finish those in flight.
 func TestShutdownCompletesRequestsInFlight(t *testing.T) {
--- a/internal/proxy/forward/shutdown.go
+++ b/internal/proxy/forward/shutdown.go
@@ -24,6 +24,10 @@
 	klog.InfoS("stopping", "grace", plan.Grace.String())
 	close(d.stopping)
 	d.withKernel(func(k *steering.Kernel, _ time.Time) { k.BeginShutdown(plan) })
+	// Without this, requests that began before the shutdown would be in progress until the process exits, and
+	// their callers would see a closed connection instead of a response.
+	interrupt := time.AfterFunc(plan.InterruptAt().Sub(d.now()), d.interruptRequests)
+	defer interrupt.Stop()
 	d.gossip.spread(ctx, d.replica.revision())
 	// If the store is unreachable, this call hangs for over a second, which the requests in
 	// progress would lack at the end.
@@ -37,6 +41,12 @@
 	klog.InfoS("stopped", "took", d.now().Sub(plan.BegunAt).String())
 }
 
+// interruptRequests ends the requests that are still in progress with a response.
+func (d *Daemon) interruptRequests() {
+	klog.InfoS("interrupting requests", "requests", d.requestsInFlight())
+	d.cancelRequests()
+}
+
 func (d *Daemon) requestsInFlight() (n int) {
 	d.withKernel(func(k *steering.Kernel, now time.Time) { n = k.Status(now).InFlight })
 	return n
