A peer that shuts down is skipped like one that is cut off

A proxy without servers hands requests over. A peer that shuts down now rejects what it may have to interrupt, as not run, and that rejection would go to the caller although other peers accept the request. It counts as one by a peer that can't help: the request goes on to the next.

--- a/internal/kernel/steering/handover.go
+++ b/internal/kernel/steering/handover.go
@@ -210,7 +210,7 @@
 	}
 	switch {
 	case !r.NotRun:
-	case r.Reason == ReasonCutOff || r.Reason == ReasonNoConfiguration:
+	case r.Reason == ReasonCutOff || r.Reason == ReasonNoConfiguration || r.Reason == ReasonShutdown:
 		k.unablePeers[h.peer] = now.Add(unablePeerBackoff)
 		return k.continueAfterPeer(now, req, r)
 	case r.Reason == ReasonNoServer:
--- a/internal/kernel/steering/handover_test.go
+++ b/internal/kernel/steering/handover_test.go
@@ -126,6 +126,16 @@
 	}
 }
 
+// Guards against a rejection by a peer that shuts down which is passed on although other peers accept the request.
+func TestPeerThatShutsDownIsSkipped(t *testing.T) {
+	r := newHandoverRun(handoverPeers()...)
+	r.cutOff(t)
+	req, d := r.begin(writePath)
+	expectHandover(t, d, "near")
+	d = r.EndHandover(r.now, req, HandoverResult{Result: ResultResponded, Reason: ReasonShutdown, NotRun: true, ClaimsNotRun: true})
+	expectHandover(t, d, "far")
+}
+
 // A peer that takes itself for cut off may still reach some servers, and is better than none.
 func TestPeerThatIsCutOffIsTheLastChoice(t *testing.T) {
 	peers := handoverPeers()
