Interrupt requests no earlier than in the last sixth of a short grace period

What callers saw, in the soak: 504 from a proxy with a grace period of 2.8 s, 0.5 s before its end, while a server hung with their request. Of a grace period of less than 3 s that is more than a sixth: time in which the response might still have come.

Cause: the margins at the end were constants, 400 and 100 ms, whatever the grace period. They are a sixth of it now, 500 ms at most. Nothing changes from 3 s on.

TestInterruptionIsInLastSixth fails without the change for each grace period below 3 s.

--- a/internal/kernel/shutdown/plan.go
+++ b/internal/kernel/shutdown/plan.go
@@ -14,12 +14,13 @@
 	// signalDelay is how long before the end of the listen period the proxy begins to reject what it
 	// may have to interrupt. The process sees the signal later than its sender, on a busy VM much later.
 	signalDelay = 200 * time.Millisecond
-	// exitMargin is reserved at the end of the grace period, so that the process exits before it is
-	// killed.
-	exitMargin = 400 * time.Millisecond
-	// responseMargin is how long before the exit the last requests are interrupted, so that their
-	// responses can still be written and logged.
-	responseMargin = 100 * time.Millisecond
+	// interruptMargin, and at most interruptRatio of the grace period, is how long before its end the last
+	// requests are interrupted.
+	interruptMargin = 500 * time.Millisecond
+	interruptRatio  = 1.0 / 6
+	// responseRatio is the part of that time in which their responses are written and logged. The rest is
+	// reserved, so that the process exits before it is killed.
+	responseRatio = 0.2
 	// firstByteTimeout is how long a new connection may take to send its first byte.
 	firstByteTimeout = 500 * time.Millisecond
 	// repeatableMargin and onceMargin are how many times longer than expected a response may take to
@@ -67,10 +68,16 @@
 func (p Plan) AdmitUntil() time.Time { return p.ListenUntil().Add(-signalDelay) }
 
 // InterruptAt returns when the requests in progress are interrupted.
-func (p Plan) InterruptAt() time.Time { return p.ExitAt().Add(-responseMargin) }
+func (p Plan) InterruptAt() time.Time { return p.BegunAt.Add(p.Grace - p.interruptMargin()) }
 
 // ExitAt returns when the process exits at the latest.
-func (p Plan) ExitAt() time.Time { return p.BegunAt.Add(p.Grace - exitMargin) }
+func (p Plan) ExitAt() time.Time {
+	return p.InterruptAt().Add(time.Duration(responseRatio * float64(p.interruptMargin())))
+}
+
+func (p Plan) interruptMargin() time.Duration {
+	return min(interruptMargin, time.Duration(interruptRatio*float64(p.Grace)))
+}
 
 // Admits reports whether a request may be sent to a server: it times out before it would be
 // interrupted, or it was received early enough and its response is expected in time.
--- a/internal/kernel/shutdown/plan_test.go
+++ b/internal/kernel/shutdown/plan_test.go
@@ -67,6 +67,16 @@
 	}
 }
 
+// Guards against a request that is interrupted while a good part of a short grace period is left.
+func TestInterruptionIsInLastSixth(t *testing.T) {
+	for grace := 100 * time.Millisecond; grace <= 20*time.Second; grace += 50 * time.Millisecond {
+		p := Plan{BegunAt: time.Now(), Grace: grace}
+		if got := p.InterruptAt().Sub(p.BegunAt); got < grace*5/6 {
+			t.Errorf("grace %s: requests are interrupted after %s, want %s or more", grace, got, grace*5/6)
+		}
+	}
+}
+
 func TestMayClose(t *testing.T) {
 	for _, c := range []struct {
 		name       string
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -350,7 +350,7 @@
 		Outcome: d.Outcome(), Reason: d.Reason, Duration: now.Sub(req.startedAt), Attempt: (len(req.steps) + 1) / 2,
 		RetryAfter: d.RetryAfter, Pressure: req.shedding.Pressure, Steps: req.steps, Hedge: req.hedgeOutcome(d),
 		RetryBudget: req.retries.budget, RetriesCharged: req.retries.count, RetryDenied: req.retries.denied,
-		ConnectionUses: req.Request.ConnectionUses,
+		ConnectionUses: req.ConnectionUses,
 	}
 	if k.shutdown != nil {
 		e.SinceShutdown = req.startedAt.Sub(k.shutdown.BegunAt)
