Slot replies of a tick in an order of their own

Cause: the replies to waiting slot requests that a proxy makes in its tick were collected in the order of a map. The order in which they are sent decides which request reaches a server first, and with it every later draw.

--- a/internal/fake/warmnet/replay_test.go
+++ b/internal/fake/warmnet/replay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"reflect"
 	"testing"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
@@ -119,3 +120,18 @@
 		}
 	}
 }
+
+// Guards against decisions that depend on the iteration order of a map: simulations of the same seed
+// differ then, and comparisons with a mechanism switched off are left to luck.
+func TestEqualArgumentsGiveEqualResults(t *testing.T) {
+	scenario := readScenario(t, "slow-runs-and-servers")
+	for i := range scenario.Regions {
+		scenario.Regions[i].PerSecond *= 1.7
+	}
+	want := Simulate(scenario, steering.DefaultPlacer, 1)
+	for range 5 {
+		if got := Simulate(scenario, steering.DefaultPlacer, 1); !reflect.DeepEqual(got, want) {
+			t.Errorf("got %d late and %d within the target, want %d and %d as in the first simulation", got.Late, got.WithinTarget, want.Late, want.WithinTarget)
+		}
+	}
+}
--- a/internal/kernel/steering/serverlimiter.go
+++ b/internal/kernel/steering/serverlimiter.go
@@ -1,6 +1,8 @@
 package steering
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/gypsumquay/gypsumquay/internal/kernel/admission"
@@ -89,9 +91,11 @@
 }
 
 // expireLimiters ends waits that have become useless, reclaims slots that were not released, and
-// removes unused limiters. The resulting replies are returned by TakeSlotReplies.
+// removes unused limiters. The resulting replies are returned by TakeSlotReplies. They are ordered, so
+// that equal inputs give equal outputs.
 func (k *Kernel) expireLimiters(now time.Time) {
-	for id, limiter := range k.limiters {
+	for _, id := range slices.Sorted(maps.Keys(k.limiters)) {
+		limiter := k.limiters[id]
 		k.pendingSlotReplies = append(k.pendingSlotReplies, limiter.grantNext(now)...)
 		if now.Sub(limiter.lastUsedAt) > limiterIdleTTL {
 			delete(k.limiters, id)
