Send a request again that the shutdown of a peer has interrupted

What callers would see: a proxy without connections to servers hands an idempotent request over; the peer shuts down, interrupts the request and answers 504, and the caller gets that, although another peer could serve it.

Cause: only a peer's "not run" made the proxy ask the next peer. A shutdown that has begun the request is the same for requests that may be sent again: the peer says by its reason that neither the server nor the route failed.

The next peer gets it as a retry, so the number of attempts and the retry budget hold; what must not be repeated ends as before, without a promise. The test fails before: no handover to the second peer.

--- a/internal/kernel/steering/handover.go
+++ b/internal/kernel/steering/handover.go
@@ -209,6 +209,10 @@
 		return k.finish(now, req, d)
 	}
 	switch {
+	case !r.NotRun && r.Reason == ReasonShutdown:
+		// The peer has interrupted its attempt.
+		k.unablePeers[h.peer] = now.Add(unablePeerBackoff)
+		return k.continueAfterPeer(now, req, r)
 	case !r.NotRun:
 	case r.Reason == ReasonCutOff || r.Reason == ReasonNoConfiguration || r.Reason == ReasonShutdown:
 		k.unablePeers[h.peer] = now.Add(unablePeerBackoff)
--- a/internal/kernel/steering/handover_test.go
+++ b/internal/kernel/steering/handover_test.go
@@ -136,6 +136,32 @@
 	expectHandover(t, d, "far")
 }
 
+// Guards against a request that the shutdown of a peer has interrupted and that fails although it may be sent again,
+// and against one that is sent again although it must not be.
+func TestRequestInterruptedByPeerIsSentAgain(t *testing.T) {
+	interrupted := HandoverResult{Result: ResultResponded, Reason: ReasonShutdown, ServersReached: 1}
+	for path, mayRepeat := range map[string]bool{readPath: true, writePath: false} {
+		r := newHandoverRun(handoverPeers()...)
+		r.cutOff(t)
+		req, d := r.begin(path)
+		expectHandover(t, d, "near")
+		d = r.EndHandover(r.now, req, interrupted)
+		if !mayRepeat {
+			if d.Handover != nil || d.NotRun || d.Reason != ReasonShutdown {
+				t.Errorf("%s: got %+v, want it ended by the shutdown, without a promise", path, recordedDecisionOf(d))
+			}
+			continue
+		}
+		expectHandover(t, d, "far")
+		if d.Handover.AttemptsUsed != 1 {
+			t.Errorf("%s: %d attempts used, want that of the peer counted", path, d.Handover.AttemptsUsed)
+		}
+		if d = r.EndHandover(r.now, req, interrupted); d.Handover != nil {
+			t.Errorf("%s: got %+v, want no more than two attempts", path, recordedDecisionOf(d))
+		}
+	}
+}
+
 // A peer that takes itself for cut off may still reach some servers, and is better than none.
 func TestPeerThatIsCutOffIsTheLastChoice(t *testing.T) {
 	peers := handoverPeers()
