A split whose weights change begins anew

Cause: the credit of each part, by which requests are dealt out, was kept by route and position in units of the old weights. Class: state that is kept over a change of what it is measured in.

The credit now belongs to the services and weights that it came from; with others it begins anew. It begins at a random position of the cycle, since proxies of a large fleet that all begin at the same one would send their first requests after each change to the same service.

--- a/internal/kernel/routing/routing_test.go
+++ b/internal/kernel/routing/routing_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 )
@@ -25,10 +26,58 @@
 	}
 }
 
+func newTestSplitter() *Splitter { return NewSplitter(rand.New(rand.NewPCG(1, 1))) }
+
+// Guards against a new version of a split that goes on with the credit of the earlier weights: a withdrawn service
+// gets all requests, or a service that gets half of them gets none.
+func TestSplitAfterWeightsChange(t *testing.T) {
+	for _, requests := range []int{1, 60, 85, 100, 130, 215, 400} {
+		for _, c := range []struct {
+			name           string
+			stable, trial  int
+			want, maxError int
+		}{
+			{"withdrawn", 1, 0, 0, 0}, {"halved", 1, 1, 50, 0}, {"a tenth", 900, 100, 10, 0}, {"nine in ten", 1, 9, 90, 0}, {"odd weights", 7, 3, 30, 1},
+		} {
+			s := newTestSplitter()
+			before := &Route{Name: "r", Parts: []WeightedService{{"stable", 995}, {"trial", 5}}}
+			for range requests {
+				s.Next(before)
+			}
+			after := &Route{Name: "r", Parts: []WeightedService{{"stable", c.stable}, {"trial", c.trial}}}
+			got := 0
+			for range 100 {
+				if s.Next(after) == "trial" {
+					got++
+				}
+			}
+			if got < c.want-c.maxError || got > c.want+c.maxError {
+				t.Errorf("%s after %d requests: the trial gets %d of 100 requests, want %d", c.name, requests, got, c.want)
+			}
+		}
+	}
+}
+
+// Guards against proxies of a large fleet that all send their first request after a change to the same service.
+func TestFirstRequestsFollowWeights(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	r := &Route{Name: "r", Parts: []WeightedService{{"a", 3}, {"b", 1}}}
+	const proxies = 1000
+	got := 0
+	for range proxies {
+		if NewSplitter(random).Next(r) == "b" {
+			got++
+		}
+	}
+	if got < proxies/5 || got > proxies*3/10 {
+		t.Errorf("%d of %d first requests go to a service with a quarter of the weight", got, proxies)
+	}
+}
+
 // An operator sends a tenth of a route's requests to a new service. With a random choice, none of
 // thirty requests might reach it.
 func TestSplitFollowsWeightsExactly(t *testing.T) {
-	s := NewSplitter()
+	s := newTestSplitter()
 	r := &Route{Name: "r", Parts: []WeightedService{{"old", 90}, {"new", 10}}}
 	for round := range 5 {
 		count := make(map[string]int)
@@ -44,7 +93,7 @@
 // A new configuration version changes the services of a route. The credit of the old services must
 // not be applied to the new ones.
 func TestSplitAfterServicesChange(t *testing.T) {
-	s := NewSplitter()
+	s := newTestSplitter()
 	s.Next(&Route{Name: "r", Parts: []WeightedService{{"a", 1}, {"b", 1}}})
 	r := &Route{Name: "r", Parts: []WeightedService{{"a", 1}, {"b", 1}, {"c", 2}}}
 	count := make(map[string]int)
@@ -55,8 +104,8 @@
 		t.Errorf("got requests %v, want 2, 2 and 4", count)
 	}
 	s.Prune(NewTable(2, nil, nil, Limits{}))
-	if len(s.credit) != 0 {
-		t.Errorf("state of %d removed routes is kept, want none", len(s.credit))
+	if len(s.splits) != 0 {
+		t.Errorf("state of %d removed routes is kept, want none", len(s.splits))
 	}
 	if got := s.Next(&Route{Name: "none"}); got != "" {
 		t.Errorf("route without services: got service %q, want none", got)
--- a/internal/kernel/steering/kernel.go
+++ b/internal/kernel/steering/kernel.go
@@ -161,6 +161,12 @@
 	Proxy = directory.Proxy
 )
 
+// newSplitterRandom returns the source of the splitter, which is independent of the kernel's.
+func newSplitterRandom(seed [32]byte) *rand.Rand {
+	seed[len(seed)-1] ^= 1
+	return rand.New(rand.NewChaCha8(seed))
+}
+
 // New returns a kernel without a configuration.
 func New(c Config) *Kernel {
 	if c.Placer == "" {
@@ -173,7 +179,7 @@
 		config:           c,
 		placer:           placers[c.Placer],
 		random:           rand.New(rand.NewChaCha8(c.Seed)),
-		splitter:         routing.NewSplitter(),
+		splitter:         routing.NewSplitter(newSplitterRandom(c.Seed)),
 		servers:          make(map[string]*server),
 		absentServers:    make(map[string]*server),
 		services:         make(map[string]*service),
