No share of account limits until the other proxies count this one

Cause: a proxy took its share as soon as it knew the number of proxies, which it gets from its seeds. Nothing asked whether the others know of it, as the shares of cold servers and of the retry budget do. Class: a share computed from one's own view.

A proxy now has no share of its own before the list of proxies has contained it once; it gets tokens from the pool of its region meanwhile. After that an entry that expires changes nothing: the others count the proxy for 30 s more. The daemon tells its kernel at the start that it is not listed, so that a share isn't taken between the first copy of the list and the next tick.

--- a/internal/kernel/steering/authorization_test.go
+++ b/internal/kernel/steering/authorization_test.go
@@ -41,6 +41,29 @@
 	return k.BeginRequest(now, Request{ID: "r", Host: "host", Path: "/x", Credential: account.Credential{State: account.CredentialPresent, Key: accountKey(t, testAccountKey)}})
 }
 
+// Guards against a proxy that the store turns away from its start on, and that uses a share of a limit which the
+// other proxies divide among themselves without it.
+func TestProxyThatWasNeverListedHasNoShareOfLimit(t *testing.T) {
+	k, now := kernelWithAccount(t, account.Account{Limit: ratelimit.Limit{PerSecond: 100, Burst: 100}}, Config{})
+	k.ConfirmListing(now, now, false)
+	k.SetFleetSize(1)
+	if _, d := beginWithKey(t, k, now); d.Server != nil {
+		t.Errorf("got a request at a server from a proxy that no other counts, want no share of the limit")
+	}
+	k.ConfirmListing(now, now, true)
+	beginWithKey(t, k, now)
+	now = now.Add(time.Second)
+	req, d := beginWithKey(t, k, now)
+	if d.Server == nil {
+		t.Fatalf("got %+v from a listed proxy, want the request at a server", d)
+	}
+	k.EndAttempt(now, req, Attempt{Result: ResultResponded})
+	k.ConfirmListing(now, now, false)
+	if _, d := beginWithKey(t, k, now); d.Server == nil {
+		t.Errorf("got %+v right after the entry has expired, want the share that the others still count", d)
+	}
+}
+
 // Guards against a client account that exceeds its rate limit and against one that is rejected
 // below it.
 func TestAccountRateLimitIsEnforced(t *testing.T) {
--- a/internal/kernel/steering/limitsharers.go
+++ b/internal/kernel/steering/limitsharers.go
@@ -35,6 +35,8 @@
 	// count it when limits are divided. The zero value is that of a proxy whose kernel is not told.
 	listing struct {
 		tracked, listed bool
+		// listedBefore is set once the list has contained this proxy.
+		listedBefore bool
 		// registeredAt is when this proxy was first registered after its start, since when it was
 		// last added to the list.
 		registeredAt, since time.Time
@@ -91,8 +93,15 @@
 		l.since = now
 	}
 	l.tracked, l.listed, l.confirmedAt = true, listed, confirmedAt
+	if listed && !l.listedBefore {
+		l.listedBefore = true
+		k.quotas.updateBaseShare()
+	}
 }
 
+// wasListed reports whether the list has contained this proxy since its start, so that the others count it.
+func (l *listing) wasListed() bool { return !l.tracked || l.listedBefore }
+
 // countedByAll reports whether all proxies that use shares of a limit now count this one, if they use
 // them only while their lists are no older than maxAge: this one has been listed for longer than
 // that, and its own list is current.
--- a/internal/kernel/steering/quotas.go
+++ b/internal/kernel/steering/quotas.go
@@ -73,9 +73,12 @@
 }
 
 // updateBaseShare updates the share of this proxy. Until the fleet size has been announced, a proxy
-// that has just started knows too few others and takes no share.
+// that has just started knows too few others and takes no share, and until it has been listed the others
+// use its share.
 func (l *quotas) updateBaseShare() {
 	switch {
+	case !l.kernel.listing.wasListed():
+		l.limiter.SetBaseShare(0)
 	case l.fleetSize > 0:
 		l.limiter.SetBaseShare(ratelimit.EqualShare(max(l.fleetSize, l.knownProxies)))
 	case l.waitOver:
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -108,6 +108,7 @@
 	d.decisionLog = newDecisionLog(s.Name, d.now, d.metrics)
 	config.Observe, config.Record = d.handleEvent, deps.Record
 	d.kernel = steering.New(config)
+	d.kernel.ConfirmListing(d.now(), time.Time{}, false)
 	d.operatorServer = (&steeringhttp.Server{Status: d.status, Events: d.decisionLog.events, Metrics: d.metrics.set}).HTTPServer()
 	deps.Store = instrumentStore(deps.Store, d.metrics.recordStoreCall)
 	d.replica = newStoreReplica(d)
