Keep bodies of unknown length in pieces

Cause: such a body was read into a buffer that doubled. While it grew, the old and the new one were held, and the old ones waited for the garbage collector; the memory budget counted the last one alone. Class: a budget that counts something else than what is used.

A body now consists of pieces of up to 1 MB, each reserved as it is allocated; nothing is copied or thrown away. Requests are written, fingerprinted and handed over from the pieces. The own interface joins them for its callers, outside the budget, as far as there are several.

--- a/internal/adapter/bodies/bodies.go
+++ b/internal/adapter/bodies/bodies.go
@@ -7,17 +7,15 @@
 	"bytes"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 )
 
 const (
-	// initialReservation is how much memory is reserved at first for a body of unknown length.
-	initialReservation = 64 << 10
-	// minGrowth is by how many bytes the buffer of such a body grows at least.
-	minGrowth = 4 << 10
+	// minPiece and maxPiece are the lengths of the pieces of a body of unknown length, in bytes.
+	minPiece = 4 << 10
+	maxPiece = 1 << 20
 )
 
 var (
@@ -28,9 +26,9 @@
 )
 
 type (
-	// Body is a buffered body. Its bytes must not be used after Release.
+	// Body is a buffered body. Its content must not be used after Release.
 	Body struct {
-		Bytes    []byte
+		Content  Content
 		budget   *MemoryBudget
 		reserved int64
 	}
@@ -80,45 +78,41 @@
 	if _, err := buffer.ReadFrom(io.LimitReader(r, contentLength)); err != nil {
 		return errors.Wrap(err, "read body")
 	}
-	b.Bytes = buffer.Bytes()
+	b.Content = NewContent(buffer.Bytes())
 	return nil
 }
 
 // readUnsized reads a body of unknown length.
 func (b *Body) readUnsized(r io.Reader, limit int64) error {
-	reservation := min(initialReservation, limit)
-	for {
-		if !b.budget.tryAcquire(reservation - b.reserved) {
+	for received := int64(0); received < limit; received = int64(b.Content.Len()) {
+		size := min(max(received, minPiece), maxPiece, limit-received)
+		if !b.budget.tryAcquire(size) {
 			return ErrMemoryExhausted
 		}
-		b.reserved = reservation
-		if err := b.fill(r, int(reservation)); err != nil {
-			if errors.Is(err, io.EOF) {
-				return nil
-			}
-			return errors.Wrap(err, "read body")
-		}
-		if reservation == limit {
-			return expectEOF(r)
+		b.reserved += size
+		piece := make([]byte, size)
+		n, err := fill(r, piece)
+		if n > 0 {
+			b.Content = append(b.Content, piece[:n])
 		}
-		reservation = min(2*reservation, limit)
-	}
-}
-
-// fill reads until the body has the given size. It returns io.EOF if it ends before.
-func (b *Body) fill(r io.Reader, size int) error {
-	for len(b.Bytes) < size {
-		received := len(b.Bytes)
-		if received == cap(b.Bytes) {
-			b.Bytes = slices.Grow(b.Bytes, min(max(received, minGrowth), size-received))
+		if errors.Is(err, io.EOF) {
+			return nil
 		}
-		n, err := r.Read(b.Bytes[received:min(cap(b.Bytes), size)])
-		b.Bytes = b.Bytes[:received+n]
 		if err != nil {
-			return err
+			return errors.Wrap(err, "read body")
 		}
 	}
-	return nil
+	return expectEOF(r)
+}
+
+// fill reads until the piece is full or an error occurs, which is io.EOF at the end of the body.
+func fill(r io.Reader, piece []byte) (n int, err error) {
+	for n < len(piece) && err == nil {
+		var read int
+		read, err = r.Read(piece[n:])
+		n += read
+	}
+	return n, err
 }
 
 // expectEOF returns an error if a body that has reached its limit continues.
@@ -155,13 +149,15 @@
 // Write writes a response body to a caller, which must read it within timeout: a caller that does
 // not read would occupy the memory indefinitely. The deadline is not cleared, because buffered data
 // is flushed after the handler has returned.
-func Write(w http.ResponseWriter, body []byte, timeout time.Duration) error {
+func Write(w http.ResponseWriter, body Content, timeout time.Duration) error {
 	err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout))
 	if err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return errors.Wrap(err, "set write deadline")
 	}
-	if _, err := w.Write(body); err != nil {
-		return errors.Wrap(err, "write body")
+	for _, piece := range body {
+		if _, err := w.Write(piece); err != nil {
+			return errors.Wrap(err, "write body")
+		}
 	}
 	return nil
 }
--- a/internal/adapter/bodies/bodies_test.go
+++ b/internal/adapter/bodies/bodies_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -15,6 +16,9 @@
 	"github.com/go-faster/errors"
 )
 
+// testBodyBytes is a length of several pieces.
+const testBodyBytes = 64 << 10
+
 func body(n int) io.Reader { return strings.NewReader(strings.Repeat("b", n)) }
 
 func TestReadEnforcesLimit(t *testing.T) {
@@ -28,21 +32,21 @@
 		{11, 11, 10, ErrTooLarge},
 		{10, -1, 10, nil},
 		{11, -1, 10, ErrTooLarge},
-		{3 * initialReservation, -1, 3 * initialReservation, nil},
-		{3*initialReservation + 1, -1, 3 * initialReservation, ErrTooLarge},
-		{3*initialReservation - 1, -1, 10 * initialReservation, nil},
+		{3 * testBodyBytes, -1, 3 * testBodyBytes, nil},
+		{3*testBodyBytes + 1, -1, 3 * testBodyBytes, ErrTooLarge},
+		{3*testBodyBytes - 1, -1, 10 * testBodyBytes, nil},
 	} {
-		m := NewMemoryBudget(20 * initialReservation)
+		m := NewMemoryBudget(20 * testBodyBytes)
 		b, err := m.Read(iotest.HalfReader(body(c.size)), c.contentLength, c.limit)
 		if !errors.Is(err, c.want) {
 			t.Errorf("%d bytes, content length %d, limit %d: got error %v, want %v", c.size, c.contentLength, c.limit, err, c.want)
 			continue
 		}
-		if err == nil && len(b.Bytes) != c.size {
-			t.Errorf("%d bytes, content length %d, limit %d: read %d bytes", c.size, c.contentLength, c.limit, len(b.Bytes))
+		if err == nil && b.Content.Len() != c.size {
+			t.Errorf("%d bytes, content length %d, limit %d: read %d bytes", c.size, c.contentLength, c.limit, b.Content.Len())
 		}
 		b.Release()
-		if !m.tryAcquire(20 * initialReservation) {
+		if !m.tryAcquire(20 * testBodyBytes) {
 			t.Errorf("%d bytes, content length %d, limit %d: memory is not released", c.size, c.contentLength, c.limit)
 		}
 	}
@@ -123,7 +127,7 @@
 func TestUnreadResponseTimesOut(t *testing.T) {
 	failed := make(chan error, 1)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		failed <- Write(w, make([]byte, 64<<20), 20*time.Millisecond)
+		failed <- Write(w, NewContent(make([]byte, 64<<20)), 20*time.Millisecond)
 	}))
 	defer server.Close()
 	c, err := net.Dial("tcp", server.Listener.Addr().String())
@@ -144,7 +148,7 @@
 	const timeout = 500 * time.Millisecond
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(timeout)
-		if err := Write(w, []byte("answer"), timeout); err != nil {
+		if err := Write(w, NewContent([]byte("answer")), timeout); err != nil {
 			t.Errorf("write: %v", err)
 		}
 	}))
@@ -187,3 +191,49 @@
 		body.Release()
 	}
 }
+
+// Guards against a body of unknown length that takes more memory than it reserves: a single buffer that grows is
+// copied, and the copies wait for the garbage collector.
+func TestBodyOfUnknownLengthAllocatesWhatItReserves(t *testing.T) {
+	const size = 24 << 20
+	m := NewMemoryBudget(2 * size)
+	source := body(size)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	b, err := m.Read(source, -1, 2*size)
+	runtime.ReadMemStats(&after)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Release()
+	allocated := int64(after.TotalAlloc - before.TotalAlloc)
+	if b.Content.Len() != size || allocated > b.reserved+maxPiece || b.reserved > size+maxPiece {
+		t.Errorf("%d bytes: %d reserved and %d allocated, want about as much as the body has", b.Content.Len(), b.reserved, allocated)
+	}
+}
+
+// Guards against pieces of a body that are lost, repeated or out of order.
+func TestPiecesAreInOrder(t *testing.T) {
+	want := make([]byte, 3*maxPiece+17)
+	for i := range want {
+		want[i] = byte(i * i >> 8)
+	}
+	b, err := NewMemoryBudget(1<<30).Read(iotest.HalfReader(bytes.NewReader(want)), -1, 1<<30)
+	if err != nil {
+		t.Fatal(err)
+	}
+	read, err := io.ReadAll(b.Content.Reader())
+	if err != nil || !bytes.Equal(read, want) || !bytes.Equal(b.Content.Bytes(), want) {
+		t.Errorf("got %d and %d bytes in %d pieces, error %v, want the %d bytes of the body", len(read), b.Content.Len(), len(b.Content), err, len(want))
+	}
+}
+
+// Guards against a body that is cut off between two pieces and counts as complete.
+func TestTruncatedBodyOfUnknownLengthIsIncomplete(t *testing.T) {
+	for _, length := range []int{0, minPiece - 1, minPiece, maxPiece} {
+		r := io.MultiReader(body(length), iotest.ErrReader(io.ErrUnexpectedEOF))
+		if _, err := NewMemoryBudget(1<<30).Read(r, -1, 1<<30); !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("cut off after %d bytes: got error %v, want %v", length, err, io.ErrUnexpectedEOF)
+		}
+	}
+}
--- a/internal/adapter/bodies/stream.go
+++ b/internal/adapter/bodies/stream.go
@@ -20,6 +20,8 @@
 	// sender.
 	Stream struct {
 		body *Body
+		// bytes is the single piece of the body.
+		bytes []byte
 
 		mu      sync.Mutex
 		changed *sync.Cond
@@ -35,7 +37,7 @@
 	if !m.tryAcquire(contentLength) {
 		return nil, ErrMemoryExhausted
 	}
-	s := &Stream{body: &Body{Bytes: make([]byte, contentLength), budget: m, reserved: contentLength}}
+	s := &Stream{body: &Body{budget: m, reserved: contentLength}, bytes: make([]byte, contentLength)}
 	s.changed = sync.NewCond(&s.mu)
 	return s, nil
 }
@@ -48,13 +50,13 @@
 }
 
 // Len returns the length of the complete body in bytes.
-func (s *Stream) Len() int { return len(s.body.Bytes) }
+func (s *Stream) Len() int { return len(s.bytes) }
 
 // Fill reads the whole body from r and wakes the writer for each part that arrives.
 func (s *Stream) Fill(r io.Reader) error {
-	for s.received < len(s.body.Bytes) {
-		n, err := r.Read(s.body.Bytes[s.received:min(s.received+streamChunk, len(s.body.Bytes))])
-		if errors.Is(err, io.EOF) && s.received+n < len(s.body.Bytes) {
+	for s.received < len(s.bytes) {
+		n, err := r.Read(s.bytes[s.received:min(s.received+streamChunk, len(s.bytes))])
+		if errors.Is(err, io.EOF) && s.received+n < len(s.bytes) {
 			err = io.ErrUnexpectedEOF
 		}
 		s.advance(n, err)
@@ -69,7 +71,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.received += n
-	if s.received < len(s.body.Bytes) {
+	if s.received < len(s.bytes) {
 		s.err = err
 	}
 	s.changed.Broadcast()
@@ -80,13 +82,13 @@
 func (s *Stream) next(offset int) ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for s.received <= offset && s.err == nil && offset < len(s.body.Bytes) {
+	for s.received <= offset && s.err == nil && offset < len(s.bytes) {
 		s.changed.Wait()
 	}
 	if s.received <= offset {
 		return nil, s.err
 	}
-	return s.body.Bytes[offset:s.received], nil
+	return s.bytes[offset:s.received], nil
 }
 
 // WriteTo writes the body to a caller as it arrives, and returns an error if it does not arrive
--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -203,17 +203,18 @@
 		return
 	}
 	defer body.Release()
+	content := body.Content.Bytes()
 	q := Request{
 		Request: core.Request{
 			Service:     service,
 			Method:      r.Method,
 			Path:        backendPath(r, service),
 			Client:      clientAddress(r),
-			Fingerprint: WorkFingerprint(service, r.Method, backendPath(r, service), r.Header, body.Bytes),
+			Fingerprint: WorkFingerprint(service, r.Method, backendPath(r, service), r.Header, content),
 			Token:       r.Header.Get(caller.HeaderToken),
 		},
 		Header: r.Header,
-		Body:   body.Bytes,
+		Body:   content,
 	}
 	if text := r.Header.Get(caller.HeaderTimeout); text != "" {
 		timeout, err := time.ParseDuration(text)
--- a/internal/adapter/forwardhttp/handover.go
+++ b/internal/adapter/forwardhttp/handover.go
@@ -111,7 +111,7 @@
 	header.Set(handoverLostHeader, strconv.Itoa(h.ConnectionsLost))
 	header.Set(handoverCountedHeader, strconv.FormatBool(h.IsCounted))
 	request := serverhttp.Request{
-		Address: h.Address, Method: r.Method, Host: r.Host, Target: r.RequestURI, Header: header, Body: o.body.Bytes,
+		Address: h.Address, Method: r.Method, Host: r.Host, Target: r.RequestURI, Header: header, Body: o.body.Content,
 		AttemptID: r.Header.Get(s.Headers.AttemptID), Deadline: active.ExpiresAt, DialTimeout: min(dialBaseTimeout, active.ExpiresAt.Sub(s.Now())),
 	}
 	if o.onStream != nil {
--- a/internal/adapter/forwardhttp/hedge_test.go
+++ b/internal/adapter/forwardhttp/hedge_test.go
@@ -291,7 +291,7 @@
 	var sent atomic.Int32
 	released := make(chan bool, 1)
 	p.server.Send = func(ctx context.Context, r serverhttp.Request) (steering.Attempt, *serverhttp.Response) {
-		if string(r.Body) != "hello" {
+		if string(r.Body.Bytes()) != "hello" {
 			t.Errorf("got body %q, want that of the request", r.Body)
 		}
 		if sent.Add(1) == 2 {
--- a/internal/adapter/forwardhttp/pipeline_test.go
+++ b/internal/adapter/forwardhttp/pipeline_test.go
@@ -105,7 +105,7 @@
 			return steering.Attempt{Result: steering.ResultCallerGone, Err: ctx.Err()}, nil
 		}
 	}
-	body := &bodies.Body{Bytes: []byte(r.Method + " " + r.Target + " " + string(r.Body))}
+	body := &bodies.Body{Content: bodies.NewContent([]byte(r.Method + " " + r.Target + " " + string(r.Body.Bytes())))}
 	return steering.Attempt{Result: steering.ResultResponded}, &serverhttp.Response{Status: http.StatusOK, Header: http.Header{}, Body: body}
 }
 
--- a/internal/adapter/forwardhttp/reset_test.go
+++ b/internal/adapter/forwardhttp/reset_test.go
@@ -21,7 +21,7 @@
 	p := newPipelineProxy(t)
 	long := bytes.Repeat([]byte("x"), 48<<10)
 	p.server.Send = func(context.Context, serverhttp.Request) (steering.Attempt, *serverhttp.Response) {
-		return steering.Attempt{Result: steering.ResultResponded}, &serverhttp.Response{Status: http.StatusOK, Header: http.Header{}, Body: &bodies.Body{Bytes: long}}
+		return steering.Attempt{Result: steering.ResultResponded}, &serverhttp.Response{Status: http.StatusOK, Header: http.Header{}, Body: &bodies.Body{Content: bodies.NewContent(long)}}
 	}
 	p.stopping = true
 	conn, err := net.Dial("tcp", p.address)
--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -176,7 +176,7 @@
 	if c, err := r.Cookie(s.Headers.ObjectCookie); err == nil {
 		request.Object = c.Value
 	}
-	request.Work = quarantine.NewFingerprint(r.Method, request.Host, r.RequestURI, r.Header.Get(bearer.Header), o.body.Bytes)
+	request.Work = quarantine.NewFingerprint(r.Method, request.Host, r.RequestURI, r.Header.Get(bearer.Header), o.body.Content...)
 	if h, ok := handoverOf(r.Context()); ok {
 		request.IsHandover, request.HandoverFrom, request.AttemptsUsed, request.ConnectionsLost = true, h.from, h.attemptsUsed, h.connectionsLost
 		request.IsCounted = h.isCounted
@@ -275,7 +275,7 @@
 	return serverhttp.Request{
 		HasAccounts: active.HasAccounts, Account: account,
 		Address: target.Address, InstanceID: target.ID, Method: r.Method, Host: r.Host, Target: r.RequestURI,
-		Header: r.Header, Body: o.body.Bytes, AttemptID: request.ID, Deadline: active.ExpiresAt,
+		Header: r.Header, Body: o.body.Content, AttemptID: request.ID, Deadline: active.ExpiresAt,
 		DialTimeout:    min(dialBaseTimeout+dialRoundTrips*target.RoundTrip, active.ExpiresAt.Sub(s.Now())),
 		MaxConnections: target.MaxConnections, StoppedAccepting: func() bool { return s.serverStoppedAccepting(active, isHedge) },
 		OnStream: o.onStream, MayStream: o.mayStream,
@@ -340,10 +340,10 @@
 	describeToPeer(w, r, d, response)
 	header := w.Header()
 	if r.Method != http.MethodHead && bodyAllowed(response.Status) {
-		header.Set("Content-Length", strconv.Itoa(len(response.Body.Bytes)))
+		header.Set("Content-Length", strconv.Itoa(response.Body.Content.Len()))
 	}
 	w.WriteHeader(response.Status)
-	if err := bodies.Write(w, response.Body.Bytes, responseTimeout); err != nil {
+	if err := bodies.Write(w, response.Body.Content, responseTimeout); err != nil {
 		klog.V(1).InfoS("can't write the response to the caller", "request", r.Header.Get(s.Headers.AttemptID), "error", err.Error())
 	}
 }
--- a/internal/adapter/forwardhttp/server_test.go
+++ b/internal/adapter/forwardhttp/server_test.go
@@ -111,7 +111,7 @@
 
 func respondWith(result steering.Result, status int, body string) sender {
 	return func(context.Context, serverhttp.Request) (steering.Attempt, *serverhttp.Response) {
-		return steering.Attempt{Result: result}, &serverhttp.Response{Status: status, Header: http.Header{"Seal": {"s"}}, Body: &bodies.Body{Bytes: []byte(body)}}
+		return steering.Attempt{Result: result}, &serverhttp.Response{Status: status, Header: http.Header{"Seal": {"s"}}, Body: &bodies.Body{Content: bodies.NewContent([]byte(body))}}
 	}
 }
 
--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -7,7 +7,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -104,7 +103,7 @@
 		// Target is the path and query, unmodified, as sent by the caller.
 		Target    string
 		Header    http.Header
-		Body      []byte
+		Body      bodies.Content
 		AttemptID string
 		Deadline  time.Time
 		// DialTimeout is the timeout for opening a connection.
@@ -289,9 +288,9 @@
 			m.URL.Path, m.URL.RawPath = unescaped, path
 		}
 	}
-	if len(r.Body) > 0 {
-		m.Body = io.NopCloser(bytes.NewReader(r.Body))
-		m.ContentLength = int64(len(r.Body))
+	if length := r.Body.Len(); length > 0 {
+		m.Body = io.NopCloser(r.Body.Reader())
+		m.ContentLength = int64(length)
 	}
 	return m
 }
@@ -362,7 +361,7 @@
 	}
 	e.conn.Begin(e.request.AttemptID)
 	written := make(chan error, 1)
-	if len(e.request.Body) <= maxInlineBodyBytes {
+	if e.request.Body.Len() <= maxInlineBodyBytes {
 		if err := e.write(); err != nil {
 			return nil, false, err
 		}
--- a/internal/adapter/serverhttp/client_test.go
+++ b/internal/adapter/serverhttp/client_test.go
@@ -105,8 +105,8 @@
 	if a.Result != result {
 		t.Fatalf("result is %s (%v), want %s", a.Result, a.Err, result)
 	}
-	if result == steering.ResultResponded && string(response.Body.Bytes) != body {
-		t.Errorf("body is %q, want %q", response.Body.Bytes, body)
+	if result == steering.ResultResponded && string(response.Body.Content.Bytes()) != body {
+		t.Errorf("body is %q, want %q", response.Body.Content.Bytes(), body)
 	}
 }
 
@@ -123,7 +123,7 @@
 	c.CountSentBytes(func(n int) { sent.Add(int64(n)) })
 	const size = 90 << 10
 	r := newRequest(s, "one")
-	r.Method, r.Body = http.MethodPost, make([]byte, size)
+	r.Method, r.Body = http.MethodPost, bodies.NewContent(make([]byte, size))
 	a, response := c.Send(context.Background(), r)
 	expectResult(t, a, response, steering.ResultResponded, "")
 	// The last write of a long body may be counted after the response has arrived.
@@ -166,7 +166,7 @@
 		a, response := send(c, s, id)
 		expectResult(t, a, response, steering.ResultResponded, "to "+id)
 	}
-	if a, response := send(c, s, "three"); response == nil || string(response.Body.Bytes) != "to three" {
+	if a, response := send(c, s, "three"); response == nil || string(response.Body.Content.Bytes()) != "to three" {
 		t.Errorf("result after a stray response is %s, want the response on a new connection", a.Result)
 	}
 	if got := s.connections.Load(); got != 2 {
@@ -307,7 +307,7 @@
 	})
 	c := newTestClient()
 	long := newRequest(s, "one")
-	long.Method, long.Body = http.MethodPost, []byte(strings.Repeat("x", 32<<20))
+	long.Method, long.Body = http.MethodPost, bodies.NewContent([]byte(strings.Repeat("x", 32<<20)))
 	a, response := c.Send(context.Background(), long)
 	if a.Result != steering.ResultResponded || response.Status != http.StatusRequestEntityTooLarge {
 		t.Fatalf("result is %s (%v), want the server's response", a.Result, a.Err)
--- a/internal/kernel/quarantine/fingerprint.go
+++ b/internal/kernel/quarantine/fingerprint.go
@@ -22,14 +22,16 @@
 )
 
 // NewFingerprint returns the fingerprint of a request. target is the path with the query.
-func NewFingerprint(method, host, target, account string, body []byte) Fingerprint {
+func NewFingerprint(method, host, target, account string, body ...[]byte) Fingerprint {
 	digest := sha256.New()
 	for _, field := range []string{method, host, target, account} {
 		// The length prefix prevents ambiguity when bytes move from one field to the next.
 		_, _ = digest.Write(binary.AppendUvarint(nil, uint64(len(field))))
 		_, _ = digest.Write([]byte(field))
 	}
-	_, _ = digest.Write(body)
+	for _, piece := range body {
+		_, _ = digest.Write(piece)
+	}
 	return Fingerprint(digest.Sum(nil)[:fingerprintBytes])
 }
 
