--- a/internal/kernel/steering/handover_test.go
+++ b/internal/kernel/steering/handover_test.go
@@ -136,6 +136,25 @@
 	expectHandover(t, d, "far")
 }
 
+// Guards against a proxy that never finds out that it is cut off from all servers, since its callers send one request at
+// a time and none is in progress when the next one times out.
+func TestCutIsSuspectedWithOneRequestAtATime(t *testing.T) {
+	r := newHandoverRun(handoverPeers()...)
+	for range 8 {
+		req, d := r.begin(readPath)
+		for range 20 {
+			r.now = r.now.Add(100 * time.Millisecond)
+			if _, due := r.ServersToReach(r.now); due {
+				return
+			}
+		}
+		if d.Server != nil {
+			r.EndAttempt(r.now, req, Attempt{Result: ResultTimeout})
+		}
+	}
+	t.Error("8 requests got no response within 2 s each, one after the other, and the servers are not probed")
+}
+
 // Guards against a request that the shutdown of a peer has interrupted and that fails although it may be sent again,
 // and against one that is sent again although it must not be.
 func TestRequestInterruptedByPeerIsSentAgain(t *testing.T) {
