Keep an attempt for the next peer when a request is handed over

Cause: a proxy without connections to servers handed the request over; the peer sent it to a server, which failed, sent it again and was killed. The proxy counted the lost handover as one attempt and handed the request to the next peer. In the log of the proxy: "handed over to proxy-1 broken, handed over to proxy-2 answered". Class: work of a process that ends is counted from outside.

If there is another peer, the first one now gets all attempts but one, and a lost handover counts as all that the peer was allowed. What the peer would have repeated itself, after a failure or a rejection, the proxy hands to the next peer as a retry of its own budget; with nobody to ask, the caller gets the peer's response. A single peer gets all attempts, and a lost handover to it ends the request.

TestLostHandoverLeavesKnownNumberOfAttempts failed before: three attempts where two are allowed. TestFailedAttemptOfPeerIsRepeatedAtNextPeer guards the other side.

--- a/internal/kernel/steering/handover.go
+++ b/internal/kernel/steering/handover.go
@@ -63,6 +63,8 @@
 	activeHandover struct {
 		peer   string
 		sentAt time.Time
+		// attempts is how many attempts the peer may make.
+		attempts int
 	}
 )
 
@@ -71,8 +73,8 @@
 	if !k.mayHandOver(now, req) {
 		return Decision{}, false
 	}
-	peer, found := k.handoverPeer(now, req)
-	if !found {
+	peer, peers := k.handoverPeer(now, req)
+	if peers == 0 {
 		return Decision{}, false
 	}
 	if req.Account != nil && req.charged && !req.mayHaveRun() {
@@ -81,11 +83,22 @@
 		req.charged = false
 	}
 	req.unproven++
-	req.handover = &activeHandover{peer: peer.Name, sentAt: now}
+	attempts := req.attemptsForPeer(peers > 1 && len(req.triedPeers)+1 < maxHandovers)
+	req.handover = &activeHandover{peer: peer.Name, sentAt: now, attempts: attempts}
 	req.triedPeers = append(req.triedPeers, peer.Name)
 	k.handoversTo[peer.Name]++
 	req.addStep(Event{At: now, Kind: EventHandedOver, Server: peer.Name, Domain: peer.Domain, Attempt: (len(req.steps)+1)/2 + 1})
-	return Decision{Handover: &Handover{Proxy: peer.Name, Address: peer.Handovers, AttemptsUsed: req.reachedServers, ConnectionsLost: req.connectionsLost, IsCounted: req.retries.isRequestCounted}}, true
+	return Decision{Handover: &Handover{Proxy: peer.Name, Address: peer.Handovers, AttemptsUsed: max(req.reachedServers, req.Route.Attempts-attempts), ConnectionsLost: req.connectionsLost, IsCounted: req.retries.isRequestCounted}}, true
+}
+
+// attemptsForPeer returns how many attempts a peer may make. If there is another peer, one is kept for it: when the
+// first one ends with the handover, nobody knows how many of its attempts have run.
+func (req *ActiveRequest) attemptsForPeer(hasOther bool) int {
+	left := req.Route.Attempts - req.reachedServers
+	if hasOther {
+		left--
+	}
+	return max(1, left)
 }
 
 // unreachableElsewhere records that a server of a failure domain could not be reached, and reports
@@ -114,8 +127,8 @@
 // handoverPeer chooses the proxy to hand a request over to: the better of two random ones of this
 // region or, if there are none, of the others. Proxies that have published that they are cut off come
 // last: some servers may respond to them. Bodies may only be sent to the regions allowed for the
-// request.
-func (k *Kernel) handoverPeer(now time.Time, req *ActiveRequest) (Proxy, bool) {
+// request. It also returns the number of peers that it could choose from.
+func (k *Kernel) handoverPeer(now time.Time, req *ActiveRequest) (Proxy, int) {
 	var local, remote, cutOff []Proxy
 	for _, p := range k.proxies {
 		switch {
@@ -129,6 +142,7 @@
 			remote = append(remote, p)
 		}
 	}
+	count := len(local) + len(remote) + len(cutOff)
 	candidates := local
 	if len(candidates) == 0 {
 		candidates = remote
@@ -137,13 +151,13 @@
 		candidates = cutOff
 	}
 	if len(candidates) == 0 {
-		return Proxy{}, false
+		return Proxy{}, 0
 	}
 	best := candidates[k.random.IntN(len(candidates))]
 	if other := candidates[k.random.IntN(len(candidates))]; k.handoverLoad(other) < k.handoverLoad(best) {
 		best = other
 	}
-	return best, true
+	return best, count
 }
 
 // handoverLoad is the load that this proxy adds to a peer, relative to the peer's link.
@@ -186,7 +200,7 @@
 		return k.fail(now, req, ReasonShutdown)
 	}
 	k.unablePeers[h.peer] = now.Add(unablePeerBackoff)
-	req.reachedServers++
+	req.reachedServers += h.attempts
 	if r.ResponseStarted {
 		return k.fail(now, req, ReasonConnectionLost)
 	}
@@ -199,6 +213,14 @@
 	if r.Server != "" {
 		delete(k.refusedHandovers, req.Route.Name)
 		k.recordPeerSignal(now, h, r)
+	}
+	if r.failedAttempt() && !r.ResponseStarted {
+		req.reachedServers += max(1, r.ServersReached)
+		if d, ok := k.retryAtNextPeer(now, req); ok {
+			return d
+		}
+	}
+	if r.Server != "" {
 		if !req.mayReturn(r) {
 			return k.fail(now, req, ReasonServerError)
 		}
@@ -231,6 +253,15 @@
 	return k.finish(now, req, Decision{ReturnResponse: true, Reason: r.Reason, NotRun: r.NotRun})
 }
 
+// failedAttempt reports whether the peer's attempts failed in a way after which the request may be sent again. The
+// peer has left that to this proxy.
+func (r HandoverResult) failedAttempt() bool {
+	if r.Server != "" {
+		return r.ServerFailed
+	}
+	return r.Reason == ReasonRejected || r.Reason == ReasonConnectionLost || r.Reason == ReasonServerError
+}
+
 // mayReturn reports whether the caller may get the response of a peer: if its status means that the request
 // has not run, the peer must have proven it, unless the request may run again.
 func (req *ActiveRequest) mayReturn(r HandoverResult) bool {
@@ -280,6 +311,18 @@
 	return d
 }
 
+// retryAtNextPeer hands a request over to another peer as a retry. It reports false if that is not possible.
+func (k *Kernel) retryAtNextPeer(now time.Time, req *ActiveRequest) (Decision, bool) {
+	if !k.mayRetry(now, req) {
+		return Decision{}, false
+	}
+	d, ok := k.handOver(now, req)
+	if !ok {
+		k.refundRetry(now, req)
+	}
+	return d, ok
+}
+
 // continueAfterHandover hands the request over to another peer, or ends it.
 func (k *Kernel) continueAfterHandover(now time.Time, req *ActiveRequest, reason Reason) Decision {
 	if d, ok := k.handOver(now, req); ok {
--- a/internal/kernel/steering/handover_test.go
+++ b/internal/kernel/steering/handover_test.go
@@ -181,6 +181,53 @@
 	}
 }
 
+// Guards against a request that runs more often than its route allows: a peer repeats it, ends, and its attempts count
+// as a single one.
+func TestLostHandoverLeavesKnownNumberOfAttempts(t *testing.T) {
+	for _, c := range []struct {
+		peers     []Proxy
+		handovers int
+	}{{handoverPeers(), maxHandovers}, {handoverPeers()[:1], 1}} {
+		r := newHandoverRun(c.peers...)
+		r.cutOff(t)
+		req, d := r.begin(readPath)
+		allowed, handovers := 0, 0
+		for d.Handover != nil {
+			handovers++
+			allowed += req.Route.Attempts - d.Handover.AttemptsUsed
+			d = r.EndHandover(r.now, req, HandoverResult{Result: ResultConnectionLost})
+		}
+		if allowed != req.Route.Attempts || handovers != c.handovers {
+			t.Errorf("peers may have made %d attempts in %d handovers, want %d in %d", allowed, handovers, req.Route.Attempts, c.handovers)
+		}
+	}
+}
+
+// Guards against a peer that keeps an attempt for the next one, whose failed attempt ends the request.
+func TestFailedAttemptOfPeerIsRepeatedAtNextPeer(t *testing.T) {
+	for _, result := range []HandoverResult{
+		{Result: ResultResponded, Server: "s0", ServerFailed: true},
+		{Result: ResultResponded, Reason: ReasonRejected, NotRun: true, ServersReached: 1},
+		{Result: ResultResponded, Reason: ReasonConnectionLost, ServersReached: 1},
+	} {
+		for path, mayRepeat := range map[string]bool{readPath: true, writePath: result.NotRun} {
+			r := newHandoverRun(handoverPeers()...)
+			r.cutOff(t)
+			req, d := r.begin(path)
+			d = r.EndHandover(r.now, req, result)
+			if (d.Handover != nil) != mayRepeat {
+				t.Errorf("%s after %+v: got %+v, want another handover %t", path, result, recordedDecisionOf(d), mayRepeat)
+			}
+			if d.Handover == nil {
+				continue
+			}
+			if d = r.EndHandover(r.now, req, result); d.Handover != nil || !d.ReturnResponse {
+				t.Errorf("%s after two of %+v: got %+v, want the response", path, result, recordedDecisionOf(d))
+			}
+		}
+	}
+}
+
 // A peer that takes itself for cut off may still reach some servers, and is better than none.
 func TestPeerThatIsCutOffIsTheLastChoice(t *testing.T) {
 	peers := handoverPeers()
