--- a/internal/kernel/steering/handover_test.go
+++ b/internal/kernel/steering/handover_test.go
@@ -214,6 +214,7 @@
 			r := newHandoverRun(handoverPeers()...)
 			r.cutOff(t)
 			req, d := r.begin(path)
+			expectHandover(t, d, "near")
 			d = r.EndHandover(r.now, req, result)
 			if (d.Handover != nil) != mayRepeat {
 				t.Errorf("%s after %+v: got %+v, want another handover %t", path, result, recordedDecisionOf(d), mayRepeat)
