Log from whom a proxy learns of a change to a server's entry, and dial times

An on-call engineer could see when a proxy stopped using a server (server-gone), but not when and from whom it had learned of the leaving, whether it took the removal for tentative, or how long an attempt dialled. The hypotheses for requests that reach a server after it has left differ in exactly that: a removal that is doubted, news that come late, an entry that comes back.

--- a/internal/kernel/steering/event.go
+++ b/internal/kernel/steering/event.go
@@ -116,6 +116,9 @@
 		// ConnectionUses is how many requests it has carried, including this one.
 		Connection     uint64
 		ConnectionUses int
+		// DialTime is the time that opening the connection of an attempt took, or zero if it was sent on
+		// a kept one.
+		DialTime time.Duration
 		// IsHedge is set if the attempt was begun by BeginHedge. Hedge is the outcome of the hedge
 		// of a request that ends.
 		IsHedge bool
--- a/internal/kernel/steering/lifecycle.go
+++ b/internal/kernel/steering/lifecycle.go
@@ -218,7 +218,7 @@
 	k.learnFromAttempt(now, req, s, a, elapsed)
 	req.addStep(Event{
 		At: now, Kind: EventAttemptEnded, Server: s.id, Attempt: req.number, IsHedge: req.isHedge, Result: a.Result, Proof: a.proof(),
-		Expected: req.expected, Duration: elapsed, Load: float64(a.Running + a.Waiting), WorkFactor: a.loadReport().Factor(), Connection: a.Connection, ConnectionUses: a.ConnectionUses, Err: a.Err,
+		Expected: req.expected, Duration: elapsed, Load: float64(a.Running + a.Waiting), WorkFactor: a.loadReport().Factor(), Connection: a.Connection, ConnectionUses: a.ConnectionUses, DialTime: a.RoundTrip, Err: a.Err,
 	})
 	req.countAttempt(a)
 	if other != nil {
--- a/internal/proxy/forward/decisionlog.go
+++ b/internal/proxy/forward/decisionlog.go
@@ -152,7 +152,7 @@
 		return
 	}
 	klog.InfoS(string(s.Kind), "request", s.Request, "work", s.Fingerprint.String(), "server", s.Server, "attempt", s.Attempt, "hedge", s.IsHedge, "result", s.Result.String(), "proof", string(s.Proof),
-		"expected", s.Expected.String(), "took", s.Duration.String(), "server-load", s.Load, "work-factor", s.WorkFactor, "connection", s.Connection, "connection-uses", s.ConnectionUses, "ago", ago.String(), "error", errorText(s.Err))
+		"expected", s.Expected.String(), "took", s.Duration.String(), "server-load", s.Load, "work-factor", s.WorkFactor, "connection", s.Connection, "connection-uses", s.ConnectionUses, "dial", s.DialTime.String(), "ago", ago.String(), "error", errorText(s.Err))
 }
 
 // formatFingerprints lists request fingerprints for the log, up to maxFingerprintsPerLine.
--- a/internal/proxy/forward/gossip.go
+++ b/internal/proxy/forward/gossip.go
@@ -151,7 +151,7 @@
 	if m.Full {
 		g.replica.daemon.metrics.fullCopiesReceived.Inc()
 	}
-	return g.replica.apply(m.Delta)
+	return g.replica.apply(m.From, m.Delta)
 }
 
 // message returns a message with a delta of the copy and this proxy's other state. A peer that
--- a/internal/proxy/forward/gossip_test.go
+++ b/internal/proxy/forward/gossip_test.go
@@ -125,7 +125,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- w.step(context.Background()) }()
 	<-started
-	d.replica.apply(replica.Delta{Revision: 7, Full: true})
+	d.replica.apply("peer", replica.Delta{Revision: 7, Full: true})
 	select {
 	case err := <-ended:
 		if err != nil {
@@ -155,7 +155,7 @@
 			d.replica.members[name] = proxyEntry{Name: name, Region: "north", Peers: freePort(t), LinkMbps: 200}
 		}
 		d.replica.members["proxy-a"] = proxyEntry{Name: "proxy-a", Region: "north"}
-		d.replica.apply(replica.Delta{Revision: 7, Full: true})
+		d.replica.apply("peer", replica.Delta{Revision: 7, Full: true})
 		change := peerdrpc.SyncMessage{From: "peer-0", Delta: replica.Delta{Base: 7, Revision: 8, Entries: []replica.Entry{{Key: "x", Revision: 8}}}}
 		g.handle(context.Background(), change)
 		g.handle(context.Background(), change)
@@ -190,7 +190,7 @@
 			d.replica.members[name] = proxyEntry{Name: name, Region: "north", Peers: freePort(t)}
 		}
 		d.replica.members["proxy-a"] = proxyEntry{Name: "proxy-a", Region: "north", LinkMbps: 200}
-		d.replica.apply(replica.Delta{Revision: 7, Full: true})
+		d.replica.apply("peer", replica.Delta{Revision: 7, Full: true})
 		w := &storeWatcher{replica: d.replica, onUnchanged: func() { g.confirm(context.Background()) }, store: Store{
 			Watch: func(context.Context, string, uint64, time.Duration) ([]KeyValue, uint64, error) { return nil, 0, nil },
 		}}
@@ -220,7 +220,7 @@
 			t.Fatal(err)
 		}
 		revision := replica.Position(i + 1)
-		d.replica.apply(replica.Delta{Base: revision - 1, Revision: revision, Full: i == 0, Entries: []replica.Entry{{Key: proxyKeyPrefix + name, Value: entry, Revision: revision}}})
+		d.replica.apply("peer", replica.Delta{Base: revision - 1, Revision: revision, Full: i == 0, Entries: []replica.Entry{{Key: proxyKeyPrefix + name, Value: entry, Revision: revision}}})
 		if i == 0 && lookupCount() != 2 {
 			t.Errorf("lookup returns %d proxies after the first message, want it and this one", lookupCount())
 		}
@@ -248,7 +248,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	d.replica.apply(replica.Delta{Revision: 1, Full: true, Entries: []replica.Entry{{Key: "servers/s1", Value: value, Revision: 1}}})
+	d.replica.apply("peer", replica.Delta{Revision: 1, Full: true, Entries: []replica.Entry{{Key: "servers/s1", Value: value, Revision: 1}}})
 	if !hasServer(d) {
 		f.t.Fatal("the server is missing after its registration")
 	}
@@ -308,7 +308,7 @@
 		name := fmt.Sprintf("peer-%d", i)
 		d.replica.members[name] = proxyEntry{Name: name, Region: "north", Peers: freePort(t)}
 	}
-	d.replica.apply(replica.Delta{Revision: 7, Full: true})
+	d.replica.apply("peer", replica.Delta{Revision: 7, Full: true})
 	g.handle(context.Background(), peerdrpc.SyncMessage{From: "far", Delta: replica.Delta{Base: 7, Revision: 8, Entries: []replica.Entry{{Key: "x", Revision: 8}}}})
 	f.eventually("the region receives the change", func() bool { return sent.Load() == 4 })
 }
@@ -326,7 +326,7 @@
 			t.Errorf("spreads changes after revision %d, want 1", before)
 		}
 	}, store: Store{Watch: func(context.Context, string, uint64, time.Duration) ([]KeyValue, uint64, error) {
-		d.replica.apply(replica.Delta{Base: 1, Revision: 2, Entries: replicaEntries(items, 0)})
+		d.replica.apply("peer", replica.Delta{Base: 1, Revision: 2, Entries: replicaEntries(items, 0)})
 		return items, 0, nil
 	}}}
 	if err := w.step(context.Background()); err != nil {
@@ -401,8 +401,8 @@
 func TestLargeChangesAreSentOnlyToPeersThatLackThem(t *testing.T) {
 	f := newFleet(t, 1)
 	d := f.newIdleDaemon()
-	d.replica.apply(replica.Delta{Revision: 7, Full: true})
-	d.replica.apply(replica.Delta{Base: 7, Revision: 8, Entries: []replica.Entry{{Key: "x", Revision: 8, Value: make([]byte, 2*offerMinBytes)}}})
+	d.replica.apply("peer", replica.Delta{Revision: 7, Full: true})
+	d.replica.apply("peer", replica.Delta{Base: 7, Revision: 8, Entries: []replica.Entry{{Key: "x", Revision: 8, Value: make([]byte, 2*offerMinBytes)}}})
 	for name, c := range map[string]struct {
 		has  replica.Position
 		want int
--- a/internal/proxy/forward/members_test.go
+++ b/internal/proxy/forward/members_test.go
@@ -26,8 +26,8 @@
 			t.Fatal(err)
 		}
 		entry := remoteEntry(t, func(*proxyEntry) {})
-		d.replica.apply(replica.Delta{Revision: 1, Full: true, Entries: []replica.Entry{{Key: proxyKeyPrefix + "far", Value: entry, Revision: 1}}})
-		d.replica.apply(replica.Delta{Base: 1, Revision: 2, Entries: []replica.Entry{{Key: proxyKeyPrefix + "far", Revision: 2, Removed: true, Tentative: tentative}}})
+		d.replica.apply("peer", replica.Delta{Revision: 1, Full: true, Entries: []replica.Entry{{Key: proxyKeyPrefix + "far", Value: entry, Revision: 1}}})
+		d.replica.apply("peer", replica.Delta{Base: 1, Revision: 2, Entries: []replica.Entry{{Key: proxyKeyPrefix + "far", Revision: 2, Removed: true, Tentative: tentative}}})
 		var stranded []string
 		d.withKernel(func(k *steering.Kernel, now time.Time) {
 			// The proxy has just started: it trusts the list after two seconds, and counts the
@@ -110,7 +110,7 @@
 		strings.Replace(string(valid), `"started":1000`, `"started":"a while"`, 1):   false,
 	} {
 		before := d.replica.revision()
-		d.replica.apply(replica.Delta{Revision: before + 1, Base: before, Full: before == 0, Entries: []replica.Entry{
+		d.replica.apply("peer", replica.Delta{Revision: before + 1, Base: before, Full: before == 0, Entries: []replica.Entry{
 			{Key: proxyKeyPrefix + "far", Value: []byte(text), Revision: before + 1},
 		}})
 		list := d.replica.proxies()
@@ -125,7 +125,7 @@
 // to it.
 func TestLeavingMessageOfEarlierStartIsIgnored(t *testing.T) {
 	d := newTwoRegionDaemon(t)
-	d.replica.apply(replica.Delta{Revision: 1, Full: true, Entries: []replica.Entry{
+	d.replica.apply("peer", replica.Delta{Revision: 1, Full: true, Entries: []replica.Entry{
 		{Key: proxyKeyPrefix + "far", Value: remoteEntry(t, func(m *proxyEntry) { m.Started = 2000 }), Revision: 1},
 	}})
 	d.replica.handlePeerState(peerdrpc.SyncMessage{From: "far", StartMillis: 1000, Leaving: true})
--- a/internal/proxy/forward/metrics.go
+++ b/internal/proxy/forward/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
@@ -196,6 +197,14 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("gypsumquay_entries_refused_total{kind=%q}", kind)).Inc()
 }
 
+// recordServerRemoval counts a removed registration of a server that this proxy learned of.
+func (m *proxyMetrics) recordServerRemoval(source string, tentative bool) {
+	if source != storeSource {
+		source = "peer"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("gypsumquay_server_removals_total{source=%q,tentative=%q}", source, strconv.FormatBool(tentative))).Inc()
+}
+
 // registerGauges adds the gauges, which are computed when the metrics are read.
 func (m *proxyMetrics) registerGauges(d *Daemon, dropped func() uint64) {
 	counts := cachedCounts(d)
--- a/internal/proxy/forward/olderstore_test.go
+++ b/internal/proxy/forward/olderstore_test.go
@@ -103,12 +103,12 @@
 	fingerprint := quarantine.NewFingerprint("GET", "h", "/x", "", nil)
 	key := quarantineKeyPrefix + fingerprint.String()
 	work := steering.QuarantinedWork{Report: quarantine.Report{Fingerprint: fingerprint}}
-	d.replica.apply(replica.Delta{Full: true, Revision: replica.NewPosition(1, 5)})
+	d.replica.apply("peer", replica.Delta{Full: true, Revision: replica.NewPosition(1, 5)})
 	d.quarantine.stored[fingerprint] = true
 	if d.quarantine.shouldStore(work) {
 		t.Fatal("got a stored entry to be stored")
 	}
-	d.replica.apply(replica.Delta{Full: true, Revision: replica.NewPosition(2, 4)})
+	d.replica.apply("peer", replica.Delta{Full: true, Revision: replica.NewPosition(2, 4)})
 	if !d.quarantine.shouldStore(work) {
 		t.Errorf("got %s counted as stored after the store has lost it, want it stored again", key)
 	}
@@ -126,8 +126,8 @@
 		return n
 	}
 	entry := replica.Entry{Key: d.deps.Names.EvacuationPrefix + domain, Value: []byte("{}"), Revision: replica.NewPosition(1, 5)}
-	d.replica.apply(replica.Delta{Full: true, Revision: replica.NewPosition(1, 5), Entries: []replica.Entry{entry}})
-	d.replica.apply(replica.Delta{Full: true, Revision: replica.NewPosition(2, 4)})
+	d.replica.apply("peer", replica.Delta{Full: true, Revision: replica.NewPosition(1, 5), Entries: []replica.Entry{entry}})
+	d.replica.apply("peer", replica.Delta{Full: true, Revision: replica.NewPosition(2, 4)})
 	d.replica.endEvacuations()
 	if evacuated() != 1 {
 		t.Error("got the evacuation ended when the store lost it, want it to stay")
@@ -142,7 +142,7 @@
 // A store that is behind the copy in the same era must not be asked without a pause.
 func TestStoreBehindCopyIsNotReadInALoop(t *testing.T) {
 	d := newTwoRegionDaemon(t)
-	d.replica.apply(replica.Delta{Full: true, Revision: 100, Age: time.Minute})
+	d.replica.apply("peer", replica.Delta{Full: true, Revision: 100, Age: time.Minute})
 	var calls atomic.Int32
 	w := &storeWatcher{replica: d.replica, onAdvance: func(replica.Position) {}, onUnchanged: func() {}, store: Store{
 		Watch: func(context.Context, string, uint64, time.Duration) ([]KeyValue, uint64, error) {
@@ -164,7 +164,7 @@
 // Peers of the version before report no era. They follow the first history that this proxy knew.
 func TestMessagesWithoutEraBelongToTheFirst(t *testing.T) {
 	d := newTwoRegionDaemon(t)
-	d.replica.apply(replica.Delta{Full: true, Revision: replica.NewPosition(3, 10)})
+	d.replica.apply("peer", replica.Delta{Full: true, Revision: replica.NewPosition(3, 10)})
 	entry := func(version uint64, revision replica.Position) []replica.Entry {
 		data, err := json.Marshal(testTable{Version: version, Service: "service"})
 		if err != nil {
@@ -179,7 +179,7 @@
 	if got, want := d.replica.revision(), replica.NewPosition(3, 11); got != want {
 		t.Errorf("got position %s, want %s", got, want)
 	}
-	d.replica.apply(replica.Delta{Full: true, Revision: replica.NewPosition(4, 8)})
+	d.replica.apply("peer", replica.Delta{Full: true, Revision: replica.NewPosition(4, 8)})
 	receive(replica.Delta{Base: 11, Revision: 12, Entries: entry(6, 12)})
 	if got, want := d.replica.revision(), replica.NewPosition(4, 8); got != want {
 		t.Errorf("got position %s after a message of the lost history, want %s", got, want)
--- a/internal/proxy/forward/overflow_test.go
+++ b/internal/proxy/forward/overflow_test.go
@@ -32,7 +32,7 @@
 			m.Callers = netip.MustParseAddrPort(fmt.Sprintf("10.1.0.%d:80", i+1))
 		})})
 	}
-	d.replica.apply(replica.Delta{Revision: 1, Full: true, Entries: entries})
+	d.replica.apply("peer", replica.Delta{Revision: 1, Full: true, Entries: entries})
 	return d
 }
 
@@ -106,7 +106,7 @@
 		}
 		data, _ := json.Marshal(entry)
 		revision := replica.Position(len(published))
-		d.replica.apply(replica.Delta{Base: revision, Revision: revision + 1, Entries: []replica.Entry{{Key: proxyKeyPrefix + entry.Name, Value: data, Revision: revision + 1}}})
+		d.replica.apply("peer", replica.Delta{Base: revision, Revision: revision + 1, Entries: []replica.Entry{{Key: proxyKeyPrefix + entry.Name, Value: data, Revision: revision + 1}}})
 		d.replica.flushProxies()
 		if got := d.lookupCount(); len(published) == 1 && (before != 2 || got != 4) {
 			t.Errorf("%d proxies are returned before the level is published and %d after, want 2 and 4", before, got)
@@ -127,7 +127,7 @@
 	if got := d.lookupCount(); got != 2 {
 		t.Fatalf("%d proxies are returned, want the two with wide links", got)
 	}
-	d.replica.apply(replica.Delta{Base: 1, Revision: 2, Entries: []replica.Entry{{Key: proxyKeyPrefix + "wide", Revision: 2, Removed: true}}})
+	d.replica.apply("peer", replica.Delta{Base: 1, Revision: 2, Entries: []replica.Entry{{Key: proxyKeyPrefix + "wide", Revision: 2, Removed: true}}})
 	var list []netip.AddrPort
 	d.withKernel(func(k *steering.Kernel, _ time.Time) { list = k.Lookup("host", "north", "a") })
 	if dead := netip.MustParseAddrPort("10.1.0.1:80"); slices.Contains(list, dead) || len(list) != 3 {
--- a/internal/proxy/forward/storereplica.go
+++ b/internal/proxy/forward/storereplica.go
@@ -28,6 +28,10 @@
 
 	proxyKeyPrefix      = "gypsumquay/proxies/"
 	quarantineKeyPrefix = "gypsumquay/condemned/"
+
+	// storeSource is the source of changes that this proxy has read from the store itself. The source
+	// of others is the name of the peer.
+	storeSource = "store"
 )
 
 type (
@@ -84,8 +88,8 @@
 	}
 }
 
-// apply merges a delta into the copy and reports whether the copy advanced.
-func (f *storeReplica) apply(d replica.Delta) bool {
+// apply merges a delta from the store or a peer into the copy and reports whether the copy advanced.
+func (f *storeReplica) apply(source string, d replica.Delta) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.copy.Revision()
@@ -99,6 +103,7 @@
 	}
 	f.dispatchProxies(changed)
 	for _, e := range changed {
+		f.logServerChange(source, e)
 		f.dispatch(e)
 	}
 	if !before.SameEra(current) {
@@ -244,6 +249,23 @@
 	f.daemon.withKernel(func(k *steering.Kernel, now time.Time) { k.RegisterServer(now, r) })
 }
 
+// logServerChange logs from whom this proxy learned of a change to a server's registration. What the
+// kernel then does with the server is logged as an event.
+func (f *storeReplica) logServerChange(source string, e replica.Entry) {
+	id, ok := strings.CutPrefix(e.Key, f.daemon.deps.Names.ServerPrefix)
+	if !ok {
+		return
+	}
+	if e.Removed {
+		f.daemon.metrics.recordServerRemoval(source, e.Tentative)
+	}
+	if !f.daemon.decisionLog.allowChange("server-entry") {
+		return
+	}
+	klog.InfoS("server entry changed", "server", id, "source", source, "revision", e.Revision.String(), "removed", e.Removed,
+		"tentative", e.Tentative, "age", f.copy.Age(f.daemon.now()).String())
+}
+
 // checkDomain rejects a failure domain that belongs to no region, or not to the given one: it
 // would be unknown which callers an entry there may serve.
 func (f *storeReplica) checkDomain(domain, region string) error {
@@ -349,7 +371,7 @@
 	f.mu.Lock()
 	d.TentativeRemovals = f.outage.RemovalsTentative(f.daemon.now())
 	f.mu.Unlock()
-	return f.apply(d)
+	return f.apply(storeSource, d)
 }
 
 func (f *storeReplica) requestRewrite() {
--- a/internal/proxy/forward/storewatcher_test.go
+++ b/internal/proxy/forward/storewatcher_test.go
@@ -39,7 +39,7 @@
 		if c.old {
 			delta.Age = 3 * maxRetryBackoff
 		}
-		d.replica.apply(delta)
+		d.replica.apply("peer", delta)
 		if got := d.replica.shouldFollowStore(); got != c.wantFollowed {
 			t.Errorf("%s follows the store: %t, want %t", c.name, got, c.wantFollowed)
 		}
