--- a/internal/proxy/forward/gossip_test.go
+++ b/internal/proxy/forward/gossip_test.go
@@ -418,3 +418,30 @@
 		}
 	}
 }
+
+// Guards against requests to a server that has left because a peer that had lost the store doubts it.
+func TestProxyWithStoreDoesNotDoubtRemovals(t *testing.T) {
+	f := newFleet(t, 1)
+	connected, cut := f.newDaemonWithServer(), f.newDaemonWithServer()
+	w := &storeWatcher{replica: connected.replica, onAdvance: func(replica.Position) {}, onUnchanged: func() {}, store: Store{
+		Watch: func(context.Context, string, uint64, time.Duration) ([]KeyValue, uint64, error) { return nil, 0, nil },
+	}}
+	for start := time.Now(); time.Since(start) < 4*time.Second; time.Sleep(100 * time.Millisecond) {
+		if err := w.step(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	cut.replica.storeFailed(context.DeadlineExceeded, cut.now().Add(-3*time.Second))
+	cut.replica.applyStoreRead(replica.Delta{Base: 1, Revision: 2, Entries: []replica.Entry{{Key: "servers/s1", Revision: 2, Removed: true}}})
+	if !hasServer(cut) {
+		t.Fatal("a proxy that had lost the store doubts no removal")
+	}
+	connected.gossip.merge(cut.gossip.message(cut.replica.deltaSince(1), false))
+	if hasServer(connected) {
+		t.Error("a proxy that had the store all the time still uses the server")
+	}
+	cut.gossip.merge(connected.gossip.message(connected.replica.deltaSince(cut.replica.revision()), false))
+	if hasServer(cut) {
+		t.Error("the other one still uses the server although a peer had the store all the time")
+	}
+}
