Doubt a removal only after a time in which the store responded to no proxy

Callers: requests reached servers up to 2.6 s after the acknowledgement of their leaving (bound 2.5 s), sent by proxies that had the store all the time.

Cause: an entry that is missing after an outage of the store may have expired, so its server is kept for 2.2 s from when each proxy hears of it. Whether there was an outage was decided by the one proxy that read the removal, from its own calls: a cut VM, a lost answer or a timed-out renewal counted as an outage of the store. Its word went to the others, which never lost the store, as tentative; a definite word reached them only if it came by a push of a proxy that had read it itself. The news (0.4 s), the grace (2.2 s), the tick (0.2 s) and a dial to another region (0.17 s) add up to more than the bound.

TestProxyWithStoreDoesNotDoubtRemovals fails before.

Why it works: proxies tell each other, in every message, the latest period in which the store responded to one of them. An outage is a gap in the union of what all know. A proxy with the store refutes the doubt at once and says so; in an outage nobody has such a period, and all proxies keep the servers as before.

The field on the wire is new; proxies of the version before ignore it and send none, and their word is taken as before.

--- a/internal/adapter/peerdrpc/sync.go
+++ b/internal/adapter/peerdrpc/sync.go
@@ -30,6 +30,8 @@
 	domainMetadata = "failure-domain"
 	// maxDecompressedBytes limits the decompressed size of the entries in a peer's message.
 	maxDecompressedBytes = 64 << 20
+	// maxSpanMillis bounds the ages in a peer's message: a century.
+	maxSpanMillis = 100 * 365 * 24 * 3600 * 1000
 )
 
 type (
@@ -96,6 +98,9 @@
 		Era:    m.Revision.Era(),
 		Unsure: m.MayMissRemovals, Keys: m.KeyDigest,
 	}
+	if m.Available.Known {
+		out.Available = &peerpb.Span{BeganMilli: m.Available.Began.Milliseconds(), EndedMilli: m.Available.Ended.Milliseconds()}
+	}
 	for _, a := range m.OtherPeers {
 		out.Others = append(out.Others, a.String())
 	}
@@ -122,6 +127,10 @@
 	m.Base, m.Revision, m.Full = replica.NewPosition(era, in.GetBase()), replica.NewPosition(era, in.GetRevision()), in.GetWhole()
 	m.MayMissRemovals, m.KeyDigest = in.GetUnsure(), in.GetKeys()
 	m.Age = time.Duration(in.GetAgeMilli()) * time.Millisecond
+	var err error
+	if m.Available, err = decodeSpan(in.GetAvailable()); err != nil {
+		return SyncMessage{}, err
+	}
 	for _, text := range in.GetOthers() {
 		a, err := netip.ParseAddrPort(text)
 		if err != nil {
@@ -132,7 +141,6 @@
 	for _, h := range in.GetHeld() {
 		m.LearnedLimits = append(m.LearnedLimits, steering.ServiceLimit{Service: h.GetService(), Limit: decodeLimit(h)})
 	}
-	var err error
 	if m.QuarantineReports, err = decodeQuarantineReports(in.GetSuspicions()); err != nil {
 		return SyncMessage{}, err
 	}
@@ -153,6 +161,19 @@
 	return m, nil
 }
 
+// decodeSpan decodes the period in which the store was available. It is unknown to peers of an earlier
+// version.
+func decodeSpan(in *peerpb.Span) (replica.Span, error) {
+	if in == nil {
+		return replica.Span{}, nil
+	}
+	began, ended := in.GetBeganMilli(), in.GetEndedMilli()
+	if ended < 0 || began < ended || began > maxSpanMillis {
+		return replica.Span{}, errors.Errorf("available: must be two ages in milliseconds, the first not below the second, got %d and %d", began, ended)
+	}
+	return replica.Span{Known: true, Began: time.Duration(began) * time.Millisecond, Ended: time.Duration(ended) * time.Millisecond}, nil
+}
+
 // compressEntries encodes and compresses entries. Registrations are similar and compress well.
 func compressEntries(entries []*peerpb.Entry) ([]byte, error) {
 	encoded, err := proto.Marshal(&peerpb.Entries{Entries: entries})
--- a/internal/adapter/peerdrpc/sync_test.go
+++ b/internal/adapter/peerdrpc/sync_test.go
@@ -4,16 +4,19 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/gypsumquay/gypsumquay/internal/adapter/peerpb"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
 )
 
@@ -36,6 +39,7 @@
 	for _, n := range []int{0, 3, 500} {
 		want := registrationSync(n)
 		want.MayMissRemovals, want.Leaving, want.OtherPeers = true, true, []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:7001")}
+		want.Available = replica.Span{Known: n > 0, Began: time.Duration(n) * time.Second, Ended: time.Duration(n) * time.Millisecond}
 		for i := range want.Entries {
 			want.Entries[i].Removed, want.Entries[i].Tentative = i%3 == 1, i%6 == 1
 		}
@@ -50,6 +54,15 @@
 	}
 }
 
+// A faulty peer's claim that the store was available must not be used.
+func TestInvalidSpansAreRejected(t *testing.T) {
+	for _, s := range []*peerpb.Span{{BeganMilli: 1, EndedMilli: 2}, {BeganMilli: 1, EndedMilli: -1}, {BeganMilli: math.MaxInt64}} {
+		if _, err := decodeSync(&peerpb.SyncMessage{Available: s}); err == nil || !strings.Contains(err.Error(), "available") {
+			t.Errorf("%v: got error %v, want one that names the field", s, err)
+		}
+	}
+}
+
 // A faulty peer, or one of another version, may send entries that cannot be decompressed. They must
 // be rejected and not be taken for a copy without entries, which would remove all entries.
 func TestCorruptCompressedEntriesAreRejected(t *testing.T) {
--- a/internal/kernel/replica/copy.go
+++ b/internal/kernel/replica/copy.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,9 +31,13 @@
 		Revision Position
 		Removed  bool
 		// Tentative is set if a removal may be of an entry that expired during a store outage and
-		// may be back soon. It is decided by the proxy that reads the store; the others pass it
-		// on.
+		// may be back soon. It is set by the proxy that reads the store, and cleared by any that knows
+		// that there was no outage.
 		Tentative bool
+		// KeepUntil is until when what a tentatively removed entry names is kept. It is not sent.
+		KeepUntil time.Time
+		// Confirms is set if a removal was tentative before. It is not sent.
+		Confirms bool
 	}
 
 	// Delta is a set of changes after Base up to Revision, or all entries if Full.
@@ -50,6 +55,8 @@
 		TentativeRemovals bool
 		// Age is the time since this was known to be the store's state.
 		Age time.Duration
+		// Available is when the store was available to any proxy, as far as the sender knows.
+		Available Span
 	}
 
 	// Copy is a complete copy of the store as of a position. Position zero means that it hasn't
@@ -71,6 +78,12 @@
 		// mismatches counts the deltas rejected for a wrong key digest since the last one that
 		// was applied.
 		mismatches int
+		// Availability is when the store was available.
+		Availability Availability
+		// tentativeUntil is until when any removal is tentative.
+		tentativeUntil time.Time
+		// eraBeganAt is when the copy last went to a later era.
+		eraBeganAt time.Time
 	}
 
 	// removal is the record of a removed key.
@@ -78,8 +91,9 @@
 		revision Position
 		// entry is the position of the removed entry, zero if there was none.
 		entry Position
-		// tentativeUntil is until when the removal is passed on as tentative.
-		tentativeUntil time.Time
+		// foundAt is when a tentative removal became known, and tentativeUntil until when it is passed
+		// on as tentative.
+		foundAt, tentativeUntil time.Time
 	}
 )
 
@@ -126,8 +140,15 @@
 	c.mismatches = 0
 	var changed, removed []Entry
 	last := lastOfEach(d.Entries)
+	refuted := c.refutes(now, now)
+	d.TentativeRemovals = d.TentativeRemovals && !refuted
 	for i, e := range d.Entries {
-		e.Tentative = e.Removed && (e.Tentative || d.TentativeRemovals)
+		e.Tentative = e.Removed && (e.Tentative && !refuted || d.TentativeRemovals)
+		if e.Tentative {
+			e.KeepUntil = c.keepUntil(now)
+		}
+		_, wasRemoved := c.removals[e.Key]
+		e.Confirms = wasRemoved && e.Removed && !e.Tentative
 		if last[e.Key] != i || !c.put(now, e) {
 			continue
 		}
@@ -138,7 +159,9 @@
 		}
 	}
 	if d.Full {
-		d.TentativeRemovals = d.TentativeRemovals || c.beginsEra(d)
+		if c.beginsEra(d) {
+			d.TentativeRemovals, c.eraBeganAt = true, now
+		}
 		removed = append(removed, c.prune(now, d, last)...)
 	}
 	c.changes.sort(c.isCurrent)
@@ -247,6 +270,9 @@
 		c.size -= e.size()
 		c.keyDigest ^= xxhash.Sum64String(key)
 		gone := Entry{Key: key, Revision: d.Revision, Removed: true, Tentative: d.TentativeRemovals}
+		if gone.Tentative {
+			gone.KeepUntil = c.keepUntil(now)
+		}
 		c.recordRemoval(now, gone)
 		delete(c.entries, key)
 		removed = append(removed, gone)
@@ -264,7 +290,8 @@
 	}
 	r := removal{revision: e.Revision, entry: c.entries[e.Key].Revision}
 	if e.Tentative {
-		r.tentativeUntil = now.Add(tentativeFor)
+		r.foundAt, r.tentativeUntil = now, now.Add(tentativeFor)
+		c.tentativeUntil = r.tentativeUntil
 	}
 	c.removals[e.Key] = r
 	c.changes.add(e.Key, e.Revision)
@@ -280,6 +307,41 @@
 	return true
 }
 
+// ConfirmRemovals makes the tentative removals definite that were not of expired entries, because the
+// store was available to other proxies, and returns them.
+func (c *Copy) ConfirmRemovals(now time.Time) []Entry {
+	if !now.Before(c.tentativeUntil) {
+		return nil
+	}
+	var confirmed []Entry
+	for key, r := range c.removals {
+		if now.Before(r.tentativeUntil) && c.refutes(now, r.foundAt) {
+			c.removals[key] = removal{revision: r.revision, entry: r.entry}
+			confirmed = append(confirmed, Entry{Key: key, Revision: r.revision, Removed: true, Confirms: true})
+		}
+	}
+	slices.SortFunc(confirmed, func(a, b Entry) int { return strings.Compare(a.Key, b.Key) })
+	return confirmed
+}
+
+// refutes reports whether an entry that was found missing at a time cannot be back soon. After the
+// store's return from an older copy, it may whenever the store was available.
+func (c *Copy) refutes(now, foundAt time.Time) bool {
+	return !c.eraIsNew(now) && c.Availability.Refutes(now, foundAt)
+}
+
+func (c *Copy) eraIsNew(now time.Time) bool {
+	return !c.eraBeganAt.IsZero() && now.Before(c.eraBeganAt.Add(tentativeFor))
+}
+
+// keepUntil returns until when a server is kept whose entry is found missing now.
+func (c *Copy) keepUntil(now time.Time) time.Time {
+	if c.eraIsNew(now) {
+		return now.Add(absenceGracePeriod)
+	}
+	return c.Availability.keepUntil(now)
+}
+
 // NeedsFullCopy reports whether a copy at the given position needs all entries: it is empty, or of an
 // era before this one.
 func (c *Copy) NeedsFullCopy(revision Position) bool {
@@ -293,6 +355,7 @@
 	d := Delta{
 		Base: revision, Revision: c.revision, Age: c.Age(now),
 		Full: c.NeedsFullCopy(revision), MayMissRemovals: revision < c.removalsSince, KeyDigest: c.keyDigest,
+		Available: c.Availability.Span(now),
 	}
 	if d.Full {
 		d.Entries = slices.AppendSeq(make([]Entry, 0, len(c.entries)), maps.Values(c.entries))
--- a/internal/kernel/replica/era_test.go
+++ b/internal/kernel/replica/era_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 )
 
 func entryAt(key, value string, era, revision uint64) Entry {
@@ -73,6 +74,21 @@
 	}
 }
 
+// Entries that the store lost with its latest changes may be written again, although it was available
+// to others all the time.
+func TestRemovalsOfLaterEraStayTentative(t *testing.T) {
+	c := NewCopy()
+	c.Apply(start, fullCopy(1, 100, entryAt("lost", "x", 1, 100), entryAt("a", "1", 1, 40)))
+	c.Availability.Learn(start, Span{Known: true, Began: time.Minute})
+	changed, _ := c.Apply(start, fullCopy(2, 60, entryAt("a", "1", 2, 40)))
+	if len(changed) != 1 || !changed[0].Tentative {
+		t.Errorf("got %v, want a tentative removal", changed)
+	}
+	if confirmed := c.ConfirmRemovals(start.Add(minOutage / 2)); len(confirmed) > 0 {
+		t.Errorf("got %v confirmed, want none", confirmed)
+	}
+}
+
 // A server that had left must not get requests because the store has lost its removal.
 func TestReturnedEntryOfRemovedKeyIsNoNews(t *testing.T) {
 	c := NewCopy()
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -176,6 +176,7 @@
 	now := d.start.Add(wallNow.Sub(d.start))
 	if d.suspendDetector.checkResumed(wallNow) {
 		d.kernel.HandleResume(now)
+		d.replica.suspended.Store(true)
 	}
 	f(d.kernel, now)
 	if d.kernel.QuarantinePending() {
@@ -226,6 +227,7 @@
 	}
 	go func() { failed <- peerdrpc.ServeSync(ctx, peers, d.peerHandlers(ctx)) }()
 	d.storeWatcher.onAdvance = func(before replica.Position) { d.gossip.spread(ctx, before) }
+	d.replica.onConfirm = func() { go d.gossip.sendAlerts(ctx) }
 	d.storeWatcher.onUnchanged = func() { d.gossip.confirm(ctx) }
 	go d.storeWatcher.run(ctx)
 	go d.gossip.run(ctx)
@@ -301,8 +303,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			d.replica.flushProxies()
-			d.replica.endEvacuations()
+			d.replica.tick()
 			var grants []steering.SlotReply
 			d.withKernel(func(k *steering.Kernel, now time.Time) {
 				k.Tick(now)
--- a/internal/proxy/forward/gossip.go
+++ b/internal/proxy/forward/gossip.go
@@ -244,10 +244,10 @@
 	}
 }
 
-// sendAlerts sends reports of requests that crash servers to a few peers of this region and to one
-// peer in each of a few other regions. Each proxy that receives new reports alerts others in turn:
-// with four and three alerts from each, 1,300 proxies are reached within four rounds. It returns
-// the number of peers alerted.
+// sendAlerts sends what must not wait for the next exchange to a few peers of this region and to one
+// peer in each of a few other regions: reports of requests that crash servers, and when the store was
+// available. Each proxy for which this is news alerts others in turn: with four and three alerts from
+// each, 1,300 proxies are reached within four rounds. It returns the number of peers alerted.
 func (g *gossip) sendAlerts(ctx context.Context) int {
 	local, remote, _ := g.replica.neighborPeers()
 	list := sample(local, forwardFanout)
--- a/internal/proxy/forward/gossip_test.go
+++ b/internal/proxy/forward/gossip_test.go
@@ -387,7 +387,7 @@
 		if tentative {
 			reader.replica.storeFailed(context.DeadlineExceeded, reader.now().Add(-time.Minute))
 		}
-		reader.replica.applyStoreRead(replica.Delta{Base: 1, Revision: 2, Entries: []replica.Entry{{Key: "servers/s1", Revision: 2, Removed: true}}})
+		reader.replica.applyStoreRead(reader.now(), replica.Delta{Base: 1, Revision: 2, Entries: []replica.Entry{{Key: "servers/s1", Revision: 2, Removed: true}}})
 		disconnected.gossip.merge(peerdrpc.SyncMessage{From: "reader", Delta: reader.replica.deltaSince(1)})
 		time.Sleep(time.Millisecond)
 		next.gossip.merge(peerdrpc.SyncMessage{From: "cut", Delta: disconnected.replica.deltaSince(1)})
@@ -422,7 +422,7 @@
 // Guards against requests to a server that has left because a peer that had lost the store doubts it.
 func TestProxyWithStoreDoesNotDoubtRemovals(t *testing.T) {
 	f := newFleet(t, 1)
-	connected, cut := f.newDaemonWithServer(), f.newDaemonWithServer()
+	connected := f.newDaemonWithServer()
 	w := &storeWatcher{replica: connected.replica, onAdvance: func(replica.Position) {}, onUnchanged: func() {}, store: Store{
 		Watch: func(context.Context, string, uint64, time.Duration) ([]KeyValue, uint64, error) { return nil, 0, nil },
 	}}
@@ -431,8 +431,9 @@
 			t.Fatal(err)
 		}
 	}
+	cut := f.newDaemonWithServer()
 	cut.replica.storeFailed(context.DeadlineExceeded, cut.now().Add(-3*time.Second))
-	cut.replica.applyStoreRead(replica.Delta{Base: 1, Revision: 2, Entries: []replica.Entry{{Key: "servers/s1", Revision: 2, Removed: true}}})
+	cut.replica.applyStoreRead(cut.now(), replica.Delta{Base: 1, Revision: 2, Entries: []replica.Entry{{Key: "servers/s1", Revision: 2, Removed: true}}})
 	if !hasServer(cut) {
 		t.Fatal("a proxy that had lost the store doubts no removal")
 	}
--- a/internal/proxy/forward/storereplica.go
+++ b/internal/proxy/forward/storereplica.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -18,10 +19,6 @@
 )
 
 const (
-	// absenceGracePeriod is how long a server is kept whose registration may have expired during
-	// a store outage. Live servers register again within about two seconds of the store's
-	// recovery.
-	absenceGracePeriod = 2200 * time.Millisecond
 	// evacuationGracePeriod is how long a failure domain stays evacuated whose evacuation the store
 	// may have lost.
 	evacuationGracePeriod = 5 * time.Second
@@ -62,8 +59,10 @@
 		followsAlone bool
 		// copyOfferedAt is when a peer last reported that it has a copy, while this proxy has none.
 		copyOfferedAt time.Time
-		// outage records when the store was unavailable.
-		outage replica.Outage
+		// suspended is set if the VM was suspended since the copy was last used.
+		suspended atomic.Bool
+		// onConfirm is called when tentative removals have become definite.
+		onConfirm func()
 		// firstEra is the era of the copy's first content, which messages of peers that report no era
 		// are taken to be of.
 		firstEra uint64
@@ -83,7 +82,7 @@
 func newStoreReplica(d *Daemon) *storeReplica {
 	return &storeReplica{
 		daemon: d, copy: replica.NewCopy(), members: make(map[string]proxyEntry), evacuationEnds: make(map[string]time.Time),
-		rewriteEntry: make(chan struct{}, 1), loaded: make(chan struct{}),
+		rewriteEntry: make(chan struct{}, 1), loaded: make(chan struct{}), onConfirm: func() {},
 		neighbors: replica.NewNeighbors(d.settings.Region, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 }
@@ -92,8 +91,12 @@
 func (f *storeReplica) apply(source string, d replica.Delta) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.daemon.now()
+	f.recordActivity(now)
+	f.copy.Availability.Learn(now, d.Available)
+	f.confirmRemovals(now, source)
 	before := f.copy.Revision()
-	changed, ok := f.copy.Apply(f.daemon.now(), d)
+	changed, ok := f.copy.Apply(now, d)
 	if !ok {
 		return false
 	}
@@ -102,10 +105,7 @@
 		f.firstEra = current.Era()
 	}
 	f.dispatchProxies(changed)
-	for _, e := range changed {
-		f.logServerChange(source, e)
-		f.dispatch(e)
-	}
+	f.dispatchAll(source, changed)
 	if !before.SameEra(current) {
 		f.beginEra(before, current)
 	}
@@ -113,6 +113,34 @@
 	return f.copy.Revision() > before
 }
 
+// confirmRemovals applies the tentative removals that are definite by what this proxy knows now.
+func (f *storeReplica) confirmRemovals(now time.Time, source string) {
+	confirmed := f.copy.ConfirmRemovals(now)
+	f.dispatchProxies(confirmed)
+	f.dispatchAll(source, confirmed)
+}
+
+// dispatchAll applies changed entries other than those of proxies to the kernel.
+func (f *storeReplica) dispatchAll(source string, changed []replica.Entry) {
+	confirms := false
+	for _, e := range changed {
+		f.logServerChange(source, e)
+		f.dispatch(e)
+		confirms = confirms || e.Confirms
+	}
+	if confirms {
+		f.onConfirm()
+	}
+}
+
+// recordActivity records that this proxy is running, and whether it stood still before.
+func (f *storeReplica) recordActivity(now time.Time) {
+	f.copy.Availability.RecordActivity(now)
+	if f.suspended.Swap(false) {
+		f.copy.Availability.RecordStandstill(now)
+	}
+}
+
 // beginEra handles that the store has returned from an older copy. What this proxy has written since
 // that copy is lost and must be written again, also what its own copy of the store never had.
 func (f *storeReplica) beginEra(before, current replica.Position) {
@@ -198,6 +226,15 @@
 	f.daemon.withKernel(func(k *steering.Kernel, now time.Time) { k.SetDomainEvacuated(now, domain, !e.Removed) })
 }
 
+// tick applies what is due by now.
+func (f *storeReplica) tick() {
+	f.mu.Lock()
+	f.recordActivity(f.daemon.now())
+	f.mu.Unlock()
+	f.flushProxies()
+	f.endEvacuations()
+}
+
 // endEvacuations ends the evacuations whose entries have not been written again.
 func (f *storeReplica) endEvacuations() {
 	f.mu.Lock()
@@ -230,7 +267,7 @@
 	if e.Removed {
 		f.daemon.withKernel(func(k *steering.Kernel, now time.Time) {
 			if e.Tentative {
-				k.MarkServerAbsent(id, now.Add(absenceGracePeriod))
+				k.MarkServerAbsent(id, e.KeepUntil)
 				return
 			}
 			k.RemoveServer(now, id)
@@ -263,7 +300,7 @@
 		return
 	}
 	klog.InfoS("server entry changed", "server", id, "source", source, "revision", e.Revision.String(), "removed", e.Removed,
-		"tentative", e.Tentative, "age", f.copy.Age(f.daemon.now()).String())
+		"tentative", e.Tentative, "confirms", e.Confirms, "age", f.copy.Age(f.daemon.now()).String())
 }
 
 // checkDomain rejects a failure domain that belongs to no region, or not to the given one: it
@@ -292,7 +329,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.daemon.now()
-	header := replica.Delta{Base: f.copy.RequestRevision(), Revision: f.copy.RequestRevision(), Age: f.copy.Age(now)}
+	header := replica.Delta{Base: f.copy.RequestRevision(), Revision: f.copy.RequestRevision(), Age: f.copy.Age(now), Available: f.copy.Availability.Span(now)}
 	if f.copy.Revision() <= revision {
 		return header
 	}
@@ -350,7 +387,8 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		since = start
 	}
-	if f.outage.RecordFailure(since) {
+	f.recordActivity(f.daemon.now())
+	if f.copy.Availability.RecordFailure(start, since) {
 		klog.InfoS("store unavailable", "error", err.Error(), "revision", f.copy.Revision().String())
 	}
 }
@@ -359,17 +397,23 @@
 func (f *storeReplica) storeResponded() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.outage.RecordSuccess(f.daemon.now()) {
+	now := f.daemon.now()
+	f.recordActivity(now)
+	if f.copy.Availability.RecordSuccess(now) {
 		klog.InfoS("store available again", "revision", f.copy.Revision().String())
 	}
 }
 
-// applyStoreRead applies what this proxy read from the store and reports whether the copy
-// advanced.
-func (f *storeReplica) applyStoreRead(d replica.Delta) bool {
+// applyStoreRead applies what a call that began at start has read from the store and reports whether
+// the copy advanced.
+func (f *storeReplica) applyStoreRead(start time.Time, d replica.Delta) bool {
 	f.storeResponded()
 	f.mu.Lock()
-	d.TentativeRemovals = f.outage.RemovalsTentative(f.daemon.now())
+	now := f.daemon.now()
+	if d.Age == 0 {
+		f.copy.Availability.RecordRead(start, now)
+	}
+	d.TentativeRemovals = f.copy.Availability.RemovalsTentative(now)
 	f.mu.Unlock()
 	return f.apply(storeSource, d)
 }
--- a/internal/proxy/forward/storewatcher.go
+++ b/internal/proxy/forward/storewatcher.go
@@ -105,6 +105,7 @@
 	if before == 0 {
 		return f.initialRead(ctx)
 	}
+	start := f.replica.daemon.now()
 	items, era, err := f.store.Watch(ctx, "", before.Revision(), f.timeout())
 	var storeErr *StoreError
 	if errors.As(err, &storeErr) && storeErr.Code == StoreCompacted {
@@ -119,7 +120,7 @@
 		return f.readAll(ctx, false)
 	}
 	entries := replicaEntries(items, before.Era())
-	f.replica.applyStoreRead(replica.Delta{Base: before, Revision: lastRevision(before, entries), Entries: entries})
+	f.replica.applyStoreRead(start, replica.Delta{Base: before, Revision: lastRevision(before, entries), Entries: entries})
 	if len(items) > 0 {
 		// Called even if an exchange with another region brought the changes a moment before:
 		// the rest of this region may not have them.
@@ -175,7 +176,7 @@
 // state: the others receive the rest from their peers, and when a fleet of hundreds starts, their
 // reads would make up most of the store calls.
 func (f *storeWatcher) readAll(ctx context.Context, stale bool) error {
-	before := f.replica.revision()
+	before, start := f.replica.revision(), f.replica.daemon.now()
 	items, position, err := f.store.Range(ctx, "", stale)
 	if err != nil {
 		return errors.Wrap(err, "read the store")
@@ -192,7 +193,7 @@
 		// Without a pause, the watch and this read would alternate for as long as that lasts.
 		return errors.Errorf("read the store: it is at %s, before the copy at %s", d.Revision, before)
 	}
-	if f.replica.applyStoreRead(d) && before > 0 {
+	if f.replica.applyStoreRead(start, d) && before > 0 {
 		// A first read isn't propagated: relative to an empty copy, all entries are changes, and
 		// each peer would be sent everything.
 		f.onAdvance(before)
