Keep servers whose entries lapsed until news of their return can have come

Callers after an outage of the store in which entries expire: a proxy drops a server that is back in time, and rejects or moves its requests for a moment.

Cause: a missing server is kept for 2.2 s from when a proxy hears of it. Servers are back within about two seconds of the outage's end, and the news of it waits for up to 0.4 s in the pause of the watch after a change: 2.4 s and the way.

Fix: a proxy that had an outage itself keeps it until 3 s after the fleet's first contact with the store, from when nothing is tentative any more. Proxies that know of an outage only from others keep 2.2 s: they may be mistaken.

--- a/internal/kernel/replica/availability.go
+++ b/internal/kernel/replica/availability.go
@@ -10,9 +10,11 @@
 	// within a fraction of a second.
 	minOutage = time.Second
 	// tentativeFor is how long after the end of an outage a missing entry may be one that expired
-	// because of it. Live servers register again within about two seconds.
+	// because of it. Live servers register again within about two seconds, and the news of it may
+	// wait for the pause of a watch.
 	tentativeFor = 3 * time.Second
-	// absenceGracePeriod is how long a server is kept at most whose registration may have expired.
+	// absenceGracePeriod is how long a server is kept whose registration may have expired, by a proxy
+	// that knows of an outage only from others.
 	absenceGracePeriod = 2200 * time.Millisecond
 )
 
@@ -82,13 +84,17 @@
 }
 
 // RecordSuccess records a response of the store to this proxy and reports whether it ends a series
-// of failures.
+// of failures. It extends the known period, but begins none: a proxy may make calls so rarely that the
+// store was unavailable between two of them.
 func (a *Availability) RecordSuccess(now time.Time) bool {
 	ended := a.failing
 	if ended && now.Sub(a.failingSince) >= minOutage {
 		a.returnedAt = now
 	}
 	a.failing = false
+	if a.covers(now) {
+		a.known.until = latest(a.known.until, now)
+	}
 	return ended
 }
 
@@ -133,10 +139,15 @@
 
 // RemovalsTentative reports whether entries that this proxy finds missing may be back soon.
 func (a *Availability) RemovalsTentative(now time.Time) bool {
+	return a.hadOutage(now) && !a.Refutes(now, now)
+}
+
+// hadOutage reports whether the store has not responded to this proxy for minOutage, now or lately.
+func (a *Availability) hadOutage(now time.Time) bool {
 	if a.failing {
 		return now.Sub(a.failingSince) >= minOutage
 	}
-	return now.Before(a.returnedAt.Add(tentativeFor)) && !a.Refutes(now, now)
+	return now.Before(a.returnedAt.Add(tentativeFor))
 }
 
 // Refutes reports whether an entry that was found missing at a time cannot have expired in an outage:
@@ -153,7 +164,7 @@
 // keepUntil returns until when a server is kept whose entry is found missing now.
 func (a *Availability) keepUntil(now time.Time) time.Time {
 	until := now.Add(absenceGracePeriod)
-	if end := a.known.since.Add(tentativeFor); a.covers(now) && end.Before(until) {
+	if end := a.known.since.Add(tentativeFor); a.covers(now) && (a.hadOutage(now) || end.Before(until)) {
 		return end
 	}
 	return until
--- a/internal/kernel/replica/removal_test.go
+++ b/internal/kernel/replica/removal_test.go
@@ -284,3 +284,79 @@
 		}
 	}
 }
+
+// passOutage lets all entries expire in an outage of the store; the servers write them again within two
+// seconds of its end. It returns how long after that a proxy lacks a server, or false.
+func (s *removalSimulation) passOutage(length time.Duration) (time.Duration, bool) {
+	s.down = true
+	begin, end := s.now, s.now.Add(length)
+	lapses, returns := make(map[string]time.Time), make(map[string]time.Time)
+	for i := range simulatedServers {
+		key := fmt.Sprintf("servers/%d", i)
+		lapses[key] = begin.Add(length / 2)
+		returns[key] = end.Add(time.Duration(s.random.Int64N(int64(2 * time.Second))))
+	}
+	for s.now.Before(end.Add(8 * time.Second)) {
+		s.down = s.now.Before(end)
+		s.changeAt(lapses, s.remove)
+		s.changeAt(returns, s.write)
+		s.step()
+		for _, p := range s.proxies {
+			if len(p.keptUntil) < simulatedServers {
+				return s.now.Sub(end), true
+			}
+		}
+	}
+	return 0, false
+}
+
+// changeAt makes the changes that are due.
+func (s *removalSimulation) changeAt(due map[string]time.Time, change func(key string)) {
+	for i := range simulatedServers {
+		key := fmt.Sprintf("servers/%d", i)
+		if at, pending := due[key]; pending && !s.now.Before(at) {
+			delete(due, key)
+			change(key)
+		}
+	}
+}
+
+// Guards against proxies that drop servers because their entries expired during an outage.
+func TestServersWhoseEntriesLapseAreKept(t *testing.T) {
+	for seed := range uint64(200) {
+		s := newRemovalSimulation(seed)
+		for range int(6 * time.Second / simulationStep) {
+			s.step()
+		}
+		length := noticedOutage + time.Duration(s.random.Int64N(int64(5*time.Second)))
+		if at, dropped := s.passOutage(length); dropped {
+			t.Errorf("seed %d: a proxy drops a server %s after the end of an outage of %s, want all kept", seed, at, length)
+		}
+	}
+}
+
+// Guards against requests to servers that leave shortly after all relays had lost the store at once.
+func TestRemovalsReachConnectedProxiesAfterCutOfRelays(t *testing.T) {
+	for seed := range uint64(200) {
+		s := newRemovalSimulation(seed)
+		cutAt, length := s.now.Add(5*time.Second), time.Second+time.Duration(s.random.Int64N(int64(4*time.Second)))
+		leaveAt := cutAt.Add(length + time.Duration(s.random.Int64N(int64(3*time.Second))))
+		var worst time.Duration
+		for s.now.Before(leaveAt.Add(5 * time.Second)) {
+			cut := !s.now.Before(cutAt) && s.now.Before(cutAt.Add(length))
+			for _, p := range s.proxies {
+				if p.rank < RelaysPerRegion && p.linked == cut {
+					p.linked, p.linkedSince = !cut, s.now
+				}
+			}
+			if !s.now.Before(leaveAt) && len(s.removedAt) == 0 {
+				s.leave()
+			}
+			s.step()
+			worst = max(worst, s.latestUse())
+		}
+		if worst > maxNewsDelay {
+			t.Errorf("seed %d: a proxy that had the store uses a server %s after its removal, want at most %s", seed, worst, maxNewsDelay)
+		}
+	}
+}
