Check again before the first byte that a server has not left

Callers: a request whose connection is opened to another region while the news of the server's leaving arrives is sent to it all the same, up to 0.25 s and two round trips (0.47 s at 55 ms) after the proxy knew.

Cause: after the dial, ServerStillAccepts asked only for what the server itself had announced in responses; not for its registration (draining, removed, not readable, started again under its ID) and not for an evacuation. A request that waited for a slot was checked for most of these.

Evidence: TestRequestIsNotSentOnceTheServerHasLeft failed in all five cases.

Fix: the check asks what the choice asks. A request that finds its server gone is sent to another one; nothing was sent, so this is no retry.

--- a/internal/kernel/steering/backpressure.go
+++ b/internal/kernel/steering/backpressure.go
@@ -46,14 +46,14 @@
 }
 
 // ServerStillAccepts reports whether a request may still be sent to the server chosen for it. The
-// server may have paused or started to drain while the connection was being opened. isHedge selects
-// the attempt that was begun by BeginHedge.
+// server may have paused, left, restarted or been evacuated while the connection was being opened.
+// isHedge selects the attempt that was begun by BeginHedge.
 func (k *Kernel) ServerStillAccepts(now time.Time, req *ActiveRequest, isHedge bool) bool {
 	s := req.server
 	if isHedge && req.hedge != nil {
 		s = req.hedge.server
 	}
-	return !s.backpressure.Paused(now) && !s.backpressure.Draining()
+	return s.isEligible() && !k.evacuatedDomains[s.Domain] && !s.backpressure.Paused(now)
 }
 
 // backpressureShare returns this proxy's share of the requests that a server accepts in a window. A
--- a/internal/kernel/steering/backpressure_test.go
+++ b/internal/kernel/steering/backpressure_test.go
@@ -131,6 +131,29 @@
 	}
 }
 
+// Guards against sending a request to a server that has left, restarted or been evacuated while the
+// connection for the request was being opened.
+func TestRequestIsNotSentOnceTheServerHasLeft(t *testing.T) {
+	for name, leave := range map[string]func(*Kernel, time.Time, routing.Server){
+		"drains":                  func(k *Kernel, now time.Time, s routing.Server) { s.Draining = true; k.RegisterServer(now, s) },
+		"is removed":              func(k *Kernel, now time.Time, s routing.Server) { k.RemoveServer(now, s.ID) },
+		"has an unreadable entry": func(k *Kernel, _ time.Time, s routing.Server) { k.MarkServerUnreadable(s.ID) },
+		"restarts":                func(k *Kernel, now time.Time, s routing.Server) { s.Started = now; k.RegisterServer(now, s) },
+		"is evacuated":            func(k *Kernel, now time.Time, s routing.Server) { k.SetDomainEvacuated(now, s.Domain, true) },
+	} {
+		now := time.Unix(1_000_000, 0)
+		k := quarantineKernel(now, false)
+		req, d := beginPoisonRequest(k, now)
+		if d.Server == nil || !k.ServerStillAccepts(now, req, false) {
+			t.Fatalf("%s: got %+v, want a server", name, d)
+		}
+		leave(k, now.Add(50*time.Millisecond), d.Server.Server)
+		if k.ServerStillAccepts(now.Add(60*time.Millisecond), req, false) {
+			t.Errorf("%s: the request may still be sent to the server", name)
+		}
+	}
+}
+
 // Guards against callers that wait for a service whose servers are all paused, and against a retry
 // delay that ends before the pause.
 func TestRetryAfterCoversThePause(t *testing.T) {
--- a/internal/kernel/steering/slotrequest.go
+++ b/internal/kernel/steering/slotrequest.go
@@ -144,7 +144,7 @@
 		d.SlotRelease = release
 		return d
 	}
-	if !s.isEligible() || k.evacuatedDomains[s.Domain] || s.isCold(now) || !req.allowedRegions.has(s.regionBit) || !k.ServerStillAccepts(now, req, false) {
+	if s.isCold(now) || !req.allowedRegions.has(s.regionBit) || !k.ServerStillAccepts(now, req, false) {
 		// The server started to drain, was paused or became cold while the request waited.
 		release := k.abandonSlot(req)
 		req.triedServers = append(req.triedServers, s)
