--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -225,9 +225,9 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
+	d.replica.onConfirm = func() { go d.gossip.sendAlerts(ctx) }
 	go func() { failed <- peerdrpc.ServeSync(ctx, peers, d.peerHandlers(ctx)) }()
 	d.storeWatcher.onAdvance = func(before replica.Position) { d.gossip.spread(ctx, before) }
-	d.replica.onConfirm = func() { go d.gossip.sendAlerts(ctx) }
 	d.storeWatcher.onUnchanged = func() { d.gossip.confirm(ctx) }
 	go d.storeWatcher.run(ctx)
 	go d.gossip.run(ctx)
