--- a/internal/proxy/forward/members.go
+++ b/internal/proxy/forward/members.go
@@ -94,7 +94,7 @@
 			f.requestRewrite()
 		}
 		if e.Tentative {
-			f.daemon.withKernel(func(k *steering.Kernel, now time.Time) { k.IgnoreMissingProxiesUntil(e.KeepUntil) })
+			f.daemon.withKernel(func(k *steering.Kernel, _ time.Time) { k.IgnoreMissingProxiesUntil(e.KeepUntil) })
 		}
 		if f.daemon.decisionLog.allowChange("proxy-removed") {
 			klog.InfoS("proxy removed", "proxy", name)
