--- a/internal/kernel/replica/availability.go
+++ b/internal/kernel/replica/availability.go
@@ -78,6 +78,7 @@
 	}
 	a.failing, a.failingSince = true, since
 	if start.Sub(a.own.until) < minOutage {
+		// The store was available until the call failed.
 		a.own.until = latest(a.own.until, since)
 	}
 	return true
--- a/internal/proxy/forward/storereplica.go
+++ b/internal/proxy/forward/storereplica.go
@@ -411,6 +411,7 @@
 	f.mu.Lock()
 	now := f.daemon.now()
 	if d.Age == 0 {
+		// A stale read does not show that the store takes writes.
 		f.copy.Availability.RecordRead(start, now)
 	}
 	d.TentativeRemovals = f.copy.Availability.RemovalsTentative(now)
