--- a/internal/kernel/replica/availability.go
+++ b/internal/kernel/replica/availability.go
@@ -14,7 +14,7 @@
 	// wait for the pause of a watch.
 	tentativeFor = 3 * time.Second
 	// absenceGracePeriod is how long a server is kept whose registration may have expired, by a proxy
-	// that knows of an outage only from others.
+	// that knows of an outage only from others, or after the store's return from an older copy.
 	absenceGracePeriod = 2200 * time.Millisecond
 )
 
@@ -55,6 +55,7 @@
 	case p.until.IsZero() || other.since.Sub(p.until) >= minOutage:
 		*p = other
 	case p.since.Sub(other.until) >= minOutage:
+		// The other one is earlier and says nothing of this one.
 	default:
 		if other.since.Before(p.since) {
 			p.since = other.since
@@ -162,7 +163,8 @@
 	return !a.known.until.IsZero() && at.Sub(a.known.until) < minOutage
 }
 
-// keepUntil returns until when a server is kept whose entry is found missing now.
+// keepUntil returns until when a server is kept whose entry is found missing now. A proxy that had no
+// outage itself may be told of one by mistake, and waits for less long.
 func (a *Availability) keepUntil(now time.Time) time.Time {
 	until := now.Add(absenceGracePeriod)
 	if end := a.known.since.Add(tentativeFor); a.covers(now) && (a.hadOutage(now) || end.Before(until)) {
--- a/internal/kernel/replica/availability_test.go
+++ b/internal/kernel/replica/availability_test.go
@@ -8,23 +8,23 @@
 // A waiting watch is interrupted, as can happen at any time, and shortly after a server's entry
 // is removed. The entry wasn't dropped by an outage: waiting for it to return would send the
 // server requests long after it has left.
-func TestSingleFailedCallIsNotAnAvailability(t *testing.T) {
-	var o Availability
-	o.RecordFailure(start, start)
-	if o.RemovalsTentative(start.Add(300 * time.Millisecond)) {
+func TestSingleFailedCallIsNotAnOutage(t *testing.T) {
+	var a Availability
+	a.RecordFailure(start, start)
+	if a.RemovalsTentative(start.Add(300 * time.Millisecond)) {
 		t.Error("removals are tentative 0.3 s after a failed call")
 	}
-	o.RecordSuccess(start.Add(400 * time.Millisecond))
-	if o.RemovalsTentative(start.Add(time.Second)) {
+	a.RecordSuccess(start.Add(400 * time.Millisecond))
+	if a.RemovalsTentative(start.Add(time.Second)) {
 		t.Error("removals are tentative although the store responded 0.4 s after a failed call")
 	}
 }
 
 // The store is unavailable for seconds and entries expire. They may return until some time after
 // the outage.
-func TestRemovalsAreTentativeAfterAnAvailability(t *testing.T) {
-	var o Availability
-	if !o.RecordFailure(start, start) || o.RecordFailure(start, start.Add(time.Second)) {
+func TestRemovalsAreTentativeAfterAnOutage(t *testing.T) {
+	var a Availability
+	if !a.RecordFailure(start, start) || a.RecordFailure(start, start.Add(time.Second)) {
 		t.Error("each failed call reports the start of an outage, want only the first")
 	}
 	for _, c := range []struct {
@@ -39,9 +39,9 @@
 	} {
 		now := start.Add(c.after)
 		if c.answered {
-			o.RecordSuccess(start.Add(5 * time.Second))
+			a.RecordSuccess(start.Add(5 * time.Second))
 		}
-		if got := o.RemovalsTentative(now); got != c.want {
+		if got := a.RemovalsTentative(now); got != c.want {
 			t.Errorf("%s after the store became unavailable: tentative is %t, want %t", c.after, got, c.want)
 		}
 	}
--- a/internal/kernel/steering/slotrequest.go
+++ b/internal/kernel/steering/slotrequest.go
@@ -145,7 +145,7 @@
 		return d
 	}
 	if s.isCold(now) || !req.allowedRegions.has(s.regionBit) || !k.ServerStillAccepts(now, req, false) {
-		// The server started to drain, was paused or became cold while the request waited.
+		// The server left, was paused or evacuated, or became cold while the request waited.
 		release := k.abandonSlot(req)
 		req.triedServers = append(req.triedServers, s)
 		d := k.send(now, req)
