Reject responses whose head is not valid HTTP/1.1

Callers got responses that no server should be able to send: with the status 000, with the name of a field that holds a blank or a control byte, or with a body that was not the server's.

Cause: the parser of net/http is lenient. A name may contain blanks, so "Content-Length : 4" and "Transfer-Encoding : chunked" are unknown fields and the framing goes out as the body. A status of 000 is below 200 and counted as an interim response here, so what stood in its body could become the response. Status 101 did the same; a chunked encoding in HTTP/1.0 was ignored, and one beside a length was accepted.

A small state machine now checks the bytes of the head while they arrive: status line, names, line ends, and that only one field delimits the body. What it rejects is a lost connection, like other bytes that are no response. The client of our own interface uses net/http itself, which keeps invalid names in its map: there the parsed names and the status are checked. An HTTP/1.0 response with a chunked encoding can't be recognized there.

--- a/internal/adapter/backendhttp/client.go
+++ b/internal/adapter/backendhttp/client.go
@@ -130,6 +130,11 @@
 		_ = response.Body.Close()
 		return nil, true, errStrayResponse
 	}
+	if err := serverhttp.CheckHead(response); err != nil {
+		_ = (*used).Close()
+		_ = response.Body.Close()
+		return nil, true, err
+	}
 	return response, true, nil
 }
 
--- a/internal/adapter/serverhttp/head.go
+++ b/internal/adapter/serverhttp/head.go
@@ -34,14 +34,17 @@
 		// reservation is the memory of the head that is being read, or nil.
 		reservation   *bodies.Reservation
 		bytes, fields int
+		syntax        headSyntax
 		// err is set once the head has exceeded a limit.
 		err error
 	}
 )
 
-// begin starts the head of a response, whose memory is charged to m.
-func (l *headLimiter) begin(m *bodies.MemoryBudget) {
-	l.reservation, l.bytes, l.fields, l.err = m.NewReservation(), 0, 0, nil
+// begin starts the head of a response, whose memory is charged to m. The first bytes of the head may have
+// been read before, behind an interim response.
+func (l *headLimiter) begin(m *bodies.MemoryBudget, first []byte) {
+	l.reservation, l.bytes, l.fields, l.syntax, l.err = m.NewReservation(), 0, 0, headSyntax{}, nil
+	l.syntax.feed(first)
 }
 
 // end ends the head and returns its reservation.
@@ -66,6 +69,7 @@
 		return 0, l.err
 	}
 	l.bytes += n
+	l.syntax.feed(b[:n])
 	l.fields += bytes.Count(b[:n], []byte{'\n'})
 	return n, err
 }
@@ -73,7 +77,9 @@
 // readHead reads the head of the next response, interim ones included. Unless it returns an error, the
 // reservation must be released.
 func (c *conn) readHead(m *http.Request, memory *bodies.MemoryBudget) (*http.Response, *bodies.Reservation, error) {
-	c.head.begin(memory)
+	// As many bytes as are buffered can be peeked without an error.
+	first, _ := c.reader.Peek(c.reader.Buffered())
+	c.head.begin(memory, first)
 	response, err := http.ReadResponse(c.reader, m)
 	reservation := c.head.end()
 	if err == nil {
@@ -87,6 +93,9 @@
 	if err == nil && countFields(response.Header) > maxHeadFields {
 		err = errHeadTooLarge
 	}
+	if err == nil {
+		err = c.head.syntax.check(response)
+	}
 	if err != nil {
 		reservation.Release()
 		return nil, nil, err
