Don't take a response for complete that a reset has cut off

A server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as the complete response.

Cause: the response ends with its connection, and a socket reports a reset once. The goroutine that writes the request took the error, and the one that reads the response saw the end of the stream.

A response without a length is now complete only if the request was written without an error, or if the socket says that the server has closed its side in order (state CLOSE_WAIT) while the request is still being written. Everything else is a lost connection, as after any other broken response. With net/http's client, for our own interface, only the first holds: the body waits for the result of the write. The clients of the stores and of the operators read JSON or send no body, so a part can't pass for the whole there.

TestResponseThatEndsDuringUploadIsComplete holds the other side.

--- a/internal/adapter/backendhttp/client.go
+++ b/internal/adapter/backendhttp/client.go
@@ -119,7 +119,17 @@
 // the connection is closed: the responses behind it would all go to the wrong requests.
 func (c *Client) do(request *http.Request) (response *http.Response, connected bool, err error) {
 	var connection atomic.Pointer[net.Conn]
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connection.Store(&info.Conn) }}
+	written := make(chan error, 1)
+	trace := &httptrace.ClientTrace{
+		GotConn:      func(info httptrace.GotConnInfo) { connection.Store(&info.Conn) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			select {
+			case <-written:
+			default:
+			}
+			written <- info.Err
+		},
+	}
 	response, err = c.http.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	used := connection.Load()
 	if err != nil {
@@ -135,6 +145,9 @@
 		_ = response.Body.Close()
 		return nil, true, err
 	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		response.Body = &unsizedBody{ReadCloser: response.Body, ctx: request.Context(), written: written}
+	}
 	return response, true, nil
 }
 
--- a/internal/adapter/serverhttp/client.go
+++ b/internal/adapter/serverhttp/client.go
@@ -148,6 +148,8 @@
 		message *http.Request
 		// memory is the part of the client's budget for the server.
 		memory *bodies.MemoryBudget
+		// written receives the result of writing the request.
+		written chan error
 		// signal merges the backpressure signals of all responses of the exchange, including those
 		// to other requests.
 		signal backpressure.Signal
@@ -196,7 +198,7 @@
 		c.pool.put(connection, true, r.MaxConnections)
 		return steering.Attempt{Result: steering.ResultNotSent, RoundTrip: roundTrip}, nil
 	}
-	e := &exchange{client: c, conn: connection, request: r, message: c.newMessage(r), memory: c.memory.From(r.Address)}
+	e := &exchange{client: c, conn: connection, request: r, message: c.newMessage(r), memory: c.memory.From(r.Address), written: make(chan error, 1)}
 	stop := context.AfterFunc(ctx, func() { _ = connection.Transport.Close() })
 	response, reusable, err := e.run()
 	if !stop() {
@@ -360,21 +362,20 @@
 		return nil, false, errors.Wrap(err, "set deadline")
 	}
 	e.conn.Begin(e.request.AttemptID)
-	written := make(chan error, 1)
 	if e.request.Body.Len() <= maxInlineBodyBytes {
 		if err := e.write(); err != nil {
 			return nil, false, err
 		}
-		written <- nil
+		e.written <- nil
 	} else {
-		go func() { written <- e.write() }()
+		go func() { e.written <- e.write() }()
 	}
 	response, closes, err := e.read()
 	if err != nil {
 		return nil, false, err
 	}
 	select {
-	case err := <-written:
+	case err := <-e.written:
 		reusable = err == nil && !closes && e.conn.Transport.reader.Buffered() == 0
 	default:
 		// The server responded before it had read the whole body. The rest of the body belongs to
@@ -464,6 +465,12 @@
 		}
 		return nil, true, errors.Wrap(err, "read response body")
 	}
+	if contentLength < 0 && len(response.TransferEncoding) == 0 {
+		if err := e.checkEnd(); err != nil {
+			received.Release()
+			return nil, true, err
+		}
+	}
 	return received, response.Close, nil
 }
 
