--- a/internal/adapter/backendhttp/client.go
+++ b/internal/adapter/backendhttp/client.go
@@ -121,7 +121,7 @@
 	var connection atomic.Pointer[net.Conn]
 	written := make(chan error, 1)
 	trace := &httptrace.ClientTrace{
-		GotConn:      func(info httptrace.GotConnInfo) { connection.Store(&info.Conn) },
+		GotConn: func(info httptrace.GotConnInfo) { connection.Store(&info.Conn) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			select {
 			case <-written:
