Take the memory of a body as it arrives

A few clients that announced long bodies and sent nothing more held all of the memory for bodies for ten seconds, and everybody else got 503.

Cause: the memory of a body of known length was reserved and allocated with its head. It is now taken in pieces as the bytes arrive, as before for bodies of unknown length; up to 64 KB it is still one piece. A request body that is long or of unknown length leaves a sixteenth of the budget to short ones, so that a crowd of long uploads does not shut them out.

--- a/internal/adapter/bodies/bodies.go
+++ b/internal/adapter/bodies/bodies.go
@@ -4,7 +4,6 @@
 package bodies
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"time"
@@ -14,8 +13,10 @@
 
 const (
 	// minPiece and maxPiece are the lengths of the pieces of a body of unknown length, in bytes.
-	minPiece = 4 << 10
-	maxPiece = 1 << 20
+	// minSizedPiece is that of the first piece if the length is known.
+	minPiece      = 4 << 10
+	minSizedPiece = 64 << 10
+	maxPiece      = 1 << 20
 )
 
 var (
@@ -66,31 +67,45 @@
 	return b, nil
 }
 
-// readSized reads a body of known length into a buffer that is allocated once: for 64 KB this takes
-// a third of the time and memory of a growing buffer.
+// readSized reads a body of known length in pieces, each of which is allocated once: for 64 KB this takes a
+// third of the time and memory of a growing buffer. Memory for a longer body is taken as it arrives, so that
+// a length that is announced and not sent takes none.
 func (b *Body) readSized(r io.Reader, contentLength int64) error {
-	if !b.budget.tryAcquire(contentLength) {
-		return ErrMemoryExhausted
-	}
-	b.reserved = contentLength
-	var buffer bytes.Buffer
-	buffer.Grow(int(contentLength) + bytes.MinRead)
-	if _, err := buffer.ReadFrom(io.LimitReader(r, contentLength)); err != nil {
-		return errors.Wrap(err, "read body")
+	for received := int64(0); received < contentLength; received = int64(b.Content.Len()) {
+		piece, err := b.newPiece(min(max(received, minSizedPiece), maxPiece, contentLength-received))
+		if err != nil {
+			return err
+		}
+		n, err := fill(r, piece)
+		if n > 0 {
+			b.Content = append(b.Content, piece[:n])
+		}
+		if errors.Is(err, io.EOF) && received+int64(n) < contentLength {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return errors.Wrap(err, "read body")
+		}
 	}
-	b.Content = NewContent(buffer.Bytes())
 	return nil
 }
 
+// newPiece allocates a piece of the body within the budget.
+func (b *Body) newPiece(size int64) ([]byte, error) {
+	if !b.budget.acquire(size) {
+		return nil, ErrMemoryExhausted
+	}
+	b.reserved += size
+	return make([]byte, size), nil
+}
+
 // readUnsized reads a body of unknown length.
 func (b *Body) readUnsized(r io.Reader, limit int64) error {
 	for received := int64(0); received < limit; received = int64(b.Content.Len()) {
-		size := min(max(received, minPiece), maxPiece, limit-received)
-		if !b.budget.tryAcquire(size) {
-			return ErrMemoryExhausted
+		piece, err := b.newPiece(min(max(received, minPiece), maxPiece, limit-received))
+		if err != nil {
+			return err
 		}
-		b.reserved += size
-		piece := make([]byte, size)
 		n, err := fill(r, piece)
 		if n > 0 {
 			b.Content = append(b.Content, piece[:n])
@@ -135,7 +150,7 @@
 	if err := controller.SetReadDeadline(time.Now().Add(timeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, errors.Wrap(err, "set read deadline")
 	}
-	b, err := m.Read(r.Body, r.ContentLength, limit)
+	b, err := m.forRequest(r.ContentLength).Read(r.Body, r.ContentLength, limit)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/adapter/bodies/budget.go
+++ b/internal/adapter/bodies/budget.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"sync"
+	"time"
 )
 
 const (
@@ -10,6 +11,11 @@
 	// reservedShare is the part that only small sources may use.
 	smallSourceShare = 64
 	reservedShare    = 4
+	// longRequestShare is the part of the budget, as a divisor, that request bodies which are long or of
+	// unknown length leave to others.
+	longRequestShare = 16
+	// reclaimTimeout is how long a body waits for memory of connections that were closed for it.
+	reclaimTimeout = 200 * time.Millisecond
 )
 
 type (
@@ -18,12 +24,19 @@
 	MemoryBudget struct {
 		*sharedBudget
 		source netip.AddrPort
+		// leave is the part that this view leaves to others, in bytes.
+		leave int64
 	}
 
 	sharedBudget struct {
 		size int64
+		// reclaim closes a connection that holds memory, and reports whether there was one. It may be
+		// nil.
+		reclaim func() bool
 
 		mu sync.Mutex
+		// changed is closed when memory is released. It is nil unless a body waits for that.
+		changed chan struct{}
 		// used is the memory that is reserved, held the part of it by source.
 		used int64
 		held map[netip.AddrPort]int64
@@ -35,6 +48,58 @@
 	return &MemoryBudget{sharedBudget: &sharedBudget{size: maxBytes, held: make(map[netip.AddrPort]int64)}}
 }
 
+// ReclaimWith calls reclaim when the memory is used up: it closes a connection that holds memory without
+// need, and reports whether there was one. It must be called before the budget is used.
+func (m *MemoryBudget) ReclaimWith(reclaim func() bool) { m.reclaim = reclaim }
+
+// forRequest returns a view of the budget for a request body. One that is long, or of unknown length if
+// contentLength is negative, leaves a part to others: a crowd of them must not shut out short ones.
+func (m *MemoryBudget) forRequest(contentLength int64) *MemoryBudget {
+	view := &MemoryBudget{sharedBudget: m.sharedBudget, source: m.source}
+	if contentLength < 0 || contentLength > m.size/smallSourceShare {
+		view.leave = m.size / longRequestShare
+	}
+	return view
+}
+
+// acquire reserves memory like tryAcquire. If there is none, it reclaims some and waits for that a short
+// time.
+func (m *MemoryBudget) acquire(bytes int64) bool {
+	if m.tryAcquire(bytes) {
+		return true
+	}
+	if m.reclaim == nil {
+		return false
+	}
+	timeout := time.NewTimer(reclaimTimeout)
+	defer timeout.Stop()
+	for m.reclaim() {
+		changed := m.released()
+		if m.tryAcquire(bytes) {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return m.tryAcquire(bytes)
+		}
+		if m.tryAcquire(bytes) {
+			return true
+		}
+	}
+	return false
+}
+
+// released returns a channel that is closed when memory is released next.
+func (m *MemoryBudget) released() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.changed == nil {
+		m.changed = make(chan struct{})
+	}
+	return m.changed
+}
+
 // From returns a view of the budget for the bodies of a source. A source that holds more than a small part
 // leaves a reserve to the others, and never holds more of the rest than is free there. So one source
 // alone gets half of the rest, and small ones find memory beside as many sources that send too much as
@@ -47,7 +112,7 @@
 func (m *MemoryBudget) tryAcquire(bytes int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	free := m.size - m.used
+	free := m.size - m.used - m.leave
 	if held := m.held[m.source] + bytes; m.source.IsValid() && held > m.size/smallSourceShare {
 		free -= m.size / reservedShare
 		if held > free {
@@ -68,6 +133,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.used -= bytes
+	if m.changed != nil {
+		close(m.changed)
+		m.changed = nil
+	}
 	if !m.source.IsValid() {
 		return
 	}
--- a/internal/adapter/bodies/stream.go
+++ b/internal/adapter/bodies/stream.go
@@ -34,7 +34,7 @@
 
 // NewStream returns an empty stream for a body of the given length. It must be released.
 func (m *MemoryBudget) NewStream(contentLength int64) (*Stream, error) {
-	if !m.tryAcquire(contentLength) {
+	if !m.acquire(contentLength) {
 		return nil, ErrMemoryExhausted
 	}
 	s := &Stream{body: &Body{budget: m, reserved: contentLength}, bytes: make([]byte, contentLength)}
