Close connections of stalled clients when others need the room

Clients that opened connections and sent little or nothing on them ended in all descriptors being used (the addresses for readiness, operators and peers had no limit), or shut out all others for ten seconds (callers) or for good: net/http waits for the rest of a body without a deadline.

Every listener has a limit of connections now, together at most 0.95 of the open files, and for callers one by memory, too. At the limit kernel/eviction, which does no I/O, chooses the connection whose client has made no progress for the longest, one that waits for a head, a body or the reading of a response before an idle one, never one that is being served. The same choice frees memory for bodies. A response to a request whose body is not read is written on the connection itself, which is then closed: net/http would read on and wait, and held 4,751 goroutines behind 80 connections. Where nothing is forwarded, requests and responses have five seconds. A request with a long body and no route is answered without reading it.

Refusing all beyond the limit instead is what shut others out; a queue would make them wait as long as the crowd does. A share by address would hurt honest callers behind one.

--- a/internal/adapter/forwardhttp/idle.go
+++ b/internal/adapter/forwardhttp/idle.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/gypsumquay/gypsumquay/internal/kernel/eviction"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/shutdown"
 )
 
@@ -17,6 +18,12 @@
 	if !ok {
 		return
 	}
+	switch state {
+	case http.StateActive:
+		tracked.begin(eviction.Serving)
+	case http.StateIdle:
+		tracked.begin(eviction.Idle)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	tracked.state, tracked.stateSince = state, time.Now()
--- a/internal/adapter/forwardhttp/listener.go
+++ b/internal/adapter/forwardhttp/listener.go
@@ -13,6 +13,8 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
+
+	"github.com/gypsumquay/gypsumquay/internal/kernel/eviction"
 )
 
 const (
@@ -27,17 +29,25 @@
 	// lingerTimeout and maxLingerBytes bound how long and how much is read from a caller after the proxy has
 	// closed its side of the connection.
 	lingerTimeout  = 500 * time.Millisecond
-	maxLingerBytes = 256 << 10
+	maxLingerBytes = 4 << 20
+	// maxWriteBytes is how much is written to a client at once, so that its progress can be seen.
+	maxWriteBytes = 64 << 10
+	// evictionPause is the longest pause before a connection to evict is searched for again.
+	evictionPause = 20 * time.Millisecond
 )
 
 type (
-	// Listener limits the number of open connections. After Close, Accept still returns the
-	// connections that were established before.
+	// Listener limits the number of open connections, and closes those of clients that have stalled if
+	// others need the room. After Close, Accept still returns the connections that were established
+	// before.
 	Listener struct {
 		net.Listener
+		startedAt time.Time
+		patience  eviction.Patience
 		maxOpen   int64
 		openCount atomic.Int64
 		onReject  func()
+		onEvict   func()
 		onSent    func(int)
 		// newPipeline is nil if requests of a connection run one after the other.
 		newPipeline func(net.Conn) *pipeline
@@ -45,6 +55,8 @@
 		mu sync.Mutex
 		// connections are the open connections.
 		connections map[*trackedConn]bool
+		// noVictimUntil is when a connection can be evicted at the earliest, by purpose.
+		noVictimUntil [eviction.ForBody + 1]time.Time
 		// backlog holds the connections that were established but not accepted when the listener
 		// was closed.
 		backlog []net.Conn
@@ -58,6 +70,11 @@
 		once     sync.Once
 		// pipeline is nil if requests run one after the other.
 		pipeline *pipeline
+		// activity is an eviction.Activity. progressAt is when the client last made progress in it, since
+		// the start of the listener, and progress the number of bytes since then.
+		activity   atomic.Int32
+		progressAt atomic.Int64
+		progress   atomic.Int64
 		// state is the last state that the HTTP server has reported, at stateSince. Both are
 		// guarded by the listener's mutex.
 		state      http.ConnState
@@ -73,13 +90,20 @@
 )
 
 // LimitConnections limits the number of open connections of callers. Further connections are closed
-// immediately, so that their callers use another proxy: in the backlog they would hang, and
-// accepted they would use up the file descriptors that the proxy needs to connect to servers and
-// the store. onReject is called for each.
+// immediately unless a stalled connection can be closed instead, so that their callers use another
+// proxy: in the backlog they would hang, and accepted they would use up the file descriptors that the
+// proxy needs to connect to servers and the store. onReject is called for each.
 func LimitConnections(l net.Listener, maxOpen int, onReject func()) *Listener {
-	return &Listener{Listener: l, maxOpen: int64(maxOpen), onReject: onReject, onSent: func(int) {}, connections: make(map[*trackedConn]bool)}
+	return &Listener{
+		Listener: l, startedAt: time.Now(), patience: eviction.ForwardPatience, maxOpen: int64(maxOpen), onReject: onReject, onEvict: func() {}, onSent: func(int) {},
+		connections: make(map[*trackedConn]bool),
+	}
 }
 
+// CountEvictions calls count for each connection that is closed because its client has stalled and others
+// need the room. It must be called before the first Accept.
+func (l *Listener) CountEvictions(count func()) { l.onEvict = count }
+
 // CountSentBytes calls count with the number of bytes of each write to a caller. It must be called
 // before the first Accept.
 func (l *Listener) CountSentBytes(count func(int)) { l.onSent = count }
@@ -93,7 +117,7 @@
 				return nil, err
 			}
 		}
-		if l.openCount.Add(1) <= l.maxOpen {
+		if l.openCount.Add(1) <= l.maxOpen || l.Evict(eviction.ForConnection) {
 			return l.track(c), nil
 		}
 		l.openCount.Add(-1)
@@ -131,6 +155,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	tracked := &trackedConn{Conn: c, listener: l, stateSince: time.Now()}
+	tracked.begin(eviction.AwaitingHead)
 	if l.newPipeline != nil {
 		tracked.pipeline = l.newPipeline(c)
 	}
@@ -141,8 +166,10 @@
 func (l *Listener) untrack(c *trackedConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.openCount.Add(-1)
-	delete(l.connections, c)
+	if l.connections[c] {
+		l.openCount.Add(-1)
+		delete(l.connections, c)
+	}
 }
 
 // nextFromBacklog removes and returns a connection that was in the backlog at Close, or nil.
@@ -211,6 +238,7 @@
 	if errors.Is(err, io.EOF) {
 		c.callerClosed.Store(true)
 	}
+	c.recordRead(n)
 	if n > 0 && !c.phase.CompareAndSwap(phaseIdle, phaseReading) && c.phase.Load() == phaseClosing {
 		return 0, net.ErrClosed
 	}
@@ -218,10 +246,17 @@
 }
 
 // Write implements net.Conn.
-func (c *trackedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.listener.onSent(n)
-	return n, err
+func (c *trackedConn) Write(b []byte) (written int, err error) {
+	before := c.begin(eviction.Writing)
+	defer func() { c.begin(before) }()
+	for len(b) > 0 && err == nil {
+		var n int
+		n, err = c.Conn.Write(b[:min(len(b), maxWriteBytes)])
+		c.listener.onSent(n)
+		c.recordProgress(n)
+		b, written = b[n:], written+n
+	}
+	return written, err
 }
 
 // Close implements net.Conn. Unless the caller has closed its side, the connection stays open until it does,
@@ -235,6 +270,7 @@
 			c.release()
 			return
 		}
+		c.begin(eviction.Closing)
 		go func() {
 			defer c.release()
 			if tcp.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -18,6 +18,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/adapter/bearer"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/bodies"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/eviction"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
@@ -33,6 +34,9 @@
 	bodyTimeout = 10 * time.Second
 	// responseTimeout is how long a caller may take to read a response: 4.5 Mbit/s for the largest.
 	responseTimeout = 30 * time.Second
+	// shortTimeout is how long a request without a body and its response may each take where nothing is
+	// forwarded.
+	shortTimeout = 5 * time.Second
 	// noMemoryRetryAfter is the Retry-After of a request that is rejected because the memory for
 	// bodies is used up. Bodies are buffered for the duration of their requests, usually less than
 	// a second.
@@ -47,6 +51,9 @@
 	// delay a request for long, and a distant one needs the round trips.
 	dialBaseTimeout = 250 * time.Millisecond
 	dialRoundTrips  = 2
+	// shortBodyBytes is the length up to which a body is read in any case: otherwise the connection must
+	// be closed.
+	shortBodyBytes = 64 << 10
 	// maxCallerTimeout is the longest timeout that is accepted from callers; longer ones are
 	// ignored.
 	maxCallerTimeout = 10 * time.Minute
@@ -88,6 +95,9 @@
 		// onlyIfRepeatable is set for a request before its turn: it starts only if its route allows
 		// it to run more than once.
 		onlyIfRepeatable bool
+		// onlyIfUnrouted is set for a request whose body was not read: it starts only if there is no
+		// route for it, and then ends at once.
+		onlyIfUnrouted bool
 	}
 
 	// Server serves the requests of callers.
@@ -148,9 +158,21 @@
 	}
 	receivedAt := s.Now()
 	s.awaitConfiguration(r.Context())
+	if result, ended := s.endUnrouted(r, receivedAt); ended {
+		connection.stopStarting()
+		respondAndClose(out, r, func(buffer http.ResponseWriter) {
+			w.ResponseWriter = buffer
+			s.writeResponse(w, r, result)
+		})
+		return
+	}
 	body, err := s.readBody(w, r)
 	if err != nil {
-		s.rejectBody(w, r, err)
+		connection.stopStarting()
+		respondAndClose(out, r, func(buffer http.ResponseWriter) {
+			w.ResponseWriter = buffer
+			s.rejectBody(w, r, err)
+		})
 		return
 	}
 	defer body.Release()
@@ -187,7 +209,7 @@
 	var active *steering.ActiveRequest
 	var decision steering.Decision
 	s.WithKernel(func(k *steering.Kernel, now time.Time) {
-		if !o.onlyIfRepeatable || routeAllowsRepeats(k, r) {
+		if (!o.onlyIfRepeatable || routeAllowsRepeats(k, r)) && (!o.onlyIfUnrouted || isUnrouted(k, r)) {
 			active, decision = k.BeginRequest(now, request)
 		}
 	})
@@ -303,15 +325,39 @@
 		}
 		timeout = max(timeout, t.Limits.HeaderTimeout)
 	})
-	return s.BodyMemory.ReadRequest(w, r, limit, timeout)
+	beginActivity(r.Context(), eviction.ReadingBody)
+	body, err := s.BodyMemory.ReadRequest(w, r, limit, timeout)
+	if err == nil {
+		beginActivity(r.Context(), eviction.Serving)
+	}
+	return body, err
+}
+
+// endUnrouted ends a request with a long body for which there is no route, without reading the body. It reports
+// false if the request has no long body or a route.
+func (s *Server) endUnrouted(r *http.Request, receivedAt time.Time) (result, bool) {
+	if r.ContentLength >= 0 && r.ContentLength <= shortBodyBytes {
+		return result{}, false
+	}
+	unrouted := false
+	s.WithKernel(func(k *steering.Kernel, _ time.Time) { unrouted = isUnrouted(k, r) })
+	if !unrouted {
+		return result{}, false
+	}
+	// A new configuration may have added a route in the meantime.
+	return s.forward(r.Context(), r, forwardOptions{body: &bodies.Body{}, receivedAt: receivedAt, connectionUses: connectionUses(r.Context()), onlyIfUnrouted: true})
+}
+
+// isUnrouted reports whether a configuration is in force that has no route for a request.
+func isUnrouted(k *steering.Kernel, r *http.Request) bool {
+	t := k.Table()
+	return t != nil && t.Match(hostWithoutPort(r.Host), pathAsSent(r)) == nil
 }
 
 // rejectBody responds to a request whose body could not be read; nothing was forwarded.
 func (s *Server) rejectBody(w *promiseWriter, r *http.Request, err error) {
 	klog.InfoS("request body rejected", "request", r.Header.Get(s.Headers.AttemptID), "length", r.ContentLength, "error", err.Error())
-	pipelineOf(r.Context()).stopStarting()
 	w.mayPromise = true
-	w.Header().Set("Connection", "close")
 	s.echoAttempt(w, r)
 	describeToPeer(w, r, steering.Decision{NotRun: true}, nil)
 	switch {
@@ -389,6 +435,9 @@
 	s.echoAttempt(w, r)
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
+	if err := bodies.Write(w, nil, responseTimeout); err != nil {
+		klog.V(1).InfoS("can't write the response to the caller", "request", r.Header.Get(s.Headers.AttemptID), "error", err.Error())
+	}
 }
 
 // echoAttempt names the request in a response of this proxy.
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/adapter/peerdrpc"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/steeringhttp"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/eviction"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
@@ -86,9 +88,10 @@
 	listenerSpec struct {
 		server  *http.Server
 		address netip.AddrPort
-		// share is the fraction of the open-file limit that its connections may use; zero for no
-		// bound.
-		share float64
+		// share is the fraction of the open-file limit that its connections may use, and
+		// maxConnections the most that it may have; zero for no other bound.
+		share          float64
+		maxConnections int
 		// forwards is set if its requests are forwarded to servers.
 		forwards bool
 	}
@@ -124,7 +127,8 @@
 	d.gossip = &gossip{replica: d.replica, send: d.peerClient.Sync}
 	d.storeWatcher = &storeWatcher{replica: d.replica, store: deps.Store}
 	d.registrar = &registrar{replica: d.replica, store: deps.Store}
-	memory := bodies.NewMemoryBudget(bodyMemoryLimit(s.MemoryBytes))
+	memory := bodies.NewMemoryBudget(memoryShare(s.MemoryBytes, bodyMemoryRatio))
+	memory.ReclaimWith(d.reclaimBodyMemory)
 	d.serverClient = serverhttp.NewClient(deps.Names.ServerHeaders, memory, d.now, d.metrics.serverConnectionsOpened.Inc)
 	d.serverClient.CountSentBytes(d.overflow.countSent)
 	d.serverClient.CountStrayResponses(d.metrics.strayResponses.Inc)
@@ -206,11 +210,11 @@
 	}
 	failed := make(chan error, 6)
 	for _, l := range []listenerSpec{
-		{server: d.callerServer, address: d.settings.Listen.Callers, share: callerFileRatio, forwards: true},
+		{server: d.callerServer, address: d.settings.Listen.Callers, share: callerFileRatio, maxConnections: maxCallerConnections(d.settings.MemoryBytes), forwards: true},
 		{server: d.handoverServer, address: d.settings.Listen.Handovers, share: handoverFileRatio, forwards: true},
-		{server: d.readinessServer, address: d.settings.Listen.Readiness},
+		{server: d.readinessServer, address: d.settings.Listen.Readiness, share: readinessFileRatio, maxConnections: maxReadinessConnections},
 		{server: d.directoryServer, address: d.settings.Listen.Directory, share: directoryFileRatio},
-		{server: d.operatorServer, address: d.settings.Listen.Operators},
+		{server: d.operatorServer, address: d.settings.Listen.Operators, share: operatorFileRatio, maxConnections: maxOperatorConnections},
 	} {
 		if l.server == d.handoverServer && !l.address.IsValid() {
 			continue
@@ -221,9 +225,9 @@
 		}
 		go func() { failed <- l.server.Serve(listener) }()
 	}
-	peers, err := net.Listen("tcp", d.settings.Listen.Peers.String())
+	peers, err := d.limitedListener(listenerSpec{address: d.settings.Listen.Peers, share: peerFileRatio})
 	if err != nil {
-		return errors.Wrap(err, "listen")
+		return err
 	}
 	d.replica.onConfirm = func() { go d.gossip.sendAlerts(ctx) }
 	go func() { failed <- peerdrpc.ServeSync(ctx, peers, d.peerHandlers(ctx)) }()
@@ -253,27 +257,46 @@
 	}
 }
 
-// listen opens a listener.
+// listen opens a listener for an HTTP server.
 func (d *Daemon) listen(l listenerSpec) (net.Listener, error) {
-	listener, err := net.Listen("tcp", l.address.String())
+	limited, err := d.limitedListener(l)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen")
+		return nil, err
 	}
-	if l.share == 0 {
-		return listener, nil
-	}
-	limited := forwardhttp.LimitConnections(listener, int(l.share*openFileLimit()), d.metrics.callerConnectionsRefused.Inc)
-	if l.forwards {
-		l.server.ConnState = limited.RecordState
-		limited.CountSentBytes(d.overflow.countSent)
-		d.requestListeners = append(d.requestListeners, limited)
+	if !l.forwards {
+		limited.Attach(l.server)
+		return limited, nil
 	}
+	l.server.ConnState = limited.RecordState
+	limited.CountSentBytes(d.overflow.countSent)
+	d.requestListeners = append(d.requestListeners, limited)
 	if l.server == d.callerServer {
 		d.forwarder.EnablePipelining(limited)
 	}
 	return limited, nil
 }
 
+// limitedListener opens a listener that limits connections.
+func (d *Daemon) limitedListener(l listenerSpec) (*forwardhttp.Listener, error) {
+	listener, err := net.Listen("tcp", l.address.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	maxOpen := int(l.share * openFileLimit())
+	if l.maxConnections > 0 {
+		maxOpen = min(maxOpen, l.maxConnections)
+	}
+	limited := forwardhttp.LimitConnections(listener, maxOpen, d.metrics.callerConnectionsRefused.Inc)
+	limited.CountEvictions(d.metrics.connectionsEvicted.Inc)
+	return limited, nil
+}
+
+// reclaimBodyMemory closes a connection whose client holds memory for bodies and has stalled, and reports
+// whether there was one.
+func (d *Daemon) reclaimBodyMemory() bool {
+	return slices.ContainsFunc(d.requestListeners, func(l *forwardhttp.Listener) bool { return l.Evict(eviction.ForBody) })
+}
+
 // peerHandlers returns the handlers of the calls that other proxies make.
 func (d *Daemon) peerHandlers(ctx context.Context) peerdrpc.SyncHandlers {
 	return peerdrpc.SyncHandlers{
--- a/internal/proxy/forward/metrics.go
+++ b/internal/proxy/forward/metrics.go
@@ -26,6 +26,7 @@
 		strayResponses           *metrics.Counter
 		unprovenStatuses         *metrics.Counter
 		callerConnectionsRefused *metrics.Counter
+		connectionsEvicted       *metrics.Counter
 		handoversReceived        *metrics.Counter
 		fullCopiesSent           *metrics.Counter
 		fullCopiesReceived       *metrics.Counter
@@ -61,6 +62,7 @@
 		strayResponses:           set.NewCounter("gypsumquay_server_stray_responses_total"),
 		unprovenStatuses:         set.NewCounter("gypsumquay_unproven_statuses_replaced_total"),
 		callerConnectionsRefused: set.NewCounter("gypsumquay_caller_connections_refused_total"),
+		connectionsEvicted:       set.NewCounter("gypsumquay_connections_evicted_total"),
 		handoversReceived:        set.NewCounter("gypsumquay_handovers_received_total"),
 		fullCopiesSent:           set.NewCounter(`gypsumquay_full_copies_total{direction="sent"}`),
 		fullCopiesReceived:       set.NewCounter(`gypsumquay_full_copies_total{direction="received"}`),
--- a/internal/proxy/forward/resourcelimits.go
+++ b/internal/proxy/forward/resourcelimits.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -12,17 +13,26 @@
 	// works harder: a process that exceeds its memory is killed.
 	memoryLimitRatio = 0.8
 	// bodyMemoryRatio is the fraction that buffered bodies of requests and responses may use
-	// together: a growing body is briefly held twice, and the garbage collector leaves as much
-	// again unreclaimed. defaultBodyBytes applies if the settings give no memory size.
-	bodyMemoryRatio  = 0.25
-	defaultBodyBytes = 64 << 20
-	// callerFileRatio and directoryFileRatio are the fractions of the open-file limit that
-	// connections for requests and for lookups may use. Connections to servers, peers and the
-	// store need the rest.
-	callerFileRatio    = 0.6
-	directoryFileRatio = 0.2
-	// handoverFileRatio is the same for connections of proxies that hand requests over.
-	handoverFileRatio = 0.1
+	// together: the garbage collector leaves as much again unreclaimed. defaultMemoryBytes applies if the settings give no memory size.
+	bodyMemoryRatio    = 0.25
+	defaultMemoryBytes = 256 << 20
+	// connectionMemoryRatio is the fraction that connections for requests may use, connectionMemory how
+	// much one of them takes in bytes.
+	connectionMemoryRatio = 0.2
+	connectionMemory      = 48 << 10
+	// callerFileRatio, directoryFileRatio, handoverFileRatio and peerFileRatio are the fractions of the
+	// open-file limit that connections for requests, for lookups, of proxies that hand requests over
+	// and for their calls may use. Connections to servers, peers and the store need the rest.
+	callerFileRatio    = 0.5
+	directoryFileRatio = 0.1
+	handoverFileRatio  = 0.1
+	peerFileRatio      = 0.15
+	// readinessFileRatio and operatorFileRatio are the same for the addresses that only the platform and
+	// operators use, maxReadinessConnections and maxOperatorConnections the most of these.
+	readinessFileRatio      = 0.05
+	operatorFileRatio       = 0.05
+	maxReadinessConnections = 64
+	maxOperatorConnections  = 32
 	// defaultOpenFiles applies if the limit can't be read; maxOpenFiles caps a larger limit.
 	defaultOpenFiles = 1024
 	maxOpenFiles     = 1 << 20
@@ -32,12 +42,18 @@
 	httpIdleTimeout = 2 * time.Minute
 )
 
-// bodyMemoryLimit is how much of the process's memory buffered bodies may use, in bytes.
-func bodyMemoryLimit(memory int64) int64 {
+// maxCallerConnections is how many connections for requests a process with the given memory may have, or
+// unlimited if that is not known.
+func maxCallerConnections(memory int64) int {
 	if memory <= 0 {
-		return defaultBodyBytes
+		return maxOpenFiles
 	}
-	return int64(bodyMemoryRatio * float64(memory))
+	return int(connectionMemoryRatio * float64(memory) / connectionMemory)
+}
+
+// memoryShare is a fraction of the process's memory in bytes.
+func memoryShare(memory int64, ratio float64) int64 {
+	return int64(ratio * float64(cmp.Or(memory, defaultMemoryBytes)))
 }
 
 // openFileLimit is the process's limit of open files.
