Charge heads of requests to a memory budget while they arrive

Requests of legal size that are made of very many short fields, heads that never end, and such requests sent ahead on one connection took 100 to 199 MB on a VM with 96 MB: each took about twenty times its bytes once it was parsed. Only bodies were counted, and the limit of net/http is 64 KB for callers and 1 MB elsewhere.

A head is now counted on its way to net/http, bytes and fields, and what exceeds 8 KB of memory is reserved from an eighth of the VM's memory until its request is answered. The bytes behind a request, in net/http's buffer already, count for the next one. A head that finds no memory gets 503 and closes its connection; nothing has run, and requests with usual heads never need the budget. Requests that are read before their turn are charged whole, and wait for their turn without memory. The longest head is the configuration's.

The rejection is sticky: the parser of net/http peeks at the connection and drops the error of that read, so it went on and ran a request that had got 503.

Fields are not limited in number: all heads within the configuration's limit are served in calm.

--- a/internal/adapter/forwardhttp/closing.go
+++ b/internal/adapter/forwardhttp/closing.go
@@ -53,7 +53,7 @@
 		StatusCode: b.status, ProtoMajor: 1, ProtoMinor: 1, Request: r, Close: true,
 		Header: b.header, Body: io.NopCloser(&b.body), ContentLength: int64(b.body.Len()),
 	}
-	if conn.SetWriteDeadline(time.Now().Add(lingerTimeout)) == nil {
+	if conn.SetWriteDeadline(time.Now().Add(rejectionTimeout)) == nil {
 		_ = response.Write(conn)
 	}
 }
--- a/internal/adapter/forwardhttp/evict.go
+++ b/internal/adapter/forwardhttp/evict.go
@@ -72,6 +72,7 @@
 		_ = tcp.SetLinger(0)
 	}
 	_ = c.Conn.Close()
+	c.meter.release()
 }
 
 // begin records what the connection is doing from now on, and returns what it was doing.
--- a/internal/adapter/forwardhttp/idle.go
+++ b/internal/adapter/forwardhttp/idle.go
@@ -21,8 +21,12 @@
 	switch state {
 	case http.StateActive:
 		tracked.begin(eviction.Serving)
+		if !tracked.meter.beginRequest() {
+			tracked.evict()
+		}
 	case http.StateIdle:
 		tracked.begin(eviction.Idle)
+		tracked.meter.endRequest()
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/adapter/forwardhttp/listener.go
+++ b/internal/adapter/forwardhttp/listener.go
@@ -49,6 +49,8 @@
 		onReject  func()
 		onEvict   func()
 		onSent    func(int)
+		// newMeter is nil if the memory of heads is not limited.
+		newMeter func(*trackedConn) *headMeter
 		// newPipeline is nil if requests of a connection run one after the other.
 		newPipeline func(net.Conn) *pipeline
 
@@ -70,6 +72,8 @@
 		once     sync.Once
 		// pipeline is nil if requests run one after the other.
 		pipeline *pipeline
+		// meter is nil if the memory of heads is not limited.
+		meter *headMeter
 		// activity is an eviction.Activity. progressAt is when the client last made progress in it, since
 		// the start of the listener, and progress the number of bytes since then.
 		activity   atomic.Int32
@@ -156,6 +160,9 @@
 	defer l.mu.Unlock()
 	tracked := &trackedConn{Conn: c, listener: l, stateSince: time.Now()}
 	tracked.begin(eviction.AwaitingHead)
+	if l.newMeter != nil {
+		tracked.meter = l.newMeter(tracked)
+	}
 	if l.newPipeline != nil {
 		tracked.pipeline = l.newPipeline(c)
 	}
@@ -239,6 +246,9 @@
 		c.callerClosed.Store(true)
 	}
 	c.recordRead(n)
+	if rejection := c.meter.read(b[:n]); rejection != nil {
+		return 0, rejection
+	}
 	if n > 0 && !c.phase.CompareAndSwap(phaseIdle, phaseReading) && c.phase.Load() == phaseClosing {
 		return 0, net.ErrClosed
 	}
@@ -284,6 +294,7 @@
 // release closes the socket.
 func (c *trackedConn) release() {
 	c.listener.untrack(c)
+	c.meter.release()
 	if err := c.Conn.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		klog.V(1).InfoS("can't close the connection of a caller", "error", err.Error())
 	}
--- a/internal/adapter/forwardhttp/pipeline.go
+++ b/internal/adapter/forwardhttp/pipeline.go
@@ -46,8 +46,10 @@
 		startEarly func(context.Context, *http.Request) *earlyRequest
 		// mayRunAhead reports whether requests behind this one may start before it is answered.
 		mayRunAhead func(*http.Request) bool
-		ctx         context.Context
-		cancel      context.CancelFunc
+		// heads is the memory for requests before their turn. It is nil if that is not limited.
+		heads  *bodies.MemoryBudget
+		ctx    context.Context
+		cancel context.CancelFunc
 		// gone is the error of a connection that the caller has closed. Only Read uses it.
 		gone error
 
@@ -80,6 +82,8 @@
 		answered bool
 		// early is set if the request was started before its turn.
 		early *earlyRequest
+		// memory is reserved for a request that was read before its turn.
+		memory *bodies.Reservation
 	}
 
 	// earlyRequest is a request that was started before its turn.
@@ -120,7 +124,7 @@
 func (s *Server) EnablePipelining(l *Listener) {
 	l.newPipeline = func(c net.Conn) *pipeline {
 		ctx, cancel := context.WithCancel(s.Requests)
-		return &pipeline{conn: c, startEarly: s.startEarly, mayRunAhead: s.isRepeatable, ctx: ctx, cancel: cancel}
+		return &pipeline{conn: c, startEarly: s.startEarly, mayRunAhead: s.isRepeatable, heads: s.HeadMemory, ctx: ctx, cancel: cancel}
 	}
 }
 
@@ -197,6 +201,9 @@
 	if dropped == 0 {
 		return
 	}
+	for _, r := range p.requests[:dropped] {
+		r.memory.Release()
+	}
 	p.requests = slices.Delete(p.requests, 0, dropped)
 	p.parse()
 	p.startRequests()
@@ -288,9 +295,10 @@
 			return
 		}
 		r := &pipelinedRequest{unread: int64(head.length-len(p.headStart)) + head.bodyLength, simple: head.simple}
-		if len(p.requests) > 0 && head.simple {
+		if len(p.requests) > 0 && head.simple && p.reserve(r, text[:head.length]) {
 			request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(text[:head.length])))
 			if err != nil || request.Host == "" {
+				r.memory.Release()
 				p.opaque = true
 				return
 			}
@@ -302,6 +310,25 @@
 	}
 }
 
+// reserve reserves memory for a request before its turn. Without memory it is read in its turn only.
+func (p *pipeline) reserve(r *pipelinedRequest, head []byte) bool {
+	if p.heads == nil {
+		return true
+	}
+	r.memory = p.heads.NewReservation()
+	return r.memory.TryGrow(earlyRequestMemory + sizeOf(head).memory())
+}
+
+// isFramed reports whether net/http gets the bytes of one request at a time. p may be nil.
+func (p *pipeline) isFramed() bool {
+	if p == nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.opaque
+}
+
 // startRequests starts the requests that may run before their turn. p.mu must be held.
 func (p *pipeline) startRequests() {
 	if len(p.requests) < 2 || p.closed || p.streaming {
@@ -438,11 +465,15 @@
 	defer p.mu.Unlock()
 	p.closed = true
 	for _, r := range p.requests {
+		if r.early == nil || r.early.taken {
+			r.memory.Release()
+		}
 		if e := r.early; e != nil && !e.taken {
 			e.taken = true
 			go func() {
-				r, _ := e.wait()
-				r.response.Release()
+				done, _ := e.wait()
+				done.response.Release()
+				r.memory.Release()
 			}()
 		}
 	}
--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -28,8 +28,10 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout exceeds the idle timeout of callers, so that callers close idle connections and
 	// not the proxy: a request then never races with a close.
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 64 << 10
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes is the limit of net/http. That of the listener is lower and follows the
+	// configuration.
+	maxHeaderBytes = 1 << 20
 	// bodyTimeout is how long a body may take to arrive, unless the configuration allows more.
 	bodyTimeout = 10 * time.Second
 	// responseTimeout is how long a caller may take to read a response: 4.5 Mbit/s for the largest.
@@ -45,6 +47,8 @@
 	// configuration, which arrives within that time if the store or a peer is reachable. Rejected
 	// callers would retry later, and after a power loss of the whole fleet all at the same time.
 	configurationTimeout = 300 * time.Millisecond
+	// DefaultMaxHeadBytes is the limit of heads if the configuration has none.
+	DefaultMaxHeadBytes = 64 << 10
 	// defaultMaxBodyBytes is the body limit if the configuration has none.
 	defaultMaxBodyBytes = 1 << 20
 	// dialBaseTimeout plus dialRoundTrips round trips is the dial timeout: a dead server must not
@@ -108,6 +112,8 @@
 		WithKernel Executor
 		// BodyMemory limits the memory of all request bodies and responses together.
 		BodyMemory *bodies.MemoryBudget
+		// HeadMemory limits the memory of requests that are read before their turn. It may be nil.
+		HeadMemory *bodies.MemoryBudget
 		Send       func(context.Context, serverhttp.Request) (steering.Attempt, *serverhttp.Response)
 		// SendToPeer sends a request to another proxy.
 		SendToPeer func(context.Context, serverhttp.Request) (steering.Attempt, *serverhttp.Response)
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"crypto/tls"
@@ -10,6 +11,7 @@
 	"runtime/debug"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -59,6 +61,10 @@
 		// and track which are idle.
 		requestListeners []*forwardhttp.Listener
 		serverClient     *serverhttp.Client
+		// headMemory limits the memory of the heads of all requests.
+		headMemory *bodies.MemoryBudget
+		// headBytes is the longest head that the configuration allows, zero if it sets no limit.
+		headBytes atomic.Int64
 		// handoverClient sends requests to other proxies.
 		handoverClient  *serverhttp.Client
 		reachability    *reachabilityProber
@@ -129,6 +135,7 @@
 	d.registrar = &registrar{replica: d.replica, store: deps.Store}
 	memory := bodies.NewMemoryBudget(memoryShare(s.MemoryBytes, bodyMemoryRatio))
 	memory.ReclaimWith(d.reclaimBodyMemory)
+	d.headMemory = bodies.NewMemoryBudget(memoryShare(s.MemoryBytes, headMemoryRatio))
 	d.serverClient = serverhttp.NewClient(deps.Names.ServerHeaders, memory, d.now, d.metrics.serverConnectionsOpened.Inc)
 	d.serverClient.CountSentBytes(d.overflow.countSent)
 	d.serverClient.CountStrayResponses(d.metrics.strayResponses.Inc)
@@ -140,7 +147,7 @@
 	d.forwarder = &forwardhttp.Server{
 		Requests: requests,
 		Name:     s.Name, SendToPeer: d.handoverClient.Send,
-		Headers: deps.Names.CallerHeaders, WithKernel: d.withKernel, BodyMemory: memory, Send: d.serverClient.Send, Now: d.now,
+		Headers: deps.Names.CallerHeaders, WithKernel: d.withKernel, BodyMemory: memory, HeadMemory: d.headMemory, Send: d.serverClient.Send, Now: d.now,
 		RequestSlot: d.slots.acquire, ReleaseSlot: d.slots.release, RequestPoolToken: d.quotas.takeToken,
 		IsStopping: d.isStopping, Configured: d.replica.loaded, StartedAt: d.start, OnUnprovenStatus: d.metrics.unprovenStatuses.Inc,
 	}
@@ -263,6 +270,7 @@
 	if err != nil {
 		return nil, err
 	}
+	limited.LimitHeads(forwardhttp.HeadLimits{Memory: d.headMemory, MaxBytes: d.maxHeadBytes})
 	if !l.forwards {
 		limited.Attach(l.server)
 		return limited, nil
@@ -291,6 +299,11 @@
 	return limited, nil
 }
 
+// maxHeadBytes returns the length of the longest head of a request.
+func (d *Daemon) maxHeadBytes() int64 {
+	return cmp.Or(d.headBytes.Load(), forwardhttp.DefaultMaxHeadBytes)
+}
+
 // reclaimBodyMemory closes a connection whose client holds memory for bodies and has stalled, and reports
 // whether there was one.
 func (d *Daemon) reclaimBodyMemory() bool {
