Let new clients replace idle connections at the limit at once

300 clients that sent one request after the other on connections of their own shut out all others for as long as they went on: at the limit an idle connection was kept for a second, and theirs are idle for moments only.

The connection that is idle for the longest is closed now however short that is. A client whose request crosses the close sees it unread and sends it again. Other connections than idle ones still go first.

--- a/internal/kernel/eviction/eviction.go
+++ b/internal/kernel/eviction/eviction.go
@@ -31,10 +31,11 @@
 var (
 	// ForwardPatience is that of connections whose requests are forwarded. A lost packet of a head is
 	// rarely sent again within it, but a crowd that opens connections all the time leaves room for
-	// others only if it is short.
-	ForwardPatience = Patience{Head: 100 * time.Millisecond, Body: time.Second, Idle: time.Second}
+	// others only if it is short. Of idle connections, the one that is idle for the longest is closed in any
+	// case: a crowd that sends one request after the other would keep its connections for good.
+	ForwardPatience = Patience{Head: 100 * time.Millisecond, Body: time.Second}
 	// ShortPatience is that of connections whose requests are small and answered at once.
-	ShortPatience = Patience{Head: 5 * time.Millisecond, Body: time.Second, Idle: 5 * time.Millisecond}
+	ShortPatience = Patience{Head: 5 * time.Millisecond, Body: time.Second}
 )
 
 type (
