Remember short names for long IDs and objects

Requests of legal size with long IDs and object names, each another, took 127 MB on a VM with 96 MB: the log of decisions keeps 8,192 IDs and objects for operators and as many lines, and the choice of servers keeps thousands of objects. A name was as long as the head allows.

Servers get the header as it was, and the operators' question for an ID is shortened in the same way.

TestSingleRequestWithinLimitsIsServed passes before and after: the longest body, and the longest head of short fields, are served in calm.

--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -153,7 +153,7 @@
 }
 
 func (s *Server) serve(out http.ResponseWriter, r *http.Request) {
-	w := &promiseWriter{ResponseWriter: out, request: r.Header.Get(s.Headers.AttemptID), onUnproven: s.OnUnprovenStatus}
+	w := &promiseWriter{ResponseWriter: out, request: s.requestName(r), onUnproven: s.OnUnprovenStatus}
 	connection := pipelineOf(r.Context())
 	early := connection.beginTurn(r)
 	defer connection.endTurn()
@@ -198,11 +198,11 @@
 // options forbid the request to start.
 func (s *Server) forward(ctx context.Context, r *http.Request, o forwardOptions) (result, bool) {
 	request := steering.Request{
-		ID: r.Header.Get(s.Headers.AttemptID), Host: hostWithoutPort(r.Host), Path: pathAsSent(r), Credential: bearer.ParseCredential(r.Header),
+		ID: s.requestName(r), Host: hostWithoutPort(r.Host), Path: pathAsSent(r), Credential: bearer.ParseCredential(r.Header),
 		ConnectionUses: o.connectionUses,
 	}
 	if c, err := r.Cookie(s.Headers.ObjectCookie); err == nil {
-		request.Object = c.Value
+		request.Object = ShortName(c.Value)
 	}
 	request.Work = quarantine.NewFingerprint(r.Method, request.Host, r.RequestURI, r.Header.Get(bearer.Header), o.body.Content...)
 	if h, ok := handoverOf(r.Context()); ok {
@@ -303,7 +303,7 @@
 	return serverhttp.Request{
 		HasAccounts: active.HasAccounts, Account: account,
 		Address: target.Address, InstanceID: target.ID, Method: r.Method, Host: r.Host, Target: r.RequestURI,
-		Header: r.Header, Body: o.body.Content, AttemptID: request.ID, Deadline: active.ExpiresAt,
+		Header: r.Header, Body: o.body.Content, AttemptID: r.Header.Get(s.Headers.AttemptID), Deadline: active.ExpiresAt,
 		DialTimeout:    min(dialBaseTimeout+dialRoundTrips*target.RoundTrip, active.ExpiresAt.Sub(s.Now())),
 		MaxConnections: target.MaxConnections, StoppedAccepting: func() bool { return s.serverStoppedAccepting(active, isHedge) },
 		OnStream: o.onStream, MayStream: o.mayStream,
@@ -362,7 +362,7 @@
 
 // rejectBody responds to a request whose body could not be read; nothing was forwarded.
 func (s *Server) rejectBody(w *promiseWriter, r *http.Request, err error) {
-	klog.InfoS("request body rejected", "request", r.Header.Get(s.Headers.AttemptID), "length", r.ContentLength, "error", err.Error())
+	klog.InfoS("request body rejected", "request", s.requestName(r), "length", r.ContentLength, "error", err.Error())
 	w.mayPromise = true
 	s.echoAttempt(w, r)
 	describeToPeer(w, r, steering.Decision{NotRun: true}, nil)
@@ -396,7 +396,7 @@
 	}
 	w.WriteHeader(response.Status)
 	if err := bodies.Write(w, response.Body.Content, responseTimeout); err != nil {
-		klog.V(1).InfoS("can't write the response to the caller", "request", r.Header.Get(s.Headers.AttemptID), "error", err.Error())
+		klog.V(1).InfoS("can't write the response to the caller", "request", s.requestName(r), "error", err.Error())
 	}
 }
 
@@ -442,7 +442,7 @@
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 	if err := bodies.Write(w, nil, responseTimeout); err != nil {
-		klog.V(1).InfoS("can't write the response to the caller", "request", r.Header.Get(s.Headers.AttemptID), "error", err.Error())
+		klog.V(1).InfoS("can't write the response to the caller", "request", s.requestName(r), "error", err.Error())
 	}
 }
 
--- a/internal/adapter/forwardhttp/stream.go
+++ b/internal/adapter/forwardhttp/stream.go
@@ -48,6 +48,6 @@
 	if err != nil {
 		text = err.Error()
 	}
-	klog.InfoS("response broken off", "request", r.Header.Get(s.Headers.AttemptID), "reason", done.decision.Reason, "length", t.response.Stream.Len(), "error", text)
+	klog.InfoS("response broken off", "request", s.requestName(r), "reason", done.decision.Reason, "length", t.response.Stream.Len(), "error", text)
 	panic(http.ErrAbortHandler)
 }
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -118,7 +118,9 @@
 	config.Observe, config.Record = d.handleEvent, deps.Record
 	d.kernel = steering.New(config)
 	d.kernel.ConfirmListing(d.now(), time.Time{}, false)
-	d.operatorServer = (&steeringhttp.Server{Status: d.status, Events: d.decisionLog.events, Metrics: d.metrics.set}).HTTPServer()
+	d.operatorServer = (&steeringhttp.Server{Status: d.status, Events: func(request string) []steeringhttp.Event {
+		return d.decisionLog.events(forwardhttp.ShortName(request))
+	}, Metrics: d.metrics.set}).HTTPServer()
 	deps.Store = instrumentStore(deps.Store, d.metrics.recordStoreCall)
 	d.replica = newStoreReplica(d)
 	d.quarantine = newQuarantineStore(d, deps.Store)
