Limit connections, heads and calls at the product's own interface

The same clients used up all open files of a proxy at the addresses for callers, operators and peers of the product's own interface, which had no limit on connections: no lookup was answered, and no request reached a server.

Its listeners have the limits and the choice of connections of the platform's now. Handlers that read bodies say so, as on the platform, and connections of operators and those where nothing is forwarded may be closed sooner, as they are few. A body that stalls counts as stalled after 250 ms instead of a second: beside 400 clients that reconnect 50 times a second, a slot became free too seldom. At most 256 connections are compared once one of them may be closed.

--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -18,6 +18,7 @@
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/bearer"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/bodies"
+	"github.com/gypsumquay/gypsumquay/internal/adapter/forwardhttp"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/caller"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
@@ -197,7 +198,9 @@
 func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
 	receivedAt := s.now()
 	service := mux.Vars(r)["service"]
-	body, err := s.bodyMemory.ReadRequest(w, r, s.limits.MaxBodyBytes, readTimeout)
+	body, err := forwardhttp.ReadBody(r, func() (*bodies.Body, error) {
+		return s.bodyMemory.ReadRequest(w, r, s.limits.MaxBodyBytes, readTimeout)
+	})
 	if err != nil {
 		s.rejectBody(w, service, receivedAt, err)
 		return
--- a/internal/adapter/forwardhttp/evict.go
+++ b/internal/adapter/forwardhttp/evict.go
@@ -24,6 +24,21 @@
 	return true
 }
 
+// AttachBodies lets an HTTP server report the state of its connections. Its handlers read bodies through ReadBody.
+func (l *Listener) AttachBodies(server *http.Server, patience eviction.Patience) {
+	server.ConnState, server.ConnContext, l.patience = l.RecordState, withConnection, patience
+}
+
+// ReadBody calls read, which reads the body of a request, and records that on the request's connection.
+func ReadBody[B any](r *http.Request, read func() (B, error)) (B, error) {
+	beginActivity(r.Context(), eviction.ReadingBody)
+	body, err := read()
+	if err == nil {
+		beginActivity(r.Context(), eviction.Serving)
+	}
+	return body, err
+}
+
 // Attach lets an HTTP server report the state of its connections, and sets the limits that it lacks. It is for
 // servers whose requests have no bodies: none is read, and a connection is closed behind one.
 func (l *Listener) Attach(server *http.Server) {
@@ -52,13 +67,17 @@
 		return nil
 	}
 	choice := eviction.NewChoice[*trackedConn](now, l.patience, p)
+	considered := 0
 	for c := range l.connections {
+		if considered++; considered > evictionSample && choice.Found() {
+			break
+		}
 		choice.Consider(c, eviction.Connection{Activity: eviction.Activity(c.activity.Load()), ProgressAt: l.startedAt.Add(time.Duration(c.progressAt.Load()))})
 	}
 	c, found, next := choice.Best()
 	if !found {
 		// A search takes time, and a crowd asks for one with each connection.
-		l.noVictimUntil[p] = now.Add(min(next, evictionPause))
+		l.noVictimUntil[p] = now.Add(min(max(next, minEvictionPause), maxEvictionPause))
 		return nil
 	}
 	l.openCount.Add(-1)
--- a/internal/adapter/forwardhttp/listener.go
+++ b/internal/adapter/forwardhttp/listener.go
@@ -32,8 +32,13 @@
 	maxLingerBytes = 4 << 20
 	// maxWriteBytes is how much is written to a client at once, so that its progress can be seen.
 	maxWriteBytes = 64 << 10
-	// evictionPause is the longest pause before a connection to evict is searched for again.
-	evictionPause = 20 * time.Millisecond
+	// minEvictionPause and maxEvictionPause bound the pause after a search for a connection to evict that
+	// found none.
+	minEvictionPause = 2 * time.Millisecond
+	maxEvictionPause = 20 * time.Millisecond
+	// evictionSample is how many connections, in random order, are compared if one of them may be evicted:
+	// a crowd causes a search with each connection that it opens.
+	evictionSample = 256
 )
 
 type (
--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -18,7 +18,6 @@
 	"github.com/gypsumquay/gypsumquay/internal/adapter/bearer"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/bodies"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/serverhttp"
-	"github.com/gypsumquay/gypsumquay/internal/kernel/eviction"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/quarantine"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/ratelimit"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
@@ -331,12 +330,7 @@
 		}
 		timeout = max(timeout, t.Limits.HeaderTimeout)
 	})
-	beginActivity(r.Context(), eviction.ReadingBody)
-	body, err := s.BodyMemory.ReadRequest(w, r, limit, timeout)
-	if err == nil {
-		beginActivity(r.Context(), eviction.Serving)
-	}
-	return body, err
+	return ReadBody(r, func() (*bodies.Body, error) { return s.BodyMemory.ReadRequest(w, r, limit, timeout) })
 }
 
 // endUnrouted ends a request with a long body for which there is no route, without reading the body. It reports
--- a/internal/adapter/operatorhttp/server.go
+++ b/internal/adapter/operatorhttp/server.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
 
+	"github.com/gypsumquay/gypsumquay/internal/adapter/forwardhttp"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/errs"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
@@ -180,7 +181,9 @@
 }
 
 func readEnvelope(w http.ResponseWriter, r *http.Request) (*operator.Envelope, bool) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, operator.MaxBundleBytes+maxHeaderBytes))
+	data, err := forwardhttp.ReadBody(r, func() ([]byte, error) {
+		return io.ReadAll(http.MaxBytesReader(w, r.Body, operator.MaxBundleBytes+maxHeaderBytes))
+	})
 	if err != nil {
 		writeError(w, http.StatusRequestEntityTooLarge, err)
 		return nil, false
--- a/internal/kernel/eviction/eviction.go
+++ b/internal/kernel/eviction/eviction.go
@@ -29,13 +29,13 @@
 )
 
 var (
-	// ForwardPatience is that of connections whose requests are forwarded. A lost packet of a head is
+	// ForwardPatience is that of connections with requests of callers and calls of peers. A lost packet of a head is
 	// rarely sent again within it, but a crowd that opens connections all the time leaves room for
 	// others only if it is short. Of idle connections, the one that is idle for the longest is closed in any
 	// case: a crowd that sends one request after the other would keep its connections for good.
-	ForwardPatience = Patience{Head: 100 * time.Millisecond, Body: time.Second}
-	// ShortPatience is that of connections whose requests are small and answered at once.
-	ShortPatience = Patience{Head: 5 * time.Millisecond, Body: time.Second}
+	ForwardPatience = Patience{Head: 100 * time.Millisecond, Body: 250 * time.Millisecond}
+	// ShortPatience is that of connections whose requests are few, and mostly small.
+	ShortPatience = Patience{Head: 5 * time.Millisecond, Body: 50 * time.Millisecond}
 )
 
 type (
@@ -101,6 +101,9 @@
 	}
 }
 
+// Found reports whether there is a connection to close.
+func (c *Choice[C]) Found() bool { return c.found }
+
 // Best returns the connection to close. If there is none, it returns how long it takes until there may
 // be one.
 func (c *Choice[C]) Best() (best C, found bool, next time.Duration) { return c.best, c.found, c.next }
--- a/internal/proxy/daemon/daemon.go
+++ b/internal/proxy/daemon/daemon.go
@@ -16,16 +16,20 @@
 	"k8s.io/klog/v2"
 
 	"github.com/gypsumquay/gypsumquay/internal/adapter/backendhttp"
+	"github.com/gypsumquay/gypsumquay/internal/adapter/bodies"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/callerhttp"
+	"github.com/gypsumquay/gypsumquay/internal/adapter/forwardhttp"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/kvhttp"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/operatorhttp"
 	"github.com/gypsumquay/gypsumquay/internal/adapter/peerdrpc"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/backend"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/core"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/errs"
+	"github.com/gypsumquay/gypsumquay/internal/kernel/eviction"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/kv"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/peer"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/driver"
+	"github.com/gypsumquay/gypsumquay/internal/proxy/openfiles"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/runner"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/settings"
 )
@@ -33,6 +37,18 @@
 const (
 	// maxConnectionsPerServer limits the number of connections to one backend server.
 	maxConnectionsPerServer = 128
+	// callerFileRatio, operatorFileRatio and peerFileRatio are the fractions of the open-file limit that
+	// connections of callers, operators and other proxies may use. Connections to servers, peers and the
+	// platform need the rest.
+	callerFileRatio   = 0.5
+	operatorFileRatio = 0.1
+	peerFileRatio     = 0.2
+	// headMemoryBytes is how much memory the heads of requests may use together beyond the usual size,
+	// messageMemoryBytes that of calls of other proxies that are being received. A head may have
+	// maxHeadBytes.
+	headMemoryBytes    = 32 << 20
+	messageMemoryBytes = 64 << 20
+	maxHeadBytes       = 64 << 10
 )
 
 type (
@@ -146,9 +162,16 @@
 		return err
 	}
 	serveErrors := make(chan error, 4)
+	listeners[0].LimitMessages(bodies.NewMemoryBudget(messageMemoryBytes))
+	heads := forwardhttp.HeadLimits{Memory: bodies.NewMemoryBudget(headMemoryBytes), MaxBytes: func() int64 { return maxHeadBytes }}
+	callers, operators := listeners[1], listeners[2]
+	callers.LimitHeads(heads)
+	callers.AttachBodies(d.callerServer, eviction.ForwardPatience)
+	operators.LimitHeads(heads)
+	operators.AttachBodies(d.operatorServer, eviction.ShortPatience)
 	go func() { serveErrors <- peerdrpc.Serve(ctx, listeners[0], d.peerHandlers()) }()
-	go func() { serveErrors <- d.callerServer.Serve(listeners[1]) }()
-	go func() { serveErrors <- d.operatorServer.Serve(listeners[2]) }()
+	go func() { serveErrors <- d.callerServer.Serve(callers) }()
+	go func() { serveErrors <- d.operatorServer.Serve(operators) }()
 	watcher := driver.NewWatcher(d.driver, driver.Platform{
 		Store: d.platformClient.Store(), Watch: d.platformClient.Watch, WatchVMs: d.platformClient.WatchVMs,
 	})
@@ -173,16 +196,17 @@
 
 // listen binds all addresses before anything is served. A process that cannot bind the addresses of
 // its VM must not join the fleet, because another incarnation still uses them.
-func (d *Daemon) listen() ([]net.Listener, error) {
+func (d *Daemon) listen() ([]*forwardhttp.Listener, error) {
 	addresses := []struct {
 		address netip.AddrPort
 		tls     *tls.Config
+		share   float64
 	}{
-		{d.settings.Listen.Peers, d.identity.ServerConfig(true)},
-		{d.settings.Listen.Callers, nil},
-		{d.settings.Listen.Operators, d.identity.ServerConfig(false)},
+		{d.settings.Listen.Peers, d.identity.ServerConfig(true), peerFileRatio},
+		{d.settings.Listen.Callers, nil, callerFileRatio},
+		{d.settings.Listen.Operators, d.identity.ServerConfig(false), operatorFileRatio},
 	}
-	var listeners []net.Listener
+	var listeners []*forwardhttp.Listener
 	for _, a := range addresses {
 		l, err := net.Listen("tcp", a.address.String())
 		if err != nil {
@@ -191,7 +215,9 @@
 		if a.tls != nil {
 			l = tls.NewListener(l, a.tls)
 		}
-		listeners = append(listeners, l)
+		limited := forwardhttp.LimitConnections(l, openfiles.Share(a.share), d.metrics.connectionsRefused.Inc)
+		limited.CountEvictions(d.metrics.connectionsEvicted.Inc)
+		listeners = append(listeners, limited)
 	}
 	return listeners, nil
 }
--- a/internal/proxy/daemon/metrics.go
+++ b/internal/proxy/daemon/metrics.go
@@ -19,17 +19,23 @@
 		set               *metrics.Set
 		peerSentBytes     *metrics.Counter
 		peerReceivedBytes *metrics.Counter
-		eventCounters     map[core.EventKind]*metrics.Counter
+		// connectionsRefused counts connections beyond the limit of their address, connectionsEvicted those
+		// that were closed because their clients had stalled and others needed the room.
+		connectionsRefused, connectionsEvicted *metrics.Counter
+
+		eventCounters map[core.EventKind]*metrics.Counter
 	}
 )
 
 func newProcessMetrics() *processMetrics {
 	set := metrics.NewSet()
 	return &processMetrics{
-		set:               set,
-		peerSentBytes:     set.NewCounter("gypsumquay_peer_sent_bytes_total"),
-		peerReceivedBytes: set.NewCounter("gypsumquay_peer_received_bytes_total"),
-		eventCounters:     make(map[core.EventKind]*metrics.Counter),
+		set:                set,
+		peerSentBytes:      set.NewCounter("gypsumquay_peer_sent_bytes_total"),
+		peerReceivedBytes:  set.NewCounter("gypsumquay_peer_received_bytes_total"),
+		connectionsRefused: set.NewCounter("gypsumquay_connections_refused_total"),
+		connectionsEvicted: set.NewCounter("gypsumquay_connections_evicted_total"),
+		eventCounters:      make(map[core.EventKind]*metrics.Counter),
 	}
 }
 
--- a/internal/proxy/daemon/process_test.go
+++ b/internal/proxy/daemon/process_test.go
@@ -42,7 +42,7 @@
 	}
 )
 
-func startFleet(t *testing.T) *fleet {
+func startFleet(t *testing.T, prepare ...func(*fleet)) *fleet {
 	t.Helper()
 	f := &fleet{t: t, dir: t.TempDir()}
 	f.binDir = filepath.Join(f.dir, "bin")
@@ -51,6 +51,9 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
+	for _, p := range prepare {
+		p(f)
+	}
 	for i, name := range []string{"anna", "bruno"} {
 		pair, err := operator.NewKeyPair(name)
 		if err != nil {
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/replica"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/routing"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/steering"
+	"github.com/gypsumquay/gypsumquay/internal/proxy/openfiles"
 	"github.com/gypsumquay/gypsumquay/internal/proxy/sleep"
 )
 
@@ -293,7 +294,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	maxOpen := int(l.share * openFileLimit())
+	maxOpen := openfiles.Share(l.share)
 	if l.maxConnections > 0 {
 		maxOpen = min(maxOpen, l.maxConnections)
 	}
--- a/internal/proxy/forward/resourcelimits.go
+++ b/internal/proxy/forward/resourcelimits.go
@@ -4,8 +4,7 @@
 	"cmp"
 	"time"
 
-	"golang.org/x/sys/unix"
-	"k8s.io/klog/v2"
+	"github.com/gypsumquay/gypsumquay/internal/proxy/openfiles"
 )
 
 const (
@@ -37,9 +36,6 @@
 	operatorFileRatio       = 0.05
 	maxReadinessConnections = 64
 	maxOperatorConnections  = 32
-	// defaultOpenFiles applies if the limit can't be read; maxOpenFiles caps a larger limit.
-	defaultOpenFiles = 1024
-	maxOpenFiles     = 1 << 20
 	// httpIdleTimeout closes idle connections of lookups and readiness probes, after the same time
 	// as those of requests. Without it, each caller that ever made a lookup would hold an open
 	// file.
@@ -50,7 +46,7 @@
 // unlimited if that is not known.
 func maxCallerConnections(memory int64) int {
 	if memory <= 0 {
-		return maxOpenFiles
+		return openfiles.Max
 	}
 	return int(connectionMemoryRatio * float64(memory) / connectionMemory)
 }
@@ -59,13 +55,3 @@
 func memoryShare(memory int64, ratio float64) int64 {
 	return int64(ratio * float64(cmp.Or(memory, defaultMemoryBytes)))
 }
-
-// openFileLimit is the process's limit of open files.
-func openFileLimit() float64 {
-	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
-		klog.ErrorS(err, "open-file limit not available; using the default", "assumed", defaultOpenFiles)
-		return defaultOpenFiles
-	}
-	return float64(min(limit.Cur, maxOpenFiles))
-}
