Serve the longest body on small VMs, and count garbage of bodies

A single upload of the configuration's longest body got 503 in calm on a VM that bears it: a quarter of the memory is less than 64 MB on VMs below 273 MB. The budget grows to what the longest body needs now, up to 0.4 of the memory.

The budget counts what was released since the last collection, and collects itself if that and what is in use would exceed it by more than an eighth. In calm the collector is earlier.

--- a/internal/adapter/bodies/budget.go
+++ b/internal/adapter/bodies/budget.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/netip"
+	"runtime"
 	"sync"
 	"time"
+	"weak"
 )
 
 const (
@@ -14,6 +16,9 @@
 	// longRequestShare is the part of the budget, as a divisor, that request bodies which are long or of
 	// unknown length leave to others.
 	longRequestShare = 16
+	// garbageShare is the part of the budget, as a divisor, that released memory may take beyond the budget
+	// until it is collected.
+	garbageShare = 8
 	// reclaimTimeout is how long a body waits for memory of connections that were closed for it.
 	reclaimTimeout = 200 * time.Millisecond
 )
@@ -29,35 +34,93 @@
 	}
 
 	sharedBudget struct {
-		size int64
 		// reclaim closes a connection that holds memory, and reports whether there was one. It may be
 		// nil.
 		reclaim func() bool
 
-		mu sync.Mutex
+		mu   sync.Mutex
+		size int64
 		// changed is closed when memory is released. It is nil unless a body waits for that.
 		changed chan struct{}
 		// used is the memory that is reserved, held the part of it by source.
 		used int64
 		held map[netip.AddrPort]int64
+		// garbage is the memory that was released since the last garbage collection.
+		garbage int64
+
+		// collecting is held during a collection.
+		collecting sync.Mutex
 	}
 )
 
 // NewMemoryBudget returns a budget of maxBytes bytes.
 func NewMemoryBudget(maxBytes int64) *MemoryBudget {
-	return &MemoryBudget{sharedBudget: &sharedBudget{size: maxBytes, held: make(map[netip.AddrPort]int64)}}
+	m := &MemoryBudget{sharedBudget: &sharedBudget{size: maxBytes, held: make(map[netip.AddrPort]int64)}}
+	m.watchCollections()
+	return m
+}
+
+// watchCollections forgets the garbage with each garbage collection.
+func (m *sharedBudget) watchCollections() {
+	runtime.AddCleanup(new([16]byte), func(b weak.Pointer[sharedBudget]) {
+		if m := b.Value(); m != nil {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.garbage = 0
+			m.watchCollections()
+		}
+	}, weak.Make(m))
+}
+
+// collectGarbage collects the memory of released bodies if it would take the process beyond the budget: the
+// collector goes by the heap as a whole and lets a crowd allocate while it runs.
+func (m *sharedBudget) collectGarbage(bytes int64) {
+	if !m.hasGarbage(bytes) {
+		return
+	}
+	m.collecting.Lock()
+	defer m.collecting.Unlock()
+	if !m.hasGarbage(bytes) {
+		return
+	}
+	runtime.GC()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.garbage = 0
+}
+
+// hasGarbage reports whether the next bytes exceed the budget together with the garbage.
+func (m *sharedBudget) hasGarbage(bytes int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.garbage > m.size/garbageShare && m.used+m.garbage+bytes > m.size+m.size/garbageShare
 }
 
 // ReclaimWith calls reclaim when the memory is used up: it closes a connection that holds memory without
 // need, and reports whether there was one. It must be called before the budget is used.
 func (m *MemoryBudget) ReclaimWith(reclaim func() bool) { m.reclaim = reclaim }
 
+// SetLongestRequest changes the size of the budget to maxBytes, or to less if that is enough for a request body
+// of the given length, but not to less than minBytes.
+func (m *MemoryBudget) SetLongestRequest(length, minBytes, maxBytes int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	needed := length + length/(longRequestShare-1) + 1
+	m.size = min(max(minBytes, needed), max(minBytes, maxBytes))
+}
+
+func (m *MemoryBudget) currentSize() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.size
+}
+
 // forRequest returns a view of the budget for a request body. One that is long, or of unknown length if
 // contentLength is negative, leaves a part to others: a crowd of them must not shut out short ones.
 func (m *MemoryBudget) forRequest(contentLength int64) *MemoryBudget {
-	view := &MemoryBudget{sharedBudget: m.sharedBudget, source: m.source}
-	if contentLength < 0 || contentLength > m.size/smallSourceShare {
-		view.leave = m.size / longRequestShare
+	view, size := &MemoryBudget{sharedBudget: m.sharedBudget, source: m.source}, m.currentSize()
+	if contentLength < 0 || contentLength > size/smallSourceShare {
+		view.leave = size / longRequestShare
 	}
 	return view
 }
@@ -65,6 +128,7 @@
 // acquire reserves memory like tryAcquire. If there is none, it reclaims some and waits for that a short
 // time.
 func (m *MemoryBudget) acquire(bytes int64) bool {
+	m.collectGarbage(bytes)
 	if m.tryAcquire(bytes) {
 		return true
 	}
@@ -133,6 +197,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.used -= bytes
+	m.garbage += bytes
 	if m.changed != nil {
 		close(m.changed)
 		m.changed = nil
--- a/internal/proxy/forward/daemon.go
+++ b/internal/proxy/forward/daemon.go
@@ -62,6 +62,8 @@
 		// and track which are idle.
 		requestListeners []*forwardhttp.Listener
 		serverClient     *serverhttp.Client
+		// bodyMemory limits the memory of all bodies.
+		bodyMemory *bodies.MemoryBudget
 		// headMemory limits the memory of the heads of all requests.
 		headMemory *bodies.MemoryBudget
 		// headBytes is the longest head that the configuration allows, zero if it sets no limit.
@@ -138,6 +140,7 @@
 	d.registrar = &registrar{replica: d.replica, store: deps.Store}
 	memory := bodies.NewMemoryBudget(memoryShare(s.MemoryBytes, bodyMemoryRatio))
 	memory.ReclaimWith(d.reclaimBodyMemory)
+	d.bodyMemory = memory
 	d.headMemory = bodies.NewMemoryBudget(memoryShare(s.MemoryBytes, headMemoryRatio))
 	d.serverClient = serverhttp.NewClient(deps.Names.ServerHeaders, memory, d.now, d.metrics.serverConnectionsOpened.Inc)
 	d.serverClient.CountSentBytes(d.overflow.countSent)
@@ -308,6 +311,13 @@
 	return cmp.Or(d.headBytes.Load(), forwardhttp.DefaultMaxHeadBytes)
 }
 
+// applyLimits applies the configuration's limits of requests.
+func (d *Daemon) applyLimits(l routing.Limits) {
+	d.headBytes.Store(l.HeaderBytes)
+	memory := d.settings.MemoryBytes
+	d.bodyMemory.SetLongestRequest(l.BodyBytes, memoryShare(memory, bodyMemoryRatio), memoryShare(memory, maxBodyMemoryRatio))
+}
+
 // reclaimBodyMemory closes a connection whose client holds memory for bodies and has stalled, and reports
 // whether there was one.
 func (d *Daemon) reclaimBodyMemory() bool {
--- a/internal/proxy/forward/resourcelimits.go
+++ b/internal/proxy/forward/resourcelimits.go
@@ -12,8 +12,11 @@
 	// works harder: a process that exceeds its memory is killed.
 	memoryLimitRatio = 0.8
 	// bodyMemoryRatio is the fraction that buffered bodies of requests and responses may use
-	// together: the garbage collector leaves as much again unreclaimed. defaultMemoryBytes applies if the settings give no memory size.
+	// together: the garbage collector leaves as much again unreclaimed. maxBodyMemoryRatio is the same if
+	// the longest body of the configuration needs more. defaultMemoryBytes applies if the settings give no
+	// memory size.
 	bodyMemoryRatio    = 0.25
+	maxBodyMemoryRatio = 0.4
 	defaultMemoryBytes = 256 << 20
 	// headMemoryRatio is the fraction that the heads of requests may use together beyond the usual size,
 	// messageMemoryRatio that of calls of other proxies that are being received.
--- a/internal/proxy/forward/storereplica.go
+++ b/internal/proxy/forward/storereplica.go
@@ -256,7 +256,7 @@
 		return
 	}
 	f.daemon.withKernel(func(k *steering.Kernel, _ time.Time) { k.SetTable(t) })
-	f.daemon.headBytes.Store(t.Limits.HeaderBytes)
+	f.daemon.applyLimits(t.Limits)
 }
 
 // dispatchServer applies a server's registration to the kernel. A server whose removal is
