--- a/internal/adapter/backendhttp/client.go
+++ b/internal/adapter/backendhttp/client.go
@@ -119,7 +119,7 @@
 // the connection is closed: the responses behind it would all go to the wrong requests.
 func (c *Client) do(request *http.Request) (response *http.Response, connected bool, err error) {
 	var connection atomic.Pointer[net.Conn]
-	written := make(chan error, 1)
+	written := make(chan httptrace.WroteRequestInfo, 1)
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { connection.Store(&info.Conn) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
@@ -127,7 +127,7 @@
 			case <-written:
 			default:
 			}
-			written <- info.Err
+			written <- info
 		},
 	}
 	response, err = c.http.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
--- a/internal/adapter/backendhttp/unsized.go
+++ b/internal/adapter/backendhttp/unsized.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http/httptrace"
 
 	"github.com/go-faster/errors"
 )
@@ -19,7 +20,7 @@
 		io.ReadCloser
 		ctx context.Context
 		// written receives the result of writing the request once.
-		written <-chan error
+		written <-chan httptrace.WroteRequestInfo
 		// end is the result of reading once the body has ended.
 		end error
 	}
@@ -42,9 +43,9 @@
 // closes the connection at the end of the body, which ends a write that is still blocked.
 func (b *unsizedBody) checkEnd() error {
 	select {
-	case err := <-b.written:
-		if err != nil {
-			return errors.Wrap(errCutOff, err.Error())
+	case info := <-b.written:
+		if info.Err != nil {
+			return errors.Wrap(errCutOff, info.Err.Error())
 		}
 		return io.EOF
 	case <-b.ctx.Done():
--- a/internal/adapter/forwardhttp/headmeter.go
+++ b/internal/adapter/forwardhttp/headmeter.go
@@ -196,7 +196,7 @@
 	if status == http.StatusServiceUnavailable {
 		text += "Retry-After: " + strconv.FormatFloat(noMemoryRetryAfter.Seconds(), 'f', 3, 64) + "\r\n"
 	}
-	if m.conn.Conn.SetWriteDeadline(time.Now().Add(rejectionTimeout)) == nil {
+	if m.conn.SetWriteDeadline(time.Now().Add(rejectionTimeout)) == nil {
 		_, _ = io.WriteString(m.conn, text+"\r\n")
 	}
 }
--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -225,7 +225,7 @@
 		decision = s.acquireToken(ctx, active, decision.QuotaPool)
 	}
 	newRequest := func(target *steering.Target, isHedge bool) serverhttp.Request {
-		return s.newServerRequest(r, o, request, active, target, isHedge)
+		return s.newServerRequest(r, o, active, target, isHedge)
 	}
 	var response *serverhttp.Response
 	for decision.Server != nil || decision.Handover != nil {
@@ -294,7 +294,7 @@
 	}
 }
 
-func (s *Server) newServerRequest(r *http.Request, o forwardOptions, request steering.Request, active *steering.ActiveRequest, target *steering.Target, isHedge bool) serverhttp.Request {
+func (s *Server) newServerRequest(r *http.Request, o forwardOptions, active *steering.ActiveRequest, target *steering.Target, isHedge bool) serverhttp.Request {
 	account := ""
 	if active.Account != nil {
 		account = active.Account.Name
--- a/internal/kernel/eviction/eviction.go
+++ b/internal/kernel/eviction/eviction.go
@@ -73,9 +73,11 @@
 )
 
 const (
-	// ForConnection frees a connection, ForHead memory of heads, and ForBody memory of bodies.
+	// ForConnection frees a connection.
 	ForConnection Purpose = iota
+	// ForHead frees memory of heads.
 	ForHead
+	// ForBody frees memory of bodies.
 	ForBody
 )
 
