Run no request whose connection is being closed to make room

A connection that is chosen to be closed may have its head or body completed in the same moment. The request would then run, and its client, who sees it unread, would send it again. This was found while reading the code.

The choice and the activity are one compare-and-swap now: either the connection is no longer stalled, and stays, or what is read of it ends before it runs.

--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -206,6 +206,7 @@
 		return
 	}
 	defer body.Release()
+	forwardhttp.AbortIfEvicted(r)
 	content := body.Content.Bytes()
 	q := Request{
 		Request: core.Request{
--- a/internal/adapter/forwardhttp/closing.go
+++ b/internal/adapter/forwardhttp/closing.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"k8s.io/klog/v2"
-
-	"github.com/gypsumquay/gypsumquay/internal/kernel/eviction"
 )
 
 type (
@@ -44,13 +42,10 @@
 		klog.InfoS("can't take over the connection of a client", "error", err.Error())
 		panic(http.ErrAbortHandler)
 	}
-	if c, ok := conn.(*trackedConn); ok {
-		defer c.begin(eviction.Closing)
-	}
 	defer func() { _ = conn.Close() }()
 	b.header.Del("Content-Length")
 	response := http.Response{
-		StatusCode: b.status, ProtoMajor: 1, ProtoMinor: 1, Request: r, Close: true,
+		StatusCode: cmp.Or(b.status, http.StatusOK), ProtoMajor: 1, ProtoMinor: 1, Request: r, Close: true,
 		Header: b.header, Body: io.NopCloser(&b.body), ContentLength: int64(b.body.Len()),
 	}
 	if conn.SetWriteDeadline(time.Now().Add(rejectionTimeout)) == nil {
--- a/internal/adapter/forwardhttp/evict.go
+++ b/internal/adapter/forwardhttp/evict.go
@@ -12,6 +12,19 @@
 	"github.com/gypsumquay/gypsumquay/internal/kernel/eviction"
 )
 
+const (
+	// activityEvicted is the activity of a connection that has been evicted. It does not change any more.
+	activityEvicted = -1
+)
+
+type (
+	// candidate is a connection that may be evicted, and its activity when it was considered.
+	candidate struct {
+		conn     *trackedConn
+		activity int32
+	}
+)
+
 // Evict closes the connection of a client that has stalled, and reports whether there was one.
 func (l *Listener) Evict(p eviction.Purpose) bool {
 	c := l.chooseVictim(p)
@@ -19,7 +32,7 @@
 		return false
 	}
 	l.onEvict()
-	klog.V(1).InfoS("connection closed to make room for others", "client", c.RemoteAddr().String(), "activity", c.activity.Load())
+	klog.V(1).InfoS("connection closed to make room for others", "client", c.RemoteAddr().String())
 	c.evict()
 	return true
 }
@@ -39,6 +52,14 @@
 	return body, err
 }
 
+// AbortIfEvicted ends the handler of a request that was read while its connection was being evicted: it must not
+// run, as its client sees it unread.
+func AbortIfEvicted(r *http.Request) {
+	if c, ok := r.Context().Value(connectionKey{}).(*trackedConn); ok && c.activity.Load() == activityEvicted {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // Attach lets an HTTP server report the state of its connections, and sets the limits that it lacks. It is for
 // servers whose requests have no bodies: none is read, and a connection is closed behind one.
 func (l *Listener) Attach(server *http.Server) {
@@ -66,23 +87,28 @@
 	if now.Before(l.noVictimUntil[p]) {
 		return nil
 	}
-	choice := eviction.NewChoice[*trackedConn](now, l.patience, p)
+	choice := eviction.NewChoice[candidate](now, l.patience, p)
 	considered := 0
 	for c := range l.connections {
 		if considered++; considered > evictionSample && choice.Found() {
 			break
 		}
-		choice.Consider(c, eviction.Connection{Activity: eviction.Activity(c.activity.Load()), ProgressAt: l.startedAt.Add(time.Duration(c.progressAt.Load()))})
+		activity := c.activity.Load()
+		choice.Consider(candidate{c, activity}, eviction.Connection{Activity: eviction.Activity(activity), ProgressAt: l.startedAt.Add(time.Duration(c.progressAt.Load()))})
 	}
-	c, found, next := choice.Best()
+	best, found, next := choice.Best()
 	if !found {
 		// A search takes time, and a crowd asks for one with each connection.
 		l.noVictimUntil[p] = now.Add(min(max(next, minEvictionPause), maxEvictionPause))
 		return nil
 	}
+	if !best.conn.activity.CompareAndSwap(best.activity, activityEvicted) {
+		// The client went on in the meantime.
+		return nil
+	}
 	l.openCount.Add(-1)
-	delete(l.connections, c)
-	return c
+	delete(l.connections, best.conn)
+	return best.conn
 }
 
 // evict closes the connection without waiting for the client. The HTTP server notices that.
@@ -95,11 +121,17 @@
 	c.messages.reset()
 }
 
-// begin records what the connection is doing from now on, and returns what it was doing.
-func (c *trackedConn) begin(a eviction.Activity) eviction.Activity {
+// begin records what the connection is doing from now on, unless it has been evicted, and returns what it was
+// doing.
+func (c *trackedConn) begin(a eviction.Activity) (before eviction.Activity) {
 	c.progress.Store(0)
 	c.progressAt.Store(int64(time.Since(c.listener.startedAt)))
-	return eviction.Activity(c.activity.Swap(int32(a)))
+	for {
+		before := c.activity.Load()
+		if before == activityEvicted || c.activity.CompareAndSwap(before, int32(a)) {
+			return eviction.Activity(before)
+		}
+	}
 }
 
 // recordRead records bytes that the client has sent.
--- a/internal/adapter/forwardhttp/headmeter_test.go
+++ b/internal/adapter/forwardhttp/headmeter_test.go
@@ -75,3 +75,19 @@
 		})
 	}
 }
+
+// BenchmarkHeadMeter counts the head of a usual request.
+func BenchmarkHeadMeter(b *testing.B) {
+	head := []byte("GET /a/b?c=d HTTP/1.1\r\nHost: example\r\nAttempt: 9c41d07be2a35f68\r\nCookie: Object=17\r\nDeadline: 1200\r\n" +
+		"User-Agent: Go-http-client/1.1\r\nAccept-Encoding: gzip\r\n\r\n")
+	l := LimitConnections(nil, 1, func() {})
+	l.LimitHeads(HeadLimits{Memory: bodies.NewMemoryBudget(1 << 20), MaxBytes: func() int64 { return 16 << 10 }})
+	m := l.newMeter(&trackedConn{listener: l})
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := m.read(head); err != nil || !m.beginRequest() {
+			b.Fatal(err)
+		}
+		m.endRequest()
+	}
+}
--- a/internal/adapter/forwardhttp/server.go
+++ b/internal/adapter/forwardhttp/server.go
@@ -181,6 +181,7 @@
 		return
 	}
 	defer body.Release()
+	AbortIfEvicted(r)
 	stream := &responseStream{}
 	result, _ := s.forward(r.Context(), r, forwardOptions{
 		body: body, receivedAt: receivedAt, connectionUses: connectionUses(r.Context()), onStream: func(response *serverhttp.Response) { stream.start(s, w, r, response) }, mayStream: connection.beginStream,
--- a/internal/adapter/serverhttp/headsyntax.go
+++ b/internal/adapter/serverhttp/headsyntax.go
@@ -30,6 +30,8 @@
 
 	lengthField   = []byte("content-length")
 	encodingField = []byte("transfer-encoding")
+
+	tokenBytes = newTokenBytes()
 )
 
 type (
@@ -53,11 +55,13 @@
 
 // feed checks the next bytes. Those after the end of the head are ignored.
 func (s *headSyntax) feed(text []byte) {
-	for _, c := range text {
-		if s.line == lineHeadEnd || s.invalid {
-			return
+	for i := 0; i < len(text) && s.line != lineHeadEnd && !s.invalid; i++ {
+		if s.line == lineFieldValue && !s.afterCR {
+			for i < len(text)-1 && text[i] > '\r' {
+				i++
+			}
 		}
-		s.next(c)
+		s.next(text[i])
 	}
 }
 
@@ -150,10 +154,16 @@
 	return checkStatus(response.StatusCode)
 }
 
-// isTokenByte reports whether a field name may contain a byte (RFC 9110, 5.6.2).
-func isTokenByte(c byte) bool {
-	lower := toLower(c)
-	return 'a' <= lower && lower <= 'z' || '0' <= c && c <= '9' || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
+// isTokenByte reports whether a field name may contain a byte.
+func isTokenByte(c byte) bool { return tokenBytes[c] }
+
+// newTokenBytes returns the bytes that tokens consist of (RFC 9110, 5.6.2).
+func newTokenBytes() (set [256]bool) {
+	for c := range set {
+		lower := toLower(byte(c))
+		set[c] = 'a' <= lower && lower <= 'z' || '0' <= c && c <= '9' || strings.IndexByte("!#$%&'*+-.^_`|~", byte(c)) >= 0
+	}
+	return set
 }
 
 func toLower(c byte) byte {
--- a/internal/adapter/serverhttp/headsyntax_test.go
+++ b/internal/adapter/serverhttp/headsyntax_test.go
@@ -105,3 +105,26 @@
 		}
 	})
 }
+
+// BenchmarkReadHead reads the head of a usual response with and without the check of its syntax.
+func BenchmarkReadHead(b *testing.B) {
+	text := validStart + "Content-Type: text/plain\r\nX-Load: 1,0,4\r\nDate: Mon, 07 Dec 2026 01:00:00 GMT\r\nContent-Length: 0\r\n\r\n"
+	for name, check := range map[string]bool{"parser alone": false, "with check": true} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			reader := bufio.NewReader(nil)
+			for b.Loop() {
+				reader.Reset(strings.NewReader(text))
+				var s headSyntax
+				if check {
+					s.feed([]byte(text))
+				}
+				response, err := http.ReadResponse(reader, nil)
+				if err != nil || check && s.check(response) != nil {
+					b.Fatal(err)
+				}
+				_ = response.Body.Close()
+			}
+		})
+	}
+}
