Test of cancelled slot requests: wait until the server is known

Until a proxy knows a server, requests to it are granted a slot at once, and the test began before the store's entries had been read. What the test asks for is unchanged.

--- a/internal/proxy/forward/slots_test.go
+++ b/internal/proxy/forward/slots_test.go
@@ -88,6 +88,13 @@
 func TestCanceledRequestStopsWaiting(t *testing.T) {
 	f := newFleet(t, 1)
 	p := f.daemons[0].slots
+	// Until the server is known, nobody limits its requests.
+	f.eventually("the server is known", func() (known bool) {
+		f.daemons[0].withKernel(func(k *steering.Kernel, now time.Time) {
+			known = !k.HandleSlotRequest(now, f.slotRequest(0, 0, 1)).Unknown
+		})
+		return known
+	})
 	if r, _ := p.acquire(context.Background(), f.slotRequest(0, 0, 1)); r.Verdict != admission.Granted {
 		t.Fatalf("verdict is %d, want a slot", r.Verdict)
 	}
