--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -208,6 +208,8 @@
 	defer body.Release()
 	forwardhttp.AbortIfEvicted(r)
 	content := body.Content.Bytes()
+	// Bytes joins the pieces of a long body, which would be held beside the copy.
+	body.Content = bodies.NewContent(content)
 	q := Request{
 		Request: core.Request{
 			Service:     service,
