Don't reject the head of a request that was started before its turn

A repeatable request that a caller sends ahead is parsed and started before net/http reads its head. If the memory for heads was used up at that moment, the caller got 503, which says that it has not run, though it had run or was running.

Cause: the meter charged the head a second time, on its way to net/http. The head of a request that has been started is charged already, and is not rejected any more. Found by reading; TestHeadOfEarlyRequestIsNotRejected fails without the change.

--- a/internal/adapter/forwardhttp/evict_test.go
+++ b/internal/adapter/forwardhttp/evict_test.go
@@ -3,9 +3,11 @@
 import (
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/gypsumquay/gypsumquay/internal/adapter/bodies"
 	"github.com/gypsumquay/gypsumquay/internal/kernel/eviction"
 )
 
@@ -50,3 +52,17 @@
 		}
 	}
 }
+
+// Guards against 503 for a request that was started before its turn: it may have run.
+func TestHeadOfEarlyRequestIsNotRejected(t *testing.T) {
+	l := LimitConnections(nil, 1, func() {})
+	l.LimitHeads(HeadLimits{Memory: bodies.NewMemoryBudget(0), MaxBytes: func() int64 { return 0 }})
+	conn, client := net.Pipe()
+	defer func() { _ = client.Close() }()
+	c := l.track(conn)
+	c.pipeline = &pipeline{requests: []*pipelinedRequest{{early: &earlyRequest{}}}}
+	head := []byte("GET / HTTP/1.1\r\n" + strings.Repeat("a:\r\n", 1000) + "\r\n")
+	if err := c.meter.read(head); err != nil {
+		t.Errorf("got error %v, want none", err)
+	}
+}
--- a/internal/adapter/forwardhttp/headmeter.go
+++ b/internal/adapter/forwardhttp/headmeter.go
@@ -101,6 +101,10 @@
 	if errors.Is(err, errNoMemoryHeads) && m.conn.listener.Evict(eviction.ForHead) {
 		err = m.tryReserve()
 	}
+	if err != nil && m.conn.pipeline.hasStartedCurrent() {
+		// The head was charged when the request was started before its turn, and may have run since.
+		err = nil
+	}
 	switch {
 	case errors.Is(err, errHeadTooLarge):
 		m.reject(http.StatusRequestHeaderFieldsTooLarge)
--- a/internal/adapter/forwardhttp/pipeline.go
+++ b/internal/adapter/forwardhttp/pipeline.go
@@ -434,6 +434,18 @@
 	return slices.ContainsFunc(p.requests, func(r *pipelinedRequest) bool { return r.early != nil && !r.early.taken })
 }
 
+// hasStartedCurrent reports whether the request that net/http reads or serves was started before its turn. p may
+// be nil.
+func (p *pipeline) hasStartedCurrent() bool {
+	if p == nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	current := p.current()
+	return current != nil && current.early != nil
+}
+
 // stopStarting prevents further starts because the current response closes the connection.
 func (p *pipeline) stopStarting() {
 	if p == nil {
