Don't evict a connection with requests that were started ahead

Between two responses of a connection net/http reports it as idle. At the limit of connections it could be closed then, while a request that was started before its turn was at a server: its caller would have lost the response.

A connection with such a request is no candidate. Found by reading; TestConnectionWithEarlyRequestIsNotEvicted fails without the change.

--- a/internal/adapter/forwardhttp/evict.go
+++ b/internal/adapter/forwardhttp/evict.go
@@ -93,6 +93,9 @@
 		if considered++; considered > evictionSample && choice.Found() {
 			break
 		}
+		if c.pipeline.isRunning() {
+			continue
+		}
 		activity := c.activity.Load()
 		choice.Consider(candidate{c, activity}, eviction.Connection{Activity: eviction.Activity(activity), ProgressAt: l.startedAt.Add(time.Duration(c.progressAt.Load()))})
 	}
--- a/internal/adapter/forwardhttp/evict_test.go
+++ b/internal/adapter/forwardhttp/evict_test.go
@@ -66,3 +66,21 @@
 		t.Errorf("got error %v, want none", err)
 	}
 }
+
+// Guards against closing a connection while a request that was started before its turn is at a server.
+func TestConnectionWithEarlyRequestIsNotEvicted(t *testing.T) {
+	l := LimitConnections(nil, 1, func() {})
+	conn, client := net.Pipe()
+	defer func() { _ = client.Close() }()
+	c := l.track(conn)
+	c.pipeline = &pipeline{requests: []*pipelinedRequest{{early: &earlyRequest{}}}}
+	l.RecordState(c, http.StateIdle)
+	if l.Evict(eviction.ForConnection) {
+		t.Error("the connection was evicted, want it to stay")
+	}
+	c.pipeline.requests[0].early.taken = true
+	time.Sleep(maxEvictionPause)
+	if !l.Evict(eviction.ForConnection) {
+		t.Error("the connection was not evicted once its requests were answered")
+	}
+}
--- a/internal/adapter/forwardhttp/pipeline.go
+++ b/internal/adapter/forwardhttp/pipeline.go
@@ -446,6 +446,17 @@
 	return current != nil && current.early != nil
 }
 
+// isRunning reports whether a request of the connection that net/http has not reached has been started. p may be
+// nil.
+func (p *pipeline) isRunning() bool {
+	if p == nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hasStarted()
+}
+
 // stopStarting prevents further starts because the current response closes the connection.
 func (p *pipeline) stopStarting() {
 	if p == nil {
