Free the memory of stalled calls of peers for others

A call that finds no memory evicts a stalled connection first, as heads of requests do. Found by reading; TestStalledCallLeavesMemoryToOthers fails without the change.

--- a/internal/adapter/forwardhttp/evict_test.go
+++ b/internal/adapter/forwardhttp/evict_test.go
@@ -53,20 +53,6 @@
 	}
 }
 
-// Guards against 503 for a request that was started before its turn: it may have run.
-func TestHeadOfEarlyRequestIsNotRejected(t *testing.T) {
-	l := LimitConnections(nil, 1, func() {})
-	l.LimitHeads(HeadLimits{Memory: bodies.NewMemoryBudget(0), MaxBytes: func() int64 { return 0 }})
-	conn, client := net.Pipe()
-	defer func() { _ = client.Close() }()
-	c := l.track(conn)
-	c.pipeline = &pipeline{requests: []*pipelinedRequest{{early: &earlyRequest{}}}}
-	head := []byte("GET / HTTP/1.1\r\n" + strings.Repeat("a:\r\n", 1000) + "\r\n")
-	if err := c.meter.read(head); err != nil {
-		t.Errorf("got error %v, want none", err)
-	}
-}
-
 // Guards against closing a connection while a request that was started before its turn is at a server.
 func TestConnectionWithEarlyRequestIsNotEvicted(t *testing.T) {
 	l := LimitConnections(nil, 1, func() {})
@@ -84,3 +70,45 @@
 		t.Error("the connection was not evicted once its requests were answered")
 	}
 }
+
+// Guards against 503 for a request that was started before its turn: it may have run.
+func TestHeadOfEarlyRequestIsNotRejected(t *testing.T) {
+	l := LimitConnections(nil, 1, func() {})
+	l.LimitHeads(HeadLimits{Memory: bodies.NewMemoryBudget(0), MaxBytes: func() int64 { return 0 }})
+	conn, client := net.Pipe()
+	defer func() { _ = client.Close() }()
+	c := l.track(conn)
+	c.pipeline = &pipeline{requests: []*pipelinedRequest{{early: &earlyRequest{}}}}
+	head := []byte("GET / HTTP/1.1\r\n" + strings.Repeat("a:\r\n", 1000) + "\r\n")
+	if err := c.meter.read(head); err != nil {
+		t.Errorf("got error %v, want none", err)
+	}
+}
+
+// Guards against calls of peers that stall and keep the memory from all others.
+func TestStalledCallLeavesMemoryToOthers(t *testing.T) {
+	const size = 100 << 10
+	l := LimitConnections(nil, 10, func() {})
+	l.LimitMessages(bodies.NewMemoryBudget(messageByteMemory * size))
+	send := func() error {
+		conn, client := net.Pipe()
+		t.Cleanup(func() { _ = client.Close() })
+		c := l.track(conn)
+		go func() { _, _ = client.Write(make([]byte, size)) }()
+		for n := 0; n < size; {
+			read, err := c.Read(make([]byte, size))
+			if err != nil {
+				return err
+			}
+			n += read
+		}
+		return nil
+	}
+	if err := send(); err != nil {
+		t.Fatalf("first call: got error %v, want none", err)
+	}
+	time.Sleep(l.patience.Head)
+	if err := send(); err != nil {
+		t.Errorf("call beside a stalled one: got error %v, want none", err)
+	}
+}
--- a/internal/adapter/forwardhttp/listener.go
+++ b/internal/adapter/forwardhttp/listener.go
@@ -261,7 +261,11 @@
 	if rejection := c.meter.read(b[:n]); rejection != nil {
 		return 0, rejection
 	}
-	if rejection := c.messages.read(n); rejection != nil {
+	rejection := c.messages.read(n)
+	if rejection != nil && c.listener.Evict(eviction.ForHead) {
+		rejection = c.messages.read(0)
+	}
+	if rejection != nil {
 		return 0, rejection
 	}
 	if n > 0 && !c.phase.CompareAndSwap(phaseIdle, phaseReading) && c.phase.Load() == phaseClosing {
