Run the crowds of clients after the other tests, one at a time

The tests of crowds check memory and open files, and ran beside the tests of other packages. make test runs them in a step of its own now, one package after the other; nothing else about them changes, and the race detector stays on.

--- a/Makefile
+++ b/Makefile
@@ -14,11 +14,16 @@
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -s -d '|')
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
+# Crowds of clients run after the other tests and one at a time: they check memory and open files.
+CROWDS := TestCrowd.*
+SKIP_CROWDS := -skip '^($(if $(KNOWN_RED),$(KNOWN_RED)|)$(CROWDS))$$'
+
 # The many simulations in virtual time are single-threaded: the race detector would find nothing
 # there and take ten times as long.
 SIMULATIONS := ./internal/fake/simnet ./internal/fake/warmnet
 test:
-	$(GO) test -race -timeout 20m $(SKIP) $$($(GO) list ./... | grep -v -e /fake/simnet -e /fake/warmnet)
+	$(GO) test -race -timeout 20m $(SKIP_CROWDS) $$($(GO) list ./... | grep -v -e /fake/simnet -e /fake/warmnet)
+	$(GO) test -race -timeout 20m -p 1 $(SKIP) -run '^$(CROWDS)$$' ./platform ./internal/proxy/daemon
 	$(GO) test $(SKIP) $(SIMULATIONS)
 
 demo: build
